Lay out the workspace, the shared types and the inner protocol

Cause: nothing exists yet, and the parts can only be built side by side once their boundaries stand. Change: nine Maven modules with formatter and linter in the build; ids, errors with outcomes, clocks, the view of control state; protobuf frames over Netty with a mutual HMAC handshake; the interface of the control log. Measured: mvn verify passes; 5 tests of the inner protocol, among them 200 requests in flight on one link, a wrong key, a wrong cluster and garbage. Conclusion: the thin path and the pure cores can start from here.

--- /dev/null
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the protocol of the backend servers. */
+package org.alderyard.backend;
--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks and regression bounds. */
+package org.alderyard.benchmarks;
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The binary alderyard. */
+package org.alderyard.cli;
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/concurrent/Futures.java
@@ -0,0 +1,33 @@
+package org.alderyard.common.concurrent;
+
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.Outcome;
+
+/** Helpers for the failures that futures wrap. */
+public final class Futures {
+
+  private Futures() {}
+
+  /** Returns the failure itself, without the wrappers that futures add. */
+  public static Throwable unwrap(Throwable failure) {
+    Throwable current = failure;
+    while ((current instanceof CompletionException || current instanceof ExecutionException)
+        && current.getCause() != null) {
+      current = current.getCause();
+    }
+    return current;
+  }
+
+  /** Returns the failure as a typed error; an untyped one is {@code INTERNAL} and unknown. */
+  public static AlderyardException typed(Throwable failure) {
+    Throwable cause = unwrap(failure);
+    if (cause instanceof AlderyardException typed) {
+      return typed;
+    }
+    return new AlderyardException(
+        ErrorCode.INTERNAL, Outcome.OUTCOME_UNKNOWN, "unexpected failure: " + cause, cause);
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/concurrent/package-info.java
@@ -0,0 +1,2 @@
+/** The pool of workers, and small helpers for futures. */
+package org.alderyard.common.concurrent;
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/CallerId.java
@@ -0,0 +1,24 @@
+package org.alderyard.common.id;
+
+/**
+ * The name of a caller, the scope of its request ids.
+ *
+ * @param value the name, 1 to 128 characters of {@code [A-Za-z0-9._:-]}
+ */
+public record CallerId(String value) implements Comparable<CallerId> {
+
+  /** Checks the name. */
+  public CallerId {
+    Names.check("callerId", value);
+  }
+
+  @Override
+  public int compareTo(CallerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/GroupId.java
@@ -0,0 +1,24 @@
+package org.alderyard.common.id;
+
+/**
+ * The name of a database group.
+ *
+ * @param value the name, 1 to 128 characters of {@code [A-Za-z0-9._:-]}
+ */
+public record GroupId(String value) implements Comparable<GroupId> {
+
+  /** Checks the name. */
+  public GroupId {
+    Names.check("group", value);
+  }
+
+  @Override
+  public int compareTo(GroupId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/HostId.java
@@ -0,0 +1,24 @@
+package org.alderyard.common.id;
+
+/**
+ * The name of a host of the system.
+ *
+ * @param value the name, 1 to 128 characters of {@code [A-Za-z0-9._:-]}
+ */
+public record HostId(String value) implements Comparable<HostId> {
+
+  /** Checks the name. */
+  public HostId {
+    Names.check("host", value);
+  }
+
+  @Override
+  public int compareTo(HostId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/PoolName.java
@@ -0,0 +1,24 @@
+package org.alderyard.common.id;
+
+/**
+ * The name of a pool, which callers address.
+ *
+ * @param value the name, 1 to 128 characters of {@code [A-Za-z0-9._:-]}
+ */
+public record PoolName(String value) implements Comparable<PoolName> {
+
+  /** Checks the name. */
+  public PoolName {
+    Names.check("pool", value);
+  }
+
+  @Override
+  public int compareTo(PoolName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/Position.java
@@ -0,0 +1,27 @@
+package org.alderyard.common.id;
+
+import java.util.Comparator;
+
+/**
+ * A place in the log of a database group.
+ *
+ * @param term the term in which the entry was written
+ * @param index the number of the entry in the log, from 1; 0 is the empty log
+ */
+public record Position(long term, long index) implements Comparable<Position> {
+  /** The place before the first entry. */
+  public static final Position NONE = new Position(0, 0);
+
+  private static final Comparator<Position> ORDER =
+      Comparator.comparingLong(Position::term).thenComparingLong(Position::index);
+
+  @Override
+  public int compareTo(Position other) {
+    return ORDER.compare(this, other);
+  }
+
+  @Override
+  public String toString() {
+    return term + "/" + index;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/RequestId.java
@@ -0,0 +1,24 @@
+package org.alderyard.common.id;
+
+/**
+ * The name that a caller gives to a request so that a resend can be told from a new one.
+ *
+ * @param value the name, 1 to 128 characters of {@code [A-Za-z0-9._:-]}
+ */
+public record RequestId(String value) implements Comparable<RequestId> {
+
+  /** Checks the name. */
+  public RequestId {
+    Names.check("requestId", value);
+  }
+
+  @Override
+  public int compareTo(RequestId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/ZoneName.java
@@ -0,0 +1,24 @@
+package org.alderyard.common.id;
+
+/**
+ * The name of an availability zone.
+ *
+ * @param value the name, 1 to 128 characters of {@code [A-Za-z0-9._:-]}
+ */
+public record ZoneName(String value) implements Comparable<ZoneName> {
+
+  /** Checks the name. */
+  public ZoneName {
+    Names.check("zone", value);
+  }
+
+  @Override
+  public int compareTo(ZoneName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/package-info.java
@@ -0,0 +1,2 @@
+/** Ids, errors, settings, time, and the view of control state. */
+package org.alderyard.common;
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ServerState.java
@@ -0,0 +1,35 @@
+package org.alderyard.common.view;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.id.ZoneName;
+
+/**
+ * A backend server as the registry knows it.
+ *
+ * @param id the name
+ * @param incarnation grows with each start of the server
+ * @param group its group
+ * @param zone its availability zone
+ * @param address where it listens
+ * @param status whether it gets new work
+ */
+public record ServerState(
+    ServerId id,
+    long incarnation,
+    GroupId group,
+    ZoneName zone,
+    InetSocketAddress address,
+    ServerStatus status) {
+
+  /** Checks. */
+  public ServerState {
+    Objects.requireNonNull(id);
+    Objects.requireNonNull(group);
+    Objects.requireNonNull(zone);
+    Objects.requireNonNull(address);
+    Objects.requireNonNull(status);
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ViewVersion.java
@@ -0,0 +1,27 @@
+package org.alderyard.common.view;
+
+import java.util.Comparator;
+
+/**
+ * The version of a view; views only go forward.
+ *
+ * @param epoch grows when the control state is rebuilt from another source
+ * @param version the index of the last log entry that the view holds
+ */
+public record ViewVersion(long epoch, long version) implements Comparable<ViewVersion> {
+  /** The version of the empty view. */
+  public static final ViewVersion NONE = new ViewVersion(0, 0);
+
+  private static final Comparator<ViewVersion> ORDER =
+      Comparator.comparingLong(ViewVersion::epoch).thenComparingLong(ViewVersion::version);
+
+  @Override
+  public int compareTo(ViewVersion other) {
+    return ORDER.compare(this, other);
+  }
+
+  @Override
+  public String toString() {
+    return epoch + "." + version;
+  }
+}
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/package-info.java
@@ -0,0 +1,2 @@
+/** The replicated log that orders every change of control state. */
+package org.alderyard.control.log;
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/package-info.java
@@ -0,0 +1,2 @@
+/** Replicated log, tickets, membership, registry and failover. */
+package org.alderyard.control;
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The binary alderyardd. */
+package org.alderyard.daemon;
--- /dev/null
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -0,0 +1,191 @@
+package org.alderyard.protocol.view;
+
+import com.google.protobuf.ByteString;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.PoolName;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.PoolState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.ServerStatus;
+import org.alderyard.common.view.SigningKey;
+import org.alderyard.common.view.TermStart;
+import org.alderyard.common.view.ViewVersion;
+import org.alderyard.common.view.WriteAcknowledgement;
+import org.alderyard.protocol.generated.state.Endpoint;
+import org.alderyard.protocol.generated.state.Group;
+import org.alderyard.protocol.generated.state.Host;
+import org.alderyard.protocol.generated.state.Key;
+import org.alderyard.protocol.generated.state.KeyRing;
+import org.alderyard.protocol.generated.state.Pool;
+import org.alderyard.protocol.generated.state.Server;
+import org.alderyard.protocol.generated.state.Status;
+import org.alderyard.protocol.generated.state.TermBegin;
+import org.alderyard.protocol.generated.state.Version;
+
+/** Maps each kind of object between its message and its domain type. */
+public final class StateCodec {
+
+  private StateCodec() {}
+
+  /** Returns the message of a version. */
+  public static Version versionMessage(ViewVersion version) {
+    return Version.newBuilder().setEpoch(version.epoch()).setVersion(version.version()).build();
+  }
+
+  /** Returns the version of a message. */
+  public static ViewVersion version(Version version) {
+    return new ViewVersion(version.getEpoch(), version.getVersion());
+  }
+
+  /** Returns the message of a pool. */
+  public static Pool poolMessage(PoolState pool) {
+    return Pool.newBuilder()
+        .setName(pool.name().value())
+        .addAllGroups(pool.groups().stream().map(GroupId::value).toList())
+        .setPrimaryOnlyAcknowledgement(
+            pool.writeAcknowledgement() == WriteAcknowledgement.PRIMARY_ONLY)
+        .setMaxStalenessMillis(pool.maxStalenessMillis())
+        .setMaxConcurrentStatements(pool.maxConcurrentStatements())
+        .build();
+  }
+
+  /** Returns the pool of a message. */
+  public static PoolState pool(Pool pool) {
+    return new PoolState(
+        new PoolName(pool.getName()),
+        pool.getGroupsList().stream().map(GroupId::new).toList(),
+        pool.getPrimaryOnlyAcknowledgement()
+            ? WriteAcknowledgement.PRIMARY_ONLY
+            : WriteAcknowledgement.MAJORITY,
+        pool.getMaxStalenessMillis(),
+        pool.getMaxConcurrentStatements());
+  }
+
+  /** Returns the message of a group. */
+  public static Group groupMessage(GroupState group) {
+    return Group.newBuilder()
+        .setId(group.id().value())
+        .setTerm(group.term())
+        .setPrimary(group.primary().map(ServerId::value).orElse(""))
+        .addAllTermHistory(group.termHistory().stream().map(StateCodec::termMessage).toList())
+        .setSlotsPerServer(group.slotsPerServer())
+        .setConnectionsPerServer(group.connectionsPerServer())
+        .build();
+  }
+
+  private static TermBegin termMessage(TermStart start) {
+    return TermBegin.newBuilder().setTerm(start.term()).setStartIndex(start.startIndex()).build();
+  }
+
+  /** Returns the group of a message. */
+  public static GroupState group(Group group) {
+    Optional<ServerId> primary =
+        group.getPrimary().isEmpty()
+            ? Optional.empty()
+            : Optional.of(new ServerId(group.getPrimary()));
+    return new GroupState(
+        new GroupId(group.getId()),
+        group.getTerm(),
+        primary,
+        group.getTermHistoryList().stream()
+            .map(start -> new TermStart(start.getTerm(), start.getStartIndex()))
+            .toList(),
+        group.getSlotsPerServer(),
+        group.getConnectionsPerServer());
+  }
+
+  /** Returns the message of a server. */
+  public static Server serverMessage(ServerState server) {
+    return Server.newBuilder()
+        .setId(server.id().value())
+        .setIncarnation(server.incarnation())
+        .setGroup(server.group().value())
+        .setZone(server.zone().value())
+        .setAddress(endpointMessage(server.address()))
+        .setStatus(Status.forNumber(server.status().ordinal()))
+        .build();
+  }
+
+  /** Returns the server of a message. */
+  public static ServerState server(Server server) {
+    return new ServerState(
+        new ServerId(server.getId()),
+        server.getIncarnation(),
+        new GroupId(server.getGroup()),
+        new ZoneName(server.getZone()),
+        address(server.getAddress()),
+        status(server.getStatus()));
+  }
+
+  /** A status that a newer peer added is read as one that gets no new work. */
+  private static ServerStatus status(Status status) {
+    return switch (status) {
+      case ACTIVE -> ServerStatus.ACTIVE;
+      case LEAVING -> ServerStatus.LEAVING;
+      default -> ServerStatus.EXPIRED;
+    };
+  }
+
+  /** Returns the message of a host. */
+  public static Host hostMessage(HostState host) {
+    return Host.newBuilder()
+        .setId(host.id().value())
+        .setIncarnation(host.incarnation())
+        .setZone(host.zone().value())
+        .setInnerAddress(endpointMessage(host.innerAddress()))
+        .setCallerAddress(endpointMessage(host.callerAddress()))
+        .setProxy(host.proxy())
+        .setControl(host.control())
+        .setDraining(host.draining())
+        .build();
+  }
+
+  /** Returns the host of a message. */
+  public static HostState host(Host host) {
+    return new HostState(
+        new HostId(host.getId()),
+        host.getIncarnation(),
+        new ZoneName(host.getZone()),
+        address(host.getInnerAddress()),
+        address(host.getCallerAddress()),
+        host.getProxy(),
+        host.getControl(),
+        host.getDraining());
+  }
+
+  /** Returns the message of the token keys. */
+  public static KeyRing keyRingMessage(List<SigningKey> keys) {
+    KeyRing.Builder ring = KeyRing.newBuilder();
+    for (SigningKey key : keys) {
+      ring.addKeys(Key.newBuilder().setId(key.id()).setSecret(ByteString.copyFrom(key.secret())));
+    }
+    return ring.build();
+  }
+
+  /** Returns the token keys of a message. */
+  public static List<SigningKey> keys(KeyRing ring) {
+    return ring.getKeysList().stream()
+        .map(key -> new SigningKey(key.getId(), key.getSecret().toByteArray()))
+        .toList();
+  }
+
+  /** Returns the message of an address; its IP number is used, no name is looked up. */
+  public static Endpoint endpointMessage(InetSocketAddress address) {
+    return Endpoint.newBuilder()
+        .setAddress(address.getHostString())
+        .setPort(address.getPort())
+        .build();
+  }
+
+  /** Returns the address of a message. */
+  public static InetSocketAddress address(Endpoint endpoint) {
+    return new InetSocketAddress(endpoint.getAddress(), endpoint.getPort());
+  }
+}
--- /dev/null
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewCodec.java
@@ -0,0 +1,94 @@
+package org.alderyard.protocol.view;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.PoolName;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.PoolState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.SigningKey;
+import org.alderyard.common.view.View;
+import org.alderyard.common.view.ViewVersion;
+import org.alderyard.protocol.generated.state.ObjectState;
+import org.alderyard.protocol.generated.state.ViewSnapshot;
+
+/** Maps whole views, and applies changed objects to a view. */
+public final class ViewCodec {
+
+  private ViewCodec() {}
+
+  /** Returns the message that holds the whole view. */
+  public static ViewSnapshot snapshot(View view) {
+    ViewSnapshot.Builder snapshot =
+        ViewSnapshot.newBuilder().setVersion(StateCodec.versionMessage(view.version()));
+    view.pools()
+        .values()
+        .forEach(p -> snapshot.addObjects(object().setPool(StateCodec.poolMessage(p))));
+    view.groups()
+        .values()
+        .forEach(g -> snapshot.addObjects(object().setGroup(StateCodec.groupMessage(g))));
+    view.servers()
+        .values()
+        .forEach(s -> snapshot.addObjects(object().setServer(StateCodec.serverMessage(s))));
+    view.hosts()
+        .values()
+        .forEach(h -> snapshot.addObjects(object().setHost(StateCodec.hostMessage(h))));
+    if (!view.keys().isEmpty()) {
+      snapshot.addObjects(object().setKeyRing(StateCodec.keyRingMessage(view.keys())));
+    }
+    return snapshot.build();
+  }
+
+  private static ObjectState.Builder object() {
+    return ObjectState.newBuilder();
+  }
+
+  /** Returns the view that a snapshot holds. */
+  public static View view(ViewSnapshot snapshot) {
+    return apply(View.EMPTY, StateCodec.version(snapshot.getVersion()), snapshot.getObjectsList());
+  }
+
+  /** Returns the view with the given objects replaced or removed. */
+  public static View apply(View base, ViewVersion version, List<ObjectState> objects) {
+    Map<PoolName, PoolState> pools = new TreeMap<>(base.pools());
+    Map<GroupId, GroupState> groups = new TreeMap<>(base.groups());
+    Map<ServerId, ServerState> servers = new TreeMap<>(base.servers());
+    Map<HostId, HostState> hosts = new TreeMap<>(base.hosts());
+    List<SigningKey> keys = base.keys();
+    for (ObjectState object : objects) {
+      switch (object.getObjectCase()) {
+        case POOL -> {
+          PoolState pool = StateCodec.pool(object.getPool());
+          pools.put(pool.name(), pool);
+        }
+        case GROUP -> {
+          GroupState group = StateCodec.group(object.getGroup());
+          groups.put(group.id(), group);
+        }
+        case SERVER -> {
+          ServerState server = StateCodec.server(object.getServer());
+          servers.put(server.id(), server);
+        }
+        case HOST -> {
+          HostState host = StateCodec.host(object.getHost());
+          hosts.put(host.id(), host);
+        }
+        case KEY_RING -> keys = StateCodec.keys(object.getKeyRing());
+        case REMOVED_POOL -> pools.remove(new PoolName(object.getRemovedPool()));
+        case REMOVED_GROUP -> groups.remove(new GroupId(object.getRemovedGroup()));
+        case REMOVED_SERVER -> servers.remove(new ServerId(object.getRemovedServer()));
+        case REMOVED_HOST -> hosts.remove(new HostId(object.getRemovedHost()));
+        case OBJECT_NOT_SET -> {
+          // A kind of object that a newer peer added: this build does not act on it.
+        }
+        default -> throw new IllegalStateException("unmapped kind " + object.getObjectCase());
+      }
+    }
+    return new View(version, pools, groups, servers, hosts, keys);
+  }
+}
--- /dev/null
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Frames.java
@@ -0,0 +1,67 @@
+package org.alderyard.protocol.wire;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.MessageLite;
+import java.time.Duration;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.Outcome;
+import org.alderyard.protocol.generated.envelope.Envelope;
+import org.alderyard.protocol.generated.envelope.ErrorReply;
+import org.alderyard.protocol.generated.envelope.Reply;
+import org.alderyard.protocol.generated.envelope.Request;
+
+/** Builds and reads the frames of requests and replies. */
+final class Frames {
+
+  private Frames() {}
+
+  static Envelope request(long correlationId, int method, ByteString payload, Duration timeout) {
+    return Envelope.newBuilder()
+        .setRequest(
+            Request.newBuilder()
+                .setCorrelationId(correlationId)
+                .setMethod(method)
+                .setPayload(payload)
+                .setTimeoutMillis((int) timeout.toMillis()))
+        .build();
+  }
+
+  static Envelope reply(long correlationId, MessageLite payload) {
+    return Envelope.newBuilder()
+        .setReply(
+            Reply.newBuilder().setCorrelationId(correlationId).setPayload(payload.toByteString()))
+        .build();
+  }
+
+  static Envelope error(long correlationId, Throwable failure) {
+    AlderyardException typed = Futures.typed(failure);
+    return Envelope.newBuilder()
+        .setError(
+            ErrorReply.newBuilder()
+                .setCorrelationId(correlationId)
+                .setCode(typed.code().name())
+                .setOutcome(typed.outcome().name())
+                .setMessage(String.valueOf(typed.getMessage()))
+                .setRetryAfterMillis(typed.retryAfterMillis().orElse(0)))
+        .build();
+  }
+
+  /** Returns the error that a reply carries; names that this build doesn't know are unknown. */
+  static AlderyardException toException(ErrorReply error) {
+    ErrorCode code = ErrorCode.INTERNAL;
+    Outcome outcome = Outcome.OUTCOME_UNKNOWN;
+    try {
+      code = ErrorCode.valueOf(error.getCode());
+      outcome = Outcome.valueOf(error.getOutcome());
+    } catch (IllegalArgumentException newerPeer) {
+      return new AlderyardException(
+          code, Outcome.OUTCOME_UNKNOWN, error.getCode() + ": " + error.getMessage());
+    }
+    if (outcome == Outcome.NOT_RUN && error.getRetryAfterMillis() > 0) {
+      return AlderyardException.notRun(code, error.getMessage(), error.getRetryAfterMillis());
+    }
+    return new AlderyardException(code, outcome, error.getMessage());
+  }
+}
--- /dev/null
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/InnerServer.java
@@ -0,0 +1,147 @@
+package org.alderyard.protocol.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.protocol.generated.envelope.Envelope;
+import org.alderyard.protocol.generated.envelope.Request;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Listens on the inner port and hands requests of authenticated peers to the dispatcher. */
+public final class InnerServer implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger(InnerServer.class);
+
+  private final ProtocolOptions options;
+  private final Dispatcher dispatcher;
+  private final Executor workers;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Channel listener;
+
+  /** Binds the port; a port in use is a typed error that names it. */
+  public InnerServer(
+      EventLoops loops,
+      InetSocketAddress address,
+      ProtocolOptions options,
+      Dispatcher dispatcher,
+      Executor workers) {
+    this.options = options;
+    this.dispatcher = dispatcher;
+    this.workers = workers;
+    listener = bind(loops, address);
+    log.info("event=inner-listening address={}", listener.localAddress());
+  }
+
+  private Channel bind(EventLoops loops, InetSocketAddress address) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loops.group())
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    accept(channel);
+                  }
+                });
+    var bound = bootstrap.bind(address).awaitUninterruptibly();
+    if (bound.isSuccess()) {
+      return bound.channel();
+    }
+    String reason = bound.cause() instanceof BindException ? "in use" : bound.cause().toString();
+    throw AlderyardException.notRun(
+        ErrorCode.SETTINGS_INVALID, "inner port " + address + " can't be bound: " + reason);
+  }
+
+  private void accept(Channel channel) {
+    connections.add(channel);
+    CompletableFuture<PeerIdentity> handshake = Pipelines.install(channel, options, false);
+    handshake.thenAccept(
+        peer -> {
+          log.debug("event=peer-accepted peer={}", peer);
+          channel.pipeline().addLast(new RequestHandler(peer));
+        });
+  }
+
+  /** Returns the address that is bound, with the real port when 0 was asked for. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  @Override
+  public void close() {
+    listener.close().awaitUninterruptibly();
+    connections.close().awaitUninterruptibly();
+  }
+
+  /** Reads requests of one connection; stops reading while too many are unanswered. */
+  private final class RequestHandler extends SimpleChannelInboundHandler<Envelope> {
+    private final PeerIdentity peer;
+    private final AtomicInteger outstanding = new AtomicInteger();
+
+    RequestHandler(PeerIdentity peer) {
+      this.peer = peer;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Envelope frame) {
+      switch (frame.getFrameCase()) {
+        case REQUEST -> onRequest(ctx.channel(), frame.getRequest());
+        case ONE_WAY ->
+            workers.execute(
+                () ->
+                    dispatcher.dispatch(
+                        peer, frame.getOneWay().getMethod(), frame.getOneWay().getPayload()));
+        default -> {
+          log.warn("event=frame-unexpected peer={} frame={}", peer, frame.getFrameCase());
+          ctx.close();
+        }
+      }
+    }
+
+    private void onRequest(Channel channel, Request request) {
+      if (outstanding.incrementAndGet() >= options.maxOutstanding()) {
+        channel.config().setAutoRead(false);
+      }
+      workers.execute(
+          () ->
+              dispatcher
+                  .dispatch(peer, request.getMethod(), request.getPayload())
+                  .whenComplete((reply, failure) -> answer(channel, request, reply, failure)));
+    }
+
+    private void answer(
+        Channel channel,
+        Request request,
+        com.google.protobuf.MessageLite reply,
+        Throwable failure) {
+      if (outstanding.decrementAndGet() < options.maxOutstanding()) {
+        channel.config().setAutoRead(true);
+      }
+      long id = request.getCorrelationId();
+      channel.writeAndFlush(failure == null ? Frames.reply(id, reply) : Frames.error(id, failure));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      log.warn("event=connection-failed peer={} cause=\"{}\"", peer, cause.toString());
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLinks.java
@@ -0,0 +1,28 @@
+package org.alderyard.protocol.wire;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The links of one process, one for each address it talks to. */
+public final class PeerLinks implements AutoCloseable {
+  private final EventLoops loops;
+  private final ProtocolOptions options;
+  private final Map<InetSocketAddress, PeerLink> links = new ConcurrentHashMap<>();
+
+  /** Creates an empty set of links. */
+  public PeerLinks(EventLoops loops, ProtocolOptions options) {
+    this.loops = loops;
+    this.options = options;
+  }
+
+  /** Returns the link to this address. */
+  public PeerLink to(InetSocketAddress address) {
+    return links.computeIfAbsent(address, key -> new PeerLink(loops, key, options));
+  }
+
+  @Override
+  public void close() {
+    links.values().forEach(PeerLink::close);
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Caller API, sessions, routing, limits, retries and transactions. */
+package org.alderyard.proxy;
--- /dev/null
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in backend server and small fakes. */
+package org.alderyard.testkit;
