Route reads by a proved age and by the session's position

Cause: a replica may answer only if it holds what the session saw, or is as young as the caller demands; and the primary must not drown when no replica is. Change: a history of the primary's positions gives each replica an age bound from the time before the question was sent; it counts only up to the last moment that a majority confirmed the term, so that a primary cut off with this proxy does not keep data looking fresh.

--- /dev/null
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/freshness/FreshnessTest.java
@@ -0,0 +1,214 @@
+package org.alderyard.proxy.freshness;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.Position;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.ServerStatus;
+import org.alderyard.common.view.TermStart;
+import org.alderyard.proxy.freshness.Eligibility.Verdict;
+import org.alderyard.proxy.session.Requirement;
+import org.junit.jupiter.api.Test;
+
+/** Ages of replicas that are never too small, and who may answer which read. */
+class FreshnessTest {
+  private static final GroupId GROUP = new GroupId("g1");
+  private static final ServerId S1 = new ServerId("s1");
+  private static final ServerId S2 = new ServerId("s2");
+  private static final ServerId S3 = new ServerId("s3");
+  private static final List<ServerId> ALL = List.of(S1, S2, S3);
+
+  private final GroupFreshness freshness = new GroupFreshness();
+
+  private static GroupState group(long term, ServerId primary, TermStart... history) {
+    return new GroupState(GROUP, term, Optional.of(primary), List.of(history), 5, 35);
+  }
+
+  private static ServerState server(ServerId id, long incarnation) {
+    return new ServerState(
+        id,
+        incarnation,
+        GROUP,
+        new ZoneName("tx-central-a"),
+        new InetSocketAddress("127.0.0.1", 1),
+        ServerStatus.ACTIVE);
+  }
+
+  private void observe(ServerId server, long term, boolean primary, Position at, long sentNanos) {
+    freshness.observe(
+        new ServerObservation(server, 1, term, primary, at, sentNanos, sentNanos + 1));
+  }
+
+  private Eligibility decide(ReadDemand demand, GroupState group, ServerId id, long nowNanos) {
+    return EligibilityRule.decide(
+        demand,
+        group,
+        server(id, 1),
+        freshness.of(id),
+        freshness.reachedBy(demand.requirement().position()),
+        nowNanos);
+  }
+
+  /**
+   * A primary writes at random moments, replicas follow with a random lag, and the proxy measures
+   * all of them at random moments with answers that take a random while. Whatever it saw, no entry
+   * older than the stated age is missing from the replica.
+   */
+  @Property(seed = "20261202", tries = 300)
+  void ageIsNeverTooSmall(
+      @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
+      @ForAll @IntRange(min = 0, max = 300) int maxLag) {
+    SplittableRandom random = new SplittableRandom(seed);
+    GroupFreshness tracked = new GroupFreshness();
+    tracked.follow(group(1, S1), 3);
+    int steps = 800;
+    long[] primaryAt = new long[steps + 50];
+    long[][] replicaAt = new long[2][steps + 50];
+    for (int t = 1; t < primaryAt.length; t++) {
+      primaryAt[t] = primaryAt[t - 1] + (random.nextInt(4) == 0 ? 1 : 0);
+      for (long[] applied : replicaAt) {
+        long reached = primaryAt[Math.max(0, t - random.nextInt(maxLag + 1))];
+        applied[t] = Math.max(applied[t - 1], reached);
+      }
+    }
+    int now = 0;
+    for (int t = 0; t < steps; t++) {
+      int measuredAt = t + random.nextInt(20);
+      int receivedAt = measuredAt + random.nextInt(20);
+      int which = random.nextInt(3);
+      long index = which == 0 ? primaryAt[measuredAt] : replicaAt[which - 1][measuredAt];
+      tracked.observe(
+          new ServerObservation(
+              ALL.get(which), 1, 1, which == 0, new Position(1, index), t, receivedAt));
+      now = Math.max(now, receivedAt);
+      for (int replica = 0; replica < 2; replica++) {
+        OptionalLong asOf =
+            tracked
+                .of(ALL.get(replica + 1))
+                .map(ServerFreshness::freshAsOfNanos)
+                .orElse(OptionalLong.empty());
+        if (asOf.isPresent()) {
+          assertThat(replicaAt[replica][now]).isAtLeast(primaryAt[(int) asOf.getAsLong()]);
+        }
+      }
+    }
+  }
+
+  /**
+   * A partition leaves this proxy, the old primary s1 and nobody else on one side. The other side
+   * promotes s2 at time 100, and s2 takes a cancellation. s1 is idle and answers on: without the
+   * confirmation by a majority its replica-side data would look fresh for ever, and the cancelled
+   * talk would show as bounded-fresh.
+   */
+  @Test
+  void cutOffPrimaryDoesNotKeepDataFresh() {
+    freshness.follow(group(1, S1), 3);
+    Position idle = new Position(1, 7);
+    for (ServerId id : ALL) {
+      observe(id, 1, id.equals(S1), idle, 90);
+    }
+    for (long t = 110; t <= 1000; t += 10) {
+      observe(S1, 1, true, idle, t);
+    }
+    assertThat(freshness.freshAsOf(idle)).isEqualTo(OptionalLong.of(90));
+    ReadDemand bounded = ReadDemand.bounded(200);
+    assertThat(decide(bounded, group(1, S1), S3, 280).verdict()).isEqualTo(Verdict.ELIGIBLE);
+    assertThat(decide(bounded, group(1, S1), S3, 1000).verdict()).isEqualTo(Verdict.BEHIND);
+  }
+
+  /**
+   * The same partition heals: the view names s2 at term 2, and a majority confirms term 2 at once.
+   * What s1 said between the promotion and the new view must not count now either.
+   */
+  @Test
+  void whatReplacedPrimarySaidIsDroppedWithItsTerm() {
+    freshness.follow(group(1, S1), 3);
+    Position idle = new Position(1, 7);
+    for (ServerId id : ALL) {
+      observe(id, 1, id.equals(S1), idle, 90);
+    }
+    observe(S1, 1, true, idle, 500);
+    freshness.follow(group(2, S2, new TermStart(2, 7)), 3);
+    observe(S2, 2, true, new Position(2, 8), 510);
+    observe(S1, 2, false, idle, 510);
+    observe(S3, 2, false, idle, 510);
+    assertThat(freshness.of(S3).orElseThrow().freshAsOfNanos()).isEqualTo(OptionalLong.of(90));
+  }
+
+  /**
+   * A replica is restored from an old backup and starts again. Its position before the restart says
+   * nothing now: it must not answer until it is measured again.
+   */
+  @Test
+  void restartedReplicaIsUnknown() {
+    GroupState group = group(1, S1);
+    freshness.follow(group, 3);
+    observe(S1, 1, true, new Position(1, 5), 10);
+    observe(S2, 1, false, new Position(1, 5), 10);
+    ReadDemand demand = ReadDemand.session(Requirement.atLeast(new Position(1, 5)));
+    assertThat(decide(demand, group, S2, 20).verdict()).isEqualTo(Verdict.ELIGIBLE);
+    Eligibility restarted =
+        EligibilityRule.decide(
+            demand, group, server(S2, 2), freshness.of(S2), OptionalLong.empty(), 20);
+    assertThat(restarted.verdict()).isEqualTo(Verdict.UNKNOWN);
+    assertThat(decide(demand, group, S3, 20).verdict()).isEqualTo(Verdict.UNKNOWN);
+  }
+
+  /**
+   * A replaced primary comes back as a replica and still shows index 100 of term 1, though term 2
+   * began at 40. It looks ahead of everybody; what it holds was lost.
+   */
+  @Test
+  void returningPrimaryWithLostTailIsDiverged() {
+    GroupState group = group(2, S2, new TermStart(2, 40));
+    freshness.follow(group, 3);
+    observe(S1, 1, false, new Position(1, 100), 10);
+    ReadDemand demand = ReadDemand.session(Requirement.atLeast(new Position(1, 30)));
+    assertThat(decide(demand, group, S1, 20).verdict()).isEqualTo(Verdict.DIVERGED);
+    assertThat(decide(ReadDemand.ANY, group, S1, 20).verdict()).isEqualTo(Verdict.DIVERGED);
+  }
+
+  /**
+   * A replica stops applying. Its last lag was short, so each read of a new entry is expected to
+   * wait a moment; unless an overdue entry raises the estimate, every read waits in vain for ever.
+   */
+  @Test
+  void stoppedReplicaStopsLookingAboutToCatchUp() {
+    GroupState group = group(1, S1);
+    freshness.follow(group, 3);
+    observe(S1, 1, true, new Position(1, 5), 0);
+    observe(S2, 1, false, new Position(1, 5), 20);
+    observe(S1, 1, true, new Position(1, 6), 99);
+    ReadDemand demand = ReadDemand.session(Requirement.atLeast(new Position(1, 6)));
+    assertThat(decide(demand, group, S2, 110).arrivalNanos()).isEqualTo(OptionalLong.of(11));
+    observe(S2, 1, false, new Position(1, 5), 5_000);
+    assertThat(decide(demand, group, S2, 5_100).arrivalNanos().getAsLong()).isAtLeast(4_000L);
+  }
+
+  @Test
+  void historyStaysBoundedAndConservative() {
+    PositionHistory history = new PositionHistory();
+    for (int i = 1; i <= 100_000; i++) {
+      history.record(new Position(1, i), i * 10L, i * 10L + 5);
+    }
+    assertThat(history.size()).isAtMost(PositionHistory.CAPACITY);
+    for (int i = 1; i <= 100_000; i += 97) {
+      OptionalLong held = history.heldUntil(new Position(1, i));
+      assertThat(held.orElse(0)).isAtMost(i * 10L);
+    }
+    assertThat(history.heldUntil(new Position(1, 99_999))).isEqualTo(OptionalLong.of(999_990));
+  }
+}
