--- /dev/null
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/http/BackendPaths.java
@@ -0,0 +1,33 @@
+package org.alderyard.backend.http;
+
+/** The paths of the backend protocol. */
+public final class BackendPaths {
+  /** Runs a statement. */
+  public static final String STATEMENTS = "/v1/statements";
+
+  /** Opens a transaction on the connection. */
+  public static final String BEGIN = "/v1/transaction/begin";
+
+  /** Commits the transaction of the connection. */
+  public static final String COMMIT = "/v1/transaction/commit";
+
+  /** Drops the transaction of the connection. */
+  public static final String ROLLBACK = "/v1/transaction/rollback";
+
+  /** Returns the server's state. */
+  public static final String STATE = "/v1/state";
+
+  /** Returns the server's state once it holds a position. */
+  public static final String WAIT = "/v1/wait";
+
+  /** Fences the server at a term. */
+  public static final String FENCE = "/v1/fence";
+
+  /** Promotes the server. */
+  public static final String PROMOTE = "/v1/promote";
+
+  /** Makes the server follow a primary. */
+  public static final String FOLLOW = "/v1/follow";
+
+  private BackendPaths() {}
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/HttpPort.java
@@ -0,0 +1,76 @@
+package org.alderyard.common.http;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import javax.net.ssl.SSLContext;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.xnio.XnioWorker;
+
+/** One listening HTTP port with its limits. */
+public final class HttpPort implements AutoCloseable {
+  private final Undertow undertow;
+
+  /**
+   * Binds the port.
+   *
+   * @param name what the port is for, for the error when it can't be bound
+   * @param tls the keys of the port; without them it speaks plain HTTP
+   * @throws AlderyardException with {@code SETTINGS_INVALID} when the address can't be bound
+   */
+  public HttpPort(
+      String name,
+      InetSocketAddress address,
+      XnioWorker worker,
+      HttpLimits limits,
+      Optional<SSLContext> tls,
+      HttpHandler handler) {
+    Undertow.Builder builder =
+        Undertow.builder()
+            .setWorker(worker)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
+            .setServerOption(
+                UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) limits.requestTimeout().toMillis())
+            .setServerOption(
+                UndertowOptions.NO_REQUEST_TIMEOUT, (int) limits.idleTimeout().toMillis())
+            .setHandler(handler);
+    String host = address.getAddress().getHostAddress();
+    if (tls.isPresent()) {
+      builder.addHttpsListener(address.getPort(), host, tls.get());
+    } else {
+      builder.addHttpListener(address.getPort(), host);
+    }
+    undertow = builder.build();
+    start(name, address);
+  }
+
+  private void start(String name, InetSocketAddress address) {
+    try {
+      undertow.start();
+    } catch (RuntimeException failure) {
+      boolean inUse = failure.getCause() instanceof BindException;
+      throw AlderyardException.notRun(
+          ErrorCode.SETTINGS_INVALID,
+          name
+              + " port "
+              + address
+              + " can't be bound: "
+              + (inUse ? "it is in use" : failure.getMessage()));
+    }
+  }
+
+  /** Returns the address that is bound, with the real port when 0 was asked for. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) undertow.getListenerInfo().get(0).getAddress();
+  }
+
+  @Override
+  public void close() {
+    undertow.stop();
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/Json.java
@@ -0,0 +1,78 @@
+package org.alderyard.common.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+
+/** JSON objects as bodies; a body that is none is a typed error. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private Json() {}
+
+  /** Returns an empty object. */
+  public static ObjectNode object() {
+    return MAPPER.createObjectNode();
+  }
+
+  /** Reads an object. */
+  public static JsonNode parseObject(byte[] body) {
+    JsonNode node;
+    try {
+      node = MAPPER.readTree(body);
+    } catch (JsonProcessingException malformed) {
+      throw AlderyardException.notRun(
+          ErrorCode.MALFORMED_JSON,
+          "the body is not JSON: "
+              + malformed.getOriginalMessage()
+              + " at line "
+              + malformed.getLocation().getLineNr()
+              + ", column "
+              + malformed.getLocation().getColumnNr());
+    } catch (IOException malformed) {
+      throw AlderyardException.notRun(ErrorCode.MALFORMED_JSON, "the body can't be read");
+    }
+    if (node == null || !node.isObject()) {
+      throw AlderyardException.notRun(
+          ErrorCode.MALFORMED_JSON, "the body is not a JSON object; accepted is an object");
+    }
+    return node;
+  }
+
+  /** Returns the bytes of a value. */
+  public static byte[] bytes(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsBytes(node);
+    } catch (JsonProcessingException impossible) {
+      throw AlderyardException.unknown(ErrorCode.INTERNAL, "a value has no JSON", impossible);
+    }
+  }
+
+  /** Returns the text of a value over several lines, for people. */
+  public static String pretty(JsonNode node) {
+    return node.toPrettyString();
+  }
+
+  /** Returns the body that tells a caller of a failure. */
+  public static ObjectNode error(AlderyardException failure) {
+    ObjectNode body = object();
+    ObjectNode error = body.putObject("error");
+    error.put("code", failure.code().name());
+    error.put("message", failure.getMessage());
+    error.put("outcome", failure.outcome().name());
+    error.put("retryable", failure.code().retryable());
+    failure.retryAfterMillis().ifPresent(millis -> error.put("retryAfterMillis", millis));
+    return body;
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the HTTP ports of the system share: limits, JSON bodies and typed errors. */
+package org.alderyard.common.http;
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/settings/SettingTypes.java
@@ -0,0 +1,171 @@
+package org.alderyard.common.settings;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.alderyard.common.error.AlderyardException;
+
+/** The types of settings. */
+public final class SettingTypes {
+  private static final Pattern QUANTITY = Pattern.compile("(\\d{1,15})\\s*([A-Za-z]+)");
+  private static final Pattern IP_NUMBER = Pattern.compile("[0-9.]+|[0-9A-Fa-f:]+");
+  private static final int MAX_PORT = 65_535;
+  private static final Map<String, Long> NANOS_PER_UNIT =
+      Map.of(
+          "us", 1_000L,
+          "ms", 1_000_000L,
+          "s", 1_000_000_000L,
+          "min", 60_000_000_000L,
+          "h", 3_600_000_000_000L);
+  private static final Map<String, Long> BYTES_PER_UNIT =
+      Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20, "GiB", 1L << 30);
+
+  private SettingTypes() {}
+
+  /** Returns a type of whole numbers in a range. */
+  public static SettingType<Integer> integer(int min, int max) {
+    return new SettingType<>(
+        "a whole number from " + min + " to " + max,
+        text -> number(text).filter(n -> n >= min && n <= max).map(Long::intValue));
+  }
+
+  private static Optional<Long> number(String text) {
+    try {
+      return Optional.of(Long.parseLong(text));
+    } catch (NumberFormatException notNumber) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns a type of durations in a range, written with their unit. */
+  public static SettingType<Duration> duration(Duration min, Duration max) {
+    return new SettingType<>(
+        "a duration with its unit (us, ms, s, min, h) from " + text(min) + " to " + text(max),
+        text ->
+            quantity(text, NANOS_PER_UNIT)
+                .map(Duration::ofNanos)
+                .filter(d -> d.compareTo(min) >= 0 && d.compareTo(max) <= 0));
+  }
+
+  private static String text(Duration duration) {
+    return duration.toMillis() + "ms";
+  }
+
+  /** Returns a type of sizes in a range, written with their unit. */
+  public static SettingType<Long> bytes(long min, long max) {
+    return new SettingType<>(
+        "a size with its unit (B, KiB, MiB, GiB) from " + min + "B to " + max + "B",
+        text -> quantity(text, BYTES_PER_UNIT).filter(n -> n >= min && n <= max));
+  }
+
+  private static Optional<Long> quantity(String text, Map<String, Long> units) {
+    Matcher matcher = QUANTITY.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    Long factor = units.get(matcher.group(2));
+    if (factor == null) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Math.multiplyExact(Long.parseLong(matcher.group(1)), factor));
+    } catch (ArithmeticException tooLarge) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the type of an IP number with a port. */
+  public static SettingType<InetSocketAddress> address() {
+    return new SettingType<>("an IP number with a port, as 10.0.0.1:7000", SettingTypes::address);
+  }
+
+  private static Optional<InetSocketAddress> address(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      return Optional.empty();
+    }
+    String host = text.substring(0, colon).replaceAll("^\\[|]$", "");
+    Optional<Long> port = number(text.substring(colon + 1)).filter(n -> n >= 0 && n <= MAX_PORT);
+    if (port.isEmpty() || !IP_NUMBER.matcher(host).matches()) {
+      return Optional.empty();
+    }
+    try {
+      // The pattern lets IP numbers pass only, so no name is looked up here.
+      return Optional.of(new InetSocketAddress(InetAddress.getByName(host), port.get().intValue()));
+    } catch (UnknownHostException notIpNumber) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the type of a list of values of another type, separated by commas. */
+  public static <T> SettingType<List<T>> list(SettingType<T> element) {
+    return new SettingType<>(
+        "a list, separated by commas, of: " + element.accepted(),
+        text -> {
+          List<T> values = new ArrayList<>();
+          for (String part : text.split(",", -1)) {
+            Optional<T> value = element.parse(part.trim());
+            if (value.isEmpty()) {
+              return Optional.empty();
+            }
+            values.add(value.get());
+          }
+          return Optional.of(List.copyOf(values));
+        });
+  }
+
+  /** Returns a type of one of some words. */
+  public static <E extends Enum<E>> SettingType<E> word(Class<E> words) {
+    List<String> names = Arrays.stream(words.getEnumConstants()).map(SettingTypes::wordOf).toList();
+    return new SettingType<>(
+        "one of " + String.join(", ", names),
+        text ->
+            Arrays.stream(words.getEnumConstants())
+                .filter(constant -> wordOf(constant).equals(text))
+                .findFirst());
+  }
+
+  /** Returns a type of a set of some words, separated by commas. */
+  public static <E extends Enum<E>> SettingType<Set<E>> words(Class<E> words) {
+    SettingType<List<E>> list = list(word(words));
+    return new SettingType<>(
+        list.accepted(),
+        text -> list.parse(text).map(values -> Set.copyOf(new LinkedHashSet<>(values))));
+  }
+
+  private static String wordOf(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  /** Returns the type of a path. */
+  public static SettingType<Path> path() {
+    return new SettingType<>(
+        "a path", text -> text.isEmpty() ? Optional.empty() : Optional.of(Path.of(text)));
+  }
+
+  /** Returns the type of a name, with its own rule. */
+  public static <T> SettingType<T> name(Function<String, T> constructor) {
+    return new SettingType<>(
+        "1 to 128 characters of [A-Za-z0-9._:-]",
+        text -> {
+          try {
+            return Optional.of(constructor.apply(text));
+          } catch (AlderyardException refused) {
+            return Optional.empty();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/settings/Settings.java
@@ -0,0 +1,33 @@
+package org.alderyard.common.settings;
+
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+
+/** The checked values of one file. */
+public final class Settings {
+  private final Path file;
+  private final Map<Setting<?>, Object> values;
+
+  Settings(Path file, Map<Setting<?>, Object> values) {
+    this.file = file;
+    this.values = Map.copyOf(values);
+  }
+
+  /** Returns the file that the values come from. */
+  public Path file() {
+    return file;
+  }
+
+  /** Returns the value of a setting that is required or has a preset. */
+  public <T> T get(Setting<T> setting) {
+    return find(setting)
+        .orElseThrow(() -> new IllegalStateException("no value for " + setting.name()));
+  }
+
+  /** Returns the value of a setting, if there is one. */
+  @SuppressWarnings("unchecked") // The reader stores what the setting's own type parsed.
+  public <T> Optional<T> find(Setting<T> setting) {
+    return Optional.ofNullable((T) values.get(setting));
+  }
+}
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/package-info.java
@@ -0,0 +1,2 @@
+/** The control hosts' side of the inner protocol. */
+package org.alderyard.control.service;
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -0,0 +1,203 @@
+package org.alderyard.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.alderyard.backend.http.HttpConnector;
+import org.alderyard.backend.http.HttpServerAdmin;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.http.HttpPort;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.HostState;
+import org.alderyard.control.log.ControlLog;
+import org.alderyard.control.log.LocalLog;
+import org.alderyard.control.operator.OperatorApi;
+import org.alderyard.control.service.ControlService;
+import org.alderyard.control.service.ViewWaiters;
+import org.alderyard.control.state.ControlState;
+import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.protocol.control.ControlMethods;
+import org.alderyard.protocol.generated.control.SubmitTicketRequest;
+import org.alderyard.protocol.wire.Dispatcher;
+import org.alderyard.protocol.wire.EventLoops;
+import org.alderyard.protocol.wire.InnerServer;
+import org.alderyard.protocol.wire.PeerLinks;
+import org.alderyard.protocol.wire.ProtocolOptions;
+import org.alderyard.proxy.api.AnnouncementHandler;
+import org.alderyard.proxy.api.CallerApi;
+import org.alderyard.proxy.monitor.GroupMonitor;
+import org.alderyard.proxy.pool.ServerPools;
+import org.alderyard.proxy.statement.StatementService;
+import org.alderyard.proxy.view.ViewClient;
+import org.alderyard.proxy.view.ViewHolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** One process of the system, with the roles that its settings name. */
+public final class Daemon implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger(Daemon.class);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration TICKET_TIMEOUT = Duration.ofSeconds(5);
+  private static final int MAX_OUTSTANDING = 4_096;
+  private static final int INNER_THREADS = 2;
+
+  private final DaemonSettings settings;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final InstantSource wallClock = InstantSource.system();
+  // Closed in the opposite order of their start.
+  private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private final WorkerPool workers;
+  private final XnioWorker ioWorker;
+  private final PeerLinks links;
+  private final ControlClient control;
+  private final HostState self;
+
+  /** Starts all parts; a part that can't start closes those before it. */
+  public Daemon(DaemonSettings settings) {
+    this.settings = settings;
+    try {
+      workers = part(new WorkerPool("worker", settings.workerThreads()));
+      ioWorker = ioWorker();
+      EventLoops loops = part(new EventLoops(INNER_THREADS));
+      long incarnation = wallClock.millis();
+      ProtocolOptions protocol =
+          new ProtocolOptions(
+              settings.clusterId(),
+              settings.host(),
+              incarnation,
+              settings.clusterKey(),
+              CONNECT_TIMEOUT,
+              MAX_OUTSTANDING);
+      links = part(new PeerLinks(loops, protocol));
+      control = new ControlClient(links, settings.controlHosts());
+      Dispatcher dispatcher = new Dispatcher();
+      self = self(incarnation);
+      ViewHolder views = new ViewHolder();
+      if (settings.roles().contains(Role.CONTROL)) {
+        startControl(dispatcher);
+      }
+      part(new InnerServer(loops, settings.innerAddress(), protocol, dispatcher, workers));
+      ViewClient viewClient = part(new ViewClient(control, self, views, workers, clock));
+      viewClient.start();
+      if (settings.roles().contains(Role.PROXY)) {
+        startProxy(views, viewClient);
+      }
+      startOperators(views);
+      log.info("event=started host={} roles={}", settings.host(), settings.roles());
+    } catch (RuntimeException failure) {
+      close();
+      throw failure;
+    }
+  }
+
+  private <T extends AutoCloseable> T part(T part) {
+    parts.push(part);
+    return part;
+  }
+
+  private XnioWorker ioWorker() {
+    try {
+      XnioWorker worker =
+          Xnio.getInstance()
+              .createWorker(
+                  OptionMap.builder()
+                      .set(Options.WORKER_IO_THREADS, settings.ioThreads())
+                      .set(Options.TCP_NODELAY, true)
+                      .set(Options.THREAD_DAEMON, true)
+                      .getMap());
+      parts.push(worker::shutdownNow);
+      return worker;
+    } catch (java.io.IOException impossible) {
+      throw new java.io.UncheckedIOException(impossible);
+    }
+  }
+
+  private HostState self(long incarnation) {
+    return new HostState(
+        settings.host(),
+        incarnation,
+        settings.zone(),
+        settings.innerAddress(),
+        settings.callerAddress(),
+        settings.roles().contains(Role.PROXY),
+        settings.roles().contains(Role.CONTROL),
+        false);
+  }
+
+  private void startControl(Dispatcher dispatcher) {
+    ViewWaiters waiters = new ViewWaiters(workers);
+    ControlState state = new ControlState(waiters::publish);
+    ControlLog controlLog = part(new LocalLog(settings.host(), state));
+    new ControlService(controlLog, state, waiters, wallClock).serve(dispatcher);
+  }
+
+  private void startProxy(ViewHolder views, ViewClient viewClient) {
+    HttpConnector connector = new HttpConnector(ioWorker, workers);
+    HttpServerAdmin admin = new HttpServerAdmin(connector);
+    GroupMonitor monitor = new GroupMonitor(views, admin, clock, settings.monitorInterval());
+    monitor.start(workers);
+    ServerPools pools = part(new ServerPools(connector));
+    StatementService statements =
+        new StatementService(
+            views,
+            pools,
+            monitor,
+            admin,
+            viewClient::leaseValid,
+            new SplittableRandom(self.incarnation()));
+    CallerApi api =
+        new CallerApi(
+            settings.host(),
+            statements,
+            new AnnouncementHandler(control),
+            () -> viewClient.leaseValid() && !draining.get());
+    port("caller", settings.callerAddress(), api.handler());
+  }
+
+  private void startOperators(ViewHolder views) {
+    if (settings.operatorAddress().isEmpty()) {
+      return;
+    }
+    OperatorApi api =
+        new OperatorApi(
+            ticket ->
+                control.callIdempotent(
+                    ControlMethods.SUBMIT_TICKET,
+                    SubmitTicketRequest.newBuilder().setTicket(ticket).build(),
+                    TICKET_TIMEOUT),
+            views::current,
+            settings.operatorKey().orElseThrow());
+    port("operator", settings.operatorAddress().get(), api.handler());
+  }
+
+  private void port(
+      String name, InetSocketAddress address, io.undertow.server.HttpHandler handler) {
+    HttpPort port =
+        part(
+            new HttpPort(
+                name, address, ioWorker, settings.httpLimits(), Optional.empty(), handler));
+    log.info("event=listening port={} address={}", name, port.address());
+  }
+
+  @Override
+  public void close() {
+    draining.set(true);
+    while (!parts.isEmpty()) {
+      try {
+        parts.pop().close();
+      } catch (Exception failure) {
+        log.warn("event=close-failed reason=\"{}\"", failure.toString());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -0,0 +1,77 @@
+package org.alderyard.daemon;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** The command line of {@code alderyardd}. */
+public final class DaemonMain {
+  private static final String USAGE = "usage: alderyardd --settings FILE [--check]";
+  private static final Options OPTIONS =
+      new Options()
+          .addOption(Option.builder().longOpt("settings").hasArg().required().get())
+          .addOption(Option.builder().longOpt("check").get());
+
+  private DaemonMain() {}
+
+  /** Runs the daemon until the process is asked to end. */
+  public static void main(String[] args) throws InterruptedException {
+    ExitCode code = run(args, System.out, System.err);
+    if (code != ExitCode.OK) {
+      System.exit(code.number());
+    }
+  }
+
+  private static ExitCode run(String[] args, PrintStream out, PrintStream err)
+      throws InterruptedException {
+    CommandLine line;
+    try {
+      line = new DefaultParser().parse(OPTIONS, args);
+    } catch (ParseException wrong) {
+      err.println(wrong.getMessage());
+      err.println(USAGE);
+      return ExitCode.USAGE;
+    }
+    try {
+      DaemonSettings settings = DaemonSettings.read(Path.of(line.getOptionValue("settings")));
+      if (line.hasOption("check")) {
+        out.println("settings are valid: " + line.getOptionValue("settings"));
+        return ExitCode.OK;
+      }
+      runUntilAsked(settings);
+      return ExitCode.OK;
+    } catch (AlderyardException failure) {
+      err.println(failure.code() + ": " + failure.getMessage());
+      return exitCode(failure.code());
+    }
+  }
+
+  private static void runUntilAsked(DaemonSettings settings) throws InterruptedException {
+    Daemon daemon = new Daemon(settings);
+    CountDownLatch asked = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  daemon.close();
+                  asked.countDown();
+                },
+                "shutdown"));
+    asked.await();
+  }
+
+  private static ExitCode exitCode(ErrorCode code) {
+    return switch (code) {
+      case SETTINGS_INVALID -> ExitCode.SETTINGS;
+      case STORAGE_DAMAGED, STORAGE_FAILED -> ExitCode.STORAGE;
+      default -> ExitCode.FAILED;
+    };
+  }
+}
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -0,0 +1,154 @@
+package org.alderyard.daemon;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.alderyard.common.http.HttpLimits;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.settings.Setting;
+import org.alderyard.common.settings.Settings;
+import org.alderyard.common.settings.SettingsException;
+import org.alderyard.common.settings.SettingsReader;
+import org.alderyard.protocol.wire.ClusterKey;
+
+/**
+ * The settings of one process, checked as far as that is possible without starting it.
+ *
+ * @param host name of this host
+ * @param zone its availability zone
+ * @param clusterId name of the cluster
+ * @param roles what this process does
+ * @param callerAddress where callers connect
+ * @param innerAddress where other hosts connect
+ * @param operatorAddress where operators connect, if they may here
+ * @param controlHosts inner addresses of the control hosts
+ * @param dataFolder where a control host keeps its state
+ * @param clusterKey the secret of the hosts
+ * @param operatorKey the secret of the operators
+ * @param monitorInterval pace of the questions to backend servers
+ * @param drainTimeout longest wait for requests in flight at a shutdown
+ * @param workerThreads threads of the worker pool
+ * @param ioThreads threads of the HTTP ports
+ * @param httpLimits what HTTP clients may send
+ */
+public record DaemonSettings(
+    HostId host,
+    ZoneName zone,
+    String clusterId,
+    Set<Role> roles,
+    InetSocketAddress callerAddress,
+    InetSocketAddress innerAddress,
+    Optional<InetSocketAddress> operatorAddress,
+    List<InetSocketAddress> controlHosts,
+    Optional<Path> dataFolder,
+    ClusterKey clusterKey,
+    Optional<String> operatorKey,
+    Duration monitorInterval,
+    Duration drainTimeout,
+    int workerThreads,
+    int ioThreads,
+    HttpLimits httpLimits) {
+
+  /**
+   * Reads and checks a file.
+   *
+   * @throws SettingsException when anything in it can't be used
+   */
+  public static DaemonSettings read(Path file) {
+    Settings settings = new SettingsReader(DaemonSpec.SPEC).read(file);
+    DaemonSettings result =
+        new DaemonSettings(
+            settings.get(DaemonSpec.HOST_ID),
+            settings.get(DaemonSpec.ZONE),
+            settings.get(DaemonSpec.CLUSTER_ID),
+            settings.get(DaemonSpec.ROLES),
+            settings.get(DaemonSpec.CALLER_ADDRESS),
+            settings.get(DaemonSpec.INNER_ADDRESS),
+            settings.find(DaemonSpec.OPERATOR_ADDRESS),
+            settings.get(DaemonSpec.CONTROL_HOSTS),
+            settings.find(DaemonSpec.DATA_FOLDER),
+            clusterKey(settings),
+            operatorKey(settings),
+            settings.get(DaemonSpec.MONITOR_INTERVAL),
+            settings.get(DaemonSpec.DRAIN_TIMEOUT),
+            settings.get(DaemonSpec.WORKER_THREADS),
+            settings.get(DaemonSpec.IO_THREADS),
+            new HttpLimits(
+                settings.get(DaemonSpec.MAX_HEADER_BYTES).intValue(),
+                settings.get(DaemonSpec.MAX_BODY_BYTES),
+                settings.get(DaemonSpec.REQUEST_TIMEOUT),
+                settings.get(DaemonSpec.IDLE_TIMEOUT)));
+    result.checkTogether(settings);
+    return result;
+  }
+
+  private void checkTogether(Settings settings) {
+    if (operatorAddress.isPresent() && operatorKey.isEmpty()) {
+      throw wrong(
+          settings,
+          DaemonSpec.OPERATOR_KEY_FILE,
+          "the key is missing; [network] operator-address needs it");
+    }
+    if (roles.contains(Role.CONTROL) && !controlHosts.contains(innerAddress)) {
+      throw wrong(
+          settings,
+          DaemonSpec.CONTROL_HOSTS,
+          "[network] inner-address " + innerAddress + " of this control host is not in the list");
+    }
+    if (roles.contains(Role.CONTROL) && dataFolder.isPresent()) {
+      checkFolder(settings, dataFolder.get());
+    }
+  }
+
+  private static void checkFolder(Settings settings, Path folder) {
+    boolean usable =
+        Files.isDirectory(folder) && Files.isReadable(folder) && Files.isWritable(folder);
+    if (!usable) {
+      throw wrong(
+          settings,
+          DaemonSpec.DATA_FOLDER,
+          "'" + folder + "' is not a folder that can be read and written");
+    }
+  }
+
+  private static ClusterKey clusterKey(Settings settings) {
+    byte[] secret = secret(settings, DaemonSpec.CLUSTER_KEY_FILE).getBytes(StandardCharsets.UTF_8);
+    if (secret.length < ClusterKey.MIN_BYTES) {
+      throw wrong(
+          settings,
+          DaemonSpec.CLUSTER_KEY_FILE,
+          "the secret has " + secret.length + " bytes; accepted: at least " + ClusterKey.MIN_BYTES);
+    }
+    return new ClusterKey(secret);
+  }
+
+  private static Optional<String> operatorKey(Settings settings) {
+    return settings
+        .find(DaemonSpec.OPERATOR_KEY_FILE)
+        .map(file -> secret(settings, DaemonSpec.OPERATOR_KEY_FILE));
+  }
+
+  private static String secret(Settings settings, Setting<Path> setting) {
+    Path file = settings.get(setting);
+    try {
+      String secret = Files.readString(file).trim();
+      if (secret.isEmpty()) {
+        throw wrong(settings, setting, "the key file '" + file + "' is empty");
+      }
+      return secret;
+    } catch (IOException unreadable) {
+      throw wrong(settings, setting, "the key file '" + file + "' can't be read: " + unreadable);
+    }
+  }
+
+  private static SettingsException wrong(Settings settings, Setting<?> setting, String problem) {
+    return new SettingsException(settings.file(), setting.section(), setting.key(), problem);
+  }
+}
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -0,0 +1,117 @@
+package org.alderyard.daemon;
+
+import static org.alderyard.common.settings.SettingTypes.address;
+import static org.alderyard.common.settings.SettingTypes.bytes;
+import static org.alderyard.common.settings.SettingTypes.duration;
+import static org.alderyard.common.settings.SettingTypes.integer;
+import static org.alderyard.common.settings.SettingTypes.list;
+import static org.alderyard.common.settings.SettingTypes.name;
+import static org.alderyard.common.settings.SettingTypes.path;
+import static org.alderyard.common.settings.SettingTypes.words;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.settings.Setting;
+import org.alderyard.common.settings.SettingsSpec;
+
+/** Every setting of the daemon. */
+public final class DaemonSpec {
+  static final Setting<HostId> HOST_ID =
+      Setting.required("host", "id", name(HostId::new), "name of this host, unique in the cluster");
+  static final Setting<ZoneName> ZONE =
+      Setting.required("host", "zone", name(ZoneName::new), "availability zone of this host");
+  static final Setting<String> CLUSTER_ID =
+      Setting.required(
+          "host", "cluster-id", name(text -> new HostId(text).value()), "name of the cluster");
+  static final Setting<Set<Role>> ROLES =
+      Setting.preset("host", "roles", words(Role.class), "proxy", "what this process does");
+
+  static final Setting<InetSocketAddress> CALLER_ADDRESS =
+      Setting.required("network", "caller-address", address(), "where callers connect");
+  static final Setting<InetSocketAddress> INNER_ADDRESS =
+      Setting.required("network", "inner-address", address(), "where other hosts connect");
+  static final Setting<InetSocketAddress> OPERATOR_ADDRESS =
+      Setting.optional("network", "operator-address", address(), "where operators connect");
+
+  static final Setting<List<InetSocketAddress>> CONTROL_HOSTS =
+      Setting.required("control", "hosts", list(address()), "inner addresses of the control hosts");
+  static final Setting<Path> DATA_FOLDER =
+      Setting.optional("control", "data-folder", path(), "where a control host keeps its state");
+
+  static final Setting<Path> CLUSTER_KEY_FILE =
+      Setting.required(
+          "keys", "cluster-key-file", path(), "secret that all hosts share, at least 16 bytes");
+  static final Setting<Path> OPERATOR_KEY_FILE =
+      Setting.optional("keys", "operator-key-file", path(), "secret that operators send");
+
+  static final Setting<Duration> MONITOR_INTERVAL =
+      Setting.preset(
+          "proxy",
+          "monitor-interval",
+          duration(Duration.ofMillis(1), Duration.ofSeconds(10)),
+          "20ms",
+          "pace at which backend servers are asked for their positions");
+  static final Setting<Duration> DRAIN_TIMEOUT =
+      Setting.preset(
+          "proxy",
+          "drain-timeout",
+          duration(Duration.ZERO, Duration.ofMinutes(10)),
+          "30s",
+          "longest wait for requests in flight at a shutdown");
+  static final Setting<Integer> WORKER_THREADS =
+      Setting.preset("proxy", "worker-threads", integer(1, 256), "4", "threads of the worker pool");
+  static final Setting<Integer> IO_THREADS =
+      Setting.preset("proxy", "io-threads", integer(1, 64), "2", "threads of the HTTP ports");
+
+  static final Setting<Long> MAX_HEADER_BYTES =
+      Setting.preset(
+          "limits", "max-header-size", bytes(1024, 1 << 20), "16KiB", "most bytes of all headers");
+  static final Setting<Long> MAX_BODY_BYTES =
+      Setting.preset(
+          "limits", "max-body-size", bytes(1024, 1L << 30), "1MiB", "most bytes of a body");
+  static final Setting<Duration> REQUEST_TIMEOUT =
+      Setting.preset(
+          "limits",
+          "request-timeout",
+          duration(Duration.ofMillis(100), Duration.ofMinutes(5)),
+          "10s",
+          "longest time that a caller may take to send a request");
+  static final Setting<Duration> IDLE_TIMEOUT =
+      Setting.preset(
+          "limits",
+          "idle-timeout",
+          duration(Duration.ofSeconds(1), Duration.ofHours(24)),
+          "5min",
+          "longest time that a caller's connection may be idle");
+
+  /** All settings, in the order of the documentation. */
+  public static final SettingsSpec SPEC =
+      new SettingsSpec(
+          List.of(
+              HOST_ID,
+              ZONE,
+              CLUSTER_ID,
+              ROLES,
+              CALLER_ADDRESS,
+              INNER_ADDRESS,
+              OPERATOR_ADDRESS,
+              CONTROL_HOSTS,
+              DATA_FOLDER,
+              CLUSTER_KEY_FILE,
+              OPERATOR_KEY_FILE,
+              MONITOR_INTERVAL,
+              DRAIN_TIMEOUT,
+              WORKER_THREADS,
+              IO_THREADS,
+              MAX_HEADER_BYTES,
+              MAX_BODY_BYTES,
+              REQUEST_TIMEOUT,
+              IDLE_TIMEOUT));
+
+  private DaemonSpec() {}
+}
--- /dev/null
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -0,0 +1,155 @@
+package org.alderyard.daemon;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.testkit.standin.StandInOptions;
+import org.alderyard.testkit.standin.StandInServer;
+
+/** A few daemons and one group of stand-in servers inside the test's process. */
+final class TestCluster implements AutoCloseable {
+  static final String OPERATOR_KEY = "operator-secret";
+  private static final int ATTEMPTS = 200;
+  private static final long PAUSE_MILLIS = 50;
+
+  private final Path folder;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final List<AutoCloseable> parts = new ArrayList<>();
+  final List<DaemonSettings> hosts = new ArrayList<>();
+  final List<StandInServer> servers = new ArrayList<>();
+
+  TestCluster(Path folder) throws IOException {
+    this.folder = folder;
+    Files.writeString(folder.resolve("cluster.key"), "a secret of the whole cluster");
+    Files.writeString(folder.resolve("operator.key"), OPERATOR_KEY);
+  }
+
+  static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  /** Starts a host; the first one is the control host. */
+  void startHost(String id) throws IOException {
+    int inner = freePort();
+    boolean first = hosts.isEmpty();
+    InetSocketAddress control =
+        first ? new InetSocketAddress("127.0.0.1", inner) : hosts.get(0).innerAddress();
+    String text =
+        """
+        [host]
+        id = %s
+        zone = zone-a
+        cluster-id = test
+        roles = %s
+        [network]
+        caller-address = 127.0.0.1:%d
+        inner-address = 127.0.0.1:%d
+        operator-address = 127.0.0.1:%d
+        [control]
+        hosts = 127.0.0.1:%d
+        [keys]
+        cluster-key-file = %s
+        operator-key-file = %s
+        """
+            .formatted(
+                id,
+                first ? "proxy,control" : "proxy",
+                freePort(),
+                inner,
+                freePort(),
+                control.getPort(),
+                folder.resolve("cluster.key"),
+                folder.resolve("operator.key"));
+    Path file = folder.resolve(id + ".ini");
+    Files.writeString(file, text);
+    DaemonSettings settings = DaemonSettings.read(file);
+    hosts.add(settings);
+    parts.add(new Daemon(settings));
+  }
+
+  /** Starts a group of a primary and two replicas that announce themselves to the last host. */
+  void startGroup(String group) throws IOException {
+    List<InetSocketAddress> addresses = new ArrayList<>();
+    for (int number = 1; number <= 3; number++) {
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+      addresses.add(address);
+      StandInServer server =
+          new StandInServer(
+              new StandInOptions(
+                  new ServerId(group + "-" + number),
+                  1,
+                  new GroupId(group),
+                  new ZoneName("zone-a"),
+                  address,
+                  5,
+                  64,
+                  number == 1,
+                  number == 1 ? Optional.empty() : Optional.of(addresses.get(0)),
+                  false,
+                  Optional.empty(),
+                  List.of(hosts.get(hosts.size() - 1).callerAddress()),
+                  1_500));
+      servers.add(server);
+      parts.add(server);
+    }
+  }
+
+  HttpResponse<String> putTicket(int host, long number, String body) throws Exception {
+    return http.send(
+        HttpRequest.newBuilder(
+                uri(hosts.get(host).operatorAddress().orElseThrow(), "/v1/tickets/" + number))
+            .header("Authorization", "Bearer " + OPERATOR_KEY)
+            .PUT(HttpRequest.BodyPublishers.ofString(body))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpResponse<String> statement(int host, String pool, Optional<String> token, String body)
+      throws Exception {
+    var request =
+        HttpRequest.newBuilder(
+                uri(hosts.get(host).callerAddress(), "/v1/pools/" + pool + "/statements"))
+            .POST(HttpRequest.BodyPublishers.ofString(body));
+    token.ifPresent(value -> request.header("Alderyard-Session", value));
+    return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Repeats a statement until it is answered with 200: the cluster takes a moment to form. */
+  HttpResponse<String> statementOnceReady(int host, String pool, String body) throws Exception {
+    HttpResponse<String> last = null;
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      last = statement(host, pool, Optional.empty(), body);
+      if (last.statusCode() == 200) {
+        return last;
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    throw new AssertionError("not ready: " + last.statusCode() + " " + last.body());
+  }
+
+  private static URI uri(InetSocketAddress address, String path) {
+    return URI.create("http://127.0.0.1:" + address.getPort() + path);
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (int i = parts.size() - 1; i >= 0; i--) {
+      parts.get(i).close();
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
@@ -0,0 +1,88 @@
+package org.alderyard.proxy.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.HttpString;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.http.Json;
+import org.alderyard.common.http.JsonExchange;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.PoolName;
+import org.alderyard.proxy.statement.StatementService;
+
+/** The callers' HTTP interface, with the announcements of backend servers on the same port. */
+public final class CallerApi {
+  /** The header that carries the session token, both ways. */
+  public static final HttpString SESSION_HEADER = new HttpString("Alderyard-Session");
+
+  /** The header that names the caller, the scope of its request ids. */
+  public static final HttpString CALLER_HEADER = new HttpString("Alderyard-Caller");
+
+  private final HostId host;
+  private final StatementService statements;
+  private final AnnouncementHandler announcements;
+  private final BooleanSupplier ready;
+
+  /** Creates the interface. */
+  public CallerApi(
+      HostId host,
+      StatementService statements,
+      AnnouncementHandler announcements,
+      BooleanSupplier ready) {
+    this.host = host;
+    this.statements = statements;
+    this.announcements = announcements;
+    this.ready = ready;
+  }
+
+  /** Returns the handler of the callers' port. */
+  public HttpHandler handler() {
+    return new RoutingHandler()
+        .post("/v1/pools/{pool}/statements", this::statement)
+        .post("/v1/announcements", announcements::receive)
+        .get("/live", exchange -> state(exchange, true))
+        .get("/ready", exchange -> state(exchange, ready.getAsBoolean()))
+        .setFallbackHandler(
+            exchange ->
+                JsonExchange.sendError(
+                    exchange,
+                    AlderyardException.notRun(
+                        ErrorCode.NOT_FOUND, "no resource at " + exchange.getRequestPath())));
+  }
+
+  private void statement(HttpServerExchange exchange) {
+    JsonExchange.handle(exchange, body -> run(exchange, body));
+  }
+
+  private CompletableFuture<JsonNode> run(HttpServerExchange exchange, byte[] body) {
+    PoolName pool = new PoolName(exchange.getQueryParameters().get("pool").getFirst());
+    var request =
+        StatementJson.request(
+            pool,
+            Json.parseObject(body),
+            header(exchange, CALLER_HEADER),
+            header(exchange, SESSION_HEADER));
+    return statements
+        .run(request)
+        .thenApply(
+            answer -> {
+              exchange.getResponseHeaders().put(SESSION_HEADER, answer.sessionToken());
+              return StatementJson.answer(answer, host);
+            });
+  }
+
+  private static Optional<String> header(HttpServerExchange exchange, HttpString name) {
+    return Optional.ofNullable(exchange.getRequestHeaders().getFirst(name))
+        .filter(value -> !value.isEmpty());
+  }
+
+  private static void state(HttpServerExchange exchange, boolean good) {
+    JsonExchange.send(exchange, good ? 200 : 503, Json.object().put("ok", good));
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
@@ -0,0 +1,133 @@
+package org.alderyard.proxy.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.alderyard.backend.StatementKind;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.http.Json;
+import org.alderyard.common.id.CallerId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.PoolName;
+import org.alderyard.common.id.RequestId;
+import org.alderyard.proxy.statement.Freshness;
+import org.alderyard.proxy.statement.FreshnessMode;
+import org.alderyard.proxy.statement.StatementAnswer;
+import org.alderyard.proxy.statement.StatementRequest;
+
+/** The JSON bodies of the callers' interface. */
+public final class StatementJson {
+  private static final long DEFAULT_DEADLINE_MILLIS = 5_000;
+  private static final long MAX_DEADLINE_MILLIS = 600_000;
+
+  private StatementJson() {}
+
+  /** Returns the request of a body, or a typed error that names the field at fault. */
+  public static StatementRequest request(
+      PoolName pool, JsonNode body, Optional<String> caller, Optional<String> token) {
+    return new StatementRequest(
+        pool,
+        text(body, "key"),
+        kind(body),
+        text(body, "statement"),
+        parameters(body),
+        freshness(body.path("freshness")),
+        new CallerId(caller.orElse("anonymous")),
+        body.hasNonNull("requestId")
+            ? Optional.of(new RequestId(text(body, "requestId")))
+            : Optional.empty(),
+        token,
+        Duration.ofMillis(
+            number(body, "deadlineMillis", DEFAULT_DEADLINE_MILLIS, 1, MAX_DEADLINE_MILLIS)));
+  }
+
+  private static StatementKind kind(JsonNode body) {
+    return switch (text(body, "kind")) {
+      case "read" -> StatementKind.READ;
+      case "write" -> StatementKind.WRITE;
+      default -> throw wrong("kind", body.path("kind"), "\"read\" or \"write\"");
+    };
+  }
+
+  private static List<JsonNode> parameters(JsonNode body) {
+    JsonNode node = body.path("parameters");
+    if (node.isMissingNode()) {
+      return List.of();
+    }
+    if (!node.isArray()) {
+      throw wrong("parameters", node, "an array");
+    }
+    List<JsonNode> parameters = new ArrayList<>();
+    node.forEach(parameters::add);
+    return parameters;
+  }
+
+  private static Freshness freshness(JsonNode node) {
+    if (node.isMissingNode()) {
+      return Freshness.SESSION;
+    }
+    if (!node.isObject()) {
+      throw wrong("freshness", node, "an object");
+    }
+    FreshnessMode mode =
+        switch (node.path("mode").asText("session")) {
+          case "session" -> FreshnessMode.SESSION;
+          case "bounded" -> FreshnessMode.BOUNDED;
+          case "any" -> FreshnessMode.ANY;
+          case "primary" -> FreshnessMode.PRIMARY;
+          default ->
+              throw wrong("freshness.mode", node.path("mode"), "session, bounded, any, primary");
+        };
+    OptionalLong age =
+        node.has("maxStalenessMillis")
+            ? OptionalLong.of(number(node, "maxStalenessMillis", 0, 0, Integer.MAX_VALUE))
+            : OptionalLong.empty();
+    return new Freshness(mode, age);
+  }
+
+  private static String text(JsonNode body, String field) {
+    JsonNode node = body.path(field);
+    if (!node.isTextual() || node.asText().isEmpty()) {
+      throw wrong(field, node, "a string that is not empty");
+    }
+    return node.asText();
+  }
+
+  private static long number(JsonNode body, String field, long preset, long min, long max) {
+    JsonNode node = body.path(field);
+    if (node.isMissingNode()) {
+      return preset;
+    }
+    if (!node.isIntegralNumber() || node.asLong() < min || node.asLong() > max) {
+      throw wrong(field, node, "a whole number from " + min + " to " + max);
+    }
+    return node.asLong();
+  }
+
+  private static AlderyardException wrong(String field, JsonNode value, String accepted) {
+    String shown = value.isMissingNode() ? "missing" : value.toString();
+    return AlderyardException.notRun(
+        ErrorCode.BAD_REQUEST, field + " is " + shown + "; accepted: " + accepted);
+  }
+
+  /** Returns the body of an answer. */
+  public static ObjectNode answer(StatementAnswer answer, HostId host) {
+    ObjectNode body = Json.object();
+    body.set("result", answer.result());
+    ObjectNode servedBy = body.putObject("servedBy");
+    servedBy.put("host", host.value());
+    servedBy.put("group", answer.group().value());
+    servedBy.put("server", answer.server().value());
+    servedBy.put("role", (answer.replica() ? "REPLICA" : "PRIMARY").toLowerCase(Locale.ROOT));
+    servedBy.put("term", answer.position().term());
+    servedBy.put("position", answer.position().index());
+    answer.ageMillis().ifPresent(millis -> servedBy.put("ageBoundMillis", millis));
+    return body;
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP interface. */
+package org.alderyard.proxy.api;
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/package-info.java
@@ -0,0 +1,2 @@
+/** The path of one statement: from a caller's request to the answer of a backend server. */
+package org.alderyard.proxy.statement;
--- /dev/null
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInAnnouncer.java
@@ -0,0 +1,79 @@
+package org.alderyard.testkit.standin;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.alderyard.backend.ServerReport;
+import org.alderyard.backend.ServerRole;
+import org.alderyard.backend.http.BackendJson;
+
+/** Announces the server to one entry host after another, three times in each lease. */
+final class StandInAnnouncer implements AutoCloseable {
+  private static final String PATH = "/v1/announcements";
+  private static final int PER_LEASE = 3;
+
+  private final StandInOptions options;
+  private final StandInState state;
+  private final Thread thread;
+  private volatile boolean leaving;
+  private volatile boolean closed;
+  private int next;
+
+  StandInAnnouncer(StandInOptions options, StandInState state) {
+    this.options = options;
+    this.state = state;
+    thread = new Thread(this::loop, "stand-in-announce");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  void leave() {
+    leaving = true;
+    announceOnce();
+  }
+
+  private void loop() {
+    while (!closed && !options.entryHosts().isEmpty()) {
+      announceOnce();
+      try {
+        Thread.sleep(options.leaseMillis() / PER_LEASE);
+      } catch (InterruptedException stopped) {
+        return;
+      }
+    }
+  }
+
+  private synchronized void announceOnce() {
+    for (int tries = 0; tries < options.entryHosts().size(); tries++) {
+      InetSocketAddress host = options.entryHosts().get(next % options.entryHosts().size());
+      next++;
+      try {
+        PlainHttp.post(host, PATH, announcement());
+        return;
+      } catch (IOException unreachable) {
+        // The next entry host takes the announcement; the next round tries all again.
+      }
+    }
+  }
+
+  private ObjectNode announcement() {
+    ServerReport report = state.report();
+    return BackendJson.object()
+        .put("server", options.server().value())
+        .put("incarnation", options.incarnation())
+        .put("group", options.group().value())
+        .put("zone", options.zone().value())
+        .put("address", options.address().getAddress().getHostAddress())
+        .put("port", options.address().getPort())
+        .put("term", report.term())
+        .put("primary", report.role() == ServerRole.PRIMARY)
+        .put("leaving", leaving)
+        .put("leaseMillis", options.leaseMillis());
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    thread.interrupt();
+  }
+}
--- /dev/null
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInState.java
@@ -0,0 +1,246 @@
+package org.alderyard.testkit.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.alderyard.backend.BackendAnswer;
+import org.alderyard.backend.BackendException;
+import org.alderyard.backend.BackendException.Refusal;
+import org.alderyard.backend.BackendStatement;
+import org.alderyard.backend.LedgerKey;
+import org.alderyard.backend.ServerReport;
+import org.alderyard.backend.ServerRole;
+import org.alderyard.common.id.Position;
+import org.alderyard.common.view.TermStart;
+
+/** The term, role, log and data of a stand-in; every method holds its one lock. */
+final class StandInState {
+  private final StandInOptions options;
+  private final LogFile file;
+  private final List<LogEntry> log = new ArrayList<>();
+  private final List<TermStart> termStarts = new ArrayList<>();
+  private final Map<LedgerKey, LogEntry> ledger = new HashMap<>();
+  private KeyValues data = new KeyValues();
+  private int applied;
+  private long term;
+  private ServerRole role = ServerRole.FENCED;
+  private Optional<InetSocketAddress> primary = Optional.empty();
+
+  StandInState(StandInOptions options, LogFile file) {
+    this.options = options;
+    this.file = file;
+    file.load(log, termStarts);
+    term = termStarts.isEmpty() ? 0 : termStarts.get(termStarts.size() - 1).term();
+    term = Math.max(term, file.term());
+    if (options.primary() && log.isEmpty() && term == 0) {
+      term = 1;
+      role = ServerRole.PRIMARY;
+      addTermStart(new TermStart(1, 0));
+    }
+    applyUpTo(log.size());
+    if (term <= 1 && role == ServerRole.FENCED) {
+      options.follow().ifPresent(address -> follow(1, address));
+    }
+  }
+
+  synchronized ServerReport report() {
+    return new ServerReport(
+        options.server(),
+        options.incarnation(),
+        options.group(),
+        term,
+        role,
+        positionAt(log.size()),
+        positionAt(applied),
+        termStarts,
+        options.ledger());
+  }
+
+  private Position positionAt(int count) {
+    return count == 0 ? Position.NONE : log.get(count - 1).position();
+  }
+
+  synchronized BackendAnswer read(BackendStatement statement) {
+    return new BackendAnswer(data.run(statement), positionAt(applied));
+  }
+
+  /** Runs the writes of one transaction as one entry, or answers a resend from the ledger. */
+  synchronized BackendAnswer write(List<BackendStatement> writes, long writeTerm) {
+    requirePrimary(writeTerm);
+    Optional<LedgerKey> key =
+        options.ledger() && !writes.isEmpty() ? writes.get(0).ledgerKey() : Optional.empty();
+    if (key.isPresent() && ledger.containsKey(key.get())) {
+      LogEntry earlier = ledger.get(key.get());
+      return new BackendAnswer(earlier.result(), earlier.position());
+    }
+    KeyValues after = writes.size() > 1 ? data.copy() : data;
+    JsonNode result = null;
+    for (BackendStatement write : writes) {
+      result = after.run(write);
+    }
+    data = after;
+    LogEntry entry = new LogEntry(new Position(term, log.size() + 1L), writes, result);
+    hold(entry);
+    applied = log.size();
+    notifyAll();
+    return new BackendAnswer(result, entry.position());
+  }
+
+  private void hold(LogEntry entry) {
+    log.add(entry);
+    entry.ledgerKey().ifPresent(key -> ledger.put(key, entry));
+    file.append(entry);
+  }
+
+  synchronized KeyValues copyOfData() {
+    return data.copy();
+  }
+
+  synchronized void requirePrimary(long writeTerm) {
+    if (role != ServerRole.PRIMARY) {
+      throw new BackendException(Refusal.NOT_PRIMARY, options.server() + " is " + role);
+    }
+    if (writeTerm != term) {
+      throw new BackendException(
+          Refusal.TERM_MISMATCH, "term " + writeTerm + "; the server is at " + term);
+    }
+  }
+
+  synchronized ServerReport fence(long newTerm) {
+    if (newTerm < term) {
+      throw new BackendException(
+          Refusal.TERM_MISMATCH, "fence at " + newTerm + "; the server is at " + term);
+    }
+    if (newTerm > term) {
+      term = newTerm;
+      file.term(term);
+      role = ServerRole.FENCED;
+      primary = Optional.empty();
+      notifyAll();
+    }
+    return report();
+  }
+
+  synchronized ServerReport promote(long newTerm) {
+    if (newTerm != term || role == ServerRole.REPLICA) {
+      throw new BackendException(
+          Refusal.TERM_MISMATCH,
+          "promotion at " + newTerm + "; the server is at " + term + " as " + role);
+    }
+    if (role == ServerRole.FENCED) {
+      applyUpTo(log.size());
+      role = ServerRole.PRIMARY;
+      addTermStart(new TermStart(term, log.size()));
+      notifyAll();
+    }
+    return report();
+  }
+
+  synchronized ServerReport follow(long newTerm, InetSocketAddress newPrimary) {
+    if (newTerm < term || (newTerm == term && role == ServerRole.PRIMARY)) {
+      throw new BackendException(
+          Refusal.TERM_MISMATCH, "follow at " + newTerm + "; the server is at " + term);
+    }
+    term = newTerm;
+    file.term(term);
+    role = ServerRole.REPLICA;
+    primary = Optional.of(newPrimary);
+    notifyAll();
+    return report();
+  }
+
+  private void addTermStart(TermStart start) {
+    termStarts.add(start);
+    file.append(start);
+  }
+
+  /** Returns whom to fetch from, if this server is a replica. */
+  synchronized Optional<InetSocketAddress> primary() {
+    return primary;
+  }
+
+  /**
+   * Takes entries of the primary; drops first what the primary's term history shows as lost.
+   *
+   * <p>The entries count only while this server still follows the same primary in the same term.
+   */
+  synchronized void replicate(
+      InetSocketAddress from, List<TermStart> primaryStarts, List<LogEntry> entries) {
+    if (role != ServerRole.REPLICA || !primary.equals(Optional.of(from))) {
+      return;
+    }
+    dropLost(primaryStarts);
+    for (TermStart start : primaryStarts) {
+      if (!termStarts.contains(start)) {
+        addTermStart(start);
+      }
+    }
+    for (LogEntry entry : entries) {
+      if (entry.position().index() == log.size() + 1L) {
+        hold(entry);
+      }
+    }
+    notifyAll();
+  }
+
+  private void dropLost(List<TermStart> primaryStarts) {
+    long keep = log.size();
+    for (TermStart start : primaryStarts) {
+      boolean older =
+          log.size() > start.startIndex()
+              && log.get((int) start.startIndex()).position().term() < start.term();
+      if (older) {
+        keep = Math.min(keep, start.startIndex());
+      }
+    }
+    if (keep == log.size()) {
+      return;
+    }
+    log.subList((int) keep, log.size()).clear();
+    termStarts.removeIf(start -> !primaryStarts.contains(start));
+    file.rewrite(log, termStarts);
+    ledger.clear();
+    log.forEach(entry -> entry.ledgerKey().ifPresent(key -> ledger.put(key, entry)));
+    int reapply = Math.min(applied, log.size());
+    data = new KeyValues();
+    applied = 0;
+    applyUpTo(reapply);
+  }
+
+  synchronized void applyUpTo(int count) {
+    while (applied < Math.min(count, log.size())) {
+      for (BackendStatement write : log.get(applied).writes()) {
+        data.run(write);
+      }
+      applied++;
+    }
+    notifyAll();
+  }
+
+  synchronized int heldCount() {
+    return log.size();
+  }
+
+  synchronized List<LogEntry> entriesFrom(int from, int max) {
+    int start = Math.min(from, log.size());
+    return List.copyOf(log.subList(start, Math.min(log.size(), start + max)));
+  }
+
+  /** Blocks until the entry at this index is held or applied, or the time is over. */
+  synchronized ServerReport await(Position position, boolean held, long waitMillis)
+      throws InterruptedException {
+    long end = System.nanoTime() + waitMillis * 1_000_000;
+    while ((held ? log.size() : applied) < position.index()) {
+      long leftMillis = (end - System.nanoTime()) / 1_000_000;
+      if (leftMillis <= 0) {
+        break;
+      }
+      wait(leftMillis);
+    }
+    return report();
+  }
+}
--- /dev/null
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a backend server: a small replicated key-value store behind the protocol. */
+package org.alderyard.testkit.standin;
--- /dev/null
+++ b/bin/launch.sh
@@ -0,0 +1,12 @@
+# Shared by the launchers: builds the workspace when its jars are missing.
+
+build_if_needed() {
+  if ! ls "$1"/alderyard-cli/target/alderyard-cli-*.jar >/dev/null 2>&1; then
+    echo "building alderyard ..." >&2
+    (cd "$1" && mvn -B -q -ntp -DskipTests package >&2)
+  fi
+}
+
+class_path() {
+  echo "$1/alderyard-cli/target/*:$1/alderyard-cli/target/lib/*"
+}
