Add the pure core of the replicated log

Found while writing: a pre-vote reply from a lower term was ignored by its asker, so a replica with a higher term could never be elected.

--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
@@ -0,0 +1,110 @@
+package org.alderyard.control.raft;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.alderyard.protocol.generated.raft.RaftMessage;
+import org.alderyard.protocol.generated.raft.VoteReply;
+import org.alderyard.protocol.generated.raft.VoteRequest;
+
+/** Asks for votes and gives them. */
+final class Election {
+  private final ReplicaState state;
+  private final Set<Long> granted = new HashSet<>();
+
+  Election(ReplicaState state) {
+    this.state = state;
+  }
+
+  /** Asks whether an election could be won; the term stays, so a lone replica disturbs nobody. */
+  void startPreVote() {
+    granted.clear();
+    granted.add(state.self);
+    state.restartElectionTimer();
+    requestVotes(true, state.term() + 1, false);
+  }
+
+  /** Stands for election in a new term. The own vote counts once it is synced. */
+  void startVote(boolean handOver) {
+    granted.clear();
+    state.promise(state.term() + 1, state.self);
+    state.forgetLeader();
+    state.restartElectionTimer();
+    requestVotes(false, state.term(), handOver);
+  }
+
+  private void requestVotes(boolean preVote, long candidateTerm, boolean handOver) {
+    VoteRequest request =
+        VoteRequest.newBuilder()
+            .setCandidateTerm(candidateTerm)
+            .setPreVote(preVote)
+            .setHandOver(handOver)
+            .setLastIndex(state.log.lastIndex())
+            .setLastTerm(state.log.lastTerm())
+            .build();
+    for (long voter : state.log.membership().voters()) {
+      if (voter != state.self) {
+        state.sendAfterSync(state.message(voter).setVoteRequest(request));
+      }
+    }
+  }
+
+  /** Counts a vote; only those of voters make up a majority. */
+  void grant(long voter) {
+    granted.add(voter);
+  }
+
+  boolean won() {
+    return state.log.membership().isQuorum(granted::contains);
+  }
+
+  /**
+   * Returns whether a request must not even move the term.
+   *
+   * <p>Guards against replicas that don't hear the leader (cut off one way, removed, or back after
+   * a long silence): their campaign would end a term in which a majority is well served. As long as
+   * a leader is fresh here, its term stays, unless the leader itself asked for the election.
+   */
+  boolean disturbs(VoteRequest request, Role role) {
+    if (request.getHandOver()) {
+      return false;
+    }
+    return role == Role.LEADER || state.leaderIsFresh();
+  }
+
+  /** Answers a request whose term was taken over already, if it is a real one. */
+  void answer(RaftMessage message) {
+    VoteRequest request = message.getVoteRequest();
+    boolean grant = mayGrant(message.getFrom(), request);
+    if (grant && !request.getPreVote()) {
+      state.promise(state.term(), message.getFrom());
+      state.restartElectionTimer();
+    }
+    // A pre-vote may come from a higher term, which is not taken over here: the reply carries it,
+    // since the asker ignores what comes from a lower term than its own.
+    long replyTerm =
+        grant && request.getPreVote() ? Math.max(state.term(), message.getTerm()) : state.term();
+    state.sendAfterSync(
+        state
+            .message(message.getFrom())
+            .setTerm(replyTerm)
+            .setVoteReply(
+                VoteReply.newBuilder()
+                    .setCandidateTerm(request.getCandidateTerm())
+                    .setPreVote(request.getPreVote())
+                    .setGranted(grant)));
+  }
+
+  private boolean mayGrant(long candidate, VoteRequest request) {
+    if (!state.log.isUpToDate(request.getLastIndex(), request.getLastTerm())) {
+      return false;
+    }
+    if (request.getPreVote()) {
+      return request.getCandidateTerm() > state.term();
+    }
+    if (request.getCandidateTerm() != state.term()) {
+      return false;
+    }
+    return state.votedFor() == candidate
+        || (state.votedFor() == ReplicaState.NOBODY && state.leaderId() == ReplicaState.NOBODY);
+  }
+}
