Split the path of a write out of the statement service

Cause: reads and writes grow in different directions and shared one class. Change: org.alderyard.proxy.write holds the path of a write (WritePath, WriteRequest, WriteAnswer) and the wait for a majority; StatementService hands a write over and puts the answer together. Conclusion: writes can now change without touching the class that reads go through.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -35,6 +35,7 @@
 import org.alderyard.proxy.statement.StatementService;
 import org.alderyard.proxy.view.ViewClient;
 import org.alderyard.proxy.view.ViewHolder;
+import org.alderyard.proxy.write.WritePath;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -152,8 +153,7 @@
             views,
             pools,
             monitor,
-            admin,
-            viewClient::leaseValid,
+            new WritePath(views, pools, admin, viewClient::leaseValid),
             new SplittableRandom(self.incarnation()));
     CallerApi api =
         new CallerApi(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
@@ -1,16 +1,13 @@
 package org.alderyard.proxy.statement;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.alderyard.backend.BackendAnswer;
 import org.alderyard.backend.BackendStatement;
 import org.alderyard.backend.LedgerKey;
-import org.alderyard.backend.ServerAdmin;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
@@ -18,13 +15,13 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.PoolState;
 import org.alderyard.common.view.ServerState;
-import org.alderyard.common.view.ServerStatus;
 import org.alderyard.common.view.View;
-import org.alderyard.common.view.WriteAcknowledgement;
 import org.alderyard.protocol.generated.session.SessionToken;
 import org.alderyard.proxy.monitor.GroupMonitor;
 import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.view.ViewHolder;
+import org.alderyard.proxy.write.WritePath;
+import org.alderyard.proxy.write.WriteRequest;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,24 +32,21 @@
   private final ViewHolder views;
   private final ServerPools pools;
   private final GroupMonitor monitor;
-  private final BooleanSupplier viewLeaseValid;
   private final ReadChoice choice;
-  private final MajorityWait majority;
+  private final WritePath writes;
 
   /** Creates the service. */
   public StatementService(
       ViewHolder views,
       ServerPools pools,
       GroupMonitor monitor,
-      ServerAdmin admin,
-      BooleanSupplier viewLeaseValid,
+      WritePath writes,
       RandomGenerator random) {
     this.views = views;
     this.pools = pools;
     this.monitor = monitor;
-    this.viewLeaseValid = viewLeaseValid;
     choice = new ReadChoice(random);
-    majority = new MajorityWait(admin);
+    this.writes = writes;
   }
 
   /** Runs a statement; a failure is a typed error that tells the outcome. */
@@ -103,40 +97,28 @@
 
   private CompletableFuture<StatementAnswer> write(
       StatementRequest request, View view, PoolState pool, GroupState group, SessionToken token) {
-    if (!viewLeaseValid.getAsBoolean()) {
-      throw AlderyardException.notRun(
-          ErrorCode.VIEW_LEASE_EXPIRED, "this proxy has lost touch with the control hosts");
-    }
-    ServerState primary =
-        group
-            .primary()
-            .flatMap(view::server)
-            .filter(server -> server.status() == ServerStatus.ACTIVE)
-            .orElseThrow(() -> noPrimary(group));
-    log.info(
-        "event=route kind=write pool={} group={} server={} term={} reason=PRIMARY_OF_TERM",
-        request.pool(),
-        group.id(),
-        primary.id(),
-        group.term());
-    List<ServerState> servers = view.serversOf(group.id());
-    return onServer(primary, backendStatement(request, group), request.timeout())
-        .thenCompose(
-            answer -> {
-              CompletableFuture<Void> held =
-                  pool.writeAcknowledgement() == WriteAcknowledgement.PRIMARY_ONLY
-                      ? CompletableFuture.completedFuture(null)
-                      : majority.await(answer.position(), primary, servers, request.timeout());
-              return held.thenApply(done -> answer);
-            })
+    WriteRequest write =
+        new WriteRequest(
+            pool,
+            group.id(),
+            request.key(),
+            request.text(),
+            request.parameters(),
+            request.requestId().map(id -> new LedgerKey(request.caller(), id)),
+            request.timeout());
+    return writes
+        .run(write)
         .thenApply(
             answer ->
-                answer(
-                    answer,
-                    group,
-                    new ReadTarget(primary, false, ReadReason.PRIMARY_ASKED_FOR),
-                    token,
-                    view));
+                new StatementAnswer(
+                    answer.result(),
+                    group.id(),
+                    answer.server(),
+                    answer.position(),
+                    false,
+                    OptionalLong.empty(),
+                    PlainTokens.sign(
+                        PlainTokens.with(token, group.id(), answer.position()), view.keys())));
   }
 
   private CompletableFuture<BackendAnswer> onServer(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/MajorityWait.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/MajorityWait.java
@@ -1,4 +1,4 @@
-package org.alderyard.proxy.statement;
+package org.alderyard.proxy.write;
 
 import java.time.Duration;
 import java.util.List;
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteAnswer.java
@@ -0,0 +1,23 @@
+package org.alderyard.proxy.write;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Objects;
+import org.alderyard.common.id.Position;
+import org.alderyard.common.id.ServerId;
+
+/**
+ * The answer to an acknowledged write.
+ *
+ * @param result the server's result, a JSON value
+ * @param server the primary that ran it
+ * @param position its entry in the log of the group
+ */
+public record WriteAnswer(JsonNode result, ServerId server, Position position) {
+
+  /** Checks. */
+  public WriteAnswer {
+    Objects.requireNonNull(result);
+    Objects.requireNonNull(server);
+    Objects.requireNonNull(position);
+  }
+}
