--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/FixedLimit.java
@@ -0,0 +1,19 @@
+package org.alderyard.proxy.limit;
+
+/** The slots of the server, whatever happens. */
+public final class FixedLimit implements ConcurrencyLimit {
+  private final int slots;
+
+  /** Creates a limit of the given number of slots. */
+  public FixedLimit(int slots) {
+    this.slots = Math.max(1, slots);
+  }
+
+  @Override
+  public int current() {
+    return slots;
+  }
+
+  @Override
+  public void sample(long latencyNanos, int inFlight, boolean answered) {}
+}
