Add the command line of alderyard

Cause: operators could reach the system by raw HTTP only. Measured: 'alderyard tiket aply x' names 'ticket apply' and exits 2; a read without an operators' port says which option and variable are missing.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
@@ -1,12 +1,42 @@
 package org.alderyard.cli;
 
+import java.io.PrintStream;
+import java.util.List;
+import org.alderyard.cli.command.CheckSettingsCommand;
+import org.alderyard.cli.command.Command;
+import org.alderyard.cli.command.CommandLineTool;
+import org.alderyard.cli.command.TokenInspectCommand;
+import org.alderyard.cli.operator.DrainCommand;
+import org.alderyard.cli.operator.ShowCommand;
+import org.alderyard.cli.operator.TicketApplyCommand;
+
 /** The command line of {@code alderyard}. */
 public final class Main {
 
   private Main() {}
 
-  /** Runs one sub-command. */
+  /** Runs one sub-command and exits with its code. */
   public static void main(String[] args) {
-    System.exit(2);
+    System.exit(tool(System.out, System.err).run(args).number());
+  }
+
+  static CommandLineTool tool(PrintStream out, PrintStream err) {
+    return new CommandLineTool("alderyard", commands(), out, err);
+  }
+
+  private static List<Command> commands() {
+    return List.of(
+        new TicketApplyCommand(),
+        new ShowCommand(
+            "ticket show", "show a ticket's answer", List.of("NUMBER"), "/v1/tickets/{}"),
+        new ShowCommand("ticket list", "list the tickets", List.of(), "/v1/tickets"),
+        new ShowCommand("status", "show the state of the whole system", List.of(), "/v1/status"),
+        new ShowCommand("pools", "list the pools", List.of(), "/v1/pools"),
+        new ShowCommand("groups", "list the database groups", List.of(), "/v1/groups"),
+        new ShowCommand("servers", "list the backend servers", List.of(), "/v1/servers"),
+        new ShowCommand("hosts", "list the hosts of the system", List.of(), "/v1/hosts"),
+        new DrainCommand(),
+        new TokenInspectCommand(),
+        new CheckSettingsCommand());
   }
 }
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/operator/DrainCommand.java
@@ -0,0 +1,29 @@
+package org.alderyard.cli.operator;
+
+import java.util.List;
+import org.alderyard.cli.command.Command;
+import org.alderyard.cli.command.CommandSpec;
+import org.alderyard.cli.command.Invocation;
+import org.alderyard.cli.command.OptionNames;
+import org.alderyard.common.http.Json;
+import org.alderyard.daemon.ExitCode;
+
+/** Makes a host take no new work, so that it can be stopped without a cut request. */
+public final class DrainCommand implements Command {
+  private static final CommandSpec SPEC =
+      new CommandSpec(
+          "drain", "make a host take no new work", List.of("HOST"), OptionNames.operatorOptions());
+
+  @Override
+  public CommandSpec spec() {
+    return SPEC;
+  }
+
+  @Override
+  public ExitCode run(Invocation invocation) {
+    String path = "/v1/hosts/" + invocation.arguments().get(0) + "/drain";
+    ShowCommand.print(
+        OperatorClient.of(invocation).post(path, Json.bytes(Json.object())), invocation);
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/operator/OperatorClient.java
@@ -0,0 +1,109 @@
+package org.alderyard.cli.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import org.alderyard.cli.command.Invocation;
+import org.alderyard.cli.command.OptionNames;
+import org.alderyard.cli.command.UsageException;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.Outcome;
+import org.alderyard.common.http.Json;
+
+/** Calls the operators' port of one host. */
+final class OperatorClient {
+  private static final Duration TIMEOUT = Duration.ofSeconds(15);
+  private static final String ADDRESS_VARIABLE = "ALDERYARD_OPERATOR";
+  private static final String KEY_FILE_VARIABLE = "ALDERYARD_KEY_FILE";
+
+  private final HttpClient http = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+  private final String address;
+  private final String key;
+
+  private OperatorClient(String address, String key) {
+    this.address = address;
+    this.key = key;
+  }
+
+  /** Returns a client for the host and key that the options or the environment name. */
+  static OperatorClient of(Invocation invocation) {
+    String address = value(invocation, OptionNames.OPERATOR, ADDRESS_VARIABLE);
+    String keyFile = value(invocation, OptionNames.KEY_FILE, KEY_FILE_VARIABLE);
+    try {
+      return new OperatorClient(address, Files.readString(Path.of(keyFile)).trim());
+    } catch (IOException unreadable) {
+      throw new UsageException(
+          invocation.spec(), "the key file '" + keyFile + "' can't be read: " + unreadable);
+    }
+  }
+
+  private static String value(Invocation invocation, String option, String variable) {
+    return invocation
+        .option(option)
+        .or(() -> Optional.ofNullable(System.getenv(variable)))
+        .orElseThrow(
+            () ->
+                new UsageException(
+                    invocation.spec(), "--" + option + " is missing, and " + variable + " too"));
+  }
+
+  JsonNode get(String path) {
+    return send(request(path).GET().build());
+  }
+
+  JsonNode put(String path, byte[] body) {
+    return send(request(path).PUT(HttpRequest.BodyPublishers.ofByteArray(body)).build());
+  }
+
+  JsonNode post(String path, byte[] body) {
+    return send(request(path).POST(HttpRequest.BodyPublishers.ofByteArray(body)).build());
+  }
+
+  private HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + address + path))
+        .timeout(TIMEOUT)
+        .header("Authorization", "Bearer " + key);
+  }
+
+  private JsonNode send(HttpRequest request) {
+    try {
+      HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+      JsonNode body = Json.parseObject(response.body());
+      if (body.has("error")) {
+        throw error(body.path("error"));
+      }
+      return body;
+    } catch (IOException unreachable) {
+      throw AlderyardException.unknown(
+          ErrorCode.CONNECTION_LOST, address + " gave no answer: " + unreachable, unreachable);
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+      throw AlderyardException.unknown(ErrorCode.CONNECTION_LOST, "interrupted", stopped);
+    }
+  }
+
+  private static AlderyardException error(JsonNode error) {
+    StringBuilder message = new StringBuilder(error.path("message").asText());
+    error
+        .path("faults")
+        .forEach(fault -> message.append(System.lineSeparator()).append("  ").append(fault));
+    return new AlderyardException(
+        code(error.path("code").asText()), Outcome.NOT_RUN, message.toString());
+  }
+
+  private static ErrorCode code(String name) {
+    try {
+      return ErrorCode.valueOf(name);
+    } catch (IllegalArgumentException newerHost) {
+      return ErrorCode.INTERNAL;
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/operator/ShowCommand.java
@@ -0,0 +1,51 @@
+package org.alderyard.cli.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.alderyard.cli.command.Command;
+import org.alderyard.cli.command.CommandSpec;
+import org.alderyard.cli.command.Invocation;
+import org.alderyard.cli.command.OptionNames;
+import org.alderyard.common.http.Json;
+import org.alderyard.daemon.ExitCode;
+
+/** A sub-command that reads one resource and prints it. */
+public final class ShowCommand implements Command {
+  private static final String ARGUMENT = "{}";
+
+  private final CommandSpec spec;
+  private final String path;
+
+  /**
+   * Creates the sub-command.
+   *
+   * @param path the path of the resource; {@code {}} stands for the one argument
+   */
+  public ShowCommand(String name, String summary, List<String> arguments, String path) {
+    spec = new CommandSpec(name, summary, arguments, OptionNames.operatorOptions());
+    this.path = path;
+  }
+
+  @Override
+  public CommandSpec spec() {
+    return spec;
+  }
+
+  @Override
+  public ExitCode run(Invocation invocation) {
+    String resource =
+        invocation.arguments().isEmpty()
+            ? path
+            : path.replace(ARGUMENT, invocation.arguments().get(0));
+    print(OperatorClient.of(invocation).get(resource), invocation);
+    return ExitCode.OK;
+  }
+
+  static void print(JsonNode answer, Invocation invocation) {
+    if (invocation.has(OptionNames.JSON)) {
+      invocation.out().println(Json.pretty(answer));
+    } else {
+      TextTable.print(answer, invocation.out());
+    }
+  }
+}
