Acknowledge writes by one long poll for each replica, in the write's term

Cause: each write asked every replica for itself; a returned primary's unreplicated tail counted as a copy (it names the new term while its log ends with lost entries), and a term that ended while the write waited went unseen. Writes without a primary failed at once. Change: MajorityAcknowledger with HeldIndexes: one open poll for each (group, term, replica); a replica counts once its log shows the term; a newer view ends all waiting writes as unknown at once. WriteRun and RetryRule: a write that may have run is sent again only under a ledger that all servers keep; after one doubtful attempt nothing is NOT_RUN; writes wait for a primary in a bounded queue.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -30,6 +30,8 @@
 import org.alderyard.protocol.wire.ProtocolOptions;
 import org.alderyard.proxy.api.AnnouncementHandler;
 import org.alderyard.proxy.api.CallerApi;
+import org.alderyard.proxy.ledger.LedgerSupport;
+import org.alderyard.proxy.limit.RetryBudget;
 import org.alderyard.proxy.monitor.GroupMonitor;
 import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.statement.StatementService;
@@ -148,13 +150,19 @@
     GroupMonitor monitor = new GroupMonitor(views, admin, clock, settings.monitorInterval());
     monitor.start(workers);
     ServerPools pools = part(new ServerPools(connector));
-    StatementService statements =
-        new StatementService(
+    WritePath writes =
+        new WritePath(
             views,
             pools,
-            monitor,
-            new WritePath(views, pools, admin, viewClient::leaseValid),
-            new SplittableRandom(self.incarnation()));
+            admin,
+            new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED),
+            new LedgerSupport(views, monitor),
+            viewClient::leaseValid,
+            workers,
+            clock);
+    StatementService statements =
+        new StatementService(
+            views, pools, monitor, writes, new SplittableRandom(self.incarnation()));
     CallerApi api =
         new CallerApi(
             settings.host(),
