--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureStoriesTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureStoriesTest.java
@@ -309,4 +309,27 @@
     assertThat(target.leads()).isTrue();
     assertThat(cluster.settle().digest()).isEqualTo(target.digest());
   }
+
+  /**
+   * A new leader changes the members while a change of the leader before it may still be in some
+   * logs. Two changes at once could give two majorities without a common voter. So it must have an
+   * entry of its own term committed first.
+   */
+  @Test
+  void newLeaderChangesNoMembersBeforeItsFirstCommit() {
+    RaftReplica old = proposeMany(cluster.settle(), 1);
+    cluster.isolate(old.id);
+    RaftReplica next = null;
+    while (next == null) {
+      cluster.advance(1);
+      othersThan(old).forEach(other -> cluster.tick(other, false));
+      if (!cluster.pipe.isEmpty()) {
+        cluster.deliver(cluster.pipe.remove(0), false);
+      }
+      next = othersThan(old).stream().filter(RaftReplica::leads).findFirst().orElse(null);
+    }
+    assertThat(next.core().change(new Remove(old.id))).isEqualTo(Verdict.CHANGE_IN_PROGRESS);
+    cluster.run(RaftReplica.OPTIONS.heartbeatMillis());
+    assertThat(next.core().change(new Remove(old.id))).isEqualTo(Verdict.ACCEPTED);
+  }
 }
