Serve reads through freshness, routing and gates, with metrics

Cause: the first data path compared indexes with the last report and sent every read that no replica covered to the primary; it knew no queue, no wait, no age and no metric. Change: ReadPath routes, waits for a replica on the measurements that are taken anyway (no extra connection), runs through the server's gate, checks the answer's position and age again, and resends within a budget; SessionTokens replaces the first codec; several tokens in one header; /metrics; four settings. Bounded reads include the session's own writes.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package org.alderyard.daemon;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -8,10 +9,12 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.http.HttpPort;
+import org.alderyard.common.http.MetricsHandler;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
 import org.alderyard.control.log.ControlLog;
@@ -31,9 +34,12 @@
 import org.alderyard.proxy.api.AnnouncementHandler;
 import org.alderyard.proxy.api.CallerApi;
 import org.alderyard.proxy.ledger.LedgerSupport;
+import org.alderyard.proxy.limit.PoolLimits;
 import org.alderyard.proxy.limit.RetryBudget;
 import org.alderyard.proxy.monitor.GroupMonitor;
 import org.alderyard.proxy.pool.ServerPools;
+import org.alderyard.proxy.read.ReadStack;
+import org.alderyard.proxy.session.SessionTokens;
 import org.alderyard.proxy.statement.StatementService;
 import org.alderyard.proxy.view.ViewClient;
 import org.alderyard.proxy.view.ViewHolder;
@@ -58,6 +64,7 @@
   private final InstantSource wallClock = InstantSource.system();
   // Closed in the opposite order of their start.
   private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+  private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicBoolean draining = new AtomicBoolean();
   private final WorkerPool workers;
   private final XnioWorker ioWorker;
@@ -160,18 +167,43 @@
             viewClient::leaseValid,
             workers,
             clock);
+    ReadStack reads =
+        new ReadStack(
+            settings.readOptions(),
+            settings.zone(),
+            views,
+            monitor,
+            pools,
+            workers,
+            clock,
+            sharedRandom(),
+            registry);
     StatementService statements =
         new StatementService(
-            views, pools, monitor, writes, new SplittableRandom(self.incarnation()));
+            views,
+            new SessionTokens(wallClock, settings.maxTokenAge()),
+            new PoolLimits(),
+            reads.path(),
+            writes);
     CallerApi api =
         new CallerApi(
             settings.host(),
             statements,
             new AnnouncementHandler(control),
-            () -> viewClient.leaseValid() && !draining.get());
+            () -> viewClient.leaseValid() && !draining.get(),
+            new MetricsHandler(registry));
     port("caller", settings.callerAddress(), api.handler());
   }
 
+  private RandomGenerator sharedRandom() {
+    SplittableRandom random = new SplittableRandom(self.incarnation());
+    return () -> {
+      synchronized (random) {
+        return random.nextLong();
+      }
+    };
+  }
+
   private void startOperators(ViewHolder views) {
     if (settings.operatorAddress().isEmpty()) {
       return;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -17,6 +17,7 @@
 import org.alderyard.common.settings.SettingsException;
 import org.alderyard.common.settings.SettingsReader;
 import org.alderyard.protocol.wire.ClusterKey;
+import org.alderyard.proxy.read.ReadOptions;
 
 /**
  * The settings of one process, checked as far as that is possible without starting it.
@@ -33,6 +34,8 @@
  * @param clusterKey the secret of the hosts
  * @param operatorKey the secret of the operators
  * @param monitorInterval pace of the questions to backend servers
+ * @param readOptions how reads are routed and limited
+ * @param maxTokenAge the oldest session token that is accepted
  * @param drainTimeout longest wait for requests in flight at a shutdown
  * @param workerThreads threads of the worker pool
  * @param ioThreads threads of the HTTP ports
@@ -51,6 +54,8 @@
     ClusterKey clusterKey,
     Optional<String> operatorKey,
     Duration monitorInterval,
+    ReadOptions readOptions,
+    Duration maxTokenAge,
     Duration drainTimeout,
     int workerThreads,
     int ioThreads,
@@ -77,6 +82,11 @@
             clusterKey(settings),
             operatorKey(settings),
             settings.get(DaemonSpec.MONITOR_INTERVAL),
+            new ReadOptions(
+                settings.get(DaemonSpec.READ_WAIT_BUDGET),
+                settings.get(DaemonSpec.QUEUE_PER_SERVER),
+                settings.get(DaemonSpec.ROUTING_LOG_SAMPLE)),
+            settings.get(DaemonSpec.MAX_TOKEN_AGE),
             settings.get(DaemonSpec.DRAIN_TIMEOUT),
             settings.get(DaemonSpec.WORKER_THREADS),
             settings.get(DaemonSpec.IO_THREADS),
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -56,6 +56,34 @@
           duration(Duration.ofMillis(1), Duration.ofSeconds(10)),
           "20ms",
           "pace at which backend servers are asked for their positions");
+  static final Setting<Duration> READ_WAIT_BUDGET =
+      Setting.preset(
+          "proxy",
+          "read-wait-budget",
+          duration(Duration.ZERO, Duration.ofSeconds(10)),
+          "300ms",
+          "longest wait of a read for a replica before it goes to the primary");
+  static final Setting<Integer> QUEUE_PER_SERVER =
+      Setting.preset(
+          "proxy",
+          "queue-per-server",
+          integer(1, 100_000),
+          "64",
+          "most statements that wait for one backend server");
+  static final Setting<Integer> ROUTING_LOG_SAMPLE =
+      Setting.preset(
+          "proxy",
+          "routing-log-sample",
+          integer(1, 1_000_000),
+          "1",
+          "of how many routing decisions one is logged; refusals always are");
+  static final Setting<Duration> MAX_TOKEN_AGE =
+      Setting.preset(
+          "proxy",
+          "max-token-age",
+          duration(Duration.ofMinutes(1), Duration.ofHours(24 * 30)),
+          "24h",
+          "oldest session token that is accepted");
   static final Setting<Duration> DRAIN_TIMEOUT =
       Setting.preset(
           "proxy",
@@ -105,6 +133,10 @@
               CLUSTER_KEY_FILE,
               OPERATOR_KEY_FILE,
               MONITOR_INTERVAL,
+              READ_WAIT_BUDGET,
+              QUEUE_PER_SERVER,
+              ROUTING_LOG_SAMPLE,
+              MAX_TOKEN_AGE,
               DRAIN_TIMEOUT,
               WORKER_THREADS,
               IO_THREADS,
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -45,6 +45,11 @@
 
   /** Starts a host; the first one is the control host. */
   void startHost(String id) throws IOException {
+    startHost(id, "");
+  }
+
+  /** Starts a host with the given lines in its proxy section. */
+  void startHost(String id, String proxyLines) throws IOException {
     int inner = freePort();
     boolean first = hosts.isEmpty();
     InetSocketAddress control =
@@ -65,6 +70,8 @@
         [keys]
         cluster-key-file = %s
         operator-key-file = %s
+        [proxy]
+        %s
         """
             .formatted(
                 id,
@@ -74,7 +81,8 @@
                 freePort(),
                 control.getPort(),
                 folder.resolve("cluster.key"),
-                folder.resolve("operator.key"));
+                folder.resolve("operator.key"),
+                proxyLines);
     Path file = folder.resolve(id + ".ini");
     Files.writeString(file, text);
     DaemonSettings settings = DaemonSettings.read(file);
@@ -131,10 +139,16 @@
 
   /** Repeats a statement until it is answered with 200: the cluster takes a moment to form. */
   HttpResponse<String> statementOnceReady(int host, String pool, String body) throws Exception {
+    return statementUntil(host, pool, body, "");
+  }
+
+  /** Repeats a statement until it is answered with 200 and the answer holds the given text. */
+  HttpResponse<String> statementUntil(int host, String pool, String body, String text)
+      throws Exception {
     HttpResponse<String> last = null;
     for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
       last = statement(host, pool, Optional.empty(), body);
-      if (last.statusCode() == 200) {
+      if (last.statusCode() == 200 && last.body().contains(text)) {
         return last;
       }
       Thread.sleep(PAUSE_MILLIS);
@@ -142,6 +156,12 @@
     throw new AssertionError("not ready: " + last.statusCode() + " " + last.body());
   }
 
+  HttpResponse<String> get(int host, String path) throws Exception {
+    return http.send(
+        HttpRequest.newBuilder(uri(hosts.get(host).callerAddress(), path)).build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
   private static URI uri(InetSocketAddress address, String path) {
     return URI.create("http://127.0.0.1:" + address.getPort() + path);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
@@ -28,17 +28,20 @@
   private final StatementService statements;
   private final AnnouncementHandler announcements;
   private final BooleanSupplier ready;
+  private final HttpHandler metrics;
 
   /** Creates the interface. */
   public CallerApi(
       HostId host,
       StatementService statements,
       AnnouncementHandler announcements,
-      BooleanSupplier ready) {
+      BooleanSupplier ready,
+      HttpHandler metrics) {
     this.host = host;
     this.statements = statements;
     this.announcements = announcements;
     this.ready = ready;
+    this.metrics = metrics;
   }
 
   /** Returns the handler of the callers' port. */
@@ -47,6 +50,7 @@
         .post("/v1/pools/{pool}/statements", this::statement)
         .post("/v1/announcements", announcements::receive)
         .get("/live", exchange -> state(exchange, true))
+        .get("/metrics", metrics)
         .get("/ready", exchange -> state(exchange, ready.getAsBoolean()))
         .setFallbackHandler(
             exchange ->
@@ -78,7 +82,8 @@
   }
 
   private static Optional<String> header(HttpServerExchange exchange, HttpString name) {
-    return Optional.ofNullable(exchange.getRequestHeaders().getFirst(name))
+    return Optional.ofNullable(exchange.getRequestHeaders().get(name))
+        .map(values -> String.join(",", values))
         .filter(value -> !value.isEmpty());
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
@@ -16,8 +16,8 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.PoolName;
 import org.alderyard.common.id.RequestId;
-import org.alderyard.proxy.statement.Freshness;
-import org.alderyard.proxy.statement.FreshnessMode;
+import org.alderyard.proxy.freshness.Freshness;
+import org.alderyard.proxy.freshness.FreshnessMode;
 import org.alderyard.proxy.statement.StatementAnswer;
 import org.alderyard.proxy.statement.StatementRequest;
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/EligibilityRule.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/EligibilityRule.java
@@ -41,7 +41,7 @@
     return switch (demand.mode()) {
       case ANY -> Eligibility.of(Eligibility.Verdict.ELIGIBLE);
       case PRIMARY -> Eligibility.behind(OptionalLong.empty());
-      case BOUNDED -> bounded(demand, fresh, nowNanos);
+      case BOUNDED -> bounded(demand, fresh, reachedNanos, nowNanos);
       case SESSION -> session(demand, fresh, reachedNanos, nowNanos);
     };
   }
@@ -55,7 +55,12 @@
     return applied.term() > group.term() || group.lost(applied);
   }
 
-  private static Eligibility bounded(ReadDemand demand, ServerFreshness fresh, long nowNanos) {
+  private static Eligibility bounded(
+      ReadDemand demand, ServerFreshness fresh, OptionalLong reachedNanos, long nowNanos) {
+    Eligibility ofSession = session(demand, fresh, reachedNanos, nowNanos);
+    if (!ofSession.eligible()) {
+      return ofSession;
+    }
     OptionalLong age = fresh.ageBoundNanos(nowNanos);
     if (age.isEmpty()) {
       return Eligibility.of(Eligibility.Verdict.UNKNOWN);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/Freshness.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/Freshness.java
@@ -1,4 +1,4 @@
-package org.alderyard.proxy.statement;
+package org.alderyard.proxy.freshness;
 
 import java.util.Objects;
 import java.util.OptionalLong;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/FreshnessMode.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/FreshnessMode.java
@@ -1,4 +1,4 @@
-package org.alderyard.proxy.statement;
+package org.alderyard.proxy.freshness;
 
 /** How old the data of a read may be. */
 public enum FreshnessMode {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/GroupFreshness.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/GroupFreshness.java
@@ -59,7 +59,7 @@
   }
 
   /** Takes in a measurement; one that is older than what is known changes nothing. */
-  public synchronized void observe(ServerObservation seen) {
+  public synchronized void observe(Measurement seen) {
     Measured measured = servers.get(seen.server());
     if (measured == null || seen.incarnation() > measured.incarnation) {
       measured = new Measured(seen.incarnation());
@@ -81,13 +81,25 @@
     boolean ofPrimary =
         seen.primary() && seen.term() == term && primary.equals(Optional.of(seen.server()));
     if (ofPrimary) {
-      history.record(seen.applied(), seen.sentNanos(), seen.receivedNanos());
+      history.record(seen.held(), seen.sentNanos(), seen.receivedNanos());
     }
     if (advanced) {
       updateLag(measured, seen);
     }
   }
 
+  /** Takes in the position that an answer of a server showed: a server never goes back. */
+  public synchronized void answered(ServerId server, long incarnation, Position applied) {
+    Measured measured = servers.get(server);
+    boolean newer =
+        measured != null
+            && measured.incarnation == incarnation
+            && applied.compareTo(measured.applied) > 0;
+    if (newer) {
+      measured.applied = applied;
+    }
+  }
+
   /** Forgets a server that left the registry. */
   public synchronized void forget(ServerId server) {
     servers.remove(server);
@@ -138,7 +150,7 @@
     return OptionalLong.of(times[times.length - majority]);
   }
 
-  private void updateLag(Measured measured, ServerObservation seen) {
+  private void updateLag(Measured measured, Measurement seen) {
     OptionalLong held = history.heldUntil(measured.applied);
     if (held.isEmpty()) {
       return;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/ServerObservation.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/Measurement.java
@@ -11,22 +11,25 @@
  * @param incarnation the start of the server that answered
  * @param term the highest term that the server knows
  * @param primary whether it said that it is the primary of that term
- * @param applied the last entry that it has applied
+ * @param held the last entry that its log holds
+ * @param applied the last entry that its reads show
  * @param sentNanos the clock before the question was sent
  * @param receivedNanos the clock after the answer was read
  */
-public record ServerObservation(
+public record Measurement(
     ServerId server,
     long incarnation,
     long term,
     boolean primary,
+    Position held,
     Position applied,
     long sentNanos,
     long receivedNanos) {
 
   /** Checks. */
-  public ServerObservation {
+  public Measurement {
     Objects.requireNonNull(server);
+    Objects.requireNonNull(held);
     Objects.requireNonNull(applied);
   }
 }
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadStack.java
@@ -0,0 +1,117 @@
+package org.alderyard.proxy.read;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.alderyard.backend.ServerReport;
+import org.alderyard.backend.ServerRole;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.View;
+import org.alderyard.proxy.freshness.ArrivalWaits;
+import org.alderyard.proxy.freshness.FreshnessTable;
+import org.alderyard.proxy.freshness.Measurement;
+import org.alderyard.proxy.limit.FixedLimit;
+import org.alderyard.proxy.limit.Gates;
+import org.alderyard.proxy.monitor.GroupMonitor;
+import org.alderyard.proxy.monitor.ServerObservation;
+import org.alderyard.proxy.pool.ServerPools;
+import org.alderyard.proxy.routing.ReadRouter;
+import org.alderyard.proxy.routing.ServerChooser;
+import org.alderyard.proxy.routing.ServerLoads;
+import org.alderyard.proxy.view.ViewHolder;
+
+/** Puts the parts of the read path together and feeds them with views and measurements. */
+public final class ReadStack {
+  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(10);
+
+  private final FreshnessTable freshness = new FreshnessTable();
+  private final ArrivalWaits arrivals;
+  private final ServerLoads loads;
+  private final ServerRunner runner;
+  private final ReadPath path;
+
+  /**
+   * Creates the parts and starts to follow the view and the monitor.
+   *
+   * @param random a generator that several threads may use
+   */
+  public ReadStack(
+      ReadOptions options,
+      ZoneName zone,
+      ViewHolder views,
+      GroupMonitor monitor,
+      ServerPools pools,
+      WorkerPool workers,
+      MonotonicClock clock,
+      RandomGenerator random,
+      PrometheusRegistry registry) {
+    ReadMetrics metrics = new ReadMetrics(registry);
+    arrivals = new ArrivalWaits(workers);
+    loads = new ServerLoads(clock);
+    Gates gates =
+        new Gates(
+            clock,
+            FixedLimit::new,
+            options.queuePerServer(),
+            workers,
+            (server, flow, reason) -> metrics.refused(reason));
+    metrics.watch(gates);
+    runner = new ServerRunner(gates, loads, pools, clock, metrics);
+    ServerChooser chooser =
+        new ServerChooser(zone, ServerChooser.DEFAULT_OTHER_ZONE_FACTOR, random);
+    path =
+        new ReadPath(
+            clock,
+            freshness,
+            arrivals,
+            loads,
+            gates,
+            runner,
+            new ReadRouter(chooser, options.waitBudget().toNanos()),
+            metrics,
+            options.routingLogSample());
+    follow(views.current());
+    views.onChange(this::follow);
+    monitor.onReport(this::measured);
+    workers.scheduleRepeatedly(SWEEP_INTERVAL, gates::sweep);
+  }
+
+  /** Returns the path of reads. */
+  public ReadPath path() {
+    return path;
+  }
+
+  /** Returns what runs statements at servers, for writes as well. */
+  public ServerRunner runner() {
+    return runner;
+  }
+
+  private void follow(View view) {
+    freshness.follow(view);
+    loads.retain(view.servers().keySet());
+  }
+
+  private void measured(ServerState server, Optional<ServerObservation> observation) {
+    observation.ifPresent(
+        seen -> {
+          ServerReport report = seen.report();
+          freshness
+              .group(server.group())
+              .observe(
+                  new Measurement(
+                      report.server(),
+                      report.incarnation(),
+                      report.term(),
+                      report.role() == ServerRole.PRIMARY,
+                      report.held(),
+                      report.applied(),
+                      seen.askedNanos(),
+                      seen.receivedNanos()));
+          arrivals.applied(report.server(), report.applied());
+        });
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/RoutingLog.java
@@ -0,0 +1,40 @@
+package org.alderyard.proxy.read;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.PoolName;
+import org.alderyard.proxy.freshness.ReadDemand;
+import org.alderyard.proxy.routing.RoutingDecision;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Writes a line for each routing decision, or for a sample with the count of those left out. */
+final class RoutingLog {
+  private static final Logger log = LoggerFactory.getLogger(RoutingLog.class);
+
+  private final int sample;
+  private final AtomicLong leftOut = new AtomicLong();
+
+  RoutingLog(int sample) {
+    this.sample = Math.max(1, sample);
+  }
+
+  /** Writes the line of a decision; a refusal is never left out. */
+  void write(PoolName pool, GroupId group, ReadDemand demand, RoutingDecision decision) {
+    if (!decision.reason().refused() && leftOut.incrementAndGet() < sample) {
+      return;
+    }
+    log.info(
+        "event=route kind=read pool={} group={} mode={} reason={} server={} seen={} waitMillis={}"
+            + " eligible={} leftOut={}",
+        pool,
+        group,
+        demand.mode(),
+        decision.reason(),
+        decision.server().map(server -> server.id().value()).orElse("none"),
+        demand.requirement().position(),
+        decision.waitNanos() / 1_000_000,
+        decision.eligible(),
+        Math.max(0, leftOut.getAndSet(0) - 1));
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ServerRunner.java
@@ -0,0 +1,118 @@
+package org.alderyard.proxy.read;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.BackendAnswer;
+import org.alderyard.backend.BackendException;
+import org.alderyard.backend.BackendStatement;
+import org.alderyard.backend.ServerConnection;
+import org.alderyard.backend.StatementKind;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.proxy.limit.Flow;
+import org.alderyard.proxy.limit.Gates;
+import org.alderyard.proxy.pool.ServerPools;
+import org.alderyard.proxy.routing.ServerLoads;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs one statement at one server: through its gate, on a connection, with its end booked. */
+public final class ServerRunner {
+  private static final Logger log = LoggerFactory.getLogger(ServerRunner.class);
+
+  private final Gates gates;
+  private final ServerLoads loads;
+  private final ServerPools pools;
+  private final MonotonicClock clock;
+  private final ReadMetrics metrics;
+
+  /** Creates a runner. */
+  public ServerRunner(
+      Gates gates,
+      ServerLoads loads,
+      ServerPools pools,
+      MonotonicClock clock,
+      ReadMetrics metrics) {
+    this.gates = Objects.requireNonNull(gates);
+    this.loads = Objects.requireNonNull(loads);
+    this.pools = Objects.requireNonNull(pools);
+    this.clock = Objects.requireNonNull(clock);
+    this.metrics = Objects.requireNonNull(metrics);
+  }
+
+  /** Runs a statement; one that was refused by the gate says {@code NOT_RUN}. */
+  public CompletableFuture<BackendAnswer> run(
+      GroupState group,
+      ServerState server,
+      Flow flow,
+      BackendStatement statement,
+      long deadlineNanos) {
+    boolean primary = group.primary().filter(server.id()::equals).isPresent();
+    boolean write = statement.kind() == StatementKind.WRITE;
+    loads.begin(server);
+    return gates
+        .enter(server.id(), group.slotsPerServer(), primary, flow, write, deadlineNanos)
+        .whenComplete(
+            (permit, refused) -> {
+              if (refused != null) {
+                loads.abandon(server);
+              }
+            })
+        .thenCompose(permit -> send(server, statement, deadlineNanos, permit));
+  }
+
+  private CompletableFuture<BackendAnswer> send(
+      ServerState server, BackendStatement statement, long deadlineNanos, Gates.Permit permit) {
+    long startedNanos = clock.nowNanos();
+    CompletableFuture<BackendAnswer> result;
+    try {
+      Duration connectTimeout = Duration.ofNanos(Math.max(1, deadlineNanos - startedNanos));
+      result =
+          pools
+              .take(server, connectTimeout)
+              .thenCompose(
+                  connection -> onConnection(server, connection, statement, deadlineNanos));
+    } catch (RuntimeException failure) {
+      result = CompletableFuture.failedFuture(failure);
+    }
+    return result.whenComplete(
+        (answer, failure) -> book(server, permit, clock.nowNanos() - startedNanos, failure));
+  }
+
+  private CompletableFuture<BackendAnswer> onConnection(
+      ServerState server,
+      ServerConnection connection,
+      BackendStatement statement,
+      long deadlineNanos) {
+    long remainingNanos = deadlineNanos - clock.nowNanos();
+    if (remainingNanos <= 0) {
+      pools.release(server, connection);
+      // The connection took all of the time; the statement was not written to it.
+      throw AlderyardException.notRun(
+          ErrorCode.DEADLINE_EXCEEDED, "the deadline passed before the statement was sent");
+    }
+    return connection
+        .run(statement, Duration.ofNanos(remainingNanos))
+        .whenComplete((answer, failure) -> pools.release(server, connection));
+  }
+
+  private void book(ServerState server, Gates.Permit permit, long latencyNanos, Throwable failure) {
+    boolean refusedByServer =
+        failure != null && Futures.unwrap(failure) instanceof BackendException;
+    boolean busy = failure != null && Futures.typed(failure).code() == ErrorCode.OVERLOADED;
+    permit.end(failure == null || refusedByServer && !busy);
+    if (failure == null || refusedByServer) {
+      loads.succeed(server, Math.max(1, latencyNanos));
+      return;
+    }
+    if (loads.fail(server)) {
+      metrics.ejected();
+      log.warn("event=eject server={} reason={}", server.id(), Futures.typed(failure).code());
+    }
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/routing/ReadRouter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/routing/ReadRouter.java
@@ -11,7 +11,7 @@
 import org.alderyard.common.view.ServerStatus;
 import org.alderyard.proxy.freshness.Eligibility;
 import org.alderyard.proxy.freshness.EligibilityRule;
-import org.alderyard.proxy.freshness.ReadMode;
+import org.alderyard.proxy.freshness.FreshnessMode;
 
 /**
  * Decides which server answers a read. Pure, apart from the draw of the chooser.
@@ -39,7 +39,7 @@
   /** Decides for one read. */
   public RoutingDecision decide(ReadRequest read) {
     Sorted sorted = sort(read);
-    if (read.demand().mode() == ReadMode.PRIMARY) {
+    if (read.demand().mode() == FreshnessMode.PRIMARY) {
       return primary(read, RoutingReason.PRIMARY_DEMANDED, OptionalLong.empty());
     }
     if (!sorted.eligible.isEmpty()) {
@@ -115,7 +115,7 @@
   }
 
   private static RoutingReason primaryReason(ReadRequest read, Sorted sorted) {
-    if (read.demand().mode() == ReadMode.SESSION && read.demand().requirement().primaryOnly()) {
+    if (read.demand().requirement().primaryOnly()) {
       return RoutingReason.PRIMARY_SESSION_FOLDED;
     }
     return sorted.behind.isEmpty()
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/routing/ServerLoad.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/routing/ServerLoad.java
@@ -13,4 +13,9 @@
     int outstanding, int slots, long latencyNanos, double weight, boolean ejected) {
   /** A server without any work yet. */
   public static final ServerLoad IDLE = new ServerLoad(0, 1, 0, 1.0, false);
+
+  /** Returns the same load of a server that gets no reads for now. */
+  public ServerLoad asEjected() {
+    return new ServerLoad(outstanding, slots, latencyNanos, weight, true);
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/session/SessionState.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/session/SessionState.java
@@ -85,15 +85,17 @@
   /**
    * Returns the session after it saw a position.
    *
-   * @param group the group in the view that the request was routed by
-   * @throws AlderyardException with {@code SESSION_TAIL_LOST} if the session holds a position that
-   *     the group has lost: the new position would hide the loss
+   * <p>A position that the group has lost stays, although the new one is of a later term: the next
+   * request with the token tells the loss, which the new position would hide. The request that saw
+   * it is answered all the same, since it may be a write that ran.
+   *
+   * @param group the group in a view that knows the term of the position
    */
   public SessionState observe(GroupState group, Position seen) {
-    checkTail(group);
     LinkedHashMap<GroupId, Position> next = new LinkedHashMap<>(positions);
     Position held = next.remove(group.id());
-    next.put(group.id(), held == null ? seen : later(held, seen));
+    boolean keep = held != null && (group.lost(held) || held.compareTo(seen) > 0);
+    next.put(group.id(), keep ? held : seen);
     return new SessionState(pool, next, folded);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementRequest.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementRequest.java
@@ -9,6 +9,7 @@
 import org.alderyard.common.id.CallerId;
 import org.alderyard.common.id.PoolName;
 import org.alderyard.common.id.RequestId;
+import org.alderyard.proxy.freshness.Freshness;
 
 /**
  * A caller's statement.
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
@@ -1,11 +1,9 @@
 package org.alderyard.proxy.statement;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.random.RandomGenerator;
-import org.alderyard.backend.BackendAnswer;
+import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.BackendStatement;
 import org.alderyard.backend.LedgerKey;
 import org.alderyard.backend.StatementKind;
@@ -14,38 +12,41 @@
 import org.alderyard.common.id.Position;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.PoolState;
-import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.View;
-import org.alderyard.protocol.generated.session.SessionToken;
-import org.alderyard.proxy.monitor.GroupMonitor;
-import org.alderyard.proxy.pool.ServerPools;
+import org.alderyard.proxy.freshness.FreshnessMode;
+import org.alderyard.proxy.freshness.ReadDemand;
+import org.alderyard.proxy.limit.Flow;
+import org.alderyard.proxy.limit.PoolLimits;
+import org.alderyard.proxy.read.ReadAnswer;
+import org.alderyard.proxy.read.ReadPath;
+import org.alderyard.proxy.session.Requirement;
+import org.alderyard.proxy.session.SessionState;
+import org.alderyard.proxy.session.SessionTokens;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.write.WritePath;
 import org.alderyard.proxy.write.WriteRequest;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Runs a caller's single statement. */
 public final class StatementService {
-  private static final Logger log = LoggerFactory.getLogger(StatementService.class);
+  private static final long POOL_LIMIT_RETRY_MILLIS = 50;
 
   private final ViewHolder views;
-  private final ServerPools pools;
-  private final GroupMonitor monitor;
-  private final ReadChoice choice;
+  private final SessionTokens tokens;
+  private final PoolLimits poolLimits;
+  private final ReadPath reads;
   private final WritePath writes;
 
   /** Creates the service. */
   public StatementService(
       ViewHolder views,
-      ServerPools pools,
-      GroupMonitor monitor,
-      WritePath writes,
-      RandomGenerator random) {
+      SessionTokens tokens,
+      PoolLimits poolLimits,
+      ReadPath reads,
+      WritePath writes) {
     this.views = views;
-    this.pools = pools;
-    this.monitor = monitor;
-    choice = new ReadChoice(random);
+    this.tokens = tokens;
+    this.poolLimits = poolLimits;
+    this.reads = reads;
     this.writes = writes;
   }
 
@@ -64,39 +65,62 @@
                 () ->
                     AlderyardException.notRun(
                         ErrorCode.NO_ELIGIBLE_SERVER, "the key's group is not known"));
-    SessionToken token =
-        PlainTokens.read(request.sessionToken(), request.pool().value(), view.keys());
-    return request.kind() == StatementKind.READ
-        ? read(request, view, group, token)
-        : write(request, view, pool, group, token);
+    SessionState session = tokens.read(request.sessionToken().orElse(""), request.pool(), view);
+    return withinPoolLimit(request, view, pool, group, session);
   }
 
-  private CompletableFuture<StatementAnswer> read(
-      StatementRequest request, View view, GroupState group, SessionToken token) {
-    Position seen = PlainTokens.positionOf(token, group.id());
-    if (group.lost(seen)) {
+  private CompletableFuture<StatementAnswer> withinPoolLimit(
+      StatementRequest request, View view, PoolState pool, GroupState group, SessionState session) {
+    if (!poolLimits.tryEnter(pool)) {
       throw AlderyardException.notRun(
-          ErrorCode.SESSION_TAIL_LOST,
-          "a failover of group " + group.id() + " lost what this session saw at " + seen);
+          ErrorCode.OVERLOADED,
+          "pool " + pool.name() + " runs " + pool.maxConcurrentStatements() + " statements already",
+          POOL_LIMIT_RETRY_MILLIS);
     }
-    ReadTarget target =
-        choice
-            .choose(view, group, request.freshness(), seen, monitor)
-            .orElseThrow(() -> noPrimary(group));
-    log.info(
-        "event=route kind=read pool={} group={} server={} replica={} reason={} seen={}",
-        request.pool(),
-        group.id(),
-        target.server().id(),
-        target.replica(),
-        target.reason(),
-        seen);
-    return onServer(target.server(), backendStatement(request, group), request.timeout())
-        .thenApply(answer -> answer(answer, group, target, token, view));
+    CompletableFuture<StatementAnswer> result;
+    try {
+      result =
+          request.kind() == StatementKind.READ
+              ? read(request, view, pool, group, session)
+              : write(request, view, pool, group, session);
+    } catch (RuntimeException failure) {
+      result = CompletableFuture.failedFuture(failure);
+    }
+    return result.whenComplete((answer, failure) -> poolLimits.leave(pool.name()));
+  }
+
+  private CompletableFuture<StatementAnswer> read(
+      StatementRequest request, View view, PoolState pool, GroupState group, SessionState session) {
+    BackendStatement statement =
+        new BackendStatement(
+            request.kind(),
+            request.key(),
+            request.text(),
+            request.parameters(),
+            group.term(),
+            Optional.empty());
+    Flow flow = new Flow(request.pool(), request.caller().value());
+    ReadDemand demand = demand(request, pool, session.requirement(group.id()));
+    return reads
+        .run(view, group, flow, demand, statement, request.timeout())
+        .thenApply(answer -> answer(request, answer, group, session));
+  }
+
+  private static ReadDemand demand(
+      StatementRequest request, PoolState pool, Requirement requirement) {
+    return switch (request.freshness().mode()) {
+      case SESSION -> ReadDemand.session(requirement);
+      case BOUNDED -> {
+        long millis = request.freshness().maxStalenessMillis().orElse(pool.maxStalenessMillis());
+        yield ReadDemand.bounded(TimeUnit.MILLISECONDS.toNanos(millis), requirement);
+      }
+      case ANY -> ReadDemand.ANY;
+      case PRIMARY -> new ReadDemand(FreshnessMode.PRIMARY, 0, requirement);
+    };
   }
 
   private CompletableFuture<StatementAnswer> write(
-      StatementRequest request, View view, PoolState pool, GroupState group, SessionToken token) {
+      StatementRequest request, View view, PoolState pool, GroupState group, SessionState session) {
     WriteRequest write =
         new WriteRequest(
             pool,
@@ -117,48 +141,29 @@
                     answer.position(),
                     false,
                     OptionalLong.empty(),
-                    PlainTokens.sign(
-                        PlainTokens.with(token, group.id(), answer.position()), view.keys())));
-  }
-
-  private CompletableFuture<BackendAnswer> onServer(
-      ServerState server, BackendStatement statement, Duration timeout) {
-    return pools
-        .take(server, timeout)
-        .thenCompose(
-            connection ->
-                connection
-                    .run(statement, timeout)
-                    .whenComplete((answer, failure) -> pools.release(server, connection)));
-  }
-
-  private static BackendStatement backendStatement(StatementRequest request, GroupState group) {
-    Optional<LedgerKey> ledgerKey =
-        request.requestId().map(id -> new LedgerKey(request.caller(), id));
-    return new BackendStatement(
-        request.kind(),
-        request.key(),
-        request.text(),
-        request.parameters(),
-        group.term(),
-        ledgerKey);
+                    tokenAfter(session, group, answer.position())));
   }
 
-  private static StatementAnswer answer(
-      BackendAnswer answer, GroupState group, ReadTarget target, SessionToken token, View view) {
-    SessionToken next = PlainTokens.with(token, group.id(), answer.position());
+  private StatementAnswer answer(
+      StatementRequest request, ReadAnswer read, GroupState group, SessionState session) {
+    Position shown = read.answer().position();
+    FreshnessMode mode = request.freshness().mode();
+    // Only these promise that the next read is not older: others would drive it to the primary.
+    boolean raisesSession = mode == FreshnessMode.SESSION || mode == FreshnessMode.PRIMARY;
     return new StatementAnswer(
-        answer.result(),
+        read.answer().result(),
         group.id(),
-        target.server().id(),
-        answer.position(),
-        target.replica(),
-        OptionalLong.empty(),
-        PlainTokens.sign(next, view.keys()));
+        read.server().id(),
+        shown,
+        read.replica(),
+        read.ageMillis(),
+        raisesSession ? tokenAfter(session, group, shown) : tokens.write(session, views.current()));
   }
 
-  private static AlderyardException noPrimary(GroupState group) {
-    return AlderyardException.notRun(
-        ErrorCode.NO_PRIMARY, "group " + group.id() + " has no primary at the moment", 200);
+  /** The view may have moved on since the request came, and a write is run by the newest one. */
+  private String tokenAfter(SessionState session, GroupState group, Position seen) {
+    View now = views.current();
+    GroupState newest = now.group(group.id()).orElse(group);
+    return tokens.write(session.observe(newest, seen), now);
   }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/freshness/FreshnessTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/freshness/FreshnessTest.java
@@ -48,8 +48,7 @@
   }
 
   private void observe(ServerId server, long term, boolean primary, Position at, long sentNanos) {
-    freshness.observe(
-        new ServerObservation(server, 1, term, primary, at, sentNanos, sentNanos + 1));
+    freshness.observe(new Measurement(server, 1, term, primary, at, at, sentNanos, sentNanos + 1));
   }
 
   private Eligibility decide(ReadDemand demand, GroupState group, ServerId id, long nowNanos) {
@@ -91,8 +90,15 @@
       int which = random.nextInt(3);
       long index = which == 0 ? primaryAt[measuredAt] : replicaAt[which - 1][measuredAt];
       tracked.observe(
-          new ServerObservation(
-              ALL.get(which), 1, 1, which == 0, new Position(1, index), t, receivedAt));
+          new Measurement(
+              ALL.get(which),
+              1,
+              1,
+              which == 0,
+              new Position(1, index),
+              new Position(1, index),
+              t,
+              receivedAt));
       now = Math.max(now, receivedAt);
       for (int replica = 0; replica < 2; replica++) {
         OptionalLong asOf =
@@ -124,7 +130,7 @@
       observe(S1, 1, true, idle, t);
     }
     assertThat(freshness.freshAsOf(idle)).isEqualTo(OptionalLong.of(90));
-    ReadDemand bounded = ReadDemand.bounded(200);
+    ReadDemand bounded = ReadDemand.bounded(200, Requirement.NONE);
     assertThat(decide(bounded, group(1, S1), S3, 280).verdict()).isEqualTo(Verdict.ELIGIBLE);
     assertThat(decide(bounded, group(1, S1), S3, 1000).verdict()).isEqualTo(Verdict.BEHIND);
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/routing/ReadRouterTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/routing/ReadRouterTest.java
@@ -106,7 +106,9 @@
         .isEqualTo(RoutingReason.PRIMARY_DEMANDED);
     assertThat(decide(ReadDemand.session(folded()), group, 1, at(near, 60, 0)).reason())
         .isEqualTo(RoutingReason.PRIMARY_SESSION_FOLDED);
-    assertThat(decide(ReadDemand.bounded(100 * MILLI), group, 1, at(near, 60, 200)).reason())
+    assertThat(
+            decide(ReadDemand.bounded(100 * MILLI, Requirement.NONE), group, 1, at(near, 60, 200))
+                .reason())
         .isEqualTo(RoutingReason.PRIMARY_REPLICAS_BEHIND);
   }
 
