--- a/alderyard-common/src/main/java/org/alderyard/common/error/AlderyardException.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/AlderyardException.java
@@ -1,5 +1,6 @@
 package org.alderyard.common.error;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
 
@@ -55,6 +56,11 @@
     return outcome;
   }
 
+  /** Returns each fault of the input, when the error stands for several. */
+  public List<FieldFault> faults() {
+    return List.of();
+  }
+
   /** Returns after how many milliseconds a retry makes sense, if that is known. */
   public OptionalLong retryAfterMillis() {
     return retryAfterMillis == NO_HINT ? OptionalLong.empty() : OptionalLong.of(retryAfterMillis);
--- a/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
@@ -20,6 +20,7 @@
   REQUEST_IN_PROGRESS(409, true),
   TICKET_CONFLICT(409, false),
   TICKET_INVALID(422, false),
+  TICKET_FORGOTTEN(410, false),
   OVERLOADED(503, true),
   DRAINING(503, true),
   NO_PRIMARY(503, true),
--- a/alderyard-common/src/main/java/org/alderyard/common/http/Json.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/Json.java
@@ -6,10 +6,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.FieldFault;
 
 /** JSON objects as bodies; a body that is none is a typed error. */
 public final class Json {
@@ -73,6 +75,17 @@
     error.put("outcome", failure.outcome().name());
     error.put("retryable", failure.code().retryable());
     failure.retryAfterMillis().ifPresent(millis -> error.put("retryAfterMillis", millis));
+    if (!failure.faults().isEmpty()) {
+      ArrayNode faults = error.putArray("faults");
+      for (FieldFault fault : failure.faults()) {
+        faults
+            .addObject()
+            .put("object", fault.object())
+            .put("field", fault.field())
+            .put("value", fault.value())
+            .put("accepted", fault.accepted());
+      }
+    }
     return body;
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/operator/OperatorApi.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/operator/OperatorApi.java
@@ -1,35 +1,39 @@
 package org.alderyard.control.operator;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RoutingHandler;
 import io.undertow.util.Headers;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.util.HexFormat;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.FieldFault;
 import org.alderyard.common.http.Json;
 import org.alderyard.common.http.JsonExchange;
+import org.alderyard.common.id.HostId;
 import org.alderyard.common.view.View;
-import org.alderyard.protocol.generated.control.SubmitTicketReply;
+import org.alderyard.control.state.TicketRules;
+import org.alderyard.protocol.generated.control.DrainHostRequest;
 
 /** The operators' HTTP interface; every request needs the operators' key. */
 public final class OperatorApi {
   private static final String BEARER = "Bearer ";
 
-  private final TicketGateway tickets;
+  private final ControlGateway control;
   private final Supplier<View> view;
   private final byte[] key;
 
   /** Creates the interface. */
-  public OperatorApi(TicketGateway tickets, Supplier<View> view, String key) {
-    this.tickets = tickets;
+  public OperatorApi(ControlGateway control, Supplier<View> view, String key) {
+    this.control = control;
     this.view = view;
     this.key = key.getBytes(StandardCharsets.UTF_8);
   }
@@ -39,6 +43,10 @@
     RoutingHandler routes =
         new RoutingHandler()
             .put("/v1/tickets/{number}", this::putTicket)
+            .get("/v1/tickets/{number}", this::getTicket)
+            .get("/v1/tickets", this::listTickets)
+            .get("/v1/status", this::status)
+            .post("/v1/hosts/{host}/drain", this::drain)
             .get("/v1/pools", show(ViewJson::pools))
             .get("/v1/groups", show(ViewJson::groups))
             .get("/v1/servers", show(ViewJson::servers))
@@ -76,30 +84,54 @@
   }
 
   private void putTicket(HttpServerExchange exchange) {
-    JsonExchange.handle(exchange, body -> submit(number(exchange), body));
+    JsonExchange.handle(exchange, body -> submit(number(exchange), Json.parseObject(body)));
   }
 
-  private CompletableFuture<JsonNode> submit(long number, byte[] body) {
-    return tickets
-        .submit(TicketParser.parse(number, Json.parseObject(body)))
-        .thenApply(OperatorApi::render);
+  private CompletableFuture<JsonNode> submit(long number, JsonNode body) {
+    TicketParser.Parsed parsed = TicketParser.parse(number, body);
+    if (parsed.faults().isEmpty()) {
+      return control.submit(parsed.ticket()).thenApply(TicketJson::answer);
+    }
+    // The operator gets all faults at once: those of the text, and what the rules find in the rest.
+    List<FieldFault> faults = new ArrayList<>(parsed.faults());
+    faults.addAll(TicketRules.check(view.get(), host -> true, parsed.ticket().getObjectsList()));
+    throw new TicketException(number, faults);
+  }
+
+  private void getTicket(HttpServerExchange exchange) {
+    JsonExchange.handle(
+        exchange,
+        body -> {
+          long number = number(exchange);
+          return control.tickets(number).thenApply(reply -> TicketJson.one(number, reply));
+        });
+  }
+
+  private void listTickets(HttpServerExchange exchange) {
+    JsonExchange.handle(exchange, body -> control.tickets(0).thenApply(TicketJson::list));
+  }
+
+  private void status(HttpServerExchange exchange) {
+    JsonExchange.handle(exchange, body -> control.status().thenApply(TicketJson::status));
+  }
+
+  private void drain(HttpServerExchange exchange) {
+    JsonExchange.handle(exchange, body -> drain(exchange, body));
   }
 
-  private static JsonNode render(SubmitTicketReply reply) {
-    var answer = reply.getAnswer();
-    String hash = HexFormat.of().formatHex(answer.getContentHash().toByteArray());
-    if (answer.getConflict()) {
-      throw AlderyardException.notRun(
-          ErrorCode.TICKET_CONFLICT,
-          "ticket " + answer.getNumber() + " was accepted with other content, hash " + hash);
+  private CompletableFuture<JsonNode> drain(HttpServerExchange exchange, byte[] body) {
+    String host = new HostId(exchange.getQueryParameters().get("host").getFirst()).value();
+    List<FieldFault> faults = new ArrayList<>();
+    JsonNode node = body.length == 0 ? Json.object() : Json.parseObject(body);
+    FieldReader reader = new FieldReader("host/" + host, node, faults);
+    reader.allow(Set.of("draining"));
+    boolean draining = reader.flag("draining", true);
+    if (!faults.isEmpty()) {
+      throw AlderyardException.notRun(ErrorCode.BAD_REQUEST, faults.get(0).toString());
     }
-    ObjectNode node = Json.object();
-    node.put("number", answer.getNumber());
-    node.put("contentHash", hash);
-    node.put(
-        "acceptedVersion",
-        answer.getAcceptedVersion().getEpoch() + "." + answer.getAcceptedVersion().getVersion());
-    return node;
+    DrainHostRequest request =
+        DrainHostRequest.newBuilder().setHost(host).setDraining(draining).build();
+    return control.drain(request).thenApply(reply -> TicketJson.drain(host, draining, reply));
   }
 
   private static long number(HttpServerExchange exchange) {
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/operator/RemoteControlGateway.java
@@ -0,0 +1,57 @@
+package org.alderyard.control.operator;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.protocol.control.ControlMethods;
+import org.alderyard.protocol.generated.control.ControlStatusReply;
+import org.alderyard.protocol.generated.control.ControlStatusRequest;
+import org.alderyard.protocol.generated.control.DrainHostReply;
+import org.alderyard.protocol.generated.control.DrainHostRequest;
+import org.alderyard.protocol.generated.control.SubmitTicketReply;
+import org.alderyard.protocol.generated.control.SubmitTicketRequest;
+import org.alderyard.protocol.generated.control.Ticket;
+import org.alderyard.protocol.generated.control.TicketStatusReply;
+import org.alderyard.protocol.generated.control.TicketStatusRequest;
+
+/**
+ * Uses the inner protocol. Every request is idempotent: a ticket by its number, a drain since it
+ * states the whole new state.
+ */
+public final class RemoteControlGateway implements ControlGateway {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  private final ControlClient control;
+
+  /** Sends through the given client. */
+  public RemoteControlGateway(ControlClient control) {
+    this.control = control;
+  }
+
+  @Override
+  public CompletableFuture<SubmitTicketReply> submit(Ticket ticket) {
+    return control.callPatiently(
+        ControlMethods.SUBMIT_TICKET,
+        SubmitTicketRequest.newBuilder().setTicket(ticket).build(),
+        TIMEOUT);
+  }
+
+  @Override
+  public CompletableFuture<TicketStatusReply> tickets(long number) {
+    return control.callIdempotent(
+        ControlMethods.TICKET_STATUS,
+        TicketStatusRequest.newBuilder().setNumber(number).build(),
+        TIMEOUT);
+  }
+
+  @Override
+  public CompletableFuture<DrainHostReply> drain(DrainHostRequest request) {
+    return control.callPatiently(ControlMethods.DRAIN_HOST, request, TIMEOUT);
+  }
+
+  @Override
+  public CompletableFuture<ControlStatusReply> status() {
+    return control.callIdempotent(
+        ControlMethods.STATUS, ControlStatusRequest.getDefaultInstance(), TIMEOUT);
+  }
+}
--- a/alderyard-control/src/main/java/org/alderyard/control/operator/TicketParser.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/operator/TicketParser.java
@@ -2,95 +2,184 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.protobuf.ByteString;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
-import org.alderyard.common.error.AlderyardException;
-import org.alderyard.common.error.ErrorCode;
-import org.alderyard.common.id.GroupId;
-import org.alderyard.common.id.PoolName;
-import org.alderyard.common.view.PoolState;
-import org.alderyard.common.view.SigningKey;
-import org.alderyard.common.view.WriteAcknowledgement;
+import java.util.Optional;
+import java.util.Set;
+import org.alderyard.common.error.FieldFault;
+import org.alderyard.control.state.TicketObjects;
 import org.alderyard.protocol.generated.control.Ticket;
 import org.alderyard.protocol.generated.state.Group;
+import org.alderyard.protocol.generated.state.HostPolicy;
+import org.alderyard.protocol.generated.state.Key;
+import org.alderyard.protocol.generated.state.KeyRing;
 import org.alderyard.protocol.generated.state.ObjectState;
-import org.alderyard.protocol.view.StateCodec;
+import org.alderyard.protocol.generated.state.Pool;
 
-/** Reads a ticket from JSON. */
+/**
+ * Reads a ticket from JSON.
+ *
+ * <p>Each object states its whole new state: a field that is left out has its preset, whatever it
+ * was before. {@code "removed": true} removes the object.
+ */
 public final class TicketParser {
   private static final long DEFAULT_MAX_STALENESS_MILLIS = 5_000;
   private static final int DEFAULT_SLOTS = 5;
   private static final int DEFAULT_CONNECTIONS = 35;
+  private static final Set<String> POOL_FIELDS =
+      Set.of(
+          "kind",
+          "name",
+          "groups",
+          "writeAcknowledgement",
+          "maxStalenessMillis",
+          "maxConcurrentStatements");
+  private static final Set<String> GROUP_FIELDS =
+      Set.of("kind", "id", "slotsPerServer", "connectionsPerServer");
+  private static final Set<String> HOST_FIELDS = Set.of("kind", "id", "roles", "draining");
+  private static final Set<String> KEYS_FIELDS = Set.of("kind", "keys");
+  private static final Set<String> KEY_FIELDS = Set.of("id", "secretBase64");
+  private static final String MAJORITY = "majority";
+  private static final String PRIMARY_ONLY = "primary-only";
+  private static final String PROXY = "proxy";
+  private static final String CONTROL = "control";
+  private static final String REMOVED = "removed";
+
+  private final List<FieldFault> faults = new ArrayList<>();
 
   private TicketParser() {}
 
+  /**
+   * What a body holds.
+   *
+   * @param ticket the ticket, as far as it could be read
+   * @param faults each part that could not be read
+   */
+  public record Parsed(Ticket ticket, List<FieldFault> faults) {}
+
   /** Returns the ticket of this number that the body describes. */
-  public static Ticket parse(long number, JsonNode body) {
+  public static Parsed parse(long number, JsonNode body) {
+    return new TicketParser().read(number, body);
+  }
+
+  private Parsed read(long number, JsonNode body) {
+    new FieldReader("ticket", body, faults).allow(Set.of("objects"));
     List<ObjectState> objects = new ArrayList<>();
-    for (JsonNode object : body.path("objects")) {
-      objects.add(object(object));
-    }
-    if (objects.isEmpty()) {
-      throw invalid("objects", "nothing", "a list of at least one object");
+    int place = 0;
+    for (JsonNode node : body.path("objects")) {
+      object("objects[" + place + "]", node).ifPresent(objects::add);
+      place++;
     }
-    Ticket.Builder ticket = Ticket.newBuilder().setNumber(number).addAllObjects(objects);
-    return ticket.setContentHash(hash(ticket.build())).build();
+    return new Parsed(TicketObjects.ticket(number, objects), List.copyOf(faults));
   }
 
-  private static ObjectState object(JsonNode node) {
+  private Optional<ObjectState> object(String place, JsonNode node) {
     String kind = node.path("kind").asText();
+    String name = node.path(kind.equals("pool") ? "name" : "id").asText("");
+    FieldReader reader = new FieldReader(name.isEmpty() ? place : kind + "/" + name, node, faults);
+    if (node.has(REMOVED)) {
+      return removal(reader, kind, name);
+    }
     return switch (kind) {
-      case "pool" -> ObjectState.newBuilder().setPool(StateCodec.poolMessage(pool(node))).build();
-      case "group" -> ObjectState.newBuilder().setGroup(group(node)).build();
-      case "keys" ->
-          ObjectState.newBuilder().setKeyRing(StateCodec.keyRingMessage(keys(node))).build();
-      default -> throw invalid("kind", kind, "pool, group, keys");
+      case "pool" -> Optional.of(ObjectState.newBuilder().setPool(pool(reader)).build());
+      case "group" -> Optional.of(ObjectState.newBuilder().setGroup(group(reader)).build());
+      case "host" -> Optional.of(ObjectState.newBuilder().setHostPolicy(host(reader)).build());
+      case "keys" -> Optional.of(ObjectState.newBuilder().setKeyRing(keys(reader, node)).build());
+      case "server" -> {
+        reader.add(REMOVED, "missing", "true; servers announce themselves");
+        yield Optional.empty();
+      }
+      default -> {
+        reader.add("kind", kind, "pool, group, host, keys, server");
+        yield Optional.empty();
+      }
     };
   }
 
-  private static PoolState pool(JsonNode node) {
-    List<GroupId> groups = new ArrayList<>();
-    node.path("groups").forEach(group -> groups.add(new GroupId(group.asText())));
-    boolean primaryOnly = node.path("writeAcknowledgement").asText().equals("primary-only");
-    return new PoolState(
-        new PoolName(node.path("name").asText()),
-        groups,
-        primaryOnly ? WriteAcknowledgement.PRIMARY_ONLY : WriteAcknowledgement.MAJORITY,
-        node.path("maxStalenessMillis").asLong(DEFAULT_MAX_STALENESS_MILLIS),
-        node.path("maxConcurrentStatements").asInt());
+  private static Optional<ObjectState> removal(FieldReader reader, String kind, String name) {
+    reader.allow(Set.of("kind", kind.equals("pool") ? "name" : "id", REMOVED));
+    if (!reader.flag(REMOVED, true)) {
+      reader.add(REMOVED, "false", "true, or nothing");
+    }
+    ObjectState.Builder object = ObjectState.newBuilder();
+    switch (kind) {
+      case "pool" -> object.setRemovedPool(name);
+      case "group" -> object.setRemovedGroup(name);
+      case "host" -> object.setRemovedHostPolicy(name);
+      case "server" -> object.setRemovedServer(name);
+      default -> {
+        reader.add("kind", kind, "pool, group, host, server");
+        return Optional.empty();
+      }
+    }
+    return Optional.of(object.build());
+  }
+
+  private static Pool pool(FieldReader reader) {
+    reader.allow(POOL_FIELDS);
+    String acknowledgement = reader.text("writeAcknowledgement", MAJORITY);
+    if (!Set.of(MAJORITY, PRIMARY_ONLY).contains(acknowledgement)) {
+      reader.add("writeAcknowledgement", acknowledgement, MAJORITY + ", " + PRIMARY_ONLY);
+    }
+    return Pool.newBuilder()
+        .setName(reader.text("name", ""))
+        .addAllGroups(reader.texts("groups"))
+        .setPrimaryOnlyAcknowledgement(acknowledgement.equals(PRIMARY_ONLY))
+        .setMaxStalenessMillis(
+            reader.number("maxStalenessMillis", DEFAULT_MAX_STALENESS_MILLIS, Long.MAX_VALUE))
+        .setMaxConcurrentStatements(reader.integer("maxConcurrentStatements", 0))
+        .build();
   }
 
-  private static Group group(JsonNode node) {
+  private static Group group(FieldReader reader) {
+    reader.allow(GROUP_FIELDS);
     return Group.newBuilder()
-        .setId(new GroupId(node.path("id").asText()).value())
-        .setSlotsPerServer(node.path("slotsPerServer").asInt(DEFAULT_SLOTS))
-        .setConnectionsPerServer(node.path("connectionsPerServer").asInt(DEFAULT_CONNECTIONS))
+        .setId(reader.text("id", ""))
+        .setSlotsPerServer(reader.integer("slotsPerServer", DEFAULT_SLOTS))
+        .setConnectionsPerServer(reader.integer("connectionsPerServer", DEFAULT_CONNECTIONS))
         .build();
   }
 
-  private static List<SigningKey> keys(JsonNode node) {
-    List<SigningKey> keys = new ArrayList<>();
-    for (JsonNode key : node.path("keys")) {
-      byte[] secret = Base64.getDecoder().decode(key.path("secretBase64").asText());
-      keys.add(new SigningKey(key.path("id").asInt(), secret));
+  private static HostPolicy host(FieldReader reader) {
+    reader.allow(HOST_FIELDS);
+    List<String> roles = reader.texts("roles");
+    for (String role : roles) {
+      if (!Set.of(PROXY, CONTROL).contains(role)) {
+        reader.add("roles", role, PROXY + ", " + CONTROL);
+      }
     }
-    return keys;
+    return HostPolicy.newBuilder()
+        .setId(reader.text("id", ""))
+        .setProxy(roles.isEmpty() || roles.contains(PROXY))
+        .setControl(roles.isEmpty() || roles.contains(CONTROL))
+        .setDraining(reader.flag("draining", false))
+        .build();
   }
 
-  private static ByteString hash(Ticket ticket) {
-    try {
-      MessageDigest digest = MessageDigest.getInstance("SHA-256");
-      return ByteString.copyFrom(digest.digest(ticket.toByteArray()));
-    } catch (NoSuchAlgorithmException missing) {
-      throw AlderyardException.unknown(ErrorCode.INTERNAL, "no SHA-256", missing);
+  private KeyRing keys(FieldReader reader, JsonNode node) {
+    reader.allow(KEYS_FIELDS);
+    KeyRing.Builder ring = KeyRing.newBuilder();
+    int place = 0;
+    for (JsonNode key : node.path("keys")) {
+      FieldReader fields = new FieldReader("keys[" + place + "]", key, faults);
+      fields.allow(KEY_FIELDS);
+      ring.addKeys(
+          Key.newBuilder()
+              .setId(fields.integer("id", 0))
+              .setSecret(secret(fields, key.path("secretBase64").asText())));
+      place++;
     }
+    return ring.build();
   }
 
-  private static AlderyardException invalid(String field, String value, String accepted) {
-    return AlderyardException.notRun(
-        ErrorCode.TICKET_INVALID, field + " is '" + value + "'; accepted: " + accepted);
+  /** A secret that can't be read is not repeated in the fault. */
+  private static ByteString secret(FieldReader reader, String text) {
+    try {
+      return ByteString.copyFrom(Base64.getDecoder().decode(text));
+    } catch (IllegalArgumentException wrong) {
+      reader.add("secretBase64", text.length() + " characters", "base64");
+      return ByteString.EMPTY;
+    }
   }
 }
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
@@ -0,0 +1,125 @@
+package org.alderyard.control.service;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.view.View;
+import org.alderyard.common.view.ViewVersion;
+import org.alderyard.control.state.ViewChange;
+import org.alderyard.protocol.generated.state.ViewDelta;
+import org.alderyard.protocol.view.StateCodec;
+import org.alderyard.protocol.view.ViewChain;
+
+/** The last deltas, and the hosts that wait for the next one. */
+public final class ViewFeed {
+  /** Deltas that are kept for hosts that lag; a host that lags more takes a snapshot. */
+  static final int DELTA_LIMIT = 4_096;
+
+  /** About the largest answer, in bytes; a host that lags takes several. */
+  static final int ANSWER_BYTES = 1 << 20;
+
+  private final WorkerPool workers;
+  private final Object lock = new Object();
+  // Guarded by lock. Deltas by the version from which they lead on.
+  private ViewChange current = new ViewChange(View.EMPTY, ViewChain.START, Optional.empty());
+  private final TreeMap<ViewVersion, ViewDelta> deltas = new TreeMap<>();
+  private Set<Waiter> waiting = newWaiters();
+
+  private record Waiter(
+      ViewVersion running, ByteString chainHash, CompletableFuture<ViewNews> answer) {}
+
+  private static Set<Waiter> newWaiters() {
+    return Collections.newSetFromMap(new IdentityHashMap<>());
+  }
+
+  /** Creates a feed of the empty view. */
+  public ViewFeed(WorkerPool workers) {
+    this.workers = workers;
+  }
+
+  /** Takes a new view and answers all who wait; called in the order of versions. */
+  public void publish(ViewChange change) {
+    Set<Waiter> ready;
+    synchronized (lock) {
+      if (change.delta().isEmpty()) {
+        deltas.clear();
+      }
+      change.delta().ifPresent(delta -> deltas.put(StateCodec.version(delta.getFrom()), delta));
+      if (deltas.size() > DELTA_LIMIT) {
+        deltas.pollFirstEntry();
+      }
+      current = change;
+      ready = waiting;
+      waiting = newWaiters();
+    }
+    for (Waiter waiter : ready) {
+      workers.execute(() -> waiter.answer().complete(news(waiter.running(), waiter.chainHash())));
+    }
+  }
+
+  /** Returns what is newer than the given version, or nothing when the wait is over. */
+  CompletableFuture<ViewNews> after(ViewVersion running, ByteString chainHash, Duration wait) {
+    Waiter waiter = new Waiter(running, chainHash, new CompletableFuture<>());
+    synchronized (lock) {
+      ViewNews news = news(running, chainHash);
+      if (!news.isNothing()) {
+        return CompletableFuture.completedFuture(news);
+      }
+      waiting.add(waiter);
+    }
+    var timer = workers.schedule(wait, () -> giveUp(waiter));
+    waiter.answer().whenComplete((news, failure) -> timer.cancel(false));
+    return waiter.answer();
+  }
+
+  /**
+   * Returns what a host at this version needs.
+   *
+   * <p>Guards against a control host that was cut off for long: a host that restarted has no
+   * version, and deltas from the start would build an old view for it. It gets a snapshot, which
+   * only a confirmed leader hands out. A host that runs a version gets deltas from anybody whose
+   * chain continues its own, which can only bring it forward.
+   */
+  private ViewNews news(ViewVersion running, ByteString chainHash) {
+    synchronized (lock) {
+      int order = running.compareTo(current.view().version());
+      if (order > 0 || (order == 0 && chainHash.equals(current.chainHash()))) {
+        return ViewNews.NOTHING;
+      }
+      ViewDelta next = deltas.get(running);
+      boolean follows =
+          next != null && !running.equals(ViewVersion.NONE) && ViewChain.continues(chainHash, next);
+      return follows ? new ViewNews(false, from(running)) : ViewNews.SNAPSHOT;
+    }
+  }
+
+  private List<ViewDelta> from(ViewVersion running) {
+    SortedMap<ViewVersion, ViewDelta> tail = deltas.tailMap(running);
+    List<ViewDelta> result = new ArrayList<>();
+    Iterator<ViewDelta> rest = tail.values().iterator();
+    int bytes = 0;
+    while (rest.hasNext() && bytes < ANSWER_BYTES) {
+      ViewDelta delta = rest.next();
+      bytes += delta.getSerializedSize();
+      result.add(delta);
+    }
+    return result;
+  }
+
+  private void giveUp(Waiter waiter) {
+    synchronized (lock) {
+      waiting.remove(waiter);
+    }
+    waiter.answer().complete(ViewNews.NOTHING);
+  }
+}
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
@@ -4,51 +4,99 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.FieldFault;
 import org.alderyard.common.id.GroupId;
-import org.alderyard.common.id.ServerId;
-import org.alderyard.common.view.GroupState;
-import org.alderyard.common.view.ServerState;
-import org.alderyard.common.view.TermStart;
 import org.alderyard.common.view.View;
-import org.alderyard.common.view.ViewVersion;
 import org.alderyard.control.log.StateMachine;
-import org.alderyard.protocol.generated.control.Announcement;
 import org.alderyard.protocol.generated.control.Command;
+import org.alderyard.protocol.generated.control.ControlSnapshot;
+import org.alderyard.protocol.generated.control.DrainHostReply;
+import org.alderyard.protocol.generated.control.DrainHostRequest;
 import org.alderyard.protocol.generated.control.Ticket;
 import org.alderyard.protocol.generated.control.TicketAnswer;
+import org.alderyard.protocol.generated.control.TicketFault;
+import org.alderyard.protocol.generated.control.TicketVerdict;
+import org.alderyard.protocol.generated.state.Group;
+import org.alderyard.protocol.generated.state.Host;
+import org.alderyard.protocol.generated.state.HostPolicy;
 import org.alderyard.protocol.generated.state.ObjectState;
-import org.alderyard.protocol.generated.state.Status;
-import org.alderyard.protocol.generated.state.ViewSnapshot;
 import org.alderyard.protocol.view.StateCodec;
 import org.alderyard.protocol.view.ViewCodec;
 
-/** The control state that committed commands build; the same commands give the same state. */
+/**
+ * The control state that committed commands build; the same commands give the same state.
+ *
+ * <p>One lock guards all tables; the listener is called under it, so that it sees the views in
+ * order.
+ */
 public final class ControlState implements StateMachine {
-  private static final long EPOCH = 1;
-
-  private final Consumer<View> onChange;
-  private final Map<Long, TicketAnswer> tickets = new TreeMap<>();
-  private volatile View view = View.EMPTY;
+  private final Consumer<ViewChange> onChange;
+  private final FailoverHandler failovers;
+  private final ViewTable views = new ViewTable();
+  // Guarded by this.
+  private final TicketTable tickets;
+  private final ServerRegistry servers = new ServerRegistry();
+  private final HostRegistry hosts = new HostRegistry();
 
   /** Creates the empty state; the listener gets each new view, in order. */
-  public ControlState(Consumer<View> onChange) {
+  public ControlState(Consumer<ViewChange> onChange) {
+    this(onChange, FailoverHandler.NONE, TicketTable.DEFAULT_LIMIT);
+  }
+
+  /** Creates the empty state with a handler of failover steps. */
+  public ControlState(Consumer<ViewChange> onChange, FailoverHandler failovers) {
+    this(onChange, failovers, TicketTable.DEFAULT_LIMIT);
+  }
+
+  /** All control hosts must remember the same count of numbers. */
+  ControlState(Consumer<ViewChange> onChange, FailoverHandler failovers, int rememberedTickets) {
     this.onChange = onChange;
+    this.failovers = failovers;
+    this.tickets = new TicketTable(rememberedTickets);
   }
 
   /** Returns the current view. */
   public View view() {
-    return view;
+    return views.view();
+  }
+
+  /** Returns the current view with its chain hash. */
+  public synchronized ViewChange current() {
+    return new ViewChange(views.view(), views.chainHash(), Optional.empty());
   }
 
   /** Returns the answer that a ticket got, if its number was accepted. */
   public synchronized Optional<TicketAnswer> ticket(long number) {
-    return Optional.ofNullable(tickets.get(number));
+    return tickets.find(number);
+  }
+
+  /** Returns the answers to the highest numbers, the highest first. */
+  public synchronized List<TicketAnswer> newestTickets(int count) {
+    return tickets.newest(count);
+  }
+
+  /** Returns the highest number that is no longer remembered. */
+  public synchronized long ticketFloor() {
+    return tickets.floor();
+  }
+
+  /** Returns how many numbers are remembered. */
+  public synchronized int ticketsRemembered() {
+    return tickets.size();
+  }
+
+  /** Returns what a host registered, before the operators' policy is applied. */
+  public synchronized Optional<Host> hostRegistration(String host) {
+    return hosts.registration(host);
+  }
+
+  /** Returns the lease that a server asked for, 0 when it is not known. */
+  public synchronized int serverLeaseMillis(String server) {
+    return servers.leaseMillis(server);
   }
 
   @Override
@@ -62,109 +110,139 @@
     }
     return switch (command.getCommandCase()) {
       case TICKET -> applyTicket(index, command.getTicket()).toByteString();
-      case ANNOUNCEMENT -> applyAnnouncement(index, command.getAnnouncement());
+      case ANNOUNCEMENT -> change(index, servers.announce(command.getAnnouncement(), view()));
+      case SERVER_EXPIRY -> change(index, servers.expire(command.getServerExpiry(), view()));
       case HOST_REGISTRATION ->
-          change(
-              index,
-              List.of(
-                  ObjectState.newBuilder()
-                      .setHost(command.getHostRegistration().getHost())
-                      .build()));
-      default -> ByteString.EMPTY;
+          change(index, hosts.register(command.getHostRegistration().getHost()));
+      case HOST_EXPIRY -> change(index, hosts.expire(command.getHostExpiry()));
+      case DRAIN_HOST -> drain(index, command.getDrainHost()).toByteString();
+      case FAILOVER_STEP -> {
+        var applied = failovers.apply(index, command.getFailoverStep(), view());
+        change(index, applied.changed());
+        yield applied.answer();
+      }
+      case COMMAND_NOT_SET -> ByteString.EMPTY;
     };
   }
 
   private TicketAnswer applyTicket(long index, Ticket ticket) {
-    TicketAnswer earlier = tickets.get(ticket.getNumber());
-    if (earlier != null) {
-      boolean same = earlier.getContentHash().equals(ticket.getContentHash());
-      return same ? earlier : earlier.toBuilder().setConflict(true).build();
+    Optional<TicketAnswer> earlier = tickets.earlier(ticket.getNumber(), ticket.getContentHash());
+    if (earlier.isPresent()) {
+      return earlier.get();
     }
-    change(index, ticket.getObjectsList().stream().map(this::keepRunningState).toList());
-    TicketAnswer answer =
+    TicketAnswer.Builder answer =
         TicketAnswer.newBuilder()
             .setNumber(ticket.getNumber())
-            .setContentHash(ticket.getContentHash())
-            .setAcceptedVersion(StateCodec.versionMessage(view.version()))
-            .build();
-    tickets.put(ticket.getNumber(), answer);
-    return answer;
+            .setContentHash(ticket.getContentHash());
+    List<FieldFault> faults = TicketRules.check(view(), hosts::known, ticket.getObjectsList());
+    if (!faults.isEmpty()) {
+      faults.forEach(fault -> answer.addFaults(message(fault)));
+      return answer.setVerdict(TicketVerdict.INVALID).build();
+    }
+    List<ObjectState> changed = new ArrayList<>();
+    ticket.getObjectsList().forEach(object -> changed.addAll(effect(object)));
+    change(index, changed);
+    ticket.getObjectsList().forEach(object -> answer.addObjects(TicketObjects.name(object)));
+    answer.setAcceptedVersion(StateCodec.versionMessage(view().version()));
+    tickets.accept(answer.build());
+    return answer.build();
   }
 
-  /** A ticket says what a group is allowed; term and primary are the failover director's. */
-  private ObjectState keepRunningState(ObjectState object) {
-    if (!object.hasGroup()) {
-      return object;
-    }
-    Optional<GroupState> known = view.group(new GroupId(object.getGroup().getId()));
-    if (known.isEmpty()) {
-      return object;
-    }
-    var running = StateCodec.groupMessage(known.get());
-    return ObjectState.newBuilder()
-        .setGroup(
-            object.getGroup().toBuilder()
-                .setTerm(running.getTerm())
-                .setPrimary(running.getPrimary())
-                .clearTermHistory()
-                .addAllTermHistory(running.getTermHistoryList()))
+  private static TicketFault message(FieldFault fault) {
+    return TicketFault.newBuilder()
+        .setObject(fault.object())
+        .setField(fault.field())
+        .setValue(fault.value())
+        .setAccepted(fault.accepted())
         .build();
   }
 
-  private ByteString applyAnnouncement(long index, Announcement announcement) {
-    var server = announcement.getServer();
-    Optional<ServerState> known = view.server(new ServerId(server.getId()));
-    if (known.isPresent() && known.get().incarnation() > server.getIncarnation()) {
-      return ByteString.EMPTY;
-    }
-    List<ObjectState> objects = new ArrayList<>();
-    objects.add(
-        ObjectState.newBuilder()
-            .setServer(
-                server.toBuilder()
-                    .setStatus(announcement.getLeaving() ? Status.LEAVING : Status.ACTIVE))
-            .build());
-    firstPrimary(announcement).ifPresent(objects::add);
-    return change(index, objects);
-  }
-
-  /** A group that had no primary yet takes over the one that it runs with. */
-  private Optional<ObjectState> firstPrimary(Announcement announcement) {
-    GroupId id = new GroupId(announcement.getServer().getGroup());
-    Optional<GroupState> group = view.group(id);
-    if (!announcement.getPrimary() || group.isEmpty() || group.get().term() > 0) {
-      return Optional.empty();
+  private List<ObjectState> effect(ObjectState object) {
+    return switch (object.getObjectCase()) {
+      case GROUP -> List.of(keepRunningState(object.getGroup()));
+      case HOST_POLICY -> hosts.setPolicy(object.getHostPolicy());
+      case REMOVED_HOST_POLICY -> hosts.removePolicy(object.getRemovedHostPolicy());
+      case REMOVED_SERVER -> {
+        servers.forget(object.getRemovedServer());
+        yield List.of(object);
+      }
+      default -> List.of(object);
+    };
+  }
+
+  /** A ticket says what a group is allowed; term and primary are the failover director's. */
+  private ObjectState keepRunningState(Group wanted) {
+    Group.Builder group = wanted.toBuilder();
+    view()
+        .group(new GroupId(wanted.getId()))
+        .map(StateCodec::groupMessage)
+        .ifPresent(
+            running ->
+                group
+                    .setTerm(running.getTerm())
+                    .setPrimary(running.getPrimary())
+                    .addAllTermHistory(running.getTermHistoryList()));
+    return ObjectState.newBuilder().setGroup(group).build();
+  }
+
+  private DrainHostReply drain(long index, DrainHostRequest request) {
+    DrainHostReply.Builder reply = DrainHostReply.newBuilder();
+    if (hosts.known(request.getHost())) {
+      HostPolicy allowed =
+          hosts.policy(request.getHost()).orElseGet(() -> allowAll(request.getHost())).toBuilder()
+              .setDraining(request.getDraining())
+              .build();
+      change(index, hosts.setPolicy(allowed));
+    } else {
+      FieldFault fault =
+          new FieldFault("host/" + request.getHost(), "name", request.getHost(), "a known host");
+      reply.addFaults(message(fault));
     }
-    GroupState adopted =
-        new GroupState(
-            id,
-            announcement.getTerm(),
-            Optional.of(new ServerId(announcement.getServer().getId())),
-            List.of(new TermStart(announcement.getTerm(), 0)),
-            group.get().slotsPerServer(),
-            group.get().connectionsPerServer());
-    return Optional.of(ObjectState.newBuilder().setGroup(StateCodec.groupMessage(adopted)).build());
+    return reply.setVersion(StateCodec.versionMessage(view().version())).build();
+  }
+
+  private static HostPolicy allowAll(String host) {
+    return HostPolicy.newBuilder().setId(host).setProxy(true).setControl(true).build();
   }
 
   private ByteString change(long index, List<ObjectState> objects) {
-    view = ViewCodec.apply(view, new ViewVersion(EPOCH, index), objects);
-    onChange.accept(view);
+    views
+        .apply(index, objects)
+        .ifPresent(
+            delta ->
+                onChange.accept(
+                    new ViewChange(views.view(), views.chainHash(), Optional.of(delta))));
     return ByteString.EMPTY;
   }
 
   @Override
   public synchronized ByteString snapshot() {
-    return ViewCodec.snapshot(view).toByteString();
+    ControlSnapshot.Builder snapshot =
+        ControlSnapshot.newBuilder()
+            .setView(ViewCodec.snapshot(view()))
+            .setChainHash(views.chainHash())
+            .addAllTickets(tickets.all())
+            .setTicketFloor(tickets.floor())
+            .setFailover(failovers.snapshot());
+    hosts.store(snapshot);
+    servers.store(snapshot);
+    return snapshot.build().toByteString();
   }
 
   @Override
-  public synchronized void restore(long index, ByteString snapshot) {
+  public synchronized void restore(long index, ByteString bytes) {
+    ControlSnapshot snapshot;
     try {
-      view = ViewCodec.view(ViewSnapshot.parseFrom(snapshot));
+      snapshot = ControlSnapshot.parseFrom(bytes);
     } catch (InvalidProtocolBufferException damaged) {
       throw AlderyardException.notRun(
           ErrorCode.STORAGE_DAMAGED, "the snapshot at " + index + " can't be read");
     }
-    onChange.accept(view);
+    views.restore(snapshot.getView(), snapshot.getChainHash());
+    tickets.restore(snapshot.getTicketsList(), snapshot.getTicketFloor());
+    hosts.restore(snapshot);
+    servers.restore(snapshot);
+    failovers.restore(snapshot.getFailover());
+    onChange.accept(current());
   }
 }
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ViewTable.java
@@ -0,0 +1,83 @@
+package org.alderyard.control.state;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.PoolName;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.view.View;
+import org.alderyard.common.view.ViewVersion;
+import org.alderyard.protocol.generated.state.ObjectState;
+import org.alderyard.protocol.generated.state.ViewDelta;
+import org.alderyard.protocol.generated.state.ViewSnapshot;
+import org.alderyard.protocol.view.StateCodec;
+import org.alderyard.protocol.view.ViewChain;
+import org.alderyard.protocol.view.ViewCodec;
+
+/** The view that the log's commands have built, with the chain of its deltas. */
+final class ViewTable {
+  private static final long EPOCH = 1;
+
+  private volatile View view = View.EMPTY;
+  private ByteString chainHash = ViewChain.START;
+
+  View view() {
+    return view;
+  }
+
+  ByteString chainHash() {
+    return chainHash;
+  }
+
+  /** Applies changed objects; an object that is as before makes no version. */
+  Optional<ViewDelta> apply(long index, List<ObjectState> objects) {
+    List<ObjectState> changed = objects.stream().filter(this::changes).toList();
+    if (changed.isEmpty()) {
+      return Optional.empty();
+    }
+    ViewVersion next = new ViewVersion(EPOCH, index);
+    ViewDelta delta =
+        ViewChain.link(
+            chainHash,
+            StateCodec.versionMessage(view.version()),
+            StateCodec.versionMessage(next),
+            changed);
+    view = ViewCodec.apply(view, next, changed);
+    chainHash = delta.getChainHash();
+    return Optional.of(delta);
+  }
+
+  private boolean changes(ObjectState object) {
+    return switch (object.getObjectCase()) {
+      case POOL -> {
+        var known = view.pool(new PoolName(object.getPool().getName()));
+        yield !known.map(StateCodec::poolMessage).equals(Optional.of(object.getPool()));
+      }
+      case GROUP -> {
+        var known = view.group(new GroupId(object.getGroup().getId()));
+        yield !known.map(StateCodec::groupMessage).equals(Optional.of(object.getGroup()));
+      }
+      case SERVER -> {
+        var known = view.server(new ServerId(object.getServer().getId()));
+        yield !known.map(StateCodec::serverMessage).equals(Optional.of(object.getServer()));
+      }
+      case HOST -> {
+        var known = Optional.ofNullable(view.hosts().get(new HostId(object.getHost().getId())));
+        yield !known.map(StateCodec::hostMessage).equals(Optional.of(object.getHost()));
+      }
+      case KEY_RING -> !StateCodec.keyRingMessage(view.keys()).equals(object.getKeyRing());
+      case REMOVED_POOL -> view.pool(new PoolName(object.getRemovedPool())).isPresent();
+      case REMOVED_GROUP -> view.group(new GroupId(object.getRemovedGroup())).isPresent();
+      case REMOVED_SERVER -> view.server(new ServerId(object.getRemovedServer())).isPresent();
+      case REMOVED_HOST -> view.hosts().containsKey(new HostId(object.getRemovedHost()));
+      case HOST_POLICY, REMOVED_HOST_POLICY, OBJECT_NOT_SET -> false;
+    };
+  }
+
+  void restore(ViewSnapshot snapshot, ByteString snapshotChainHash) {
+    view = ViewCodec.view(snapshot);
+    chainHash = snapshotChainHash;
+  }
+}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -20,12 +20,11 @@
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.control.log.LocalLog;
 import org.alderyard.control.operator.OperatorApi;
+import org.alderyard.control.operator.RemoteControlGateway;
 import org.alderyard.control.service.ControlService;
-import org.alderyard.control.service.ViewWaiters;
+import org.alderyard.control.service.ViewFeed;
 import org.alderyard.control.state.ControlState;
 import org.alderyard.protocol.control.ControlClient;
-import org.alderyard.protocol.control.ControlMethods;
-import org.alderyard.protocol.generated.control.SubmitTicketRequest;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.EventLoops;
 import org.alderyard.protocol.wire.InnerServer;
@@ -55,7 +54,6 @@
 public final class Daemon implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(Daemon.class);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-  private static final Duration TICKET_TIMEOUT = Duration.ofSeconds(5);
   private static final int MAX_OUTSTANDING = 4_096;
   private static final int INNER_THREADS = 2;
 
@@ -89,7 +87,7 @@
               CONNECT_TIMEOUT,
               MAX_OUTSTANDING);
       links = part(new PeerLinks(loops, protocol));
-      control = new ControlClient(links, settings.controlHosts());
+      control = new ControlClient(links, settings.controlHosts(), workers);
       Dispatcher dispatcher = new Dispatcher();
       self = self(incarnation);
       ViewHolder views = new ViewHolder();
@@ -145,10 +143,12 @@
   }
 
   private void startControl(Dispatcher dispatcher) {
-    ViewWaiters waiters = new ViewWaiters(workers);
-    ControlState state = new ControlState(waiters::publish);
+    ViewFeed feed = new ViewFeed(workers);
+    ControlState state = new ControlState(feed::publish);
     ControlLog controlLog = part(new LocalLog(settings.host(), state));
-    new ControlService(controlLog, state, waiters, wallClock).serve(dispatcher);
+    ControlService service = new ControlService(controlLog, state, feed, clock, wallClock);
+    service.serve(dispatcher);
+    service.start(workers);
   }
 
   private void startProxy(ViewHolder views, ViewClient viewClient) {
@@ -190,11 +190,18 @@
             settings.host(),
             statements,
             new AnnouncementHandler(control),
-            () -> viewClient.leaseValid() && !draining.get(),
+            () -> viewClient.leaseValid() && !draining.get() && !drained(views),
             new MetricsHandler(registry));
     port("caller", settings.callerAddress(), api.handler());
   }
 
+  /** Operators drain a host by ticket, or take its role away. */
+  private boolean drained(ViewHolder views) {
+    return Optional.ofNullable(views.current().hosts().get(settings.host()))
+        .filter(host -> host.draining() || !host.proxy())
+        .isPresent();
+  }
+
   private RandomGenerator sharedRandom() {
     SplittableRandom random = new SplittableRandom(self.incarnation());
     return () -> {
@@ -210,11 +217,7 @@
     }
     OperatorApi api =
         new OperatorApi(
-            ticket ->
-                control.callIdempotent(
-                    ControlMethods.SUBMIT_TICKET,
-                    SubmitTicketRequest.newBuilder().setTicket(ticket).build(),
-                    TICKET_TIMEOUT),
+            new RemoteControlGateway(control),
             views::current,
             settings.operatorKey().orElseThrow());
     port("operator", settings.operatorAddress().get(), api.handler());
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
@@ -16,69 +17,119 @@
 /**
  * Sends requests to the control host that leads, and looks for it when it moved.
  *
- * <p>A request whose outcome is unknown is sent to another host only when the caller says that it
- * is idempotent.
+ * <p>Every request is idempotent: after a lost answer it goes to another host.
  */
 public final class ControlClient {
+  private static final int PATIENT_ROUNDS = 30;
+  private static final Duration ROUND_PAUSE = Duration.ofMillis(100);
+
   private final PeerLinks links;
   private final List<InetSocketAddress> controlHosts;
+  private final WorkerPool workers;
   private final AtomicInteger preferred = new AtomicInteger();
 
   /** Uses the given links to the given inner addresses. */
-  public ControlClient(PeerLinks links, List<InetSocketAddress> controlHosts) {
+  public ControlClient(PeerLinks links, List<InetSocketAddress> controlHosts, WorkerPool workers) {
     this.links = links;
     this.controlHosts = List.copyOf(controlHosts);
+    this.workers = workers;
+  }
+
+  /** Returns how many control hosts there are. */
+  public int hostCount() {
+    return controlHosts.size();
+  }
+
+  /** Sends a request to one host, by its place in the list. */
+  public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callHost(
+      int place, Method<Q, R> method, Q request, Duration timeout) {
+    int index = Math.floorMod(place, controlHosts.size());
+    return links.to(controlHosts.get(index)).call(method, request, timeout);
   }
 
   /** Sends an idempotent request to one host after another until one serves it. */
   public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callIdempotent(
       Method<Q, R> method, Q request, Duration timeout) {
-    return attempt(method, request, timeout, controlHosts.size());
+    return new Search<>(method, request, timeout, controlHosts.size(), Duration.ZERO).run();
   }
 
-  private <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> attempt(
-      Method<Q, R> method, Q request, Duration timeout, int triesLeft) {
-    if (triesLeft == 0) {
-      return CompletableFuture.failedFuture(
-          new AlderyardException(
-              ErrorCode.NO_QUORUM,
-              Outcome.OUTCOME_UNKNOWN,
-              "no control host served " + method.name()));
-    }
-    int index = Math.floorMod(preferred.get(), controlHosts.size());
-    CompletableFuture<R> result = new CompletableFuture<>();
-    links
-        .to(controlHosts.get(index))
-        .call(method, request, timeout)
-        .whenComplete(
-            (reply, failure) -> {
-              if (failure == null) {
-                result.complete(reply);
-                return;
-              }
-              if (!worthAnother(Futures.typed(failure))) {
-                result.completeExceptionally(failure);
-                return;
-              }
-              preferred.compareAndSet(index, (index + 1) % controlHosts.size());
-              attempt(method, request, timeout, triesLeft - 1)
-                  .whenComplete(
-                      (later, laterFailure) -> {
-                        if (laterFailure == null) {
-                          result.complete(later);
-                        } else {
-                          result.completeExceptionally(laterFailure);
-                        }
-                      });
-            });
-    return result;
+  /**
+   * Sends an idempotent request round after round, for about three seconds: as long as hosts need
+   * to elect another leader.
+   */
+  public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callPatiently(
+      Method<Q, R> method, Q request, Duration timeout) {
+    int tries = controlHosts.size() * PATIENT_ROUNDS;
+    return new Search<>(method, request, timeout, tries, ROUND_PAUSE).run();
   }
 
   private static boolean worthAnother(AlderyardException failure) {
     return switch (failure.code()) {
-      case NOT_LEADER, NO_QUORUM, CONNECTION_LOST, DEADLINE_EXCEEDED, DRAINING, PEER_REJECTED ->
-          true;
+      case NOT_LEADER, NO_QUORUM, CONNECTION_LOST, DEADLINE_EXCEEDED, DRAINING -> true;
       default -> false;
     };
   }
+
+  /** One request on its way from host to host. */
+  private final class Search<Q extends MessageLite, R extends MessageLite> {
+    private final Method<Q, R> method;
+    private final Q request;
+    private final Duration timeout;
+    private final Duration pause;
+    private final CompletableFuture<R> result = new CompletableFuture<>();
+    private int triesLeft;
+    // Whether any try may have been served without an answer.
+    private boolean doubt;
+
+    Search(Method<Q, R> method, Q request, Duration timeout, int tries, Duration pause) {
+      this.method = method;
+      this.request = request;
+      this.timeout = timeout;
+      this.pause = pause;
+      this.triesLeft = tries;
+    }
+
+    CompletableFuture<R> run() {
+      next();
+      return result;
+    }
+
+    private void next() {
+      triesLeft--;
+      int place = preferred.get();
+      callHost(place, method, request, timeout)
+          .whenComplete(
+              (reply, failure) -> {
+                if (failure == null) {
+                  result.complete(reply);
+                } else {
+                  failed(place, Futures.typed(failure));
+                }
+              });
+    }
+
+    private void failed(int place, AlderyardException failure) {
+      doubt |= failure.outcome() != Outcome.NOT_RUN;
+      if (!worthAnother(failure)) {
+        result.completeExceptionally(failure);
+        return;
+      }
+      preferred.compareAndSet(place, Math.floorMod(place + 1, controlHosts.size()));
+      if (triesLeft == 0) {
+        result.completeExceptionally(
+            new AlderyardException(
+                ErrorCode.NO_QUORUM,
+                doubt ? Outcome.OUTCOME_UNKNOWN : Outcome.NOT_RUN,
+                "no control host served " + method.name() + "; the last one: " + failure,
+                failure));
+        return;
+      }
+      boolean roundOver = triesLeft % controlHosts.size() == 0;
+      if (roundOver && !pause.isZero()) {
+        workers.schedule(pause, this::next);
+      } else {
+        next();
+      }
+    }
+  }
 }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewCodec.java
@@ -83,6 +83,9 @@
         case REMOVED_GROUP -> groups.remove(new GroupId(object.getRemovedGroup()));
         case REMOVED_SERVER -> servers.remove(new ServerId(object.getRemovedServer()));
         case REMOVED_HOST -> hosts.remove(new HostId(object.getRemovedHost()));
+        case HOST_POLICY, REMOVED_HOST_POLICY -> {
+          // Views carry the effect of a policy in the host itself.
+        }
         case OBJECT_NOT_SET -> {
           // A kind of object that a newer peer added: this build does not act on it.
         }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -1,7 +1,9 @@
 package org.alderyard.proxy.view;
 
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.time.MonotonicClock;
@@ -10,24 +12,40 @@
 import org.alderyard.protocol.control.ControlMethods;
 import org.alderyard.protocol.generated.control.FetchViewReply;
 import org.alderyard.protocol.generated.control.FetchViewRequest;
+import org.alderyard.protocol.generated.control.HeartbeatReply;
+import org.alderyard.protocol.generated.control.HeartbeatRequest;
 import org.alderyard.protocol.view.StateCodec;
-import org.alderyard.protocol.view.ViewCodec;
+import org.alderyard.protocol.view.ViewFollower;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Follows the control hosts: asks for a newer view again and again, and keeps the view lease. */
+/**
+ * Follows the control hosts.
+ *
+ * <p>Deltas come by long polls from any control host; heartbeats go to the leader, which confirms
+ * the newest version and so the view lease.
+ */
 public final class ViewClient implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(ViewClient.class);
   private static final Duration WAIT = Duration.ofMillis(1_000);
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(2_000);
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
+  private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(750);
+  private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(500);
+  private static final long LEAVE_TIMEOUT_MILLIS = 300;
+  private static final long BEHIND_LIMIT_MILLIS = 500;
 
   private final ControlClient control;
   private final HostState self;
   private final ViewHolder holder;
   private final WorkerPool workers;
   private final MonotonicClock clock;
-  private final AtomicLong leaseEndMillis = new AtomicLong(Long.MIN_VALUE);
+  private final ViewLease lease = new ViewLease();
+  // The control host to fetch from, by its place in the list.
+  private final AtomicInteger source;
+  private final Object lock = new Object();
+  // Guarded by lock.
+  private ViewFollower follower = ViewFollower.EMPTY;
   private volatile boolean closed;
 
   /** Creates a client that does nothing until {@link #start()}. */
@@ -42,53 +60,142 @@
     this.holder = holder;
     this.workers = workers;
     this.clock = clock;
+    // Spreads the hosts over the control hosts.
+    this.source = new AtomicInteger(Math.floorMod(self.id().hashCode(), control.hostCount()));
   }
 
   /** Starts to follow. */
   public void start() {
     workers.execute(this::fetch);
+    workers.execute(this::heartbeat);
+    workers.scheduleRepeatedly(HEARTBEAT_INTERVAL, this::heartbeat);
   }
 
   /** Returns whether the view was confirmed recently enough to act on it. */
   public boolean leaseValid() {
-    return clock.nowMillis() < leaseEndMillis.get();
+    return lease.valid(clock.nowMillis());
+  }
+
+  private ViewFollower follower() {
+    synchronized (lock) {
+      return follower;
+    }
   }
 
   private void fetch() {
     if (closed) {
       return;
     }
-    // The lease counts from before the request: the answer may have been long on its way.
-    long sentMillis = clock.nowMillis();
+    ViewFollower before = follower();
     FetchViewRequest request =
         FetchViewRequest.newBuilder()
-            .setHost(StateCodec.hostMessage(self))
-            .setRunning(StateCodec.versionMessage(holder.current().version()))
+            .setRunning(StateCodec.versionMessage(before.view().version()))
+            .setChainHash(before.chainHash())
             .setWaitMillis((int) WAIT.toMillis())
             .build();
+    int place = source.get();
     control
-        .callIdempotent(ControlMethods.FETCH_VIEW, request, CALL_TIMEOUT)
+        .callHost(place, ControlMethods.FETCH_VIEW, request, CALL_TIMEOUT)
         .whenComplete(
             (reply, failure) -> {
-              if (failure == null) {
-                accept(reply, sentMillis);
+              if (failure == null && accept(reply)) {
                 workers.execute(this::fetch);
                 return;
               }
-              log.warn("event=view-fetch-failed reason=\"{}\"", Futures.unwrap(failure).toString());
+              if (failure != null) {
+                log.warn(
+                    "event=view-fetch-failed source={} reason=\"{}\"",
+                    place,
+                    Futures.unwrap(failure).toString());
+              }
+              source.compareAndSet(place, place + 1);
               workers.schedule(RETRY_DELAY, this::fetch);
             });
   }
 
-  private void accept(FetchViewReply reply, long sentMillis) {
-    leaseEndMillis.accumulateAndGet(sentMillis + reply.getLeaseMillis(), Math::max);
-    if (holder.offer(ViewCodec.view(reply.getSnapshot()))) {
+  /** Returns whether the source is good to go on with. */
+  private boolean accept(FetchViewReply reply) {
+    ViewFollower.Result result;
+    synchronized (lock) {
+      result =
+          reply.hasSnapshot()
+              ? follower.accept(reply.getSnapshot(), reply.getChainHash())
+              : follower.accept(reply.getDeltas());
+      follower = result.follower();
+    }
+    if (holder.offer(result.follower().view())) {
+      lease.runs(holder.current().version());
       log.info("event=view-changed version={}", holder.current().version());
+      workers.execute(this::heartbeat);
     }
+    switch (result.reason()) {
+      case ADVANCED -> {
+        return true;
+      }
+      case NOTHING_NEW -> {
+        return !reply.hasSnapshot() && !behindForLong();
+      }
+      default -> {
+        log.warn(
+            "event=view-delta-refused version={} reason={}",
+            result.follower().view().version(),
+            result.reason());
+        return false;
+      }
+    }
+  }
+
+  /**
+   * Guards against a source that is cut off from the leader: it answers, but has nothing new. A
+   * newer version that the leader told of and that does not come means another source.
+   */
+  private boolean behindForLong() {
+    var behind = lease.behindMillis(clock.nowMillis());
+    return behind.isPresent() && behind.getAsLong() > BEHIND_LIMIT_MILLIS;
+  }
+
+  private void heartbeat() {
+    if (closed) {
+      return;
+    }
+    // The lease counts from before the request: the answer may have been long on its way.
+    long sentMillis = clock.nowMillis();
+    send(false)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure == null) {
+                lease.confirmed(
+                    StateCodec.version(reply.getCurrent()),
+                    sentMillis,
+                    reply.getLeaseMillis(),
+                    clock.nowMillis());
+              } else {
+                log.warn(
+                    "event=heartbeat-failed reason=\"{}\"", Futures.unwrap(failure).toString());
+              }
+            });
+  }
+
+  private CompletableFuture<HeartbeatReply> send(boolean leaving) {
+    HeartbeatRequest request =
+        HeartbeatRequest.newBuilder()
+            .setHost(StateCodec.hostMessage(self))
+            .setRunning(StateCodec.versionMessage(holder.current().version()))
+            .setLeaving(leaving)
+            .build();
+    return control.callIdempotent(ControlMethods.HEARTBEAT, request, HEARTBEAT_TIMEOUT);
   }
 
   @Override
   public void close() {
     closed = true;
+    try {
+      send(true).get(LEAVE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    } catch (Exception unreachable) {
+      // The leader forgets this host when its lease runs out.
+      log.info("event=leave-failed reason=\"{}\"", Futures.unwrap(unreachable).toString());
+    }
   }
 }
