Watch primaries from three zones and run failovers from the control leader

Cause: the director decided, but nobody noticed a failed primary or carried its decisions out. Change: rendezvous assignment of three watchers, suspicion from measured response times and refusals with the watcher's own pauses excluded, one report a host; a service on the control leader that grants, fences, promotes and publishes, with one log line a decision; both started by the daemon. Refusals are suspected within 250 ms, silence within 900 ms. FailoverTest (real servers over HTTP, three hosts): death of a primary, return of one with a lost tail and the same fault twice pass. Conclusion: the way from detection to resume works; gaps are not measured yet.

--- a/alderyard-control/src/main/java/org/alderyard/control/failover/Attempt.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/Attempt.java
@@ -82,6 +82,13 @@
     return new Attempt(term, startedAtMillis, held, fenced, promoted, all, highestTermSeen);
   }
 
+  /** Returns the attempt after a server started again and has to be told whom to follow. */
+  public Attempt withoutFollowing(ServerId server) {
+    Set<ServerId> others = new HashSet<>(following);
+    others.remove(server);
+    return new Attempt(term, startedAtMillis, held, fenced, promoted, others, highestTermSeen);
+  }
+
   /** Returns the attempt after a server refused because it has seen a higher term. */
   public Attempt withHigherTerm(long serverTerm) {
     return new Attempt(
--- a/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverKind.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverKind.java
@@ -6,6 +6,6 @@
   FAILURE,
   /** An operator drains the primary, which still works. */
   PLANNED,
-  /** The group has had no primary yet. */
+  /** No failover has run yet: the group came with its primary. */
   INITIAL
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -17,6 +17,10 @@
 import org.alderyard.common.http.MetricsHandler;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
+import org.alderyard.control.failover.DirectorOptions;
+import org.alderyard.control.failover.FailoverObserver;
+import org.alderyard.control.failover.FailoverService;
+import org.alderyard.control.failover.FailoverTable;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.control.log.LocalLog;
 import org.alderyard.control.operator.OperatorApi;
@@ -42,6 +46,8 @@
 import org.alderyard.proxy.statement.StatementService;
 import org.alderyard.proxy.view.ViewClient;
 import org.alderyard.proxy.view.ViewHolder;
+import org.alderyard.proxy.watch.WatchOptions;
+import org.alderyard.proxy.watch.WatcherService;
 import org.alderyard.proxy.write.WritePath;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -144,11 +150,31 @@
 
   private void startControl(Dispatcher dispatcher) {
     ViewFeed feed = new ViewFeed(workers);
-    ControlState state = new ControlState(feed::publish);
+    FailoverTable failovers = new FailoverTable();
+    ControlState state = new ControlState(feed::publish, failovers);
     ControlLog controlLog = part(new LocalLog(settings.host(), state));
     ControlService service = new ControlService(controlLog, state, feed, clock, wallClock);
     service.serve(dispatcher);
     service.start(workers);
+    startFailover(dispatcher, controlLog, state, failovers);
+  }
+
+  private void startFailover(
+      Dispatcher dispatcher, ControlLog controlLog, ControlState state, FailoverTable failovers) {
+    FailoverService service =
+        part(
+            new FailoverService(
+                controlLog,
+                failovers,
+                state::view,
+                new HttpServerAdmin(new HttpConnector(ioWorker, workers)),
+                workers,
+                clock,
+                wallClock,
+                DirectorOptions.DEFAULT,
+                FailoverObserver.NONE));
+    service.serve(dispatcher);
+    service.start();
   }
 
   private void startProxy(ViewHolder views, ViewClient viewClient) {
@@ -156,6 +182,9 @@
     HttpServerAdmin admin = new HttpServerAdmin(connector);
     GroupMonitor monitor = new GroupMonitor(views, admin, clock, settings.monitorInterval());
     monitor.start(workers);
+    part(new WatcherService(
+            settings.host(), views, admin, control, workers, clock, WatchOptions.DEFAULT))
+        .start();
     ServerPools pools = part(new ServerPools(connector));
     WritePath writes =
         new WritePath(
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/watch/WatcherService.java
@@ -0,0 +1,226 @@
+package org.alderyard.proxy.watch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import org.alderyard.backend.ServerAdmin;
+import org.alderyard.backend.ServerReport;
+import org.alderyard.backend.ServerRole;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.View;
+import org.alderyard.common.watch.WatcherAssignment;
+import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.protocol.failover.FailoverMethods;
+import org.alderyard.protocol.generated.failover.WatchReport;
+import org.alderyard.protocol.generated.failover.WatchedPrimary;
+import org.alderyard.proxy.view.ViewHolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Probes the primaries that this host watches and reports what it suspects. */
+public final class WatcherService implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger(WatcherService.class);
+  private static final Duration TICK = Duration.ofMillis(20);
+  private static final long PAUSE_TOLERANCE_MILLIS = 150;
+  private static final long REPEAT_MILLIS = 500;
+  private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
+
+  private final HostId self;
+  private final ViewHolder views;
+  private final ServerAdmin admin;
+  private final ControlClient control;
+  private final WorkerPool workers;
+  private final MonotonicClock clock;
+  private final WatchOptions options;
+  private final WatcherAssignment assignment = new WatcherAssignment();
+  // All guarded by lock.
+  private final Object lock = new Object();
+  private final Map<GroupId, PrimaryWatch> watches = new HashMap<>();
+  private final PauseDetector pauses;
+  private View assigned = View.EMPTY;
+  private Map<GroupId, String> reported = Map.of();
+  private long nextReportMillis;
+  private Optional<ScheduledFuture<?>> ticking = Optional.empty();
+
+  /** Creates a service that probes nothing until it is started. */
+  public WatcherService(
+      HostId self,
+      ViewHolder views,
+      ServerAdmin admin,
+      ControlClient control,
+      WorkerPool workers,
+      MonotonicClock clock,
+      WatchOptions options) {
+    this.self = self;
+    this.views = views;
+    this.admin = admin;
+    this.control = control;
+    this.workers = workers;
+    this.clock = clock;
+    this.options = options;
+    this.pauses = new PauseDetector(TICK.toMillis(), PAUSE_TOLERANCE_MILLIS, clock.nowMillis());
+  }
+
+  /** Starts to probe. */
+  public void start() {
+    synchronized (lock) {
+      ticking = Optional.of(workers.scheduleRepeatedly(TICK, this::tick));
+    }
+  }
+
+  /** A caller's request to a server failed: its primary, if watched here, is probed at once. */
+  public void requestFailed(GroupId group, ServerId server) {
+    synchronized (lock) {
+      PrimaryWatch watch = watches.get(group);
+      if (watch != null && watch.primary().equals(server)) {
+        watch.requestFailed(clock.nowMillis());
+      }
+    }
+  }
+
+  private void tick() {
+    List<PrimaryWatch> due = new ArrayList<>();
+    long nowMillis = clock.nowMillis();
+    View view = views.current();
+    synchronized (lock) {
+      if (pauses.paused(nowMillis)) {
+        log.warn("event=watcher-paused reason=\"this process stood still\"");
+        watches.values().forEach(watch -> watch.watcherPaused(nowMillis));
+      }
+      if (view != assigned) {
+        assign(view, nowMillis);
+        assigned = view;
+      }
+      long paceMillis = options.probeMillis(watches.size());
+      for (PrimaryWatch watch : watches.values()) {
+        if (watch.takeProbe(nowMillis, paceMillis)) {
+          due.add(watch);
+        }
+      }
+    }
+    due.forEach(watch -> probe(watch, view, nowMillis));
+    report(nowMillis);
+  }
+
+  private void assign(View view, long nowMillis) {
+    watches.keySet().removeIf(group -> view.group(group).isEmpty());
+    for (GroupState group : view.groups().values()) {
+      boolean mine =
+          group.primary().isPresent() && assignment.watches(self, group.id(), view.hosts());
+      PrimaryWatch known = watches.get(group.id());
+      if (!mine) {
+        watches.remove(group.id());
+      } else if (known == null
+          || known.term() != group.term()
+          || !known.primary().equals(group.primary().get())) {
+        watches.put(
+            group.id(),
+            new PrimaryWatch(group.id(), group.term(), group.primary().get(), options, nowMillis));
+      }
+    }
+  }
+
+  private void probe(PrimaryWatch watch, View view, long sentMillis) {
+    Optional<ServerState> server = view.server(watch.primary());
+    if (server.isEmpty()) {
+      synchronized (lock) {
+        watch.failed(sentMillis, clock.nowMillis());
+      }
+      return;
+    }
+    admin
+        .state(server.get().address(), Duration.ofMillis(options.probeTimeoutMillis()))
+        .whenComplete((report, failure) -> learn(watch, sentMillis, report, failure));
+  }
+
+  private void learn(PrimaryWatch watch, long sentMillis, ServerReport report, Throwable failure) {
+    long nowMillis = clock.nowMillis();
+    synchronized (lock) {
+      if (failure != null) {
+        boolean late = Futures.typed(failure).code() == ErrorCode.DEADLINE_EXCEEDED;
+        if (late) {
+          watch.timedOut(sentMillis, nowMillis);
+        } else {
+          watch.failed(sentMillis, nowMillis);
+        }
+      } else if (report.server().equals(watch.primary())
+          && report.term() == watch.term()
+          && report.role() == ServerRole.PRIMARY) {
+        watch.answered(sentMillis, nowMillis);
+      } else {
+        watch.lostRole(sentMillis, nowMillis);
+      }
+    }
+  }
+
+  /** Sends what is suspected: at once when it changed, else again and again while there is any. */
+  private void report(long nowMillis) {
+    Map<GroupId, String> suspected = new HashMap<>();
+    WatchReport.Builder message = WatchReport.newBuilder();
+    synchronized (lock) {
+      for (PrimaryWatch watch : watches.values()) {
+        watch
+            .verdict(nowMillis)
+            .suspicion()
+            .ifPresent(
+                reason -> {
+                  suspected.put(watch.group(), watch.term() + "/" + reason);
+                  message.addSuspected(entry(watch, reason, nowMillis));
+                });
+      }
+      boolean changed = !suspected.equals(reported);
+      if (!changed && (suspected.isEmpty() || nowMillis < nextReportMillis)) {
+        return;
+      }
+      reported = suspected;
+      nextReportMillis = nowMillis + REPEAT_MILLIS;
+    }
+    log.info("event=watch-report suspected={}", suspected);
+    control
+        .callIdempotent(FailoverMethods.WATCH_REPORT, message.build(), REPORT_TIMEOUT)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure != null) {
+                resendSoon(Futures.unwrap(failure));
+              }
+            });
+  }
+
+  private void resendSoon(Throwable failure) {
+    log.warn("event=watch-report-failed reason=\"{}\"", failure.toString());
+    synchronized (lock) {
+      nextReportMillis = clock.nowMillis() + TICK.toMillis();
+    }
+  }
+
+  private static WatchedPrimary entry(
+      PrimaryWatch watch, WatchVerdict.Reason reason, long nowMillis) {
+    return WatchedPrimary.newBuilder()
+        .setGroup(watch.group().value())
+        .setTerm(watch.term())
+        .setPrimary(watch.primary().value())
+        .setSuspectedForMillis(
+            (int) Math.min(Integer.MAX_VALUE, watch.suspectedForMillis(nowMillis)))
+        .setReason(reason.name())
+        .build();
+  }
+
+  @Override
+  public void close() {
+    synchronized (lock) {
+      ticking.ifPresent(timer -> timer.cancel(false));
+    }
+  }
+}
