Run the replicated log over sockets and files

Change: ReplicatedLog drives the core from one serial loop: all steps that came together share one sync; a leader's messages leave before its own sync. Each peer gets one batch at a time, so workers can't reorder them. The time of a step is that of its arrival, so a slow sync is no silence of a leader. A replica id is drawn with the data folder: all hosts record the same founders before the first vote, a wiped host joins as a learner by itself, and its old id is removed before it votes. A failed sync or state machine stops the host.

--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -341,6 +341,16 @@
     return leadership == null ? 0 : leadership.matchIndex(replicaId);
   }
 
+  /** Returns whether this replica leads and knows exactly what was committed before its term. */
+  public boolean isEstablished() {
+    return leadership != null && leadership.isEstablished();
+  }
+
+  /** Returns whether a replica, as the leader knows it, holds the log but for a few entries. */
+  public boolean hasCaughtUp(long replicaId) {
+    return leadership != null && leadership.hasCaughtUp(replicaId);
+  }
+
   /** Returns what this replica does in its term. */
   public Role role() {
     return role;
--- a/alderyard-control/src/main/java/org/alderyard/control/store/ReplicaStore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/ReplicaStore.java
@@ -55,13 +55,14 @@
         });
   }
 
-  /** Stores a snapshot of applied entries and removes the segments that it covers. */
+  /** Stores a snapshot of applied entries; may run beside {@link #sync}. */
   public void save(Snapshot snapshot) {
-    guarded(
-        () -> {
-          snapshots.save(snapshot);
-          log.trim(snapshot.lastIndex());
-        });
+    snapshots.save(snapshot);
+  }
+
+  /** Removes the segments that a saved snapshot covers. */
+  public void trim(long snapshotIndex) {
+    guarded(() -> log.trim(snapshotIndex));
   }
 
   private void guarded(Runnable action) {
--- /dev/null
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -0,0 +1,150 @@
+package org.alderyard.control.log;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.id.HostId;
+import org.alderyard.protocol.wire.ClusterKey;
+import org.alderyard.protocol.wire.Dispatcher;
+import org.alderyard.protocol.wire.EventLoops;
+import org.alderyard.protocol.wire.InnerServer;
+import org.alderyard.protocol.wire.PeerLinks;
+import org.alderyard.protocol.wire.ProtocolOptions;
+
+/** One control host in this process, over real sockets and files. */
+final class LogHost implements StateMachine, LogListener, AutoCloseable {
+  static final ReplicatedLogOptions OPTIONS = options(50, 5);
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+
+  final List<String> applied = new ArrayList<>();
+  final List<String> leadership = new ArrayList<>();
+  volatile AlderyardException failure;
+  private final WorkerPool workers = new WorkerPool("host", 2);
+  private final EventLoops loops = new EventLoops(1);
+  private final PeerLinks links;
+  private final ReplicatedLog log;
+  private final InnerServer server;
+
+  LogHost(HostId host, InetSocketAddress self, List<InetSocketAddress> members, Path folder) {
+    ProtocolOptions protocol =
+        new ProtocolOptions(
+            "c1", host, 1, new ClusterKey(new byte[16]), Duration.ofSeconds(1), 1_000);
+    links = new PeerLinks(loops, protocol);
+    Dispatcher dispatcher = new Dispatcher();
+    log =
+        ReplicatedLog.builder()
+            .clusterId("c1")
+            .host(host, self)
+            .members(members)
+            .dataFolder(folder)
+            .machine(this)
+            .network(links, dispatcher)
+            .callbacks(workers)
+            .random(new SecureRandom())
+            .listener(this)
+            .options(OPTIONS)
+            .start();
+    server = new InnerServer(loops, self, protocol, dispatcher, workers);
+  }
+
+  private static ReplicatedLogOptions options(long snapshotEntries, long keepEntries) {
+    ReplicatedLogOptions preset = ReplicatedLogOptions.defaults();
+    return new ReplicatedLogOptions(
+        preset.raft(),
+        preset.tick(),
+        Duration.ofMillis(50),
+        preset.sendTimeout(),
+        snapshotEntries,
+        keepEntries,
+        preset.maxPending(),
+        1_000);
+  }
+
+  static InetSocketAddress freeAddress() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    } catch (IOException impossible) {
+      throw new AssertionError(impossible);
+    }
+  }
+
+  /** Waits for what must come; the limit is far beyond what it takes. */
+  static void await(String what, BooleanSupplier condition) {
+    long deadlineNanos = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadlineNanos) {
+        throw new AssertionError("did not come: " + what);
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  ReplicatedLog log() {
+    return log;
+  }
+
+  synchronized List<String> commands() {
+    return List.copyOf(applied);
+  }
+
+  @Override
+  public synchronized ByteString apply(long index, ByteString command) {
+    if (command.toStringUtf8().equals("poison")) {
+      throw new IllegalStateException("can't apply");
+    }
+    applied.add(command.toStringUtf8());
+    return ByteString.copyFromUtf8("answer to " + command.toStringUtf8());
+  }
+
+  @Override
+  public synchronized ByteString snapshot() {
+    return ByteString.copyFromUtf8(String.join(",", applied));
+  }
+
+  @Override
+  public synchronized void restore(long index, ByteString snapshot) {
+    applied.clear();
+    applied.addAll(List.of(snapshot.toStringUtf8().split(",")));
+  }
+
+  @Override
+  public synchronized void onLeadership(long term, boolean leading) {
+    leadership.add(term + (leading ? " leads" : " ends"));
+  }
+
+  @Override
+  public void onFailure(AlderyardException cause) {
+    failure = cause;
+  }
+
+  /** Ends this host without a farewell. */
+  void kill() {
+    server.close();
+    links.close();
+    log.stop();
+    free();
+  }
+
+  @Override
+  public void close() {
+    log.close();
+    server.close();
+    links.close();
+    free();
+  }
+
+  private void free() {
+    loops.close();
+    workers.close();
+  }
+}
--- a/alderyard-control/src/test/java/org/alderyard/control/store/ReplicaStoreTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/store/ReplicaStoreTest.java
@@ -261,6 +261,7 @@
       }
       final int filesBefore = folder.files().size();
       store.save(snapshot(40, 2));
+      store.trim(40);
       assertThat(folder.files().size()).isLessThan(filesBefore / 2);
     }
     Recovered recovered = recover();
