Add the load tool and the demonstration

Cause: nobody outside the project could see the promises kept or broken. Change: 'load' lets actions of either user's mix arrive at random times of a fixed rate, whatever the answers do, resends by request id, measures from the arrival, and gives its history to the checker; 'demo' starts five hosts and nine stand-in servers as processes, runs both mixes and kills a primary.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
@@ -6,6 +6,8 @@
 import org.alderyard.cli.command.Command;
 import org.alderyard.cli.command.CommandLineTool;
 import org.alderyard.cli.command.TokenInspectCommand;
+import org.alderyard.cli.demo.DemoCommand;
+import org.alderyard.cli.load.LoadCommand;
 import org.alderyard.cli.operator.DrainCommand;
 import org.alderyard.cli.operator.ShowCommand;
 import org.alderyard.cli.operator.TicketApplyCommand;
@@ -37,6 +39,8 @@
         new ShowCommand("hosts", "list the hosts of the system", List.of(), "/v1/hosts"),
         new DrainCommand(),
         new TokenInspectCommand(),
-        new CheckSettingsCommand());
+        new CheckSettingsCommand(),
+        new LoadCommand(),
+        new DemoCommand());
   }
 }
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/CallerSession.java
@@ -0,0 +1,175 @@
+package org.alderyard.cli.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.http.Json;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.testkit.history.Operation;
+import org.alderyard.testkit.history.Operation.Kind;
+import org.alderyard.testkit.history.Operation.Result;
+
+/** One simulated caller: its token, and one request at a time over all proxies in turn. */
+final class CallerSession {
+  private static final long BROWSE_STALENESS_MILLIS = 5_000;
+  private static final long MIN_RETRY_MILLIS = 20;
+
+  private final String name;
+  private final LoadPlan plan;
+  private final CallerClient client;
+  private final Recorder recorder;
+  private final WorkerPool workers;
+  private final MonotonicClock clock;
+  private final AtomicLong nextProxy;
+  private Optional<String> token = Optional.empty();
+  private int requests;
+
+  CallerSession(
+      String name,
+      LoadPlan plan,
+      CallerClient client,
+      Recorder recorder,
+      WorkerPool workers,
+      MonotonicClock clock,
+      AtomicLong nextProxy) {
+    this.name = name;
+    this.plan = plan;
+    this.client = client;
+    this.recorder = recorder;
+    this.workers = workers;
+    this.clock = clock;
+    this.nextProxy = nextProxy;
+  }
+
+  /** Runs one action; the latency counts from its arrival, also if the request left later. */
+  CompletableFuture<Void> run(Mix.Action action, String key, long arrivalNanos) {
+    return switch (action) {
+      case BROWSE -> read(key, true, arrivalNanos);
+      case SESSION_READ -> read(key, false, arrivalNanos);
+      case CHANGE ->
+          append(key, arrivalNanos).thenCompose(done -> read(key, false, clock.nowNanos()));
+    };
+  }
+
+  private CompletableFuture<Void> read(String key, boolean browse, long arrivalNanos) {
+    ObjectNode statement = statement(key, "read", "get");
+    if (browse) {
+      statement
+          .putObject("freshness")
+          .put("mode", "bounded")
+          .put("maxStalenessMillis", BROWSE_STALENESS_MILLIS);
+    }
+    OptionalLong bound = browse ? OptionalLong.of(BROWSE_STALENESS_MILLIS) : OptionalLong.empty();
+    long startNanos = clock.nowNanos();
+    return attempt(statement, deadlineNanos())
+        .thenAccept(
+            reply -> {
+              long endNanos = clock.nowNanos();
+              recorder.operation(
+                  new Operation(
+                      name,
+                      key,
+                      Kind.READ,
+                      "",
+                      reply.result(),
+                      startNanos,
+                      endNanos,
+                      reply.list(),
+                      bound));
+              if (reply.result() == Result.OK) {
+                recorder.read(browse, reply.fromReplica(), micros(endNanos - arrivalNanos));
+              }
+            });
+  }
+
+  private CompletableFuture<Void> append(String key, long arrivalNanos) {
+    String value = name + "-" + requests++;
+    ObjectNode statement = statement(key, "write", "append");
+    statement.putArray("parameters").add(value);
+    statement.put("requestId", value);
+    long startNanos = clock.nowNanos();
+    return attempt(statement, deadlineNanos())
+        .thenAccept(
+            reply -> {
+              long endNanos = clock.nowNanos();
+              recorder.operation(
+                  new Operation(
+                      name,
+                      key,
+                      Kind.APPEND,
+                      value,
+                      reply.result(),
+                      startNanos,
+                      endNanos,
+                      List.of(),
+                      OptionalLong.empty()));
+              if (reply.result() == Result.OK) {
+                recorder.write(reply.group(), endNanos, micros(endNanos - arrivalNanos));
+              }
+            });
+  }
+
+  private ObjectNode statement(String key, String kind, String text) {
+    return Json.object()
+        .put("key", key)
+        .put("kind", kind)
+        .put("statement", text)
+        .put("deadlineMillis", plan.deadline().toMillis());
+  }
+
+  private long deadlineNanos() {
+    return clock.nowNanos() + plan.deadline().toNanos();
+  }
+
+  /** Sends the same request again, through the next proxy, until it is settled or time is up. */
+  private CompletableFuture<CallerReply> attempt(ObjectNode statement, long deadlineNanos) {
+    return attempt(statement, deadlineNanos, false);
+  }
+
+  private CompletableFuture<CallerReply> attempt(
+      ObjectNode statement, long deadlineNanos, boolean doubtBefore) {
+    int index = (int) (nextProxy.getAndIncrement() % plan.proxies().size());
+    InetSocketAddress proxy = plan.proxies().get(index);
+    return client
+        .send(proxy, name, token, statement)
+        .thenCompose(
+            reply -> {
+              reply.token().ifPresent(next -> token = Optional.of(next));
+              if (reply.result() == Result.OK) {
+                return CompletableFuture.completedFuture(reply);
+              }
+              recorder.error(reply.code());
+              boolean doubt = doubtBefore || reply.result() == Result.UNKNOWN;
+              long pauseMillis = Math.max(MIN_RETRY_MILLIS, reply.retryAfterMillis());
+              boolean timeLeft =
+                  clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(pauseMillis) < deadlineNanos;
+              if (!reply.retryable() || !timeLeft) {
+                return CompletableFuture.completedFuture(doubt ? inDoubt(reply) : reply);
+              }
+              return later(pauseMillis)
+                  .thenCompose(done -> attempt(statement, deadlineNanos, doubt));
+            });
+  }
+
+  /** A refusal of the last attempt says nothing of an earlier attempt that may have run. */
+  private static CallerReply inDoubt(CallerReply last) {
+    return CallerReply.noAnswer(last.code());
+  }
+
+  private CompletableFuture<Void> later(long millis) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    workers.schedule(Duration.ofMillis(millis), () -> done.complete(null));
+    return done;
+  }
+
+  private static long micros(long nanos) {
+    return TimeUnit.NANOSECONDS.toMicros(Math.max(0, nanos));
+  }
+}
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadCommand.java
@@ -0,0 +1,90 @@
+package org.alderyard.cli.load;
+
+import static org.alderyard.cli.command.OptionNames.flag;
+import static org.alderyard.cli.command.OptionNames.valued;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.alderyard.cli.command.Command;
+import org.alderyard.cli.command.CommandSpec;
+import org.alderyard.cli.command.Invocation;
+import org.alderyard.cli.command.OptionNames;
+import org.alderyard.cli.command.UsageException;
+import org.alderyard.common.http.Json;
+import org.alderyard.common.settings.SettingType;
+import org.alderyard.common.settings.SettingTypes;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.daemon.ExitCode;
+import org.apache.commons.cli.Options;
+
+/**
+ * Puts load on a running system and checks what it answered.
+ *
+ * <p>Example: {@code alderyard load --proxies 127.0.0.1:7000,127.0.0.1:7010 --pool orders --mix
+ * le-goff --rate 500 --seconds 10}
+ */
+public final class LoadCommand implements Command {
+  private static final CommandSpec SPEC =
+      new CommandSpec("load", "put load on proxies and check the answers", List.of(), options());
+
+  private static Options options() {
+    return new Options()
+        .addOption(valued("proxies", "IP:PORT,...", "callers' ports of the proxies"))
+        .addOption(valued("pool", "NAME", "pool to address"))
+        .addOption(valued("mix", "MIX", "workload: brazos or le-goff; default brazos"))
+        .addOption(valued("rate", "N", "actions a second, 1 to 100000; default 200"))
+        .addOption(valued("seconds", "N", "how long actions arrive, 1 to 86400; default 10"))
+        .addOption(valued("keys", "N", "number of keys, 1 to 1000000; default 500"))
+        .addOption(valued("seed", "N", "start of all random choices; default 1"))
+        .addOption(valued("deadline-millis", "N", "time limit of a request; default 5000"))
+        .addOption(valued("report", "FILE", "write the report as JSON to this file"))
+        .addOption(flag(OptionNames.JSON, "print the report as JSON"));
+  }
+
+  @Override
+  public CommandSpec spec() {
+    return SPEC;
+  }
+
+  @Override
+  public ExitCode run(Invocation invocation) {
+    LoadPlan plan =
+        new LoadPlan(
+            parse(invocation, "proxies", SettingTypes.list(SettingTypes.address())),
+            invocation.required("pool"),
+            invocation.has("mix")
+                ? parse(invocation, "mix", SettingTypes.word(Mix.class))
+                : Mix.BRAZOS,
+            (int) invocation.number("rate", 200, 1, 100_000),
+            Duration.ofSeconds(invocation.number("seconds", 10, 1, 86_400)),
+            (int) invocation.number("keys", 500, 1, 1_000_000),
+            invocation.number("seed", 1, 0, Long.MAX_VALUE),
+            Duration.ofMillis(invocation.number("deadline-millis", 5_000, 1, 600_000)));
+    LoadReport report = new LoadRun(plan, MonotonicClock.system(), invocation.err()::println).run();
+    invocation.option("report").ifPresent(file -> write(Path.of(file), report));
+    invocation
+        .out()
+        .println(invocation.has(OptionNames.JSON) ? Json.pretty(report.toJson()) : report.toText());
+    return report.clean() ? ExitCode.OK : ExitCode.FAILED;
+  }
+
+  private static <T> T parse(Invocation invocation, String option, SettingType<T> type) {
+    String text = invocation.required(option);
+    return type.parse(text)
+        .orElseThrow(
+            () ->
+                new UsageException(
+                    SPEC, "--" + option + " is '" + text + "'; accepted: " + type.accepted()));
+  }
+
+  private static void write(Path file, LoadReport report) {
+    try {
+      Files.write(file, Json.bytes(report.toJson()));
+    } catch (IOException unwritable) {
+      throw new UsageException(SPEC, "the report '" + file + "' can't be written: " + unwritable);
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadRun.java
@@ -0,0 +1,199 @@
+package org.alderyard.cli.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.http.Json;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.testkit.history.HistoryChecker;
+import org.alderyard.testkit.history.Operation;
+import org.alderyard.testkit.history.Operation.Result;
+import org.alderyard.testkit.history.Violation;
+
+/** Runs a plan: actions arrive at random times of a fixed mean rate, whatever the answers do. */
+public final class LoadRun {
+  private static final int WORKER_THREADS = 4;
+  private static final int MAX_IN_FLIGHT = 20_000;
+  private static final long PROGRESS_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long FINAL_READS_NANOS = TimeUnit.SECONDS.toNanos(30);
+  private static final long FINAL_READ_PAUSE_MILLIS = 100;
+
+  private final LoadPlan plan;
+  private final MonotonicClock clock;
+  private final Consumer<String> progress;
+  private final SplittableRandom random;
+  private final Recorder recorder = new Recorder();
+  private final CallerClient client;
+  private final AtomicLong nextProxy = new AtomicLong();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final Deque<CallerSession> idle = new ArrayDeque<>();
+  private final Set<String> usedKeys = ConcurrentHashMap.newKeySet();
+  private int sessions;
+
+  /** Prepares a run; {@code progress} gets a line now and then. */
+  public LoadRun(LoadPlan plan, MonotonicClock clock, Consumer<String> progress) {
+    this.plan = plan;
+    this.clock = clock;
+    this.progress = progress;
+    random = new SplittableRandom(plan.seed());
+    client = new CallerClient(plan.pool(), plan.deadline());
+  }
+
+  /** Runs the plan and checks what it saw. */
+  public LoadReport run() {
+    long startNanos = clock.nowNanos();
+    try (WorkerPool workers = new WorkerPool("load", WORKER_THREADS)) {
+      arrivals(workers, startNanos);
+      awaitEnd(startNanos);
+    }
+    double seconds = (clock.nowNanos() - startNanos) / 1e9;
+    Map<String, List<String>> finalLists = new HashMap<>();
+    int unread = readFinalLists(finalLists);
+    List<Operation> checked =
+        recorder.operations().stream().filter(o -> finalLists.containsKey(o.key())).toList();
+    return report(seconds, HistoryChecker.check(checked, finalLists), unread);
+  }
+
+  private void arrivals(WorkerPool workers, long startNanos) {
+    long endNanos = startNanos + plan.duration().toNanos();
+    double meanNanos = 1e9 / plan.ratePerSecond();
+    double arrival = startNanos;
+    long nextProgress = startNanos + PROGRESS_NANOS;
+    while (arrival < endNanos) {
+      arrival += -meanNanos * Math.log(1 - random.nextDouble());
+      waitUntil((long) arrival);
+      if (inFlight.get() < MAX_IN_FLIGHT) {
+        start(workers, (long) arrival);
+      } else {
+        recorder.error("LOAD_TOOL_FULL");
+      }
+      if (clock.nowNanos() > nextProgress) {
+        progress.accept(progressLine(startNanos));
+        nextProgress += PROGRESS_NANOS;
+      }
+    }
+  }
+
+  private void waitUntil(long nanos) {
+    long left = nanos - clock.nowNanos();
+    while (left > 0) {
+      LockSupport.parkNanos(left);
+      left = nanos - clock.nowNanos();
+    }
+  }
+
+  private void start(WorkerPool workers, long arrivalNanos) {
+    CallerSession session = takeSession(workers);
+    Mix.Action action = plan.mix().next(random);
+    String key = "key-" + plan.seed() + "-" + random.nextInt(plan.keys());
+    usedKeys.add(key);
+    inFlight.incrementAndGet();
+    session
+        .run(action, key, arrivalNanos)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                recorder.error("LOAD_TOOL_FAILED");
+              }
+              synchronized (idle) {
+                idle.addLast(session);
+              }
+              inFlight.decrementAndGet();
+            });
+  }
+
+  private CallerSession takeSession(WorkerPool workers) {
+    synchronized (idle) {
+      if (!idle.isEmpty()) {
+        return idle.removeFirst();
+      }
+    }
+    String name = "caller-" + plan.seed() + "-" + sessions++;
+    return new CallerSession(name, plan, client, recorder, workers, clock, nextProxy);
+  }
+
+  private void awaitEnd(long startNanos) {
+    long giveUpNanos = clock.nowNanos() + plan.deadline().multipliedBy(4).toNanos();
+    while (inFlight.get() > 0 && clock.nowNanos() < giveUpNanos) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+    }
+    progress.accept(progressLine(startNanos));
+  }
+
+  private String progressLine(long startNanos) {
+    return String.format(
+        "%5.1f s  %d statements, %d in flight, %d sessions, replica reads %.1f %%",
+        (clock.nowNanos() - startNanos) / 1e9,
+        recorder.statements(),
+        inFlight.get(),
+        sessions,
+        100 * recorder.replicaShare());
+  }
+
+  private int readFinalLists(Map<String, List<String>> finalLists) {
+    int unread = 0;
+    long giveUpNanos = clock.nowNanos() + FINAL_READS_NANOS;
+    for (String key : new java.util.TreeSet<>(usedKeys)) {
+      Optional<List<String>> list = readFinal(key, giveUpNanos);
+      list.ifPresent(values -> finalLists.put(key, values));
+      if (list.isEmpty()) {
+        unread++;
+      }
+    }
+    return unread;
+  }
+
+  private Optional<List<String>> readFinal(String key, long giveUpNanos) {
+    ObjectNode statement =
+        Json.object()
+            .put("key", key)
+            .put("kind", "read")
+            .put("statement", "get")
+            .put("deadlineMillis", plan.deadline().toMillis());
+    statement.putObject("freshness").put("mode", "primary");
+    do {
+      int index = (int) (nextProxy.getAndIncrement() % plan.proxies().size());
+      CompletableFuture<CallerReply> sent =
+          client.send(plan.proxies().get(index), "load-check", Optional.empty(), statement);
+      CallerReply reply = sent.join();
+      if (reply.result() == Result.OK) {
+        return Optional.of(reply.list());
+      }
+      LockSupport.parkNanos(Duration.ofMillis(FINAL_READ_PAUSE_MILLIS).toNanos());
+    } while (clock.nowNanos() < giveUpNanos);
+    return Optional.empty();
+  }
+
+  private LoadReport report(double seconds, List<Violation> violations, int unread) {
+    Map<String, Long> errors = new TreeMap<>();
+    recorder.errors().forEach((code, count) -> errors.put(code, count.sum()));
+    return new LoadReport(
+        seconds,
+        recorder.operations(),
+        recorder.replicaShare(),
+        recorder.browseReplicaShare(),
+        recorder.sessionReplicaShare(),
+        recorder.readMicros(),
+        recorder.writeMicros(),
+        recorder.longestWriteGapMillis(),
+        errors,
+        violations,
+        unread);
+  }
+}
