Grant connections as leases that never exceed a server's budget

Cause: up to 12 proxies share the 35 to 40 connections of a server, and opened as many as they liked; past its limit a server refuses or breaks. Change: the leading control host grants them (floor 2, rest by demand, a tenth kept for the moment a replica becomes primary); a grant counts until its proxy holds less or its lease is over; a new leader only confirms what is held until old leases have ended; only the latest request's reply counts. ServerPools keeps to the lease, waits, and closes what a lease no longer covers.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -21,6 +21,8 @@
 import org.alderyard.control.failover.FailoverObserver;
 import org.alderyard.control.failover.FailoverService;
 import org.alderyard.control.failover.FailoverTable;
+import org.alderyard.control.grant.GrantOptions;
+import org.alderyard.control.grant.GrantService;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.control.log.LocalLog;
 import org.alderyard.control.operator.OperatorApi;
@@ -36,6 +38,8 @@
 import org.alderyard.protocol.wire.ProtocolOptions;
 import org.alderyard.proxy.api.AnnouncementHandler;
 import org.alderyard.proxy.api.CallerApi;
+import org.alderyard.proxy.lease.LeaseClient;
+import org.alderyard.proxy.lease.LeaseTable;
 import org.alderyard.proxy.ledger.LedgerSupport;
 import org.alderyard.proxy.limit.PoolLimits;
 import org.alderyard.proxy.limit.RetryBudget;
@@ -156,6 +160,7 @@
     ControlService service = new ControlService(controlLog, state, feed, clock, wallClock);
     service.serve(dispatcher);
     service.start(workers);
+    new GrantService(controlLog, state::view, GrantOptions.DEFAULT, clock).serve(dispatcher);
     startFailover(dispatcher, controlLog, state, failovers);
   }
 
@@ -185,7 +190,9 @@
     part(new WatcherService(
             settings.host(), views, admin, control, workers, clock, WatchOptions.DEFAULT))
         .start();
-    ServerPools pools = part(new ServerPools(connector));
+    LeaseTable leases = new LeaseTable(clock);
+    ServerPools pools = part(new ServerPools(connector, leases));
+    new LeaseClient(control, self, views, leases, pools).start(workers);
     WritePath writes =
         new WritePath(
             views,
