Run a resent write at most once, through any proxy, with two ledgers

Cause: an order that is sent again after a lost answer ran again. Without a server ledger a request names its time (requestedAtMillis, or a version 7 UUID): past the retention of 10 min it is refused, never re-run. A write without token keys in force is refused before it is sent; it was told NOT_RUN after it ran.

--- a/alderyard-backend/src/main/java/org/alderyard/backend/BackendException.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/BackendException.java
@@ -32,6 +32,8 @@
     BUSY(ErrorCode.OVERLOADED, Outcome.NOT_RUN),
     /** The statement is wrong or broke a rule of the data. */
     STATEMENT_FAILED(ErrorCode.STATEMENT_FAILED, Outcome.FAILED),
+    /** Another statement was run under the same ledger key. */
+    REQUEST_ID_REUSED(ErrorCode.REQUEST_ID_REUSED, Outcome.NOT_RUN),
     /** No transaction is open on this connection. */
     NO_TRANSACTION(ErrorCode.TRANSACTION_LOST, Outcome.NOT_RUN),
     /** The request can't be read. */
--- a/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
@@ -18,6 +18,8 @@
   STATEMENT_FAILED(422, false),
   REQUEST_ID_REUSED(409, false),
   REQUEST_IN_PROGRESS(409, true),
+  REQUEST_TOO_OLD(410, false),
+  NOT_OWNER(503, true),
   TICKET_CONFLICT(409, false),
   TICKET_INVALID(422, false),
   TICKET_FORGOTTEN(410, false),
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -2,20 +2,17 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
 import org.alderyard.common.concurrent.WorkerPool;
-import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.http.HttpPort;
 import org.alderyard.common.http.MetricsHandler;
 import org.alderyard.common.time.MonotonicClock;
@@ -24,18 +21,15 @@
 import org.alderyard.control.failover.FailoverObserver;
 import org.alderyard.control.failover.FailoverService;
 import org.alderyard.control.failover.FailoverTable;
-import org.alderyard.control.grant.GrantOptions;
-import org.alderyard.control.grant.GrantService;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.control.log.LocalLog;
-import org.alderyard.control.log.LogListener;
-import org.alderyard.control.log.ReplicatedLog;
 import org.alderyard.control.operator.OperatorApi;
 import org.alderyard.control.operator.RemoteControlGateway;
 import org.alderyard.control.service.ControlService;
 import org.alderyard.control.service.ViewFeed;
 import org.alderyard.control.state.ControlState;
 import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.protocol.data.DataMethods;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.EventLoops;
 import org.alderyard.protocol.wire.InnerServer;
@@ -43,9 +37,10 @@
 import org.alderyard.protocol.wire.ProtocolOptions;
 import org.alderyard.proxy.api.AnnouncementHandler;
 import org.alderyard.proxy.api.CallerApi;
-import org.alderyard.proxy.lease.LeaseClient;
-import org.alderyard.proxy.lease.LeaseTable;
+import org.alderyard.proxy.ledger.LedgerLimits;
 import org.alderyard.proxy.ledger.LedgerSupport;
+import org.alderyard.proxy.ledger.LedgeredWrites;
+import org.alderyard.proxy.ledger.OwnerLedger;
 import org.alderyard.proxy.limit.PoolLimits;
 import org.alderyard.proxy.limit.RetryBudget;
 import org.alderyard.proxy.monitor.GroupMonitor;
@@ -79,7 +74,6 @@
   private final Deque<AutoCloseable> parts = new ArrayDeque<>();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicBoolean draining = new AtomicBoolean();
-  private final CompletableFuture<AlderyardException> failure = new CompletableFuture<>();
   private final WorkerPool workers;
   private final XnioWorker ioWorker;
   private final PeerLinks links;
@@ -107,18 +101,16 @@
       Dispatcher dispatcher = new Dispatcher();
       self = self(incarnation);
       ViewHolder views = new ViewHolder();
-      Optional<ControlLog> controlLog =
-          settings.roles().contains(Role.CONTROL)
-              ? Optional.of(startControl(dispatcher))
-              : Optional.empty();
+      if (settings.roles().contains(Role.CONTROL)) {
+        startControl(dispatcher);
+      }
       part(new InnerServer(loops, settings.innerAddress(), protocol, dispatcher, workers));
-      // Closed before the port: a leader hands over while the others still reach it.
-      controlLog.ifPresent(this::part);
       ViewClient viewClient = part(new ViewClient(control, self, views, workers, clock));
-      viewClient.start();
       if (settings.roles().contains(Role.PROXY)) {
-        startProxy(views, viewClient);
+        startProxy(views, viewClient, dispatcher);
       }
+      // After the parts that listen to views: they must see the first one.
+      viewClient.start();
       startOperators(views);
       log.info("event=started host={} roles={}", settings.host(), settings.roles());
     } catch (RuntimeException failure) {
@@ -161,48 +153,15 @@
         false);
   }
 
-  private ControlLog startControl(Dispatcher dispatcher) {
+  private void startControl(Dispatcher dispatcher) {
     ViewFeed feed = new ViewFeed(workers);
     FailoverTable failovers = new FailoverTable();
     ControlState state = new ControlState(feed::publish, failovers);
-    ControlLog controlLog = part(controlLog(dispatcher, state));
+    ControlLog controlLog = part(new LocalLog(settings.host(), state));
     ControlService service = new ControlService(controlLog, state, feed, clock, wallClock);
     service.serve(dispatcher);
     service.start(workers);
-    new GrantService(controlLog, state::view, GrantOptions.DEFAULT, clock).serve(dispatcher);
     startFailover(dispatcher, controlLog, state, failovers);
-    return controlLog;
-  }
-
-  /** Without a data folder the state of a single control host lasts as long as its process. */
-  private ControlLog controlLog(Dispatcher dispatcher, ControlState state) {
-    if (settings.dataFolder().isEmpty()) {
-      log.warn("event=log-volatile reason=no-data-folder");
-      return new LocalLog(settings.host(), state);
-    }
-    return ReplicatedLog.builder()
-        .clusterId(settings.clusterId())
-        .host(settings.host(), settings.innerAddress())
-        .members(settings.controlHosts())
-        .dataFolder(settings.dataFolder().get())
-        .machine(state)
-        .network(links, dispatcher)
-        .callbacks(workers)
-        .clock(clock)
-        .random(new SecureRandom())
-        .listener(
-            new LogListener() {
-              @Override
-              public void onFailure(AlderyardException cause) {
-                workers.execute(() -> failure.complete(cause));
-              }
-            })
-        .start();
-  }
-
-  /** Returns a future that is completed when a part failed so that the process must end. */
-  public CompletableFuture<AlderyardException> failure() {
-    return failure;
   }
 
   private void startFailover(
@@ -223,7 +182,7 @@
     service.start();
   }
 
-  private void startProxy(ViewHolder views, ViewClient viewClient) {
+  private void startProxy(ViewHolder views, ViewClient viewClient, Dispatcher dispatcher) {
     HttpConnector connector = new HttpConnector(ioWorker, workers);
     HttpServerAdmin admin = new HttpServerAdmin(connector);
     GroupMonitor monitor = new GroupMonitor(views, admin, clock, settings.monitorInterval());
@@ -231,19 +190,32 @@
     part(new WatcherService(
             settings.host(), views, admin, control, workers, clock, WatchOptions.DEFAULT))
         .start();
-    LeaseTable leases = new LeaseTable(clock);
-    ServerPools pools = part(new ServerPools(connector, leases));
-    new LeaseClient(control, self, views, leases, pools).start(workers);
+    ServerPools pools = part(new ServerPools(connector));
+    LedgerSupport ledgerOnServers = new LedgerSupport(views, monitor);
     WritePath writes =
         new WritePath(
             views,
             pools,
             admin,
             new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED),
-            new LedgerSupport(views, monitor),
+            ledgerOnServers,
             viewClient::leaseValid,
             workers,
             clock);
+    OwnerLedger owner =
+        new OwnerLedger(
+            settings.host(),
+            views,
+            viewClient::leaseValid,
+            writes::run,
+            (host, request, timeout) ->
+                links.to(host.innerAddress()).call(DataMethods.RUN_OWNED_WRITE, request, timeout),
+            LedgerLimits.DEFAULT,
+            workers,
+            clock,
+            wallClock);
+    viewClient.onLeaseLapsed(owner::viewLeaseLapsed);
+    dispatcher.serve(DataMethods.RUN_OWNED_WRITE, (peer, request) -> owner.serve(request));
     ReadStack reads =
         new ReadStack(
             settings.readOptions(),
@@ -261,7 +233,7 @@
             new SessionTokens(wallClock, settings.maxTokenAge()),
             new PoolLimits(),
             reads.path(),
-            writes);
+            new LedgeredWrites(writes, ledgerOnServers, owner));
     CallerApi api =
         new CallerApi(
             settings.host(),
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -2,9 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import org.alderyard.common.concurrent.Futures;
+import java.util.concurrent.CountDownLatch;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.apache.commons.cli.CommandLine;
@@ -55,24 +53,18 @@
     }
   }
 
-  /** Ends when the process is asked to, or throws what made the daemon give up. */
   private static void runUntilAsked(DaemonSettings settings) throws InterruptedException {
     Daemon daemon = new Daemon(settings);
-    CompletableFuture<Void> ended = new CompletableFuture<>();
-    daemon.failure().thenAccept(ended::completeExceptionally);
+    CountDownLatch asked = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
                 () -> {
                   daemon.close();
-                  ended.complete(null);
+                  asked.countDown();
                 },
                 "shutdown"));
-    try {
-      ended.get();
-    } catch (ExecutionException failed) {
-      throw Futures.typed(failed);
-    }
+    asked.await();
   }
 
   private static ExitCode exitCode(ErrorCode code) {
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -92,6 +92,11 @@
 
   /** Starts a group of a primary and two replicas that announce themselves to the last host. */
   void startGroup(String group) throws IOException {
+    startGroup(group, false);
+  }
+
+  /** Starts such a group, whose servers keep a request ledger or don't. */
+  void startGroup(String group, boolean ledger) throws IOException {
     List<InetSocketAddress> addresses = new ArrayList<>();
     for (int number = 1; number <= 3; number++) {
       InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
@@ -108,7 +113,7 @@
                   64,
                   number == 1,
                   number == 1 ? Optional.empty() : Optional.of(addresses.get(0)),
-                  false,
+                  ledger,
                   Optional.empty(),
                   List.of(hosts.get(hosts.size() - 1).callerAddress()),
                   1_500));
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
@@ -42,6 +42,9 @@
         body.hasNonNull("requestId")
             ? Optional.of(new RequestId(text(body, "requestId")))
             : Optional.empty(),
+        body.hasNonNull("requestedAtMillis")
+            ? OptionalLong.of(number(body, "requestedAtMillis", 0, 0, Long.MAX_VALUE))
+            : OptionalLong.empty(),
         token,
         Duration.ofMillis(
             number(body, "deadlineMillis", DEFAULT_DEADLINE_MILLIS, 1, MAX_DEADLINE_MILLIS)));
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementRequest.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.common.id.CallerId;
 import org.alderyard.common.id.PoolName;
@@ -22,6 +23,7 @@
  * @param freshness what a read asks of its data
  * @param caller who asks, the scope of request ids
  * @param requestId the name of the request, so that a resend runs at most once
+ * @param requestedAtMillis when the caller first sent it, in milliseconds since 1970, if it says so
  * @param sessionToken the token that the caller got last
  * @param timeout how long the caller waits
  */
@@ -34,6 +36,7 @@
     Freshness freshness,
     CallerId caller,
     Optional<RequestId> requestId,
+    OptionalLong requestedAtMillis,
     Optional<String> sessionToken,
     Duration timeout) {
 
@@ -46,6 +49,7 @@
     Objects.requireNonNull(freshness);
     Objects.requireNonNull(caller);
     Objects.requireNonNull(requestId);
+    Objects.requireNonNull(requestedAtMillis);
     Objects.requireNonNull(sessionToken);
     Objects.requireNonNull(timeout);
     parameters = List.copyOf(parameters);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
@@ -15,6 +15,7 @@
 import org.alderyard.common.view.View;
 import org.alderyard.proxy.freshness.FreshnessMode;
 import org.alderyard.proxy.freshness.ReadDemand;
+import org.alderyard.proxy.ledger.LedgeredWrites;
 import org.alderyard.proxy.limit.Flow;
 import org.alderyard.proxy.limit.PoolLimits;
 import org.alderyard.proxy.read.ReadAnswer;
@@ -23,7 +24,6 @@
 import org.alderyard.proxy.session.SessionState;
 import org.alderyard.proxy.session.SessionTokens;
 import org.alderyard.proxy.view.ViewHolder;
-import org.alderyard.proxy.write.WritePath;
 import org.alderyard.proxy.write.WriteRequest;
 
 /** Runs a caller's single statement. */
@@ -34,7 +34,7 @@
   private final SessionTokens tokens;
   private final PoolLimits poolLimits;
   private final ReadPath reads;
-  private final WritePath writes;
+  private final LedgeredWrites writes;
 
   /** Creates the service. */
   public StatementService(
@@ -42,7 +42,7 @@
       SessionTokens tokens,
       PoolLimits poolLimits,
       ReadPath reads,
-      WritePath writes) {
+      LedgeredWrites writes) {
     this.views = views;
     this.tokens = tokens;
     this.poolLimits = poolLimits;
@@ -121,6 +121,12 @@
 
   private CompletableFuture<StatementAnswer> write(
       StatementRequest request, View view, PoolState pool, GroupState group, SessionState session) {
+    if (view.keys().isEmpty()) {
+      // NOT_RUN holds: refused before the write is sent. Found out after it, the write would have
+      // run, and the lack of a token would be told as a refusal.
+      throw AlderyardException.notRun(
+          ErrorCode.NO_ELIGIBLE_SERVER, "no ticket with token keys is in force yet");
+    }
     WriteRequest write =
         new WriteRequest(
             pool,
@@ -129,6 +135,7 @@
             request.text(),
             request.parameters(),
             request.requestId().map(id -> new LedgerKey(request.caller(), id)),
+            request.requestedAtMillis(),
             request.timeout());
     return writes
         .run(write)
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -1,7 +1,9 @@
 package org.alderyard.proxy.view;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.alderyard.common.concurrent.Futures;
@@ -46,6 +48,7 @@
   private final Object lock = new Object();
   // Guarded by lock.
   private ViewFollower follower = ViewFollower.EMPTY;
+  private final List<Runnable> lapseListeners = new CopyOnWriteArrayList<>();
   private volatile boolean closed;
 
   /** Creates a client that does nothing until {@link #start()}. */
@@ -82,6 +85,17 @@
     }
   }
 
+  /** Adds a listener that is told, before the lease holds again, that it had run out. */
+  public void onLeaseLapsed(Runnable listener) {
+    lapseListeners.add(listener);
+  }
+
+  private void tellOfLapse() {
+    if (!leaseValid()) {
+      lapseListeners.forEach(Runnable::run);
+    }
+  }
+
   private void fetch() {
     if (closed) {
       return;
@@ -124,6 +138,7 @@
       follower = result.follower();
     }
     if (holder.offer(result.follower().view())) {
+      tellOfLapse();
       lease.runs(holder.current().version());
       log.info("event=view-changed version={}", holder.current().version());
       workers.execute(this::heartbeat);
@@ -164,6 +179,7 @@
         .whenComplete(
             (reply, failure) -> {
               if (failure == null) {
+                tellOfLapse();
                 lease.confirmed(
                     StateCodec.version(reply.getCurrent()),
                     sentMillis,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRequest.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.alderyard.backend.LedgerKey;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.view.PoolState;
@@ -18,6 +19,7 @@
  * @param text the statement
  * @param parameters its parameters, JSON values
  * @param ledgerKey the name of the request, if the caller gave one
+ * @param requestedAtMillis when the caller first sent it, in milliseconds since 1970, if known
  * @param timeout how long the caller waits
  */
 public record WriteRequest(
@@ -27,6 +29,7 @@
     String text,
     List<JsonNode> parameters,
     Optional<LedgerKey> ledgerKey,
+    OptionalLong requestedAtMillis,
     Duration timeout) {
 
   /** Checks and copies. */
@@ -36,6 +39,7 @@
     Objects.requireNonNull(key);
     Objects.requireNonNull(text);
     Objects.requireNonNull(ledgerKey);
+    Objects.requireNonNull(requestedAtMillis);
     Objects.requireNonNull(timeout);
     parameters = List.copyOf(parameters);
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.alderyard.backend.BackendException;
@@ -188,6 +189,7 @@
         "put",
         List.of(),
         Optional.of(new LedgerKey(new CallerId("shop"), new RequestId("r1"))),
+        OptionalLong.empty(),
         timeout);
   }
 
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/LogEntry.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/LogEntry.java
@@ -35,4 +35,16 @@
   Optional<org.alderyard.backend.LedgerKey> ledgerKey() {
     return writes.isEmpty() ? Optional.empty() : writes.get(0).ledgerKey();
   }
+
+  /** Returns whether these are the same statements; a resend may carry a later term. */
+  boolean hasContentOf(List<BackendStatement> others) {
+    return writes.stream()
+        .map(LogEntry::content)
+        .toList()
+        .equals(others.stream().map(LogEntry::content).toList());
+  }
+
+  private static List<Object> content(BackendStatement write) {
+    return List.of(write.key(), write.text(), write.parameters());
+  }
 }
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInState.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInState.java
@@ -75,6 +75,11 @@
         options.ledger() && !writes.isEmpty() ? writes.get(0).ledgerKey() : Optional.empty();
     if (key.isPresent() && ledger.containsKey(key.get())) {
       LogEntry earlier = ledger.get(key.get());
+      if (!earlier.hasContentOf(writes)) {
+        throw new BackendException(
+            Refusal.REQUEST_ID_REUSED,
+            "request id " + key.get().request() + " names another write");
+      }
       return new BackendAnswer(earlier.result(), earlier.position());
     }
     KeyValues after = writes.size() > 1 ? data.copy() : data;
