--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -2,17 +2,20 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
 import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.http.HttpPort;
 import org.alderyard.common.http.MetricsHandler;
 import org.alderyard.common.time.MonotonicClock;
@@ -21,8 +24,12 @@
 import org.alderyard.control.failover.FailoverObserver;
 import org.alderyard.control.failover.FailoverService;
 import org.alderyard.control.failover.FailoverTable;
+import org.alderyard.control.grant.GrantOptions;
+import org.alderyard.control.grant.GrantService;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.control.log.LocalLog;
+import org.alderyard.control.log.LogListener;
+import org.alderyard.control.log.ReplicatedLog;
 import org.alderyard.control.operator.OperatorApi;
 import org.alderyard.control.operator.RemoteControlGateway;
 import org.alderyard.control.service.ControlService;
@@ -37,6 +44,8 @@
 import org.alderyard.protocol.wire.ProtocolOptions;
 import org.alderyard.proxy.api.AnnouncementHandler;
 import org.alderyard.proxy.api.CallerApi;
+import org.alderyard.proxy.lease.LeaseClient;
+import org.alderyard.proxy.lease.LeaseTable;
 import org.alderyard.proxy.ledger.LedgerLimits;
 import org.alderyard.proxy.ledger.LedgerSupport;
 import org.alderyard.proxy.ledger.LedgeredWrites;
@@ -74,6 +83,7 @@
   private final Deque<AutoCloseable> parts = new ArrayDeque<>();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AtomicBoolean draining = new AtomicBoolean();
+  private final CompletableFuture<AlderyardException> failure = new CompletableFuture<>();
   private final WorkerPool workers;
   private final XnioWorker ioWorker;
   private final PeerLinks links;
@@ -101,10 +111,13 @@
       Dispatcher dispatcher = new Dispatcher();
       self = self(incarnation);
       ViewHolder views = new ViewHolder();
-      if (settings.roles().contains(Role.CONTROL)) {
-        startControl(dispatcher);
-      }
+      Optional<ControlLog> controlLog =
+          settings.roles().contains(Role.CONTROL)
+              ? Optional.of(startControl(dispatcher))
+              : Optional.empty();
       part(new InnerServer(loops, settings.innerAddress(), protocol, dispatcher, workers));
+      // Closed before the port: a leader hands over while the others still reach it.
+      controlLog.ifPresent(this::part);
       ViewClient viewClient = part(new ViewClient(control, self, views, workers, clock));
       if (settings.roles().contains(Role.PROXY)) {
         startProxy(views, viewClient, dispatcher);
@@ -153,15 +166,48 @@
         false);
   }
 
-  private void startControl(Dispatcher dispatcher) {
+  private ControlLog startControl(Dispatcher dispatcher) {
     ViewFeed feed = new ViewFeed(workers);
     FailoverTable failovers = new FailoverTable();
     ControlState state = new ControlState(feed::publish, failovers);
-    ControlLog controlLog = part(new LocalLog(settings.host(), state));
+    ControlLog controlLog = part(controlLog(dispatcher, state));
     ControlService service = new ControlService(controlLog, state, feed, clock, wallClock);
     service.serve(dispatcher);
     service.start(workers);
+    new GrantService(controlLog, state::view, GrantOptions.DEFAULT, clock).serve(dispatcher);
     startFailover(dispatcher, controlLog, state, failovers);
+    return controlLog;
+  }
+
+  /** Without a data folder the state of a single control host lasts as long as its process. */
+  private ControlLog controlLog(Dispatcher dispatcher, ControlState state) {
+    if (settings.dataFolder().isEmpty()) {
+      log.warn("event=log-volatile reason=no-data-folder");
+      return new LocalLog(settings.host(), state);
+    }
+    return ReplicatedLog.builder()
+        .clusterId(settings.clusterId())
+        .host(settings.host(), settings.innerAddress())
+        .members(settings.controlHosts())
+        .dataFolder(settings.dataFolder().get())
+        .machine(state)
+        .network(links, dispatcher)
+        .callbacks(workers)
+        .clock(clock)
+        .random(new SecureRandom())
+        .listener(
+            new LogListener() {
+              @Override
+              public void onFailure(AlderyardException cause) {
+                workers.execute(() -> failure.complete(cause));
+              }
+            })
+        .start();
+  }
+
+  /** Returns a future that is completed when a part failed so that the process must end. */
+  public CompletableFuture<AlderyardException> failure() {
+    return failure;
   }
 
   private void startFailover(
@@ -190,7 +236,9 @@
     part(new WatcherService(
             settings.host(), views, admin, control, workers, clock, WatchOptions.DEFAULT))
         .start();
-    ServerPools pools = part(new ServerPools(connector));
+    LeaseTable leases = new LeaseTable(clock);
+    ServerPools pools = part(new ServerPools(connector, leases));
+    new LeaseClient(control, self, views, leases, pools).start(workers);
     LedgerSupport ledgerOnServers = new LedgerSupport(views, monitor);
     WritePath writes =
         new WritePath(
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -2,7 +2,9 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.apache.commons.cli.CommandLine;
@@ -53,18 +55,24 @@
     }
   }
 
+  /** Ends when the process is asked to, or throws what made the daemon give up. */
   private static void runUntilAsked(DaemonSettings settings) throws InterruptedException {
     Daemon daemon = new Daemon(settings);
-    CountDownLatch asked = new CountDownLatch(1);
+    CompletableFuture<Void> ended = new CompletableFuture<>();
+    daemon.failure().thenAccept(ended::completeExceptionally);
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
                 () -> {
                   daemon.close();
-                  asked.countDown();
+                  ended.complete(null);
                 },
                 "shutdown"));
-    asked.await();
+    try {
+      ended.get();
+    } catch (ExecutionException failed) {
+      throw Futures.typed(failed);
+    }
   }
 
   private static ExitCode exitCode(ErrorCode code) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -112,6 +112,12 @@
           DaemonSpec.CONTROL_HOSTS,
           "[network] inner-address " + innerAddress + " of this control host is not in the list");
     }
+    if (roles.contains(Role.CONTROL) && dataFolder.isEmpty() && controlHosts.size() > 1) {
+      throw wrong(
+          settings,
+          DaemonSpec.DATA_FOLDER,
+          "it is missing; each of several control hosts needs one for its copy of the log");
+    }
     if (roles.contains(Role.CONTROL) && dataFolder.isPresent()) {
       checkFolder(settings, dataFolder.get());
     }
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
@@ -0,0 +1,110 @@
+package org.alderyard.proxy.lease;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.View;
+import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.protocol.generated.grant.ConnectionDemand;
+import org.alderyard.protocol.generated.grant.ConnectionGrant;
+import org.alderyard.protocol.generated.grant.RenewGrantsReply;
+import org.alderyard.protocol.generated.grant.RenewGrantsRequest;
+import org.alderyard.protocol.grant.GrantMethods;
+import org.alderyard.proxy.pool.PoolUse;
+import org.alderyard.proxy.pool.ServerPools;
+import org.alderyard.proxy.view.ViewHolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Renews the leases of connections, and keeps the pools to them. */
+public final class LeaseClient {
+  private static final Logger log = LoggerFactory.getLogger(LeaseClient.class);
+  private static final Duration INTERVAL = Duration.ofMillis(500);
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+  /** What a proxy asks for beyond its use of late, so that a rise finds a connection. */
+  private static final int HEADROOM = 2;
+
+  private final ControlClient control;
+  private final HostState self;
+  private final ViewHolder views;
+  private final LeaseTable leases;
+  private final ServerPools pools;
+  private final AtomicLong sequence = new AtomicLong();
+  private final AtomicBoolean underWay = new AtomicBoolean();
+
+  /** Creates a client that does nothing until {@link #start(WorkerPool)}. */
+  public LeaseClient(
+      ControlClient control,
+      HostState self,
+      ViewHolder views,
+      LeaseTable leases,
+      ServerPools pools) {
+    this.control = Objects.requireNonNull(control);
+    this.self = Objects.requireNonNull(self);
+    this.views = Objects.requireNonNull(views);
+    this.leases = Objects.requireNonNull(leases);
+    this.pools = Objects.requireNonNull(pools);
+  }
+
+  /** Starts to renew. */
+  public void start(WorkerPool workers) {
+    workers.scheduleRepeatedly(INTERVAL, this::renew);
+  }
+
+  private void renew() {
+    View view = views.current();
+    leases.retain(view.servers().keySet());
+    pools.keepToAllowances(view.servers().values());
+    // A second request would make the reply to the first one void.
+    if (view.servers().isEmpty() || !underWay.compareAndSet(false, true)) {
+      return;
+    }
+    long number = sequence.incrementAndGet();
+    RenewGrantsRequest.Builder request =
+        RenewGrantsRequest.newBuilder()
+            .setHost(self.id().value())
+            .setIncarnation(self.incarnation())
+            .setSequence(number);
+    for (ServerState server : view.servers().values()) {
+      request.addDemands(demand(server, number));
+    }
+    control
+        .callIdempotent(GrantMethods.RENEW_GRANTS, request.build(), CALL_TIMEOUT)
+        .whenComplete(
+            (reply, failure) -> {
+              underWay.set(false);
+              if (failure == null) {
+                accept(reply);
+              } else {
+                log.warn("event=lease-renewal-failed reason={}", Futures.typed(failure).code());
+              }
+            });
+  }
+
+  private ConnectionDemand demand(ServerState server, long number) {
+    PoolUse use = pools.readUse(server.id());
+    int held = leases.request(server.id(), number, use.open());
+    return ConnectionDemand.newBuilder()
+        .setServer(server.id().value())
+        .setHeld(held)
+        .setWanted(use.peakInUse() + use.waiting() + HEADROOM)
+        .build();
+  }
+
+  private void accept(RenewGrantsReply reply) {
+    long leaseNanos = TimeUnit.MILLISECONDS.toNanos(reply.getLeaseMillis());
+    for (ConnectionGrant grant : reply.getGrantsList()) {
+      ServerId server = new ServerId(grant.getServer());
+      leases.reply(server, reply.getSequence(), grant.getConnections(), leaseNanos);
+    }
+    pools.keepToAllowances(views.current().servers().values());
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadPath.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadPath.java
@@ -249,6 +249,7 @@
   private static boolean anotherServerMayDo(ErrorCode code) {
     return code == ErrorCode.CONNECTION_LOST
         || code == ErrorCode.BACKEND_PROTOCOL
+        || code == ErrorCode.NO_ELIGIBLE_SERVER
         || code == ErrorCode.OVERLOADED;
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ServerRunner.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ServerRunner.java
@@ -105,6 +105,11 @@
     boolean refusedByServer =
         failure != null && Futures.unwrap(failure) instanceof BackendException;
     boolean busy = failure != null && Futures.typed(failure).code() == ErrorCode.OVERLOADED;
+    if (failure != null && !refusedByServer && withoutConnection(failure)) {
+      permit.notSent();
+      loads.abandon(server);
+      return;
+    }
     permit.end(failure == null || refusedByServer && !busy);
     if (failure == null || refusedByServer) {
       loads.succeed(server, Math.max(1, latencyNanos));
@@ -115,4 +120,10 @@
       log.warn("event=eject server={} reason={}", server.id(), Futures.typed(failure).code());
     }
   }
+
+  /** This proxy had no connection to spare, which says nothing of the server. */
+  private static boolean withoutConnection(Throwable failure) {
+    ErrorCode code = Futures.typed(failure).code();
+    return code == ErrorCode.OVERLOADED || code == ErrorCode.NO_ELIGIBLE_SERVER;
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/session/SessionTokens.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/session/SessionTokens.java
@@ -51,6 +51,7 @@
   /** Signed before the content, so that no other use of the keys yields a valid token. */
   private static final byte[] PURPOSE = "alderyard session 1\n".getBytes(StandardCharsets.US_ASCII);
 
+  private static final Base64.Encoder ENCODER = Base64.getUrlEncoder().withoutPadding();
   private static final String SEPARATOR = ",";
 
   private final InstantSource wallClock;
@@ -90,7 +91,7 @@
             .setContent(content)
             .setHmac(ByteString.copyFrom(hmac(key, content)))
             .build();
-    return Base64.getUrlEncoder().withoutPadding().encodeToString(signed.toByteArray());
+    return ENCODER.encodeToString(signed.toByteArray());
   }
 
   /**
@@ -149,7 +150,13 @@
       throw damaged(text.length() + " characters; accepted are 1 to " + MAX_TEXT_LENGTH, null);
     }
     try {
-      return SignedToken.parseFrom(Base64.getUrlDecoder().decode(text));
+      byte[] bytes = Base64.getUrlDecoder().decode(text);
+      // The decoder ignores the last bits of a text whose length is no multiple of four, so that
+      // a changed last character could pass.
+      if (!text.equals(ENCODER.encodeToString(bytes))) {
+        throw damaged("its text is not the one that was issued", null);
+      }
+      return SignedToken.parseFrom(bytes);
     } catch (IllegalArgumentException | InvalidProtocolBufferException failure) {
       throw damaged("it is not a signed token in base64url", failure);
     }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/session/SessionTokensTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/session/SessionTokensTest.java
@@ -125,6 +125,24 @@
         .isAnyOf(ErrorCode.TOKEN_DAMAGED, ErrorCode.TOKEN_FORGED, ErrorCode.TOKEN_EXPIRED);
   }
 
+  /**
+   * A caller's cookie jar changes the last character of a token. The decoder ignores the bits that
+   * a last character has too many, and the token passed as if it were whole.
+   */
+  @Test
+  void everyChangedCharacterIsRefused() {
+    View view = view(List.of(OLD_KEY));
+    for (long index : new long[] {1, 200, 40_000}) {
+      String text = tokens.write(session(new Position(3, index)), view);
+      for (int i = 0; i < text.length(); i++) {
+        char other = text.charAt(i) == 'B' ? 'C' : 'B';
+        String changed = text.substring(0, i) + other + text.substring(i + 1);
+        assertThat(refusal(changed, POOL, view))
+            .isAnyOf(ErrorCode.TOKEN_DAMAGED, ErrorCode.TOKEN_FORGED, ErrorCode.TOKEN_EXPIRED);
+      }
+    }
+  }
+
   @Test
   void everyTruncationIsRefused() {
     View view = view(List.of(OLD_KEY));
