Check every setting, speak TLS on the HTTP ports, log as JSON on request

Cause: the settings had a specification but no test, operators' keys crossed the network in the clear, and the operators' key stood in the text form of the settings record. Change: [tls] keystore for the operators' and callers' ports through the JDK, [log] format and level, a Secret type that hides its value, quiet end of tasks that meet the closed worker pool; a handshake may take 3 s, since under a load average of 50 the first one of a cold JVM took more than 1 s. Conclusion: every setting that exists is checked before the process starts.

--- a/alderyard-common/src/main/java/org/alderyard/common/concurrent/WorkerPool.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/concurrent/WorkerPool.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -86,10 +87,17 @@
     executor.shutdownNow();
   }
 
-  /** A periodic task that throws would never run again, without a trace: log and go on. */
-  private static void runLogged(Runnable task) {
+  /**
+   * Runs a task and logs its failure: a periodic task that throws would never run again, without a
+   * trace. A task that meets the closed pool is no failure: the process ends.
+   */
+  private void runLogged(Runnable task) {
     try {
       task.run();
+    } catch (RejectedExecutionException rejected) {
+      if (!executor.isShutdown()) {
+        log.error("event=task-failed", rejected);
+      }
     } catch (RuntimeException failure) {
       log.error("event=task-failed", failure);
     }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -7,11 +7,13 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import javax.net.ssl.SSLContext;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
 import org.alderyard.common.concurrent.WorkerPool;
@@ -72,7 +74,7 @@
 /** One process of the system, with the roles that its settings name. */
 public final class Daemon implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(Daemon.class);
-  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
   private static final int MAX_OUTSTANDING = 4_096;
   private static final int INNER_THREADS = 2;
 
@@ -289,7 +291,7 @@
             new AnnouncementHandler(control),
             () -> viewClient.leaseValid() && !draining.get() && !drained(views),
             new MetricsHandler(registry));
-    port("caller", settings.callerAddress(), api.handler());
+    port(TlsPort.CALLER, settings.callerAddress(), api.handler());
   }
 
   /** Operators drain a host by ticket, or take its role away. */
@@ -316,17 +318,17 @@
         new OperatorApi(
             new RemoteControlGateway(control),
             views::current,
-            settings.operatorKey().orElseThrow());
-    port("operator", settings.operatorAddress().get(), api.handler());
+            settings.operatorKey().orElseThrow().value());
+    port(TlsPort.OPERATOR, settings.operatorAddress().get(), api.handler());
   }
 
   private void port(
-      String name, InetSocketAddress address, io.undertow.server.HttpHandler handler) {
+      TlsPort kind, InetSocketAddress address, io.undertow.server.HttpHandler handler) {
+    String name = kind.name().toLowerCase(Locale.ROOT);
+    Optional<SSLContext> tls = settings.tls().forPort(kind);
     HttpPort port =
-        part(
-            new HttpPort(
-                name, address, ioWorker, settings.httpLimits(), Optional.empty(), handler));
-    log.info("event=listening port={} address={}", name, port.address());
+        part(new HttpPort(name, address, ioWorker, settings.httpLimits(), tls, handler));
+    log.info("event=listening port={} address={} tls={}", name, port.address(), tls.isPresent());
   }
 
   @Override
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -57,6 +57,7 @@
 
   /** Ends when the process is asked to, or throws what made the daemon give up. */
   private static void runUntilAsked(DaemonSettings settings) throws InterruptedException {
+    settings.log().apply();
     Daemon daemon = new Daemon(settings);
     CompletableFuture<Void> ended = new CompletableFuture<>();
     daemon.failure().thenAccept(ended::completeExceptionally);
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -12,6 +12,7 @@
 import org.alderyard.common.http.HttpLimits;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.settings.Secret;
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.Settings;
 import org.alderyard.common.settings.SettingsException;
@@ -40,6 +41,8 @@
  * @param workerThreads threads of the worker pool
  * @param ioThreads threads of the HTTP ports
  * @param httpLimits what HTTP clients may send
+ * @param tls the keys of the HTTP ports that speak TLS
+ * @param log how lines are logged
  */
 public record DaemonSettings(
     HostId host,
@@ -52,14 +55,16 @@
     List<InetSocketAddress> controlHosts,
     Optional<Path> dataFolder,
     ClusterKey clusterKey,
-    Optional<String> operatorKey,
+    Optional<Secret> operatorKey,
     Duration monitorInterval,
     ReadOptions readOptions,
     Duration maxTokenAge,
     Duration drainTimeout,
     int workerThreads,
     int ioThreads,
-    HttpLimits httpLimits) {
+    HttpLimits httpLimits,
+    TlsOptions tls,
+    LogOptions log) {
 
   /**
    * Reads and checks a file.
@@ -94,7 +99,10 @@
                 settings.get(DaemonSpec.MAX_HEADER_BYTES).intValue(),
                 settings.get(DaemonSpec.MAX_BODY_BYTES),
                 settings.get(DaemonSpec.REQUEST_TIMEOUT),
-                settings.get(DaemonSpec.IDLE_TIMEOUT)));
+                settings.get(DaemonSpec.IDLE_TIMEOUT)),
+            TlsOptions.of(settings),
+            new LogOptions(
+                settings.get(DaemonSpec.LOG_FORMAT), settings.get(DaemonSpec.LOG_LEVEL)));
     result.checkTogether(settings);
     return result;
   }
@@ -145,13 +153,13 @@
     return new ClusterKey(secret);
   }
 
-  private static Optional<String> operatorKey(Settings settings) {
+  private static Optional<Secret> operatorKey(Settings settings) {
     return settings
         .find(DaemonSpec.OPERATOR_KEY_FILE)
-        .map(file -> secret(settings, DaemonSpec.OPERATOR_KEY_FILE));
+        .map(file -> new Secret(secret(settings, DaemonSpec.OPERATOR_KEY_FILE)));
   }
 
-  private static String secret(Settings settings, Setting<Path> setting) {
+  static String secret(Settings settings, Setting<Path> setting) {
     Path file = settings.get(setting);
     try {
       String secret = Files.readString(file).trim();
@@ -164,7 +172,7 @@
     }
   }
 
-  private static SettingsException wrong(Settings settings, Setting<?> setting, String problem) {
+  static SettingsException wrong(Settings settings, Setting<?> setting, String problem) {
     return new SettingsException(settings.file(), setting.section(), setting.key(), problem);
   }
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -7,6 +7,7 @@
 import static org.alderyard.common.settings.SettingTypes.list;
 import static org.alderyard.common.settings.SettingTypes.name;
 import static org.alderyard.common.settings.SettingTypes.path;
+import static org.alderyard.common.settings.SettingTypes.word;
 import static org.alderyard.common.settings.SettingTypes.words;
 
 import java.net.InetSocketAddress;
@@ -117,6 +118,25 @@
           "5min",
           "longest time that a caller's connection may be idle");
 
+  static final Setting<Path> TLS_KEYSTORE_FILE =
+      Setting.optional(
+          "tls",
+          "keystore-file",
+          path(),
+          "PKCS#12 file with the key and certificate of the HTTP ports; without it: plain HTTP");
+  static final Setting<Path> TLS_PASSWORD_FILE =
+      Setting.optional(
+          "tls", "keystore-password-file", path(), "file with the password of the keystore");
+  static final Setting<Set<TlsPort>> TLS_PORTS =
+      Setting.preset(
+          "tls", "ports", words(TlsPort.class), "operator", "which HTTP ports speak TLS");
+
+  static final Setting<LogFormat> LOG_FORMAT =
+      Setting.preset(
+          "log", "format", word(LogFormat.class), "text", "key=value lines or JSON objects");
+  static final Setting<LogLevel> LOG_LEVEL =
+      Setting.preset("log", "level", word(LogLevel.class), "info", "least level that is written");
+
   /** All settings, in the order of the documentation. */
   public static final SettingsSpec SPEC =
       new SettingsSpec(
@@ -143,7 +163,12 @@
               MAX_HEADER_BYTES,
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
-              IDLE_TIMEOUT));
+              IDLE_TIMEOUT,
+              TLS_KEYSTORE_FILE,
+              TLS_PASSWORD_FILE,
+              TLS_PORTS,
+              LOG_FORMAT,
+              LOG_LEVEL));
 
   private DaemonSpec() {}
 }
