Measure what tickets and views cost

Cause: the goals of tickets and views (300 ms p99 on 12 proxies, 3.3% of a core, 128 MB, 4 KB/s, restart) had no figures. Change: bin/bench-views runs three benchmarks: restart (state alone, four sizes), in-force (12 daemons as processes) and fan-out (one control process, 50 to 1,000 subscribers; bytes and processor time as the operating system counts them).

--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/BenchCluster.java
@@ -0,0 +1,144 @@
+package org.alderyard.benchmarks.view;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.alderyard.common.http.Json;
+
+/** Daemons as processes on this machine; the first one is the control host. */
+final class BenchCluster implements AutoCloseable {
+  static final String CLUSTER_ID = "bench";
+  static final String CLUSTER_KEY = "a secret of the whole cluster";
+  private static final String OPERATOR_KEY = "operator-secret";
+  private static final int HEAP_MIB = 96;
+  private static final int START_ATTEMPTS = 600;
+  private static final int PAUSE_MILLIS = 50;
+
+  private final Path folder;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final List<DaemonProcess> processes = new ArrayList<>();
+  private final List<Integer> operatorPorts = new ArrayList<>();
+  private int controlPort;
+
+  BenchCluster(Path folder) throws IOException {
+    this.folder = folder;
+    Files.writeString(folder.resolve("cluster.key"), CLUSTER_KEY);
+    Files.writeString(folder.resolve("operator.key"), OPERATOR_KEY);
+  }
+
+  DaemonProcess control() {
+    return processes.get(0);
+  }
+
+  InetSocketAddress controlAddress() {
+    return new InetSocketAddress("127.0.0.1", controlPort);
+  }
+
+  int size() {
+    return processes.size();
+  }
+
+  void start(String id, String roles) throws IOException {
+    int inner = freePort();
+    int operator = freePort();
+    controlPort = processes.isEmpty() ? inner : controlPort;
+    String text =
+        """
+        [host]
+        id = %s
+        zone = zone-a
+        cluster-id = %s
+        roles = %s
+        [network]
+        caller-address = 127.0.0.1:%d
+        inner-address = 127.0.0.1:%d
+        operator-address = 127.0.0.1:%d
+        [control]
+        hosts = 127.0.0.1:%d
+        [keys]
+        cluster-key-file = %s
+        operator-key-file = %s
+        """
+            .formatted(
+                id,
+                CLUSTER_ID,
+                roles,
+                freePort(),
+                inner,
+                operator,
+                controlPort,
+                folder.resolve("cluster.key"),
+                folder.resolve("operator.key"));
+    Path file = folder.resolve(id + ".ini");
+    Files.writeString(file, text);
+    processes.add(DaemonProcess.start(file, HEAP_MIB));
+    operatorPorts.add(operator);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  JsonNode get(int host, String path) throws IOException, InterruptedException {
+    return send(request(host, path).GET().build());
+  }
+
+  JsonNode put(int host, String path, String body) throws IOException, InterruptedException {
+    return send(request(host, path).PUT(HttpRequest.BodyPublishers.ofString(body)).build());
+  }
+
+  private HttpRequest.Builder request(int host, String path) {
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + operatorPorts.get(host) + path))
+        .header("Authorization", "Bearer " + OPERATOR_KEY);
+  }
+
+  private JsonNode send(HttpRequest request) throws IOException, InterruptedException {
+    HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
+    if (response.statusCode() != 200) {
+      throw new IOException(response.statusCode() + " " + response.body());
+    }
+    return Json.parseObject(response.body().getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Waits until this many hosts run the newest view. */
+  void awaitHosts(int count) throws InterruptedException {
+    for (int attempt = 0; attempt < START_ATTEMPTS; attempt++) {
+      try {
+        if (get(0, "/v1/status").path("hostsCurrent").asInt() >= count) {
+          return;
+        }
+      } catch (IOException notYet) {
+        // The process is still starting.
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    throw new IllegalStateException("the hosts did not start, see the logs in " + folder);
+  }
+
+  /** Submits a ticket that changes one group. */
+  JsonNode submit(int host, long number) throws IOException, InterruptedException {
+    String body =
+        "{\"objects\":[{\"kind\":\"group\",\"id\":\"g1\",\"slotsPerServer\":"
+            + (1 + number % 30)
+            + "}]}";
+    return put(host, "/v1/tickets/" + number, body);
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(DaemonProcess::close);
+  }
+}
--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/ViewBenchmarks.java
@@ -0,0 +1,31 @@
+package org.alderyard.benchmarks.view;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Runs the benchmarks of tickets and views; arguments name them, none runs all. */
+public final class ViewBenchmarks {
+  private static final List<String> ALL = List.of("restart", "in-force", "fan-out");
+
+  private ViewBenchmarks() {}
+
+  /** Runs the benchmarks that are named. */
+  public static void main(String[] args) throws Exception {
+    List<String> names = args.length == 0 ? ALL : List.of(args);
+    Path folder = Files.createTempDirectory("alderyard-views");
+    for (String name : names) {
+      switch (name) {
+        case "restart" -> new RestartBenchmark().run(System.out);
+        case "in-force" -> new InForceBenchmark().run(folder, System.out);
+        case "fan-out" -> new FanOutBenchmark().run(folder, System.out);
+        default -> {
+          System.err.println("unknown benchmark '" + name + "'; accepted: " + ALL);
+          System.exit(2);
+        }
+      }
+    }
+    // The daemons' loggers and pools hold no work any more.
+    System.exit(0);
+  }
+}
--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/package-info.java
@@ -0,0 +1,2 @@
+/** What tickets and views cost: time until in force, bytes, processor time, memory, restart. */
+package org.alderyard.benchmarks.view;
