Share the tables of a view that a change leaves alone

Cause: every change copied all four tables of the view, and each twice: 27 ms for one group's change at 22,000 groups / 66,000 servers, on every host. Change: View.Editor copies only the tables that change and edits the index of servers; ViewCodec.apply uses it.

--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewCodec.java
@@ -1,8 +1,6 @@
 package org.alderyard.protocol.view;
 
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.PoolName;
@@ -10,8 +8,6 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.PoolState;
-import org.alderyard.common.view.ServerState;
-import org.alderyard.common.view.SigningKey;
 import org.alderyard.common.view.View;
 import org.alderyard.common.view.ViewVersion;
 import org.alderyard.protocol.generated.state.ObjectState;
@@ -55,34 +51,27 @@
 
   /** Returns the view with the given objects replaced or removed. */
   public static View apply(View base, ViewVersion version, List<ObjectState> objects) {
-    Map<PoolName, PoolState> pools = new TreeMap<>(base.pools());
-    Map<GroupId, GroupState> groups = new TreeMap<>(base.groups());
-    Map<ServerId, ServerState> servers = new TreeMap<>(base.servers());
-    Map<HostId, HostState> hosts = new TreeMap<>(base.hosts());
-    List<SigningKey> keys = base.keys();
+    View.Editor editor = base.edit();
     for (ObjectState object : objects) {
       switch (object.getObjectCase()) {
         case POOL -> {
           PoolState pool = StateCodec.pool(object.getPool());
-          pools.put(pool.name(), pool);
+          editor.pools().put(pool.name(), pool);
         }
         case GROUP -> {
           GroupState group = StateCodec.group(object.getGroup());
-          groups.put(group.id(), group);
-        }
-        case SERVER -> {
-          ServerState server = StateCodec.server(object.getServer());
-          servers.put(server.id(), server);
+          editor.groups().put(group.id(), group);
         }
+        case SERVER -> editor.put(StateCodec.server(object.getServer()));
         case HOST -> {
           HostState host = StateCodec.host(object.getHost());
-          hosts.put(host.id(), host);
+          editor.hosts().put(host.id(), host);
         }
-        case KEY_RING -> keys = StateCodec.keys(object.getKeyRing());
-        case REMOVED_POOL -> pools.remove(new PoolName(object.getRemovedPool()));
-        case REMOVED_GROUP -> groups.remove(new GroupId(object.getRemovedGroup()));
-        case REMOVED_SERVER -> servers.remove(new ServerId(object.getRemovedServer()));
-        case REMOVED_HOST -> hosts.remove(new HostId(object.getRemovedHost()));
+        case KEY_RING -> editor.keys(StateCodec.keys(object.getKeyRing()));
+        case REMOVED_POOL -> editor.pools().remove(new PoolName(object.getRemovedPool()));
+        case REMOVED_GROUP -> editor.groups().remove(new GroupId(object.getRemovedGroup()));
+        case REMOVED_SERVER -> editor.remove(new ServerId(object.getRemovedServer()));
+        case REMOVED_HOST -> editor.hosts().remove(new HostId(object.getRemovedHost()));
         case HOST_POLICY, REMOVED_HOST_POLICY -> {
           // Views carry the effect of a policy in the host itself.
         }
@@ -92,6 +81,6 @@
         default -> throw new IllegalStateException("unmapped kind " + object.getObjectCase());
       }
     }
-    return new View(version, pools, groups, servers, hosts, keys);
+    return editor.at(version);
   }
 }
