Pin what operators see through any host

Cause: the operator API had no test from outside. Change: four stories over real ports: one ticket through two hosts, a conflict that names the accepted content, "in force on N of M" as hosts join and leave; all faults of a ticket at once and no secret in them; a drain and its end as the balancer sees it; a host that starts after 300 changes.

--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -123,15 +123,49 @@
   }
 
   HttpResponse<String> putTicket(int host, long number, String body) throws Exception {
+    return operator(host, "PUT", "/v1/tickets/" + number, body);
+  }
+
+  HttpResponse<String> operator(int host, String method, String path, String body)
+      throws Exception {
     return http.send(
-        HttpRequest.newBuilder(
-                uri(hosts.get(host).operatorAddress().orElseThrow(), "/v1/tickets/" + number))
+        HttpRequest.newBuilder(uri(hosts.get(host).operatorAddress().orElseThrow(), path))
             .header("Authorization", "Bearer " + OPERATOR_KEY)
-            .PUT(HttpRequest.BodyPublishers.ofString(body))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
             .build(),
         HttpResponse.BodyHandlers.ofString());
   }
 
+  /** Repeats a request of operators until its answer holds a text. */
+  void awaitOperator(int host, String path, String text) throws Exception {
+    HttpResponse<String> last = null;
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      last = operator(host, "GET", path, "");
+      if (last.body().contains(text)) {
+        return;
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    throw new AssertionError("no " + text + ": " + last.statusCode() + " " + last.body());
+  }
+
+  /** Repeats the balancer's question until it has the given status. */
+  void awaitReady(int host, int status) throws Exception {
+    var request = HttpRequest.newBuilder(uri(hosts.get(host).callerAddress(), "/ready")).build();
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      if (http.send(request, HttpResponse.BodyHandlers.ofString()).statusCode() == status) {
+        return;
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    throw new AssertionError("/ready is never " + status);
+  }
+
+  /** Shuts the host down that was started last. */
+  void stopLast() throws Exception {
+    parts.remove(parts.size() - 1).close();
+  }
+
   HttpResponse<String> statement(int host, String pool, Optional<String> token, String body)
       throws Exception {
     var request =
