Keep the clients' log lines out of the fan-out benchmark

Cause: with 1,000 subscribers in one process the benchmark wrote one line for each view of each, which was a large part of what it measured. Change: the benchmark's own logger is set to errors; daemons log to files as before.

--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/ViewBenchmarks.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/ViewBenchmarks.java
@@ -1,8 +1,11 @@
 package org.alderyard.benchmarks.view;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import org.slf4j.LoggerFactory;
 
 /** Runs the benchmarks of tickets and views; arguments name them, none runs all. */
 public final class ViewBenchmarks {
@@ -13,6 +16,8 @@
   /** Runs the benchmarks that are named. */
   public static void main(String[] args) throws Exception {
     List<String> names = args.length == 0 ? ALL : List.of(args);
+    // A line for each view at each of 1,000 subscribers would be most of what is measured.
+    ((Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)).setLevel(Level.ERROR);
     Path folder = Files.createTempDirectory("alderyard-views");
     for (String name : names) {
       switch (name) {
