Bound each proxy to its lease's part of a server's slots; measure reads and overload

Cause: the limits were built and none was measured; twelve proxies that each keep to a server's 5 slots send it 60 statements. Change: models of replica share and overload that run the real decisions under a paused clock, one command with bounds, and the same bounds as tests; LeasedSlots chosen; the gate now refuses by the mean plus three deviations of the service time; AIMD grows ten times slower. Conclusion: the lease tells what latency can't to a proxy that never saw the server idle.

--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/reads/EventQueue.java
@@ -0,0 +1,37 @@
+package org.alderyard.benchmarks.reads;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.alderyard.common.time.PausedClock;
+
+/** Runs events in the order of their times, and advances the paused clock to each. */
+final class EventQueue {
+  private final PausedClock clock = new PausedClock();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::number));
+  private long number;
+
+  PausedClock clock() {
+    return clock;
+  }
+
+  long now() {
+    return clock.nowNanos();
+  }
+
+  void after(long delayNanos, Runnable action) {
+    events.add(new Event(now() + Math.max(0, delayNanos), number++, action));
+  }
+
+  void runUntil(long endNanos) {
+    while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
+      Event next = events.poll();
+      clock.advance(Duration.ofNanos(next.atNanos() - now()));
+      next.action().run();
+    }
+  }
+
+  private record Event(long atNanos, long number, Runnable action) {}
+}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -273,6 +273,7 @@
             views,
             monitor,
             pools,
+            leases,
             workers,
             clock,
             sharedRandom(),
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/AimdLimit.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/AimdLimit.java
@@ -7,8 +7,9 @@
  * that other proxies' statements stand in front of ours at the server.
  */
 public final class AimdLimit implements ConcurrencyLimit {
-  static final double SLOW_FACTOR = 3.0;
+  static final double SLOW_FACTOR = 2.0;
   static final double DECREASE = 0.8;
+  static final double INCREASE = 0.1;
 
   private final int slots;
   private final RecentMinimum least = new RecentMinimum();
@@ -36,7 +37,7 @@
     if (slow) {
       decrease();
     } else if (inFlight >= current()) {
-      limit = Math.min(slots, limit + 1.0 / limit);
+      limit = Math.min(slots, limit + INCREASE / limit);
     }
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ConcurrencyLimit.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ConcurrencyLimit.java
@@ -1,5 +1,7 @@
 package org.alderyard.proxy.limit;
 
+import org.alderyard.common.id.ServerId;
+
 /** How many statements one proxy runs at one server at once. Not safe for several threads. */
 public interface ConcurrencyLimit {
 
@@ -20,6 +22,6 @@
   interface Factory {
 
     /** Returns a new limit for a server with the given number of slots. */
-    ConcurrencyLimit create(int slots);
+    ConcurrencyLimit create(ServerId server, int slots);
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/Gates.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/Gates.java
@@ -105,7 +105,7 @@
 
   private ServerGate<CompletableFuture<Permit>> gate(ServerId server, int slots) {
     return gates.computeIfAbsent(
-        server, id -> new ServerGate<>(limits.create(slots), queueCapacity));
+        server, id -> new ServerGate<>(limits.create(id, slots), queueCapacity));
   }
 
   private void leave(ServerId server, boolean write, long latencyNanos, boolean answered) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/RecentMinimum.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/RecentMinimum.java
@@ -2,7 +2,7 @@
 
 /** The least latency of the last one to two windows of samples. */
 final class RecentMinimum {
-  private static final int WINDOW_SAMPLES = 500;
+  private static final int WINDOW_SAMPLES = 2_000;
 
   private long previous = Long.MAX_VALUE;
   private long current = Long.MAX_VALUE;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerGate.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerGate.java
@@ -23,6 +23,9 @@
 public final class ServerGate<T> {
   private static final double SERVICE_SMOOTHING = 0.1;
 
+  /** Mean deviations above the mean that a statement is expected to take. */
+  private static final double DEVIATIONS = 3;
+
   /** Reads that may queue at a primary, for each one that may run. */
   private static final int QUEUED_READS_FACTOR = 2;
 
@@ -36,6 +39,7 @@
   private int writesInFlight;
   private int readsInFlight;
   private double serviceNanos;
+  private double deviationNanos;
 
   /** Creates an open gate. */
   public ServerGate(ConcurrencyLimit limit, int queueCapacity) {
@@ -53,7 +57,7 @@
     GateChange<T> change = new GateChange<>();
     FairQueue<T> queue = queueOf(entrant);
     long wait = waitNanos(entrant, queue);
-    boolean late = nowNanos + wait + (long) serviceNanos > entrant.deadlineNanos();
+    boolean late = nowNanos + wait + slowServiceNanos() > entrant.deadlineNanos();
     if (late) {
       change.refuse(entrant, RefusalReason.WOULD_MISS_DEADLINE, retryMillis());
       return change;
@@ -77,10 +81,7 @@
   public GateChange<T> leave(boolean write, long latencyNanos, boolean answered, long nowNanos) {
     if (latencyNanos > 0) {
       limit.sample(latencyNanos, inFlight(), answered);
-      serviceNanos =
-          serviceNanos == 0
-              ? latencyNanos
-              : serviceNanos + SERVICE_SMOOTHING * (latencyNanos - serviceNanos);
+      learn(latencyNanos);
     }
     if (write) {
       writesInFlight--;
@@ -92,6 +93,23 @@
     return change;
   }
 
+  private void learn(long latencyNanos) {
+    if (serviceNanos == 0) {
+      serviceNanos = latencyNanos;
+      return;
+    }
+    double difference = latencyNanos - serviceNanos;
+    serviceNanos += SERVICE_SMOOTHING * difference;
+    deviationNanos += SERVICE_SMOOTHING * (Math.abs(difference) - deviationNanos);
+  }
+
+  /**
+   * What a statement takes at worst, but for a few: those that fail late cost a slot for nothing.
+   */
+  private long slowServiceNanos() {
+    return (long) (serviceNanos + DEVIATIONS * deviationNanos);
+  }
+
   /** Refuses what waits and cannot make its deadline any more. */
   public GateChange<T> sweep(long nowNanos) {
     GateChange<T> change = new GateChange<>();
@@ -181,7 +199,7 @@
   }
 
   private boolean tooLate(Entrant<T> entrant, long nowNanos) {
-    return nowNanos + (long) serviceNanos > entrant.deadlineNanos();
+    return nowNanos + slowServiceNanos() > entrant.deadlineNanos();
   }
 
   private long retryMillis() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadStack.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadStack.java
@@ -7,17 +7,20 @@
 import org.alderyard.backend.ServerReport;
 import org.alderyard.backend.ServerRole;
 import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.View;
 import org.alderyard.proxy.freshness.ArrivalWaits;
 import org.alderyard.proxy.freshness.FreshnessTable;
 import org.alderyard.proxy.freshness.Measurement;
-import org.alderyard.proxy.limit.FixedLimit;
 import org.alderyard.proxy.limit.Gates;
+import org.alderyard.proxy.limit.LeasedSlots;
 import org.alderyard.proxy.monitor.GroupMonitor;
 import org.alderyard.proxy.monitor.ServerObservation;
+import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.routing.ReadRouter;
 import org.alderyard.proxy.routing.ServerChooser;
@@ -45,6 +48,7 @@
       ViewHolder views,
       GroupMonitor monitor,
       ServerPools pools,
+      ConnectionAllowance allowance,
       WorkerPool workers,
       MonotonicClock clock,
       RandomGenerator random,
@@ -55,7 +59,9 @@
     Gates gates =
         new Gates(
             clock,
-            FixedLimit::new,
+            (server, slots) ->
+                new LeasedSlots(
+                    slots, () -> allowance.allowed(server), () -> connections(views, server)),
             options.queuePerServer(),
             workers,
             (server, flow, reason) -> metrics.refused(reason));
@@ -90,6 +96,14 @@
     return runner;
   }
 
+  private static int connections(ViewHolder views, ServerId server) {
+    View view = views.current();
+    return view.server(server)
+        .flatMap(state -> view.group(state.group()))
+        .map(GroupState::connectionsPerServer)
+        .orElse(1);
+  }
+
   private void follow(View view) {
     freshness.follow(view);
     loads.retain(view.servers().keySet());
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/limit/ServerGateTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/limit/ServerGateTest.java
@@ -155,7 +155,12 @@
     PausedClock clock = new PausedClock();
     List<RefusalReason> refusals = new ArrayList<>();
     Gates gates =
-        new Gates(clock, FixedLimit::new, 1, Runnable::run, (s, f, reason) -> refusals.add(reason));
+        new Gates(
+            clock,
+            (server, slots) -> new FixedLimit(slots),
+            1,
+            Runnable::run,
+            (s, f, reason) -> refusals.add(reason));
     ServerId server = new ServerId("s1");
     final Gates.Permit first = gates.enter(server, 1, false, PACKER, false, FAR).join();
     final CompletableFuture<Gates.Permit> second =
@@ -175,6 +180,22 @@
     assertThat(gates.inFlight() + gates.queued()).isEqualTo(0);
   }
 
+  @Test
+  void leasedSlotsFollowTheLeaseWithinTheSlots() {
+    int[] leased = {0};
+    LeasedSlots limit = new LeasedSlots(5, () -> leased[0], () -> 35);
+    int sum = 0;
+    for (int connections : new int[] {2, 2, 2, 2, 2, 2, 3, 3, 3, 3, 3, 4}) {
+      leased[0] = connections;
+      sum += limit.current();
+    }
+    assertThat(sum).isEqualTo(12);
+    leased[0] = 14;
+    assertThat(limit.current()).isEqualTo(4);
+    leased[0] = 31;
+    assertThat(limit.current()).isEqualTo(5);
+  }
+
   /**
    * A server comes back after an outage and a thousand statements fail on its cold start. Resent
    * without a budget they would double its load; the budget lets a tenth of the traffic through.
