Name the time of a request in the load tool; let the demo fail when idle

Cause: the owner ledger refuses a request id that tells no time, and the load tool sent none, so every order was refused; the demo still said PASSED. Change: load sends requestedAtMillis, the same with each resend; the demo passes only when both workloads had acknowledged writes in every group, and waits for a failover that runs at the moment of its kill. Conclusion: a verdict that a refusing system can't get.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
@@ -21,8 +21,6 @@
 import org.alderyard.cli.load.LoadReport;
 import org.alderyard.cli.load.LoadRun;
 import org.alderyard.cli.load.Mix;
-import org.alderyard.common.error.AlderyardException;
-import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.daemon.ExitCode;
 import org.apache.commons.cli.Options;
@@ -81,11 +79,7 @@
             () -> load(system, DemoSystem.POOLS.get(1), Mix.LE_GOFF, duration, rate, 2));
     LockSupport.parkNanos(duration.dividedBy(2).toNanos());
     String group = DemoSystem.GROUPS.get(0);
-    String primary =
-        system
-            .primaryOf(group)
-            .orElseThrow(
-                () -> AlderyardException.notRun(ErrorCode.NO_PRIMARY, group + " has no primary"));
+    String primary = system.awaitPrimaryOf(group);
     system.kill(primary);
     out.println("killed " + primary + ", the primary of " + group);
     return report(system, listings.join(), orders.join(), primary, out);
@@ -117,11 +111,17 @@
             + orders.longestWriteGapMillis().getOrDefault(group, -1L)
             + " ms; new primary: "
             + system.primaryOf(group).orElse("none"));
-    boolean good = listings.clean() && orders.clean() && replaced;
+    boolean served = servesAllGroups(listings) && servesAllGroups(orders);
+    boolean good = listings.clean() && orders.clean() && replaced && served;
     out.println(good ? "PASSED: no violation" : "FAILED");
     return good;
   }
 
+  /** A system that refuses everything breaks no promise; it must also have done its work. */
+  private static boolean servesAllGroups(LoadReport report) {
+    return report.longestWriteGapMillis().keySet().containsAll(DemoSystem.GROUPS);
+  }
+
   private static Path temporaryFolder() {
     try {
       return Files.createTempDirectory("alderyard-demo");
--- a/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoSystem.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoSystem.java
@@ -185,6 +185,12 @@
     return Optional.empty();
   }
 
+  /** Returns the primary of a group; a failover that runs at the moment is waited for. */
+  String awaitPrimaryOf(String group) {
+    awaitAnswer("a primary of " + group, () -> primaryOf(group).isPresent());
+    return primaryOf(group).orElse("");
+  }
+
   private Optional<JsonNode> get(InetSocketAddress address, String path) {
     try {
       HttpResponse<byte[]> response =
--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/CallerSession.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/CallerSession.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -27,6 +28,7 @@
   private final Recorder recorder;
   private final WorkerPool workers;
   private final MonotonicClock clock;
+  private final InstantSource wallClock;
   private final AtomicLong nextProxy;
   private Optional<String> token = Optional.empty();
   private int requests;
@@ -38,6 +40,7 @@
       Recorder recorder,
       WorkerPool workers,
       MonotonicClock clock,
+      InstantSource wallClock,
       AtomicLong nextProxy) {
     this.name = name;
     this.plan = plan;
@@ -45,6 +48,7 @@
     this.recorder = recorder;
     this.workers = workers;
     this.clock = clock;
+    this.wallClock = wallClock;
     this.nextProxy = nextProxy;
   }
 
@@ -94,6 +98,7 @@
     ObjectNode statement = statement(key, "write", "append");
     statement.putArray("parameters").add(value);
     statement.put("requestId", value);
+    statement.put("requestedAtMillis", wallClock.millis());
     long startNanos = clock.nowNanos();
     return attempt(statement, deadlineNanos())
         .thenAccept(
--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadRun.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadRun.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -125,7 +126,8 @@
       }
     }
     String name = "caller-" + plan.seed() + "-" + sessions++;
-    return new CallerSession(name, plan, client, recorder, workers, clock, nextProxy);
+    return new CallerSession(
+        name, plan, client, recorder, workers, clock, InstantSource.system(), nextProxy);
   }
 
   private void awaitEnd(long startNanos) {
