--- a/alderyard-common/src/main/java/org/alderyard/common/settings/Settings.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/settings/Settings.java
@@ -30,4 +30,9 @@
   public <T> Optional<T> find(Setting<T> setting) {
     return Optional.ofNullable((T) values.get(setting));
   }
+
+  /** Returns a path, if there is one; a relative path starts at the folder of the file. */
+  public Optional<Path> findPath(Setting<Path> setting) {
+    return find(setting).map(path -> file.toAbsolutePath().resolveSibling(path).normalize());
+  }
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -83,7 +83,7 @@
             settings.get(DaemonSpec.INNER_ADDRESS),
             settings.find(DaemonSpec.OPERATOR_ADDRESS),
             settings.get(DaemonSpec.CONTROL_HOSTS),
-            settings.find(DaemonSpec.DATA_FOLDER),
+            settings.findPath(DaemonSpec.DATA_FOLDER),
             clusterKey(settings),
             operatorKey(settings),
             settings.get(DaemonSpec.MONITOR_INTERVAL),
@@ -160,7 +160,7 @@
   }
 
   static String secret(Settings settings, Setting<Path> setting) {
-    Path file = settings.get(setting);
+    Path file = settings.findPath(setting).orElseThrow();
     try {
       String secret = Files.readString(file).trim();
       if (secret.isEmpty()) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/TlsOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/TlsOptions.java
@@ -25,7 +25,7 @@
   /** Reads the keystore that the settings name, if they name one. */
   static TlsOptions of(Settings settings) {
     Set<TlsPort> ports = settings.get(DaemonSpec.TLS_PORTS);
-    Optional<Path> file = settings.find(DaemonSpec.TLS_KEYSTORE_FILE);
+    Optional<Path> file = settings.findPath(DaemonSpec.TLS_KEYSTORE_FILE);
     if (file.isEmpty()) {
       return new TlsOptions(Optional.empty(), ports);
     }
