Begin the demonstration's load only when every proxy writes

Cause: the load began while the first control leader was still in its grant quarantine of 5.5 s; 8,078 of the error answers were NO_ELIGIBLE_SERVER. Change: the start waits for twelve writes through each proxy. Conclusion: a cold start is no part of what the demonstration shows.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoSystem.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoSystem.java
@@ -35,6 +35,7 @@
   private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
   private static final String OPERATOR_KEY = "demo-operator-key";
   private static final String APPLY_LAG_MILLIS = "50";
+  private static final int WARM_UP_KEYS = 12;
   private static final Duration START_TIMEOUT = Duration.ofSeconds(40);
   private static final Duration POLL = Duration.ofMillis(100);
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
@@ -75,6 +76,35 @@
     awaitAnswer("the hosts", () -> callerPorts.stream().allMatch(this::ready));
     putTicket(1, Files.readString(writeTicket()));
     awaitAnswer("the primaries", this::everyGroupHasPrimary);
+    awaitAnswer("writes through every proxy", () -> callerPorts.stream().allMatch(this::writes));
+  }
+
+  /** Returns whether a proxy writes to every group; the keys of the warm-up are used no more. */
+  private boolean writes(InetSocketAddress callerPort) {
+    for (int key = 0; key < WARM_UP_KEYS; key++) {
+      String body =
+          "{\"key\":\"warm-up-%d\",\"kind\":\"write\",\"statement\":\"put\",\"parameters\":[1]}"
+              .formatted(key);
+      HttpRequest write =
+          request(callerPort, "/v1/pools/" + POOLS.get(0) + "/statements")
+              .POST(HttpRequest.BodyPublishers.ofString(body))
+              .build();
+      if (!succeeds(write)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean succeeds(HttpRequest request) {
+    try {
+      return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    } catch (IOException lost) {
+      return false;
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
   }
 
   private void startHost(int host) throws IOException {
@@ -206,24 +236,13 @@
     }
   }
 
-  private void putTicket(long number, String body) throws IOException {
-    awaitAnswer(
-        "the ticket",
-        () -> {
-          try {
-            HttpRequest put =
-                request(operatorPorts.get(0), "/v1/tickets/" + number)
-                    .PUT(HttpRequest.BodyPublishers.ofString(body))
-                    .build();
-            return http.send(put, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
-          } catch (IOException lost) {
-            // The same ticket can be sent again: its first answer is given again.
-            return false;
-          } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-            return false;
-          }
-        });
+  private void putTicket(long number, String body) {
+    HttpRequest put =
+        request(operatorPorts.get(0), "/v1/tickets/" + number)
+            .PUT(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    // The same ticket can be sent again after a lost answer: its first answer is given again.
+    awaitAnswer("the ticket", () -> succeeds(put));
   }
 
   private static HttpRequest.Builder request(InetSocketAddress address, String path) {
