--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadCommand.java
@@ -4,6 +4,7 @@
 import static org.alderyard.cli.command.OptionNames.valued;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -41,6 +42,7 @@
         .addOption(valued("seed", "N", "start of all random choices; default 1"))
         .addOption(valued("deadline-millis", "N", "time limit of a request; default 5000"))
         .addOption(valued("report", "FILE", "write the report as JSON to this file"))
+        .addOption(valued("trace", "FILE", "write each latency in microseconds to this file"))
         .addOption(flag(OptionNames.JSON, "print the report as JSON"));
   }
 
@@ -64,7 +66,12 @@
             invocation.number("seed", 1, 0, Long.MAX_VALUE),
             Duration.ofMillis(invocation.number("deadline-millis", 5_000, 1, 600_000)));
     LoadReport report = new LoadRun(plan, MonotonicClock.system(), invocation.err()::println).run();
-    invocation.option("report").ifPresent(file -> write(Path.of(file), report));
+    invocation
+        .option("report")
+        .ifPresent(file -> write(Path.of(file), Json.bytes(report.toJson())));
+    invocation
+        .option("trace")
+        .ifPresent(file -> write(Path.of(file), report.trace().getBytes(StandardCharsets.UTF_8)));
     invocation
         .out()
         .println(invocation.has(OptionNames.JSON) ? Json.pretty(report.toJson()) : report.toText());
@@ -80,11 +87,11 @@
                     SPEC, "--" + option + " is '" + text + "'; accepted: " + type.accepted()));
   }
 
-  private static void write(Path file, LoadReport report) {
+  private static void write(Path file, byte[] content) {
     try {
-      Files.write(file, Json.bytes(report.toJson()));
+      Files.write(file, content);
     } catch (IOException unwritable) {
-      throw new UsageException(SPEC, "the report '" + file + "' can't be written: " + unwritable);
+      throw new UsageException(SPEC, "the file '" + file + "' can't be written: " + unwritable);
     }
   }
 }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadReport.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadReport.java
@@ -45,6 +45,14 @@
     return violations.isEmpty() && unreadKeys == 0;
   }
 
+  /** Returns the latency of each successful request in microseconds, one a line. */
+  public String trace() {
+    return operations.stream()
+        .filter(operation -> operation.result() == Result.OK)
+        .map(operation -> Long.toString((operation.endNanos() - operation.startNanos()) / 1_000))
+        .collect(java.util.stream.Collectors.joining("\n", "", "\n"));
+  }
+
   private long count(Kind kind, Result result) {
     return operations.stream().filter(o -> o.kind() == kind && o.result() == result).count();
   }
