Tell answers of other requests, and let a proxy end what it has taken

Cause: an answer that a server sent twice or out of order was read as the answer of the next request on the connection; a shutdown cut requests in flight off; a primary without a connection lease yet failed a write that a moment later would run. Change: each backend request carries a number that its answer repeats (Alderyard-Request); any other answer is an error and closes the connection. Conclusion: a doubtful connection is closed in each of the four faults; a drain is bounded.

--- a/alderyard-backend/src/main/java/org/alderyard/backend/http/BackendPaths.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/http/BackendPaths.java
@@ -1,7 +1,12 @@
 package org.alderyard.backend.http;
 
+import io.undertow.util.HttpString;
+
 /** The paths of the backend protocol. */
 public final class BackendPaths {
+  /** The header that numbers a request on its connection, and that its answer repeats. */
+  public static final HttpString REQUEST_NUMBER = new HttpString("Alderyard-Request");
+
   /** Runs a statement. */
   public static final String STATEMENTS = "/v1/statements";
 
--- a/alderyard-backend/src/main/java/org/alderyard/backend/http/HttpExchange.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/http/HttpExchange.java
@@ -26,10 +26,17 @@
 
   private final ClientConnection connection;
   private final int maxAnswerBytes;
+  private final String number;
   private final CompletableFuture<JsonNode> answer = new CompletableFuture<>();
 
-  HttpExchange(ClientConnection connection, int maxAnswerBytes) {
+  /**
+   * Creates an exchange.
+   *
+   * @param number names the request among those of its connection; its answer must name it too
+   */
+  HttpExchange(ClientConnection connection, int maxAnswerBytes, long number) {
     this.connection = connection;
+    this.number = Long.toString(number);
     this.maxAnswerBytes = maxAnswerBytes;
   }
 
@@ -40,6 +47,7 @@
         new ClientRequest().setPath(path).setMethod(body.isPresent() ? Methods.POST : Methods.GET);
     HeaderMap headers = request.getRequestHeaders();
     headers.put(Headers.HOST, connection.getPeerAddress().toString().replaceFirst("^.*/", ""));
+    headers.put(BackendPaths.REQUEST_NUMBER, number);
     if (body.isPresent()) {
       headers.put(Headers.CONTENT_TYPE, "application/json");
       headers.put(Headers.CONTENT_LENGTH, content.length);
@@ -94,6 +102,11 @@
   }
 
   private void onResponse(ClientExchange exchange) {
+    if (!number.equals(
+        exchange.getResponse().getResponseHeaders().getFirst(BackendPaths.REQUEST_NUMBER))) {
+      refuseForeign();
+      return;
+    }
     int status = exchange.getResponse().getResponseCode();
     ByteArrayOutputStream collected = new ByteArrayOutputStream();
     ByteBuffer buffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
@@ -104,6 +117,16 @@
     reader.handleEvent(channel);
   }
 
+  /**
+   * Guards against an answer that was sent twice or out of order: on a kept connection the next
+   * request would take it for its own. The failure is of unknown outcome, so the connection closes.
+   */
+  private void refuseForeign() {
+    answer.completeExceptionally(
+        AlderyardException.unknown(
+            ErrorCode.BACKEND_PROTOCOL, "the answer is not that of request " + number, null));
+  }
+
   private void read(
       StreamSourceChannel channel, int status, ByteArrayOutputStream collected, ByteBuffer buffer) {
     try {
--- a/alderyard-backend/src/main/java/org/alderyard/backend/http/HttpServerConnection.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/http/HttpServerConnection.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.alderyard.backend.BackendAnswer;
 import org.alderyard.backend.BackendException;
 import org.alderyard.backend.BackendStatement;
@@ -28,6 +29,7 @@
   private final ClientConnection connection;
   private final WorkerPool workers;
   private final int maxAnswerBytes;
+  private final AtomicLong requests = new AtomicLong();
   private final AtomicBoolean busy = new AtomicBoolean();
   private volatile boolean closed;
 
@@ -79,7 +81,7 @@
               ErrorCode.INTERNAL, Outcome.NOT_RUN, "a second request on a busy connection"));
     }
     CompletableFuture<JsonNode> answer =
-        new HttpExchange(connection, maxAnswerBytes).send(path, body);
+        new HttpExchange(connection, maxAnswerBytes, requests.incrementAndGet()).send(path, body);
     CompletableFuture<JsonNode> result = new CompletableFuture<>();
     workers
         .withTimeout(answer, timeout, Outcome.OUTCOME_UNKNOWN)
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -11,7 +11,9 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import javax.net.ssl.SSLContext;
 import org.alderyard.backend.http.HttpConnector;
@@ -46,6 +48,7 @@
 import org.alderyard.protocol.wire.ProtocolOptions;
 import org.alderyard.proxy.api.AnnouncementHandler;
 import org.alderyard.proxy.api.CallerApi;
+import org.alderyard.proxy.drain.RequestsInFlight;
 import org.alderyard.proxy.lease.LeaseClient;
 import org.alderyard.proxy.lease.LeaseTable;
 import org.alderyard.proxy.ledger.LedgerLimits;
@@ -84,7 +87,7 @@
   // Closed in the opposite order of their start.
   private final Deque<AutoCloseable> parts = new ArrayDeque<>();
   private final PrometheusRegistry registry = new PrometheusRegistry();
-  private final AtomicBoolean draining = new AtomicBoolean();
+  private final RequestsInFlight inFlight = new RequestsInFlight();
   private final CompletableFuture<AlderyardException> failure = new CompletableFuture<>();
   private final WorkerPool workers;
   private final XnioWorker ioWorker;
@@ -265,7 +268,9 @@
             clock,
             wallClock);
     viewClient.onLeaseLapsed(owner::viewLeaseLapsed);
-    dispatcher.serve(DataMethods.RUN_OWNED_WRITE, (peer, request) -> owner.serve(request));
+    dispatcher.serve(
+        DataMethods.RUN_OWNED_WRITE,
+        (peer, request) -> inFlight.runToTheEnd(() -> owner.serve(request)));
     ReadStack reads =
         new ReadStack(
             settings.readOptions(),
@@ -290,7 +295,8 @@
             settings.host(),
             statements,
             new AnnouncementHandler(control),
-            () -> viewClient.leaseValid() && !draining.get() && !drained(views),
+            () -> viewClient.leaseValid() && !inFlight.draining() && !drained(views),
+            inFlight,
             new MetricsHandler(registry));
     port(TlsPort.CALLER, settings.callerAddress(), api.handler());
   }
@@ -332,9 +338,31 @@
     log.info("event=listening port={} address={} tls={}", name, port.address(), tls.isPresent());
   }
 
+  /**
+   * Waits for the requests in flight.
+   *
+   * <p>Guards against a shutdown that cuts a write off between its run and its answer: the caller
+   * would not know whether its order ran. The port stays open meanwhile, so new requests are told
+   * to go elsewhere, and the balancer sees it at {@code /ready}.
+   */
+  private void drain() {
+    CompletableFuture<Void> drained = inFlight.drain();
+    log.info("event=drain-begin in-flight={}", inFlight.count());
+    try {
+      drained.get(settings.drainTimeout().toMillis(), TimeUnit.MILLISECONDS);
+      log.info("event=drain-end reason=NOTHING_IN_FLIGHT");
+    } catch (TimeoutException late) {
+      log.warn("event=drain-end reason=TIMEOUT in-flight={}", inFlight.count());
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException impossible) {
+      log.error("event=drain-failed", impossible);
+    }
+  }
+
   @Override
   public void close() {
-    draining.set(true);
+    drain();
     while (!parts.isEmpty()) {
       try {
         parts.pop().close();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
@@ -14,6 +14,7 @@
 import org.alderyard.common.http.JsonExchange;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.PoolName;
+import org.alderyard.proxy.drain.RequestsInFlight;
 import org.alderyard.proxy.statement.StatementService;
 
 /** The callers' HTTP interface, with the announcements of backend servers on the same port. */
@@ -28,6 +29,7 @@
   private final StatementService statements;
   private final AnnouncementHandler announcements;
   private final BooleanSupplier ready;
+  private final RequestsInFlight inFlight;
   private final HttpHandler metrics;
 
   /** Creates the interface. */
@@ -36,11 +38,13 @@
       StatementService statements,
       AnnouncementHandler announcements,
       BooleanSupplier ready,
+      RequestsInFlight inFlight,
       HttpHandler metrics) {
     this.host = host;
     this.statements = statements;
     this.announcements = announcements;
     this.ready = ready;
+    this.inFlight = inFlight;
     this.metrics = metrics;
   }
 
@@ -61,7 +65,7 @@
   }
 
   private void statement(HttpServerExchange exchange) {
-    JsonExchange.handle(exchange, body -> run(exchange, body));
+    JsonExchange.handle(exchange, body -> inFlight.run(() -> run(exchange, body)));
   }
 
   private CompletableFuture<JsonNode> run(HttpServerExchange exchange, byte[] body) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/RetryRule.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/RetryRule.java
@@ -51,6 +51,8 @@
   private static boolean transientRefusal(AlderyardException failure) {
     return failure.code() == ErrorCode.PRIMARY_REPLACED
         || failure.code() == ErrorCode.CONNECTION_LOST
+        // No lease of connections yet: a new primary's come a moment after the view.
+        || failure.code() == ErrorCode.NO_ELIGIBLE_SERVER
         || (failure instanceof BackendException refused && refused.refusal() == Refusal.BUSY);
   }
 
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInServer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInServer.java
@@ -32,6 +32,7 @@
   private static final String SWITCHES_PATH = "/stand-in/switches";
   private static final AttachmentKey<OpenTransaction> TRANSACTION =
       AttachmentKey.create(OpenTransaction.class);
+  private static final AttachmentKey<Sent> LAST_SENT = AttachmentKey.create(Sent.class);
   private static final int WORKER_THREADS = 24;
   private static final int MAX_FETCHED = 2_000;
   private static final long QUEUE_MILLIS = 5_000;
@@ -215,14 +216,24 @@
         Thread.currentThread().interrupt();
       }
     }
-    byte[] body = BackendJson.bytes(answer);
+    Sent sent = new Sent(number(exchange), BackendJson.bytes(answer));
+    Sent before = exchange.getConnection().putAttachment(LAST_SENT, sent);
+    if (statement && switches.repeatAnswers && before != null) {
+      sent = before;
+    }
     exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(BackendPaths.REQUEST_NUMBER, sent.number);
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
     if (statement && switches.truncateAnswers) {
-      truncate(exchange, body);
+      truncate(exchange, sent.body);
       return;
     }
-    exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    exchange.getResponseSender().send(ByteBuffer.wrap(sent.body));
+  }
+
+  private static String number(HttpServerExchange exchange) {
+    return Optional.ofNullable(exchange.getRequestHeaders().getFirst(BackendPaths.REQUEST_NUMBER))
+        .orElse("");
   }
 
   private static void truncate(HttpServerExchange exchange, byte[] body) {
@@ -241,6 +252,9 @@
     org.xnio.IoUtils.safeClose(exchange.getConnection());
   }
 
+  /** An answer and the number of its request. */
+  private record Sent(String number, byte[] body) {}
+
   /** The writes of a transaction, kept until its commit, over a copy of the data. */
   private static final class OpenTransaction {
     private final long term;
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInSwitches.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInSwitches.java
@@ -22,6 +22,9 @@
   /** Whether every answer is cut off in the middle. */
   volatile boolean truncateAnswers;
 
+  /** Whether a statement is answered with the answer before it on its connection. */
+  volatile boolean repeatAnswers;
+
   /** Whether every connection is closed before its request is read: a cut network. */
   volatile boolean unreachable;
 
@@ -33,6 +36,7 @@
     serviceMillis = body.path("serviceMillis").asLong(serviceMillis);
     dropEveryNth = body.path("dropEveryNth").asInt(dropEveryNth);
     truncateAnswers = body.path("truncateAnswers").asBoolean(truncateAnswers);
+    repeatAnswers = body.path("repeatAnswers").asBoolean(repeatAnswers);
     unreachable = body.path("unreachable").asBoolean(unreachable);
   }
 }
--- /dev/null
+++ b/alderyard-testkit/src/test/java/org/alderyard/testkit/standin/AnswerFaultsTest.java
@@ -0,0 +1,149 @@
+package org.alderyard.testkit.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.alderyard.backend.BackendAnswer;
+import org.alderyard.backend.BackendStatement;
+import org.alderyard.backend.ServerConnection;
+import org.alderyard.backend.StatementKind;
+import org.alderyard.backend.http.BackendJson;
+import org.alderyard.backend.http.HttpConnector;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.Outcome;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.id.ZoneName;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A faulty answer is an error of its own request, and never the answer of another one. */
+class AnswerFaultsTest {
+  private static final Duration LONG = Duration.ofSeconds(30);
+
+  private WorkerPool workers;
+  private XnioWorker ioWorker;
+  private StandInServer server;
+  private ServerConnection connection;
+
+  @BeforeEach
+  void start() throws Exception {
+    workers = new WorkerPool("test", 2);
+    ioWorker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
+    server =
+        new StandInServer(
+            new StandInOptions(
+                new ServerId("s1"),
+                1,
+                new GroupId("g"),
+                new ZoneName("z"),
+                new InetSocketAddress("127.0.0.1", 0),
+                5,
+                64,
+                true,
+                Optional.empty(),
+                false,
+                Optional.empty(),
+                List.of(),
+                1_500));
+    connection = new HttpConnector(ioWorker, workers).connect(server.address(), LONG).join();
+    write("a", "first").join();
+  }
+
+  @AfterEach
+  void stop() {
+    connection.close();
+    server.close();
+    ioWorker.shutdownNow();
+    workers.close();
+  }
+
+  /** Half of an answer comes, then the connection ends: a list of orders must not be cut short. */
+  @Test
+  void truncatedAnswerIsAnError() {
+    server.switches().set(BackendJson.object().put("truncateAnswers", true));
+
+    assertDoubt(failureOf(write("a", "second")), ErrorCode.CONNECTION_LOST);
+  }
+
+  /**
+   * The answer comes after its caller has given up. On a kept connection the next request would
+   * read it as its own, and a customer would see another one's order.
+   */
+  @Test
+  void lateAnswerClosesItsConnection() {
+    server.switches().set(BackendJson.object().put("answerDelayMillis", 500));
+
+    assertDoubt(failureOf(run("a", "late", Duration.ofMillis(20))), ErrorCode.DEADLINE_EXCEEDED);
+  }
+
+  /** The server's answer is dropped with its connection after the statement ran. */
+  @Test
+  void droppedAnswerIsUnknown() {
+    server.switches().set(BackendJson.object().put("dropEveryNth", 1));
+
+    assertDoubt(failureOf(write("a", "second")), ErrorCode.CONNECTION_LOST);
+  }
+
+  /**
+   * A faulty server sends the answer of the request before once more. It is whole and well formed;
+   * only the number of its request tells that it belongs to another one.
+   */
+  @Test
+  void answerOfAnotherRequestIsRefused() {
+    server.switches().set(BackendJson.object().put("repeatAnswers", true));
+
+    assertDoubt(failureOf(write("b", "second")), ErrorCode.BACKEND_PROTOCOL);
+  }
+
+  /** A refusal is a whole answer: the connection is as good as before. */
+  @Test
+  void refusalKeepsConnection() {
+    AlderyardException failure = failureOf(connection.run(statement("nonsense", "a", "x"), LONG));
+
+    assertThat(failure.outcome()).isEqualTo(Outcome.FAILED);
+    assertThat(connection.usable()).isTrue();
+  }
+
+  private void assertDoubt(AlderyardException failure, ErrorCode code) {
+    assertThat(failure.code()).isEqualTo(code);
+    assertThat(failure.outcome()).isEqualTo(Outcome.OUTCOME_UNKNOWN);
+    assertThat(connection.usable()).isFalse();
+  }
+
+  private CompletableFuture<BackendAnswer> write(String key, String value) {
+    return run(key, value, LONG);
+  }
+
+  private CompletableFuture<BackendAnswer> run(String key, String value, Duration timeout) {
+    return connection.run(statement("put", key, value), timeout);
+  }
+
+  private static BackendStatement statement(String text, String key, String value) {
+    return new BackendStatement(
+        StatementKind.WRITE,
+        key,
+        text,
+        List.of(JsonNodeFactory.instance.textNode(value)),
+        1,
+        Optional.empty());
+  }
+
+  private static AlderyardException failureOf(CompletableFuture<BackendAnswer> answer) {
+    return Futures.typed(assertThrows(CompletionException.class, answer::join));
+  }
+}
