Hold transactions on one connection each, through any proxy

Cause: callers had single statements only. Change: POST /v1/pools/{pool}/transactions, then /{id}/statements, /commit, /rollback. The id names host and incarnation; another proxy passes a request on once (method 201). Idle limit 10 s, total limit 60 s. Lost before the commit was sent: TRANSACTION_LOST, NOT_RUN; after: OUTCOME_UNKNOWN, and a commit that is sent again gets its first answer. One request at a time, and one connection for one transaction from before its begin until its answered end. A shutdown waits for open transactions. Conclusion: a transaction's commit is not in the request ledger yet: after a lost answer through a dead holder it stays unknown.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -40,7 +40,6 @@
 import org.alderyard.control.service.ViewFeed;
 import org.alderyard.control.state.ControlState;
 import org.alderyard.protocol.control.ControlClient;
-import org.alderyard.protocol.data.DataMethods;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.EventLoops;
 import org.alderyard.protocol.wire.InnerServer;
@@ -48,25 +47,21 @@
 import org.alderyard.protocol.wire.ProtocolOptions;
 import org.alderyard.proxy.api.AnnouncementHandler;
 import org.alderyard.proxy.api.CallerApi;
+import org.alderyard.proxy.api.TransactionApi;
 import org.alderyard.proxy.drain.RequestsInFlight;
 import org.alderyard.proxy.lease.LeaseClient;
 import org.alderyard.proxy.lease.LeaseTable;
-import org.alderyard.proxy.ledger.LedgerLimits;
-import org.alderyard.proxy.ledger.LedgerSupport;
-import org.alderyard.proxy.ledger.LedgeredWrites;
-import org.alderyard.proxy.ledger.OwnerLedger;
 import org.alderyard.proxy.limit.PoolLimits;
-import org.alderyard.proxy.limit.RetryBudget;
 import org.alderyard.proxy.monitor.GroupMonitor;
 import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.read.ReadStack;
 import org.alderyard.proxy.session.SessionTokens;
 import org.alderyard.proxy.statement.StatementService;
+import org.alderyard.proxy.transaction.TransactionService;
 import org.alderyard.proxy.view.ViewClient;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.watch.WatchOptions;
 import org.alderyard.proxy.watch.WatcherService;
-import org.alderyard.proxy.write.WritePath;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -244,33 +239,6 @@
     LeaseTable leases = new LeaseTable(clock);
     ServerPools pools = part(new ServerPools(connector, leases));
     new LeaseClient(control, self, views, leases, pools).start(workers);
-    LedgerSupport ledgerOnServers = new LedgerSupport(views, monitor);
-    WritePath writes =
-        new WritePath(
-            views,
-            pools,
-            admin,
-            new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED),
-            ledgerOnServers,
-            viewClient::leaseValid,
-            workers,
-            clock);
-    OwnerLedger owner =
-        new OwnerLedger(
-            settings.host(),
-            views,
-            viewClient::leaseValid,
-            writes::run,
-            (host, request, timeout) ->
-                links.to(host.innerAddress()).call(DataMethods.RUN_OWNED_WRITE, request, timeout),
-            LedgerLimits.DEFAULT,
-            workers,
-            clock,
-            wallClock);
-    viewClient.onLeaseLapsed(owner::viewLeaseLapsed);
-    dispatcher.serve(
-        DataMethods.RUN_OWNED_WRITE,
-        (peer, request) -> inFlight.runToTheEnd(() -> owner.serve(request)));
     ReadStack reads =
         new ReadStack(
             settings.readOptions(),
@@ -283,17 +251,22 @@
             clock,
             sharedRandom(),
             registry);
+    SessionTokens tokens = new SessionTokens(wallClock, settings.maxTokenAge());
+    WriteStack writes =
+        new WriteStack(
+            self, views, viewClient, monitor, admin, pools, workers, clock, wallClock, links);
+    writes.serveLedger(dispatcher, inFlight);
     StatementService statements =
-        new StatementService(
-            views,
-            new SessionTokens(wallClock, settings.maxTokenAge()),
-            new PoolLimits(),
-            reads.path(),
-            new LedgeredWrites(writes, ledgerOnServers, owner));
+        new StatementService(views, tokens, new PoolLimits(), reads.path(), writes.ledgered());
+    TransactionService held = part(writes.transactions());
+    held.start(workers);
+    TransactionApi transactions =
+        writes.serveTransactions(held, tokens, dispatcher, links, inFlight);
     CallerApi api =
         new CallerApi(
             settings.host(),
             statements,
+            transactions,
             new AnnouncementHandler(control),
             () -> viewClient.leaseValid() && !inFlight.draining() && !drained(views),
             inFlight,
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -168,9 +168,14 @@
 
   HttpResponse<String> statement(int host, String pool, Optional<String> token, String body)
       throws Exception {
+    return post(host, "/v1/pools/" + pool + "/statements", token, body);
+  }
+
+  /** Sends a caller's request to a path. */
+  HttpResponse<String> post(int host, String path, Optional<String> token, String body)
+      throws Exception {
     var request =
-        HttpRequest.newBuilder(
-                uri(hosts.get(host).callerAddress(), "/v1/pools/" + pool + "/statements"))
+        HttpRequest.newBuilder(uri(hosts.get(host).callerAddress(), path))
             .POST(HttpRequest.BodyPublishers.ofString(body));
     token.ifPresent(value -> request.header("Alderyard-Session", value));
     return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
@@ -1,5 +1,7 @@
 package org.alderyard.protocol.data;
 
+import org.alderyard.protocol.generated.forward.ForwardReply;
+import org.alderyard.protocol.generated.forward.ForwardRequest;
 import org.alderyard.protocol.generated.ledger.OwnedWriteReply;
 import org.alderyard.protocol.generated.ledger.OwnedWriteRequest;
 import org.alderyard.protocol.wire.Method;
@@ -10,5 +12,9 @@
   public static final Method<OwnedWriteRequest, OwnedWriteReply> RUN_OWNED_WRITE =
       new Method<>(200, "run-owned-write", OwnedWriteRequest.parser(), OwnedWriteReply.parser());
 
+  /** Serves a request of a transaction, at the proxy that holds it. */
+  public static final Method<ForwardRequest, ForwardReply> FORWARD_TRANSACTION =
+      new Method<>(201, "forward-transaction", ForwardRequest.parser(), ForwardReply.parser());
+
   private DataMethods() {}
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
@@ -46,8 +46,18 @@
             ? OptionalLong.of(number(body, "requestedAtMillis", 0, 0, Long.MAX_VALUE))
             : OptionalLong.empty(),
         token,
-        Duration.ofMillis(
-            number(body, "deadlineMillis", DEFAULT_DEADLINE_MILLIS, 1, MAX_DEADLINE_MILLIS)));
+        deadline(body));
+  }
+
+  /** Returns how long the caller of a body waits. */
+  static Duration deadline(JsonNode body) {
+    return Duration.ofMillis(
+        number(body, "deadlineMillis", DEFAULT_DEADLINE_MILLIS, 1, MAX_DEADLINE_MILLIS));
+  }
+
+  /** Returns the key of a body. */
+  static String key(JsonNode body) {
+    return text(body, "key");
   }
 
   private static StatementKind kind(JsonNode body) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/GroupOfKey.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/GroupOfKey.java
@@ -6,11 +6,12 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /** Maps a key to one of the groups of a pool: the same on every proxy, by rendezvous hashing. */
-final class GroupOfKey {
+public final class GroupOfKey {
 
   private GroupOfKey() {}
 
-  static GroupId of(PoolState pool, String key) {
+  /** Returns the group that holds the key. */
+  public static GroupId of(PoolState pool, String key) {
     GroupId best = null;
     long bestScore = Long.MIN_VALUE;
     for (GroupId group : pool.groups()) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WritePath.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WritePath.java
@@ -1,12 +1,17 @@
 package org.alderyard.proxy.write;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import org.alderyard.backend.BackendAnswer;
 import org.alderyard.backend.ServerAdmin;
 import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.PoolState;
 import org.alderyard.proxy.limit.RetryBudget;
 import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.view.ViewHolder;
@@ -50,6 +55,26 @@
     return new WriteRun(parts, request).start();
   }
 
+  /**
+   * Returns the primary of a group, and waits for one while there is none.
+   *
+   * @return fails as {@code NOT_RUN} when none comes in time or the view may not be acted on
+   */
+  public CompletableFuture<WriteTarget> primary(GroupId group, Duration timeout) {
+    if (!parts.viewLeaseValid().getAsBoolean()) {
+      return CompletableFuture.failedFuture(
+          AlderyardException.notRun(
+              ErrorCode.VIEW_LEASE_EXPIRED, "this proxy has lost touch with the control hosts"));
+    }
+    return parts.waiters().await(group, 0, timeout);
+  }
+
+  /** Acknowledges what a primary answered; a failure says {@code OUTCOME_UNKNOWN}. */
+  public CompletableFuture<WriteAnswer> acknowledge(
+      PoolState pool, GroupId group, WriteTarget target, BackendAnswer answer, Duration timeout) {
+    return Acknowledgement.of(parts, pool, group, target, answer, timeout);
+  }
+
   /** Returns how many polls were sent to replicas for acknowledgements. */
   public long acknowledgementPolls() {
     return parts.majority().polls();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
@@ -11,7 +11,6 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.common.time.Deadline;
-import org.alderyard.common.view.WriteAcknowledgement;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -72,7 +71,15 @@
         .pools()
         .take(target.primary(), deadline.remaining(parts.clock()))
         .thenCompose(connection -> runOn(connection, target))
-        .thenCompose(answer -> acknowledged(answer, target))
+        .thenCompose(
+            answer ->
+                Acknowledgement.of(
+                    parts,
+                    request.pool(),
+                    request.group(),
+                    target,
+                    answer,
+                    deadline.remaining(parts.clock())))
         .whenComplete(
             (answer, failure) -> {
               if (failure == null) {
@@ -107,40 +114,6 @@
         request.ledgerKey());
   }
 
-  private CompletableFuture<WriteAnswer> acknowledged(BackendAnswer answer, WriteTarget target) {
-    WriteAnswer write = new WriteAnswer(answer.result(), target.primary().id(), answer.position());
-    if (request.pool().writeAcknowledgement() == WriteAcknowledgement.PRIMARY_ONLY) {
-      requireCurrentTerm(target);
-      return CompletableFuture.completedFuture(write);
-    }
-    return parts
-        .majority()
-        .await(
-            request.group(),
-            target.term(),
-            answer.position().index(),
-            deadline.remaining(parts.clock()))
-        .thenApply(held -> write);
-  }
-
-  /**
-   * Guards against a primary that slept through its replacement and answers when it wakes: without
-   * a majority only our own view can tell, so it must be fresh and still name the term.
-   */
-  private void requireCurrentTerm(WriteTarget target) {
-    boolean current =
-        parts.viewLeaseValid().getAsBoolean()
-            && PrimaryWaiters.target(parts.views().current(), request.group(), target.term())
-                .filter(now -> now.term() == target.term())
-                .isPresent();
-    if (!current) {
-      throw new AlderyardException(
-          ErrorCode.PRIMARY_REPLACED,
-          Outcome.OUTCOME_UNKNOWN,
-          "the write ran on a primary that may have been replaced meanwhile");
-    }
-  }
-
   private void failed(AlderyardException failure, WriteTarget target) {
     boolean ledgerProves =
         request.ledgerKey().isPresent() && parts.ledgerOnServers().test(request.group());
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteTarget.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteTarget.java
@@ -8,4 +8,4 @@
  * @param primary the primary
  * @param term the term that it is primary of
  */
-record WriteTarget(ServerState primary, long term) {}
+public record WriteTarget(ServerState primary, long term) {}
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/write/FakeReplicas.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/write/FakeReplicas.java
@@ -12,7 +12,7 @@
 import org.alderyard.common.id.ServerId;
 
 /** Keeps the polls open until the test answers them. */
-final class FakeReplicas implements ServerAdmin {
+public final class FakeReplicas implements ServerAdmin {
   private final Map<ServerId, CompletableFuture<ServerReport>> open = new HashMap<>();
   private final Map<ServerId, Position> asked = new HashMap<>();
   private final Map<ServerId, Integer> polls = new HashMap<>();
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/write/FakeServers.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/write/FakeServers.java
@@ -17,14 +17,21 @@
 import org.alderyard.common.id.ServerId;
 
 /** Connections that answer as the test says, one step for each statement. */
-final class FakeServers implements ServerConnector {
-  record Sent(ServerId server, BackendStatement statement) {}
+public final class FakeServers implements ServerConnector {
+  /** A statement and the server that got it. */
+  public record Sent(ServerId server, BackendStatement statement) {}
+
+  /** What was sent, in order. */
+  public final List<Sent> sent = new ArrayList<>();
+
+  /** How many connections are open. */
+  public int open;
 
-  final List<Sent> sent = new ArrayList<>();
   private final Deque<Function<BackendStatement, CompletableFuture<BackendAnswer>>> script =
       new ArrayDeque<>();
 
-  FakeServers answers(long term, long index) {
+  /** The next statement is answered with this position. */
+  public FakeServers answers(long term, long index) {
     script.add(
         statement ->
             CompletableFuture.completedFuture(
@@ -33,18 +40,21 @@
     return this;
   }
 
-  FakeServers fails(RuntimeException failure) {
+  /** The next statement fails. */
+  public FakeServers fails(RuntimeException failure) {
     script.add(statement -> CompletableFuture.failedFuture(failure));
     return this;
   }
 
-  FakeServers does(Function<BackendStatement, CompletableFuture<BackendAnswer>> step) {
+  /** The next statement does what the step says. */
+  public FakeServers does(Function<BackendStatement, CompletableFuture<BackendAnswer>> step) {
     script.add(step);
     return this;
   }
 
   @Override
   public CompletableFuture<ServerConnection> connect(InetSocketAddress address, Duration timeout) {
+    open++;
     return CompletableFuture.completedFuture(new Connection(TestGroup.at(address)));
   }
 
@@ -84,6 +94,9 @@
 
     @Override
     public void close() {
+      if (!closed) {
+        open--;
+      }
       closed = true;
     }
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/write/TestGroup.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/write/TestGroup.java
@@ -23,18 +23,24 @@
 import org.alderyard.proxy.view.ViewHolder;
 
 /** One group of the servers a, b and c, and the views of it that a test needs. */
-final class TestGroup {
-  static final GroupId GROUP = new GroupId("g");
-  static final ServerId A = new ServerId("a");
+public final class TestGroup {
+  /** The group. */
+  public static final GroupId GROUP = new GroupId("g");
+
+  /** A server. */
+  public static final ServerId A = new ServerId("a");
+
   static final ServerId B = new ServerId("b");
   static final ServerId C = new ServerId("c");
   private static final List<ServerId> SERVERS = List.of(A, B, C);
 
-  final ViewHolder views = new ViewHolder();
+  /** What the proxy acts on. */
+  public final ViewHolder views = new ViewHolder();
+
   private long version;
 
   /** Publishes a view of the group with this term and primary. */
-  void publish(long term, Optional<ServerId> primary) {
+  public void publish(long term, Optional<ServerId> primary) {
     publish(term, primary, ServerStatus.ACTIVE);
   }
 
@@ -63,7 +69,8 @@
     return SERVERS.get(address.getPort() - 1_000);
   }
 
-  static PoolState pool(WriteAcknowledgement acknowledgement) {
+  /** Returns a pool over the group. */
+  public static PoolState pool(WriteAcknowledgement acknowledgement) {
     return new PoolState(new PoolName("orders"), List.of(GROUP), acknowledgement, 1_000, 0);
   }
 
