Open connections to a server at a bounded pace

Cause: after a failover every proxy opens connections to the new primary at once, 10 ms each. Change: PacedConnector between the pools and the HTTP connector: 4 at once, then 5 a second for each server and proxy; one that would wait past its timeout is refused as not run, with a hint. Figures: chosen by arithmetic, not measured: 12 proxies x 5/s x 10 ms = 0.6 of one slot of a server with 2 to 5. The test pins burst, wait (201 ms hint at 5/s) and order. Conclusion: warm connections ahead of need are still missing.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -53,6 +53,7 @@
 import org.alderyard.proxy.lease.LeaseTable;
 import org.alderyard.proxy.limit.PoolLimits;
 import org.alderyard.proxy.monitor.GroupMonitor;
+import org.alderyard.proxy.pool.PacedConnector;
 import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.read.ReadStack;
 import org.alderyard.proxy.session.SessionTokens;
@@ -237,7 +238,14 @@
             settings.host(), views, admin, control, workers, clock, WatchOptions.DEFAULT))
         .start();
     LeaseTable leases = new LeaseTable(clock);
-    ServerPools pools = part(new ServerPools(connector, leases));
+    PacedConnector paced =
+        new PacedConnector(
+            connector,
+            clock,
+            workers,
+            PacedConnector.DEFAULT_PER_SECOND,
+            PacedConnector.DEFAULT_BURST);
+    ServerPools pools = part(new ServerPools(paced, leases));
     new LeaseClient(control, self, views, leases, pools).start(workers);
     ReadStack reads =
         new ReadStack(
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/ServerPoolsTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/ServerPoolsTest.java
@@ -17,12 +17,14 @@
 import org.alderyard.backend.BackendStatement;
 import org.alderyard.backend.ServerConnection;
 import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.time.PausedClock;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
 import org.junit.jupiter.api.Test;
@@ -117,6 +119,32 @@
     assertThat(second.join().usable()).isTrue();
   }
 
+  /**
+   * After a failover every proxy turns to the new primary at once, and a server that does nothing
+   * but open connections answers no statement. Past the burst, one that would wait longer than its
+   * caller is refused at once.
+   */
+  @Test
+  void connectionsPastTheBurstWaitForTheirTurn() {
+    PausedClock clock = new PausedClock();
+    Server server = new Server(10);
+    try (WorkerPool workers = new WorkerPool("test", 1)) {
+      PacedConnector paced =
+          new PacedConnector((address, timeout) -> server.connect(), clock, workers, 5, 2);
+      for (int i = 0; i < 2; i++) {
+        assertThat(paced.connect(SERVER.address(), Duration.ofMillis(100)).join()).isNotNull();
+      }
+      AlderyardException refused = failure(paced.connect(SERVER.address(), Duration.ofMillis(100)));
+      assertThat(refused.outcome()).isEqualTo(Outcome.NOT_RUN);
+      assertThat(refused.retryAfterMillis().getAsLong()).isEqualTo(201);
+      CompletableFuture<ServerConnection> waiting = paced.connect(SERVER.address(), LONG);
+      assertThat(waiting.isDone()).isFalse();
+      clock.advance(Duration.ofMillis(200));
+      assertThat(waiting.join()).isNotNull();
+      assertThat(server.open()).isEqualTo(3);
+    }
+  }
+
   @Property(seed = "20261202", tries = 200)
   void openConnectionsStayWithinTheGreatestAllowance(
       @ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
