Estimate a replica's lag from the first measurements of a started proxy

Change: while nothing has advanced, the age of the last measurement stands in for the lag. The test also waits until the second proxy has measured the group, which it took for granted.

--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/ReadsOverProxiesTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/ReadsOverProxiesTest.java
@@ -35,7 +35,8 @@
       cluster.startGroup("g1");
       assertThat(cluster.putTicket(1, 1, TICKET).statusCode()).isEqualTo(200);
       cluster.statementOnceReady(0, POOL, write("talk", "start"));
-      cluster.statementOnceReady(1, POOL, read("talk"));
+      // Not before the second proxy has measured the group.
+      cluster.statementUntil(1, POOL, bounded("talk", 60_000), "\"role\":\"replica\"");
       for (var server : cluster.servers) {
         server.switches().set(Json.object().put("applyLagMillis", 100));
       }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/GroupFreshness.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/freshness/GroupFreshness.java
@@ -83,6 +83,7 @@
     if (ofPrimary) {
       history.record(seen.held(), seen.sentNanos(), seen.receivedNanos());
     }
+    measured.receivedNanos = Math.max(measured.receivedNanos, seen.receivedNanos());
     if (advanced) {
       updateLag(measured, seen);
     }
@@ -117,7 +118,21 @@
             measured.incarnation,
             measured.applied,
             freshAsOf(measured.applied),
-            measured.lagNanos));
+            lagOf(measured)));
+  }
+
+  /**
+   * The estimate of the lag, or the age of the last measurement while nothing has advanced.
+   *
+   * <p>On a quiet group nothing may advance for long after this proxy has started; without any
+   * estimate the first read after a write would go to the primary.
+   */
+  private OptionalLong lagOf(Measured measured) {
+    OptionalLong held = history.heldUntil(measured.applied);
+    if (measured.lagNanos.isPresent() || held.isEmpty()) {
+      return measured.lagNanos;
+    }
+    return OptionalLong.of(Math.max(0, measured.receivedNanos - held.getAsLong()));
   }
 
   /** Returns the time as of which a server that has applied the position holds everything. */
@@ -166,6 +181,7 @@
     final long incarnation;
     long term = -1;
     long termNanos;
+    long receivedNanos = Long.MIN_VALUE;
     Position applied = Position.NONE;
     OptionalLong lagNanos = OptionalLong.empty();
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/freshness/FreshnessTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/freshness/FreshnessTest.java
@@ -204,6 +204,20 @@
     assertThat(decide(demand, group, S2, 5_100).arrivalNanos().getAsLong()).isAtLeast(4_000L);
   }
 
+  /**
+   * A proxy has just started on a quiet group and measured a replica before the primary. The first
+   * read after a write found no estimate of the replica's lag and went to the primary.
+   */
+  @Test
+  void firstReadAfterStartHasAnEstimateOfTheLag() {
+    GroupState group = group(1, S1);
+    freshness.follow(group, 3);
+    observe(S2, 1, false, new Position(1, 5), 0);
+    observe(S1, 1, true, new Position(1, 5), 2);
+    ReadDemand demand = ReadDemand.session(Requirement.atLeast(new Position(1, 6)));
+    assertThat(decide(demand, group, S2, 30).arrivalNanos().isPresent()).isTrue();
+  }
+
   @Test
   void historyStaysBoundedAndConservative() {
     PositionHistory history = new PositionHistory();
