Let one of two replicas stand first when a leader is lost

Cause: with one of three hosts lost, the two that were left often noticed it at once, let each other stand and voted for themselves; each split vote cost another timeout. A stopped log also acknowledged messages that it dropped. Change: whoever grants a pre-vote restarts its own timer, and of two with equal logs the higher id goes first, in its first round only; a stopped log refuses. Story twoThatNoticeTheLossAtOnceDoNotSplitTheVote fails without the rule.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -226,7 +226,9 @@
               "host " + peer.host() + " sends as host " + batch.getSender().getHostId()));
     }
     long nowMillis = nowMillis();
-    loop.submit(() -> receive(batch, nowMillis));
+    if (!loop.submit(() -> receive(batch, nowMillis))) {
+      return CompletableFuture.failedFuture(stopped());
+    }
     return CompletableFuture.completedFuture(RaftAck.getDefaultInstance());
   }
 
@@ -261,12 +263,15 @@
                       .build());
             });
     if (!taken) {
-      answer.completeExceptionally(
-          AlderyardException.notRun(ErrorCode.DRAINING, "the log of this host is closed"));
+      answer.completeExceptionally(stopped());
     }
     return answer;
   }
 
+  private static AlderyardException stopped() {
+    return AlderyardException.notRun(ErrorCode.DRAINING, "the log of this host is closed");
+  }
+
   LogStatus status() {
     if (driver == null) {
       return LogStatus.NONE;
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -283,8 +283,8 @@
     poll.cancel(false);
   }
 
-  /** Stops at once, as a crash would, but for what is in the files already. */
-  void stop() {
+  /** Stops at once without handing over, as a crash would. */
+  public void stop() {
     CompletableFuture<Void> done = new CompletableFuture<>();
     boolean running = loop.submit(() -> shutDown(done));
     loop.stop();
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
@@ -10,6 +10,7 @@
 final class Election {
   private final ReplicaState state;
   private final Set<Long> granted = new HashSet<>();
+  private int preVoteRounds;
 
   Election(ReplicaState state) {
     this.state = state;
@@ -17,6 +18,7 @@
 
   /** Asks whether an election could be won; the term stays, so a lone replica disturbs nobody. */
   void startPreVote() {
+    preVoteRounds++;
     granted.clear();
     granted.add(state.self);
     state.restartElectionTimer();
@@ -25,6 +27,7 @@
 
   /** Stands for election in a new term. The own vote counts once it is synced. */
   void startVote(boolean handOver) {
+    preVoteRounds = 0;
     granted.clear();
     state.promise(state.term() + 1, state.self);
     state.forgetLeader();
@@ -71,13 +74,21 @@
     return role == Role.LEADER || state.leaderIsFresh();
   }
 
+  /** Forgets earlier rounds, since a leader was heard or another replica stands. */
+  void rest() {
+    preVoteRounds = 0;
+  }
+
   /** Answers a request whose term was taken over already, if it is a real one. */
   void answer(RaftMessage message) {
     VoteRequest request = message.getVoteRequest();
     boolean grant = mayGrant(message.getFrom(), request);
+    if (grant) {
+      // Whoever lets another one stand waits before it stands itself.
+      state.restartElectionTimer();
+    }
     if (grant && !request.getPreVote()) {
       state.promise(state.term(), message.getFrom());
-      state.restartElectionTimer();
     }
     // A pre-vote may come from a higher term, which is not taken over here: the reply carries it,
     // since the asker ignores what comes from a lower term than its own.
@@ -94,12 +105,27 @@
                     .setGranted(grant)));
   }
 
+  /**
+   * Returns whether this replica asks for the same and goes first.
+   *
+   * <p>Guards against a split vote: with one host lost, the two that are left often notice it at
+   * once, let each other stand, vote for themselves, and the gap grows by a timeout each time. Of
+   * two with equal logs the higher id goes first, but only in its first round: if it can't win, it
+   * holds up nobody.
+   */
+  private boolean competes(long candidate, VoteRequest request) {
+    boolean equalLogs =
+        request.getLastIndex() == state.log.lastIndex()
+            && request.getLastTerm() == state.log.lastTerm();
+    return preVoteRounds == 1 && equalLogs && state.self > candidate;
+  }
+
   private boolean mayGrant(long candidate, VoteRequest request) {
     if (!state.log.isUpToDate(request.getLastIndex(), request.getLastTerm())) {
       return false;
     }
     if (request.getPreVote()) {
-      return request.getCandidateTerm() > state.term();
+      return request.getCandidateTerm() > state.term() && !competes(candidate, request);
     }
     if (request.getCandidateTerm() != state.term()) {
       return false;
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -111,6 +111,7 @@
       leadership = null;
     }
     role = Role.FOLLOWER;
+    election.rest();
     state.forgetLeader();
     state.restartElectionTimer();
     if (term > state.term()) {
@@ -194,6 +195,7 @@
           "replicas " + state.self + " and " + leader + " both lead term " + state.term());
     }
     role = Role.FOLLOWER;
+    election.rest();
     state.heardLeader(leader);
   }
 
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureStoriesTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureStoriesTest.java
@@ -332,4 +332,25 @@
     cluster.run(RaftReplica.OPTIONS.heartbeatMillis());
     assertThat(next.core().change(new Remove(old.id))).isEqualTo(Verdict.ACCEPTED);
   }
+
+  /**
+   * The leader's host is lost, and the two that are left notice it in the same moment. If each let
+   * the other stand and then voted for itself, the writes would wait for one timeout after another.
+   * One of them goes first, so the next term has a leader.
+   */
+  @Test
+  void twoThatNoticeTheLossAtOnceDoNotSplitTheVote() {
+    RaftReplica lost = proposeMany(cluster.settle(), 3);
+    final long term = lost.core().term();
+    lost.crash();
+    cluster.advance(RaftReplica.OPTIONS.electionTimeoutMaxMillis());
+    List<RaftReplica> left = othersThan(lost);
+    left.forEach(replica -> replica.core().tick(cluster.nowMillis()));
+    left.forEach(replica -> replica.perform(false));
+    while (!cluster.pipe.isEmpty()) {
+      cluster.deliver(cluster.pipe.remove(0), false);
+    }
+
+    assertThat(cluster.leader().orElseThrow().core().term()).isEqualTo(term + 1);
+  }
 }
