--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/BenchCluster.java
@@ -0,0 +1,96 @@
+package org.alderyard.benchmarks.log;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.alderyard.control.log.ReplicatedLogOptions;
+import org.alderyard.control.log.StateMachine;
+
+/** Some control hosts and the news of who leads. */
+final class BenchCluster {
+  private final Path folder;
+  private final List<InetSocketAddress> members = new ArrayList<>();
+  private final List<BenchHost> hosts = new ArrayList<>();
+  private final BlockingQueue<BenchHost> elected = new LinkedBlockingQueue<>();
+
+  BenchCluster(Path folder, int size) {
+    this.folder = folder;
+    for (int number = 0; number < size; number++) {
+      members.add(freeAddress());
+    }
+    for (int number = 0; number < size; number++) {
+      hosts.add(start(number));
+    }
+  }
+
+  private static InetSocketAddress freeAddress() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+
+  private BenchHost start(int number) {
+    return new BenchHost(
+        number,
+        members,
+        folder,
+        new CountingMachine(),
+        ReplicatedLogOptions.defaults(),
+        elected::add);
+  }
+
+  /** Starts a host again from its files. */
+  void restart(int number) {
+    hosts.set(number, start(number));
+  }
+
+  List<BenchHost> hosts() {
+    return hosts;
+  }
+
+  /** Waits for the next host that was elected and serves. */
+  BenchHost nextLeader() {
+    try {
+      return elected.take();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted while waiting for a leader", interrupted);
+    }
+  }
+
+  void close() {
+    hosts.forEach(BenchHost::kill);
+    hosts.forEach(BenchHost::free);
+  }
+
+  /** The least that a state machine can be: its cost is not measured. */
+  static final class CountingMachine implements StateMachine {
+    private long applied;
+
+    @Override
+    public ByteString apply(long index, ByteString command) {
+      applied++;
+      return ByteString.EMPTY;
+    }
+
+    @Override
+    public ByteString snapshot() {
+      return ByteString.copyFromUtf8(Long.toString(applied));
+    }
+
+    @Override
+    public void restore(long index, ByteString snapshot) {
+      applied = Long.parseLong(snapshot.toStringUtf8());
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/package-info.java
@@ -0,0 +1,2 @@
+/** Measures of the replicated log: latency, election gap, restart and snapshots. */
+package org.alderyard.benchmarks.log;
