Check the view lease again right before a write is sent

Cause: the lease was checked before the wait for a primary and a connection, which may outlast it; a view from an unconfirmed host could then steer the write. Change: WriteRun checks again when it holds the connection and gives it back unused otherwise. Conclusion: no write leaves on a view whose lease ran out.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
@@ -41,10 +41,7 @@
   private void attempt(long minTerm) {
     if (!parts.viewLeaseValid().getAsBoolean()) {
       // NOT_RUN holds: this attempt has been given to no connection.
-      giveUp(
-          AlderyardException.notRun(
-              ErrorCode.VIEW_LEASE_EXPIRED, "this proxy has lost touch with the control hosts"),
-          RetryReason.FINAL);
+      giveUp(leaseExpired(), RetryReason.FINAL);
       return;
     }
     parts
@@ -60,6 +57,11 @@
             });
   }
 
+  private static AlderyardException leaseExpired() {
+    return AlderyardException.notRun(
+        ErrorCode.VIEW_LEASE_EXPIRED, "this proxy has lost touch with the control hosts");
+  }
+
   private void send(WriteTarget target) {
     log.info(
         "event=route kind=write pool={} group={} server={} term={} reason=PRIMARY_OF_TERM",
@@ -99,6 +101,12 @@
           AlderyardException.notRun(
               ErrorCode.DEADLINE_EXCEEDED, "no connection was free before the deadline"));
     }
+    if (!parts.viewLeaseValid().getAsBoolean()) {
+      // The wait for a primary or a connection may have outlasted the lease. NOT_RUN holds as
+      // above.
+      parts.pools().release(target.primary(), connection);
+      return CompletableFuture.failedFuture(leaseExpired());
+    }
     return connection
         .run(statement(target.term()), left)
         .whenComplete((answer, failure) -> parts.pools().release(target.primary(), connection));
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
@@ -181,6 +181,21 @@
     assertThat(servers.sent).isEmpty();
   }
 
+  /**
+   * A proxy is cut off while an order waits for a primary. The new primary that it hears of comes
+   * from a host that is not confirmed, so the order must not go there.
+   */
+  @Test
+  void leaseThatExpiresDuringTheWaitIsNotRun() {
+    group.publish(1, Optional.empty());
+    CompletableFuture<WriteAnswer> write = writes.run(order(LONG));
+    leaseValid = false;
+    group.publish(2, Optional.of(B));
+
+    assertThat(failureOf(write).code()).isEqualTo(ErrorCode.VIEW_LEASE_EXPIRED);
+    assertThat(servers.sent).isEmpty();
+  }
+
   private static WriteRequest order(Duration timeout) {
     return new WriteRequest(
         TestGroup.pool(WriteAcknowledgement.PRIMARY_ONLY),
