Attack a local system with faults and check every promise

Cause: the nine promises were tested one by one, never together on processes under a schedule of faults. Change: 'alderyard prove': a local system of 4 to 12 hosts, 13 kinds of faults in a seeded order (kills, pauses, cuts, lost answers, lag, a leaving server, a wiped disk, a shutdown, ticket races and storms), both workloads and transactions, and a table of promise, attack, attempts, violations. A promise that was not attacked counts as unproved. The demo uses the same local system.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
@@ -11,6 +11,7 @@
 import org.alderyard.cli.operator.DrainCommand;
 import org.alderyard.cli.operator.ShowCommand;
 import org.alderyard.cli.operator.TicketApplyCommand;
+import org.alderyard.cli.prove.ProveCommand;
 
 /** The command line of {@code alderyard}. */
 public final class Main {
@@ -41,6 +42,7 @@
         new TokenInspectCommand(),
         new CheckSettingsCommand(),
         new LoadCommand(),
-        new DemoCommand());
+        new DemoCommand(),
+        new ProveCommand());
   }
 }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
@@ -21,6 +21,8 @@
 import org.alderyard.cli.load.LoadReport;
 import org.alderyard.cli.load.LoadRun;
 import org.alderyard.cli.load.Mix;
+import org.alderyard.cli.local.LocalSystem;
+import org.alderyard.cli.local.SystemPlan;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.daemon.ExitCode;
 import org.apache.commons.cli.Options;
@@ -36,6 +38,7 @@
               .addOption(valued("seconds", "N", "how long the load lasts, 4 to 600; default 20"))
               .addOption(valued("rate", "N", "actions a second of each workload; default 150"))
               .addOption(flag("keep", "keep the folder with settings and logs")));
+  private static final SystemPlan PLAN = new SystemPlan(5, 3, 3, 50);
   private static final int DEFAULT_SECONDS = 20;
   private static final int DEFAULT_RATE = 150;
   private static final int KEYS = 200;
@@ -52,7 +55,7 @@
     int rate = (int) invocation.number("rate", DEFAULT_RATE, 1, 10_000);
     Path folder = temporaryFolder();
     boolean good = false;
-    try (DemoSystem system = new DemoSystem(folder)) {
+    try (LocalSystem system = new LocalSystem(PLAN, folder)) {
       invocation.out().println("starting 5 hosts and 9 stand-in servers ...");
       system.start();
       good = underLoad(system, seconds, rate, invocation.out());
@@ -68,32 +71,32 @@
     }
   }
 
-  private static boolean underLoad(DemoSystem system, int seconds, int rate, PrintStream out) {
+  private static boolean underLoad(LocalSystem system, int seconds, int rate, PrintStream out) {
     out.println("load for " + seconds + " s, " + rate + " actions/s of each workload ...");
     Duration duration = Duration.ofSeconds(seconds);
     final CompletableFuture<LoadReport> listings =
         CompletableFuture.supplyAsync(
-            () -> load(system, DemoSystem.POOLS.get(0), Mix.BRAZOS, duration, rate, 1));
+            () -> load(system, LocalSystem.POOLS.get(0), Mix.BRAZOS, duration, rate, 1));
     final CompletableFuture<LoadReport> orders =
         CompletableFuture.supplyAsync(
-            () -> load(system, DemoSystem.POOLS.get(1), Mix.LE_GOFF, duration, rate, 2));
+            () -> load(system, LocalSystem.POOLS.get(1), Mix.LE_GOFF, duration, rate, 2));
     LockSupport.parkNanos(duration.dividedBy(2).toNanos());
-    String group = DemoSystem.GROUPS.get(0);
+    String group = PLAN.groups().get(0);
     String primary = system.awaitPrimaryOf(group);
-    system.kill(primary);
+    system.killServer(primary);
     out.println("killed " + primary + ", the primary of " + group);
     return report(system, listings.join(), orders.join(), primary, out);
   }
 
   private static LoadReport load(
-      DemoSystem system, String pool, Mix mix, Duration duration, int rate, long seed) {
+      LocalSystem system, String pool, Mix mix, Duration duration, int rate, long seed) {
     LoadPlan plan =
         new LoadPlan(system.callerPorts(), pool, mix, rate, duration, KEYS, seed, DEADLINE);
     return new LoadRun(plan, MonotonicClock.system(), line -> {}).run();
   }
 
   private static boolean report(
-      DemoSystem system, LoadReport listings, LoadReport orders, String killed, PrintStream out) {
+      LocalSystem system, LoadReport listings, LoadReport orders, String killed, PrintStream out) {
     out.println();
     out.println("== seminar listings (mostly reads)");
     out.print(listings.toText());
@@ -101,7 +104,7 @@
     out.println("== orders (each exactly once)");
     out.print(orders.toText());
     out.println();
-    String group = DemoSystem.GROUPS.get(0);
+    String group = PLAN.groups().get(0);
     boolean replaced =
         system.primaryOf(group).filter(primary -> !primary.equals(killed)).isPresent();
     out.println(
@@ -119,7 +122,7 @@
 
   /** A system that refuses everything breaks no promise; it must also have done its work. */
   private static boolean servesAllGroups(LoadReport report) {
-    return report.longestWriteGapMillis().keySet().containsAll(DemoSystem.GROUPS);
+    return report.longestWriteGapMillis().keySet().containsAll(PLAN.groups());
   }
 
   private static Path temporaryFolder() {
--- a/alderyard-cli/src/main/java/org/alderyard/cli/demo/package-info.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/demo/package-info.java
@@ -1,6 +1,2 @@
-/**
- * The demonstration: a whole small system as processes on this machine, under load and a failure.
- *
- * <p>It is a tool for developers. The processes of the system themselves start no other process.
- */
+/** The demonstration: both workloads on a small local system, and the death of a primary. */
 package org.alderyard.cli.demo;
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalServers.java
@@ -0,0 +1,93 @@
+package org.alderyard.cli.local;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.alderyard.testkit.standin.StandInMain;
+
+/** The stand-in servers of a local system, and their processes. */
+final class LocalServers {
+  private static final int PER_GROUP = 3;
+  private static final String MAX_HEAP = "96m";
+
+  private final SystemPlan plan;
+  private final Path folder;
+  private final ProcessSet processes;
+  private final List<InetSocketAddress> entryHosts;
+  private final Map<String, Server> servers = new LinkedHashMap<>();
+
+  LocalServers(
+      SystemPlan plan, Path folder, ProcessSet processes, List<InetSocketAddress> entryHosts) {
+    this.plan = plan;
+    this.folder = folder;
+    this.processes = processes;
+    this.entryHosts = List.copyOf(entryHosts);
+    for (String group : plan.groups()) {
+      for (int number = 0; number < PER_GROUP; number++) {
+        String name = group + "-" + (number + 1);
+        servers.put(name, new Server(group, number, LocalHttp.freePort()));
+      }
+    }
+  }
+
+  void startAll() {
+    servers.forEach(
+        (name, server) -> {
+          List<String> first =
+              server.number == 0
+                  ? List.of("--primary")
+                  : List.of("--follow", LocalHttp.text(servers.get(server.group + "-1").address));
+          start(name, 1, first);
+        });
+  }
+
+  /** Starts a server again that was killed; its log file is as the death left it. */
+  void restart(String name) {
+    Server server = servers.get(name);
+    server.incarnation++;
+    start(name, server.incarnation, List.of());
+  }
+
+  private void start(String name, int incarnation, List<String> more) {
+    Server server = servers.get(name);
+    List<String> arguments = new ArrayList<>();
+    arguments.addAll(List.of("--server", name));
+    arguments.addAll(List.of("--group", server.group));
+    arguments.addAll(List.of("--zone", LocalHosts.ZONES.get(server.number)));
+    arguments.addAll(List.of("--listen", LocalHttp.text(server.address)));
+    arguments.addAll(List.of("--incarnation", Integer.toString(incarnation)));
+    arguments.addAll(List.of("--data", folder.resolve(name + ".data").toString()));
+    arguments.addAll(List.of("--apply-lag-millis", Integer.toString(plan.applyLagMillis())));
+    arguments.addAll(
+        List.of(
+            "--entry-hosts",
+            entryHosts.stream().map(LocalHttp::text).collect(Collectors.joining(","))));
+    arguments.addAll(more);
+    processes.start(name, MAX_HEAP, StandInMain.class, arguments);
+  }
+
+  InetSocketAddress address(String name) {
+    return servers.get(name).address;
+  }
+
+  List<String> names() {
+    return List.copyOf(servers.keySet());
+  }
+
+  private static final class Server {
+    private final String group;
+    private final int number;
+    private final InetSocketAddress address;
+    private int incarnation = 1;
+
+    Server(String group, int number, InetSocketAddress address) {
+      this.group = group;
+      this.number = number;
+      this.address = address;
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/PromiseReport.java
@@ -0,0 +1,53 @@
+package org.alderyard.cli.prove;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Map;
+import org.alderyard.common.http.Json;
+
+/**
+ * The result of an experiment.
+ *
+ * @param rows the promises
+ * @param faults how often each fault was injected
+ * @param notes what else a reader needs, as what stayed unchecked
+ */
+record PromiseReport(List<PromiseRow> rows, Map<String, Integer> faults, List<String> notes) {
+
+  /** A promise that was not attacked once is not kept: it is unproved. */
+  boolean kept() {
+    return rows.stream().allMatch(row -> row.violations() == 0 && row.attempts() > 0)
+        && notes.isEmpty();
+  }
+
+  JsonNode toJson() {
+    var node = Json.object();
+    var list = node.putArray("promises");
+    rows.forEach(
+        row ->
+            list.addObject()
+                .put("promise", row.promise())
+                .put("attack", row.attack())
+                .put("attempts", row.attempts())
+                .put("violations", row.violations()));
+    var counts = node.putObject("faults");
+    faults.forEach(counts::put);
+    var texts = node.putArray("notes");
+    notes.forEach(texts::add);
+    return node;
+  }
+
+  String toText() {
+    StringBuilder text = new StringBuilder();
+    text.append(String.format("%-62s %9s %10s%n", "promise", "attempts", "violations"));
+    for (PromiseRow row : rows) {
+      text.append(
+          String.format("%-62s %9d %10d%n", row.promise(), row.attempts(), row.violations()));
+      text.append(String.format("    %s%n", row.attack()));
+    }
+    text.append(String.format("%nfaults%n"));
+    faults.forEach((name, count) -> text.append(String.format("  %-60s %9d%n", name, count)));
+    notes.forEach(note -> text.append(String.format("%s%n", note)));
+    return text.toString();
+  }
+}
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInServer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInServer.java
@@ -42,6 +42,7 @@
   private final StandInState state;
   private final Semaphore slots;
   private final AtomicInteger answers = new AtomicInteger();
+  private final AtomicInteger statements = new AtomicInteger();
   private final Undertow http;
   private final StandInReplication replication;
   private final StandInAnnouncer announcer;
@@ -132,7 +133,10 @@
       case LOG_PATH -> fetched(body);
       case SWITCHES_PATH -> {
         switches.set(body);
-        yield BackendJson.object();
+        if (body.path("leave").asBoolean()) {
+          announcer.leave();
+        }
+        yield BackendJson.object().put("statements", statements.get());
       }
       default -> throw new BackendException(Refusal.BAD_REQUEST, exchange.getRequestPath());
     };
@@ -154,6 +158,7 @@
   }
 
   private JsonNode statement(HttpServerExchange exchange, JsonNode body) {
+    statements.incrementAndGet();
     BackendStatement statement = BackendJson.statement(body);
     OpenTransaction open = exchange.getConnection().getAttachment(TRANSACTION);
     if (open != null) {
