Tell kept connections to close before a draining proxy closes its port

Ruled out: requests in flight; the drain waits for those. Change: each answer of a draining host ends its connection, and the port stays open for drain-linger (1 s) after the last request. Conclusion: a caller is cut only if its connection idles through the linger and its next request meets the close; it is refused before anything runs.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -331,6 +331,8 @@
     log.info("event=drain-begin in-flight={}", inFlight.count());
     try {
       drained.get(settings.drainTimeout().toMillis(), TimeUnit.MILLISECONDS);
+      // Callers with a kept connection learn from their next answer that it ends.
+      TimeUnit.MILLISECONDS.sleep(settings.drainLinger().toMillis());
       log.info("event=drain-end reason=NOTHING_IN_FLIGHT");
     } catch (TimeoutException late) {
       log.warn("event=drain-end reason=TIMEOUT in-flight={}", inFlight.count());
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -38,6 +38,7 @@
  * @param readOptions how reads are routed and limited
  * @param maxTokenAge the oldest session token that is accepted
  * @param drainTimeout longest wait for requests in flight at a shutdown
+ * @param drainLinger how long the callers' port stays open after that
  * @param workerThreads threads of the worker pool
  * @param ioThreads threads of the HTTP ports
  * @param httpLimits what HTTP clients may send
@@ -60,6 +61,7 @@
     ReadOptions readOptions,
     Duration maxTokenAge,
     Duration drainTimeout,
+    Duration drainLinger,
     int workerThreads,
     int ioThreads,
     HttpLimits httpLimits,
@@ -93,6 +95,7 @@
                 settings.get(DaemonSpec.ROUTING_LOG_SAMPLE)),
             settings.get(DaemonSpec.MAX_TOKEN_AGE),
             settings.get(DaemonSpec.DRAIN_TIMEOUT),
+            settings.get(DaemonSpec.DRAIN_LINGER),
             settings.get(DaemonSpec.WORKER_THREADS),
             settings.get(DaemonSpec.IO_THREADS),
             new HttpLimits(
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -92,6 +92,13 @@
           duration(Duration.ZERO, Duration.ofMinutes(10)),
           "30s",
           "longest wait for requests in flight at a shutdown");
+  static final Setting<Duration> DRAIN_LINGER =
+      Setting.preset(
+          "proxy",
+          "drain-linger",
+          duration(Duration.ZERO, Duration.ofMinutes(1)),
+          "1s",
+          "how long the callers' port stays open after the last request at a shutdown");
   static final Setting<Integer> WORKER_THREADS =
       Setting.preset("proxy", "worker-threads", integer(1, 256), "4", "threads of the worker pool");
   static final Setting<Integer> IO_THREADS =
@@ -158,6 +165,7 @@
               ROUTING_LOG_SAMPLE,
               MAX_TOKEN_AGE,
               DRAIN_TIMEOUT,
+              DRAIN_LINGER,
               WORKER_THREADS,
               IO_THREADS,
               MAX_HEADER_BYTES,
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -28,6 +28,7 @@
   private final Path folder;
   private final HttpClient http = HttpClient.newHttpClient();
   private final List<AutoCloseable> parts = new ArrayList<>();
+  private final List<Daemon> daemons = new ArrayList<>();
   final List<DaemonSettings> hosts = new ArrayList<>();
   final List<StandInServer> servers = new ArrayList<>();
 
@@ -71,6 +72,7 @@
         cluster-key-file = %s
         operator-key-file = %s
         [proxy]
+        drain-linger = 200ms
         %s
         """
             .formatted(
@@ -87,7 +89,14 @@
     Files.writeString(file, text);
     DaemonSettings settings = DaemonSettings.read(file);
     hosts.add(settings);
-    parts.add(new Daemon(settings));
+    Daemon daemon = new Daemon(settings);
+    daemons.add(daemon);
+    parts.add(daemon);
+  }
+
+  /** Asks a host to end and waits until it has. */
+  void stopHost(int host) {
+    daemons.get(host).close();
   }
 
   /** Starts a group of a primary and two replicas that announce themselves to the last host. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
@@ -59,6 +59,27 @@
 
   /** Returns the handler of the callers' port. */
   public HttpHandler handler() {
+    HttpHandler routes = routes();
+    return exchange -> {
+      endKeptConnection(exchange);
+      routes.handleRequest(exchange);
+    };
+  }
+
+  /**
+   * Ends a kept connection with its answer once this host drains.
+   *
+   * <p>Guards against a request that a caller sends on a kept connection at the moment when the
+   * port closes: it would get no answer. A caller that is told to close opens its next connection
+   * elsewhere.
+   */
+  private void endKeptConnection(HttpServerExchange exchange) {
+    if (inFlight.draining()) {
+      exchange.setPersistent(false);
+    }
+  }
+
+  private HttpHandler routes() {
     return new RoutingHandler()
         .post("/v1/pools/{pool}/statements", this::statement)
         .post("/v1/pools/{pool}/transactions", this::begin)
