Measure in-force with three control hosts that sync their log

Cause: the first in-force run had one control host whose log is in memory; the goal is for a log that a majority syncs. Change: the benchmark's cluster starts three control hosts with data folders; the fan-out keeps one control process, whose cost for each subscriber is what it measures.

--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/BenchCluster.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/BenchCluster.java
@@ -1,5 +1,7 @@
 package org.alderyard.benchmarks.view;
 
+import static java.util.stream.Collectors.joining;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -16,7 +18,7 @@
 import java.util.List;
 import org.alderyard.common.http.Json;
 
-/** Daemons as processes on this machine; the first one is the control host. */
+/** Daemons as processes on this machine; the first ones are the control hosts. */
 final class BenchCluster implements AutoCloseable {
   static final String CLUSTER_ID = "bench";
   static final String CLUSTER_KEY = "a secret of the whole cluster";
@@ -29,10 +31,14 @@
   private final HttpClient http = HttpClient.newHttpClient();
   private final List<DaemonProcess> processes = new ArrayList<>();
   private final List<Integer> operatorPorts = new ArrayList<>();
-  private int controlPort;
+  private final List<Integer> controlPorts = new ArrayList<>();
 
-  BenchCluster(Path folder) throws IOException {
+  /** Several control hosts keep a synced log in data folders, a single one keeps it in memory. */
+  BenchCluster(Path folder, int controlHosts) throws IOException {
     this.folder = folder;
+    for (int host = 0; host < controlHosts; host++) {
+      controlPorts.add(freePort());
+    }
     Files.writeString(folder.resolve("cluster.key"), CLUSTER_KEY);
     Files.writeString(folder.resolve("operator.key"), OPERATOR_KEY);
   }
@@ -42,17 +48,22 @@
   }
 
   InetSocketAddress controlAddress() {
-    return new InetSocketAddress("127.0.0.1", controlPort);
+    return new InetSocketAddress("127.0.0.1", controlPorts.get(0));
   }
 
   int size() {
     return processes.size();
   }
 
-  void start(String id, String roles) throws IOException {
-    int inner = freePort();
+  /** Starts the next host. */
+  void start() throws IOException {
+    int number = processes.size();
+    boolean control = number < controlPorts.size();
+    boolean stored = control && controlPorts.size() > 1;
+    String id = "h" + (number + 1);
     int operator = freePort();
-    controlPort = processes.isEmpty() ? inner : controlPort;
+    String dataFolder =
+        stored ? "data-folder = " + Files.createDirectories(folder.resolve(id + "-data")) : "";
     String text =
         """
         [host]
@@ -65,7 +76,8 @@
         inner-address = 127.0.0.1:%d
         operator-address = 127.0.0.1:%d
         [control]
-        hosts = 127.0.0.1:%d
+        hosts = %s
+        %s
         [keys]
         cluster-key-file = %s
         operator-key-file = %s
@@ -73,11 +85,12 @@
             .formatted(
                 id,
                 CLUSTER_ID,
-                roles,
+                control ? "proxy,control" : "proxy",
                 freePort(),
-                inner,
+                control ? controlPorts.get(number) : freePort(),
                 operator,
-                controlPort,
+                controlPorts.stream().map(port -> "127.0.0.1:" + port).collect(joining(",")),
+                dataFolder,
                 folder.resolve("cluster.key"),
                 folder.resolve("operator.key"));
     Path file = folder.resolve(id + ".ini");
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
@@ -74,10 +74,10 @@
   }
 
   private String measure(Path folder, int count) throws IOException, InterruptedException {
-    try (BenchCluster cluster = new BenchCluster(folder);
+    try (BenchCluster cluster = new BenchCluster(folder, 1);
         WorkerPool workers = new WorkerPool("subscriber", 2);
         EventLoops loops = new EventLoops(2)) {
-      cluster.start("h1", "control");
+      cluster.start();
       cluster.awaitHosts(1);
       final long heapBefore = heapBytes();
       List<AutoCloseable> subscribers = new ArrayList<>();
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/InForceBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/InForceBenchmark.java
@@ -10,6 +10,7 @@
 /** The time from a ticket's submission until the leader knows it in force on 12 proxies. */
 final class InForceBenchmark {
   private static final int PROXIES = 12;
+  private static final int CONTROL_HOSTS = 3;
   private static final int WARM_UP = 50;
   private static final int TICKETS = 500;
   private static final int PAUSE_MILLIS = 20;
@@ -20,10 +21,9 @@
   void run(Path folder, PrintStream out) throws IOException, InterruptedException {
     Histogram accepted = new Histogram(3);
     Histogram inForce = new Histogram(3);
-    try (BenchCluster cluster = new BenchCluster(folder)) {
-      cluster.start("h1", "proxy,control");
-      for (int number = 2; number <= PROXIES; number++) {
-        cluster.start("h" + number, "proxy");
+    try (BenchCluster cluster = new BenchCluster(folder, CONTROL_HOSTS)) {
+      for (int number = 1; number <= PROXIES; number++) {
+        cluster.start();
       }
       cluster.awaitHosts(PROXIES);
       for (int number = 1; number <= WARM_UP + TICKETS; number++) {
@@ -36,7 +36,9 @@
         Thread.sleep(PAUSE_MILLIS);
       }
     }
-    out.printf("in-force: %d proxies as processes, %d tickets%n", PROXIES, TICKETS);
+    out.printf(
+        "in-force: %d proxies as processes, %d of them control hosts, %d tickets%n",
+        PROXIES, CONTROL_HOSTS, TICKETS);
     print(out, "submit to accepted", accepted);
     print(out, "submit to in force on all", inForce);
   }
