Bound the pace of view answers, so that many hosts can join at once

Cause: each host that joins is a change for all others, and each view made each host send a heartbeat. With 1,000 subscribers the leader came to no heartbeat in time, hosts lost their leases, and each removal was a change for all: the fan-out run never settled (3,377 removals in its log). Change: the feed pauses 2 ms + 0.2 ms for each host it answered; a host has one heartbeat on its way; a host stays registered 7 s past its lease, uncounted in M.

--- a/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
@@ -44,6 +44,14 @@
   /** How long a host may act on a view without a confirmation, in milliseconds. */
   static final int VIEW_LEASE_MILLIS = 3_000;
 
+  /**
+   * How long after the end of its lease a host stays registered, in milliseconds.
+   *
+   * <p>It counts no longer for "in force" meanwhile. The removal is a change for all hosts, and a
+   * leader that is busy for some seconds must not remove many that live.
+   */
+  static final int REMOVAL_DELAY_MILLIS = 7_000;
+
   /** The shortest and the longest lease of a backend server, in milliseconds. */
   static final int MIN_SERVER_LEASE_MILLIS = 100;
 
@@ -190,7 +198,9 @@
   Progress progress(ViewVersion version) {
     synchronized (lock) {
       startTerm();
-      var hosts = state.view().hosts().keySet();
+      long nowMillis = clock.nowMillis();
+      List<HostId> hosts =
+          state.view().hosts().keySet().stream().filter(host -> mayAct(host, nowMillis)).toList();
       long inForce =
           hosts.stream()
               .filter(
@@ -200,6 +210,11 @@
     }
   }
 
+  /** A host without an entry may hold a lease that an earlier leader gave it. */
+  private boolean mayAct(HostId host, long nowMillis) {
+    return hostLeases.find(host).filter(lease -> lease.endMillis() <= nowMillis).isEmpty();
+  }
+
   /** How far the hosts have followed. */
   record Progress(int inForce, int expected) {}
 
@@ -215,11 +230,12 @@
       startTerm();
       fillIn(nowMillis);
       servers = serverLeases.expired(nowMillis);
-      hosts = hostLeases.expired(nowMillis);
+      hosts = hostLeases.expired(nowMillis - REMOVAL_DELAY_MILLIS);
       // An end that is not ordered, since the quorum is lost, is proposed again after a pause.
       long againMillis = nowMillis + PROPOSAL_PAUSE_MILLIS;
       servers.forEach(s -> serverLeases.renew(s.holder(), s.incarnation(), againMillis));
-      hosts.forEach(h -> hostLeases.renew(h.holder(), h.incarnation(), againMillis));
+      hosts.forEach(
+          h -> hostLeases.renew(h.holder(), h.incarnation(), againMillis - REMOVAL_DELAY_MILLIS));
     }
     servers.forEach(expired -> expire(expired));
     hosts.forEach(expired -> expire(expired.holder(), expired.incarnation(), "lease-expired"));
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
@@ -28,28 +28,27 @@
   /** About the largest answer, in bytes; a host that lags takes several. */
   static final int ANSWER_BYTES = 1 << 20;
 
+  private static final Duration MIN_PAUSE = Duration.ofMillis(2);
+  private static final Duration PAUSE_PER_HOST = Duration.ofNanos(200_000);
+
   private final WorkerPool workers;
   private final Object lock = new Object();
   // Guarded by lock. Deltas by the version from which they lead on.
   private ViewChange current = new ViewChange(View.EMPTY, ViewChain.START, Optional.empty());
   private final TreeMap<ViewVersion, ViewDelta> deltas = new TreeMap<>();
-  private Set<Waiter> waiting = newWaiters();
+  private final Set<Waiter> waiting = Collections.newSetFromMap(new IdentityHashMap<>());
+  private boolean pausing;
 
   private record Waiter(
       ViewVersion running, ByteString chainHash, CompletableFuture<ViewNews> answer) {}
 
-  private static Set<Waiter> newWaiters() {
-    return Collections.newSetFromMap(new IdentityHashMap<>());
-  }
-
   /** Creates a feed of the empty view. */
   public ViewFeed(WorkerPool workers) {
     this.workers = workers;
   }
 
-  /** Takes a new view and answers all who wait; called in the order of versions. */
+  /** Takes a new view; called in the order of versions. */
   public void publish(ViewChange change) {
-    Set<Waiter> ready;
     synchronized (lock) {
       if (change.delta().isEmpty()) {
         deltas.clear();
@@ -59,29 +58,73 @@
         deltas.pollFirstEntry();
       }
       current = change;
-      ready = waiting;
-      waiting = newWaiters();
-    }
-    for (Waiter waiter : ready) {
-      workers.execute(() -> waiter.answer().complete(news(waiter.running(), waiter.chainHash())));
     }
+    answerUnlessPausing();
   }
 
   /** Returns what is newer than the given version, or nothing when the wait is over. */
   CompletableFuture<ViewNews> after(ViewVersion running, ByteString chainHash, Duration wait) {
     Waiter waiter = new Waiter(running, chainHash, new CompletableFuture<>());
+    boolean pending;
     synchronized (lock) {
-      ViewNews news = news(running, chainHash);
-      if (!news.isNothing()) {
-        return CompletableFuture.completedFuture(news);
-      }
       waiting.add(waiter);
+      pending = !news(running, chainHash).isNothing();
     }
     var timer = workers.schedule(wait, () -> giveUp(waiter));
     waiter.answer().whenComplete((news, failure) -> timer.cancel(false));
+    if (pending) {
+      answerUnlessPausing();
+    }
     return waiter.answer();
   }
 
+  private void giveUp(Waiter waiter) {
+    synchronized (lock) {
+      waiting.remove(waiter);
+    }
+    waiter.answer().complete(news(waiter.running(), waiter.chainHash()));
+  }
+
+  /**
+   * Answers those who wait for something that is there, then pauses.
+   *
+   * <p>Guards against a storm: 1,000 hosts join, each joining is a change for all others, and a
+   * million answers keep the leader from the heartbeats, so that hosts lose their leases, which are
+   * changes again. The pause grows with the number of hosts, so the pace of answers is bounded, and
+   * changes in a pause go out together.
+   */
+  private void answerUnlessPausing() {
+    List<Waiter> ready = new ArrayList<>();
+    Duration pause;
+    synchronized (lock) {
+      if (pausing) {
+        return;
+      }
+      for (Waiter waiter : waiting) {
+        if (!news(waiter.running(), waiter.chainHash()).isNothing()) {
+          ready.add(waiter);
+        }
+      }
+      if (ready.isEmpty()) {
+        return;
+      }
+      ready.forEach(waiting::remove);
+      pausing = true;
+      pause = MIN_PAUSE.plus(PAUSE_PER_HOST.multipliedBy(ready.size()));
+    }
+    workers.schedule(pause, this::endPause);
+    for (Waiter waiter : ready) {
+      workers.execute(() -> waiter.answer().complete(news(waiter.running(), waiter.chainHash())));
+    }
+  }
+
+  private void endPause() {
+    synchronized (lock) {
+      pausing = false;
+    }
+    answerUnlessPausing();
+  }
+
   /**
    * Returns what a host at this version needs.
    *
@@ -115,11 +158,4 @@
     }
     return result;
   }
-
-  private void giveUp(Waiter waiter) {
-    synchronized (lock) {
-      waiting.remove(waiter);
-    }
-    waiter.answer().complete(ViewNews.NOTHING);
-  }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
@@ -9,6 +9,7 @@
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.PausedClock;
 import org.alderyard.common.view.ServerStatus;
@@ -236,9 +237,31 @@
     first.heartbeat("h1", 1, running, false);
     pass(first, 1_100);
     assertThat(inForce(1)).isEqualTo("1 of 1");
+    for (int second = 0; second < 8; second++) {
+      first.heartbeat("h1", 1, running, false);
+      pass(first, 1_000);
+    }
+    assertThat(first.state.view().hosts().keySet()).containsExactly(new HostId("h1"));
     assertThat(failure(() -> first.heartbeatOld("h1"))).isEqualTo(ErrorCode.PEER_REJECTED);
   }
 
+  /** A proxy that was busy while 300 changes passed catches up with one answer. */
+  @Test
+  void laggingHostGetsAllDeltasInOneAnswer() {
+    ViewFollower follower = follow(first, ViewFollower.EMPTY);
+    first.submit(1, group("g1", 1));
+    follower = follow(first, follower);
+    int answers = 0;
+    for (int number = 2; number <= 301; number++) {
+      first.submit(number, group("g1", 1 + number % 90));
+    }
+    while (!follower.view().version().equals(first.state.view().version())) {
+      follower = ControlHost.accept(follower, first.fetch(follower)).follower();
+      answers++;
+    }
+    assertThat(answers).isEqualTo(1);
+  }
+
   private String inForce(long number) {
     var ticket =
         first
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -33,7 +33,7 @@
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(2_000);
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
   private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(750);
-  private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(1_000);
   private static final long LEAVE_TIMEOUT_MILLIS = 300;
   private static final long BEHIND_LIMIT_MILLIS = 500;
 
@@ -48,6 +48,8 @@
   private final Object lock = new Object();
   // Guarded by lock.
   private ViewFollower follower = ViewFollower.EMPTY;
+  private boolean heartbeatOnItsWay;
+  private boolean heartbeatWanted;
   private final List<Runnable> lapseListeners = new CopyOnWriteArrayList<>();
   private volatile boolean closed;
 
@@ -169,27 +171,44 @@
     return behind.isPresent() && behind.getAsLong() > BEHIND_LIMIT_MILLIS;
   }
 
+  /**
+   * Sends a heartbeat, or one after that which is on its way.
+   *
+   * <p>Guards against a leader that is slow: a heartbeat for each new view on top of those without
+   * an answer would make it slower still. The next one tells the newest version in any case.
+   */
   private void heartbeat() {
-    if (closed) {
-      return;
+    synchronized (lock) {
+      heartbeatWanted = heartbeatOnItsWay;
+      if (closed || heartbeatOnItsWay) {
+        return;
+      }
+      heartbeatOnItsWay = true;
     }
     // The lease counts from before the request: the answer may have been long on its way.
     long sentMillis = clock.nowMillis();
-    send(false)
-        .whenComplete(
-            (reply, failure) -> {
-              if (failure == null) {
-                tellOfLapse();
-                lease.confirmed(
-                    StateCodec.version(reply.getCurrent()),
-                    sentMillis,
-                    reply.getLeaseMillis(),
-                    clock.nowMillis());
-              } else {
-                log.warn(
-                    "event=heartbeat-failed reason=\"{}\"", Futures.unwrap(failure).toString());
-              }
-            });
+    send(false).whenComplete((reply, failure) -> heartbeatDone(sentMillis, reply, failure));
+  }
+
+  private void heartbeatDone(long sentMillis, HeartbeatReply reply, Throwable failure) {
+    if (failure == null) {
+      tellOfLapse();
+      lease.confirmed(
+          StateCodec.version(reply.getCurrent()),
+          sentMillis,
+          reply.getLeaseMillis(),
+          clock.nowMillis());
+    } else {
+      log.warn("event=heartbeat-failed reason=\"{}\"", Futures.unwrap(failure).toString());
+    }
+    boolean again;
+    synchronized (lock) {
+      heartbeatOnItsWay = false;
+      again = heartbeatWanted;
+    }
+    if (again) {
+      workers.execute(this::heartbeat);
+    }
   }
 
   private CompletableFuture<HeartbeatReply> send(boolean leaving) {
