--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/BenchCluster.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/BenchCluster.java
@@ -31,6 +31,7 @@
   private final HttpClient http = HttpClient.newHttpClient();
   private final List<DaemonProcess> processes = new ArrayList<>();
   private final List<Integer> operatorPorts = new ArrayList<>();
+  private final List<Path> settings = new ArrayList<>();
   private final List<Integer> controlPorts = new ArrayList<>();
 
   /** Several control hosts keep a synced log in data folders, a single one keeps it in memory. */
@@ -51,10 +52,6 @@
     return new InetSocketAddress("127.0.0.1", controlPorts.get(0));
   }
 
-  int size() {
-    return processes.size();
-  }
-
   /** Starts the next host. */
   void start() throws IOException {
     int number = processes.size();
@@ -97,6 +94,21 @@
     Files.writeString(file, text);
     processes.add(DaemonProcess.start(file, HEAP_MIB));
     operatorPorts.add(operator);
+    settings.add(file);
+  }
+
+  /** Returns the place of the host that leads. */
+  int leader() throws IOException, InterruptedException {
+    String name = get(0, "/v1/status").path("leader").asText();
+    return Integer.parseInt(name.substring(1)) - 1;
+  }
+
+  void kill(int host) {
+    processes.get(host).kill();
+  }
+
+  void restart(int host) throws IOException {
+    processes.set(host, DaemonProcess.start(settings.get(host), HEAP_MIB));
   }
 
   private static int freePort() throws IOException {
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/DaemonProcess.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/DaemonProcess.java
@@ -60,6 +60,12 @@
     }
   }
 
+  /** Ends the process without a shutdown, as a loss of power does. */
+  void kill() {
+    process.destroyForcibly();
+    process.onExit().join();
+  }
+
   @Override
   public void close() {
     process.destroy();
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
@@ -85,15 +85,13 @@
         subscribers.addAll(subscribe(cluster, workers, loops, i));
       }
       cluster.awaitHosts(count + 1);
-      cluster.submit(0, 1);
+      // The compiler's work on the control process would count as the cost of being idle.
+      submit(cluster, 1);
       Thread.sleep(SETTLE_MILLIS);
       final Spent start = spent(cluster);
       Thread.sleep(Duration.ofSeconds(IDLE_SECONDS).toMillis());
       final Spent idle = spent(cluster);
-      for (int number = 2; number < TICKETS + 2; number++) {
-        cluster.submit(0, number);
-        Thread.sleep(TICKET_PAUSE_MILLIS);
-      }
+      submit(cluster, TICKETS + 1);
       Thread.sleep(SETTLE_MILLIS);
       final Spent loaded = spent(cluster);
       double heapKib = (heapBytes() - heapBefore) / 1024.0 / count;
@@ -103,6 +101,14 @@
     }
   }
 
+  private static void submit(BenchCluster cluster, int first)
+      throws IOException, InterruptedException {
+    for (int number = first; number < first + TICKETS; number++) {
+      cluster.submit(0, number);
+      Thread.sleep(TICKET_PAUSE_MILLIS);
+    }
+  }
+
   private List<AutoCloseable> subscribe(
       BenchCluster cluster, WorkerPool workers, EventLoops loops, int number) {
     HostId id = new HostId("sub-" + number);
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/ViewBenchmarks.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/ViewBenchmarks.java
@@ -9,7 +9,7 @@
 
 /** Runs the benchmarks of tickets and views; arguments name them, none runs all. */
 public final class ViewBenchmarks {
-  private static final List<String> ALL = List.of("restart", "in-force", "fan-out");
+  private static final List<String> ALL = List.of("restart", "in-force", "leader-loss", "fan-out");
 
   private ViewBenchmarks() {}
 
@@ -18,11 +18,13 @@
     List<String> names = args.length == 0 ? ALL : List.of(args);
     // A line for each view at each of 1,000 subscribers would be most of what is measured.
     ((Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)).setLevel(Level.ERROR);
-    Path folder = Files.createTempDirectory("alderyard-views");
+    Path root = Files.createTempDirectory("alderyard-views");
     for (String name : names) {
+      Path folder = Files.createDirectories(root.resolve(name));
       switch (name) {
         case "restart" -> new RestartBenchmark().run(System.out);
         case "in-force" -> new InForceBenchmark().run(folder, System.out);
+        case "leader-loss" -> new LeaderLossBenchmark().run(folder, System.out);
         case "fan-out" -> new FanOutBenchmark().run(folder, System.out);
         default -> {
           System.err.println("unknown benchmark '" + name + "'; accepted: " + ALL);
