End writes on a replaced primary at once, and look sooner at a lost one

Follow was retried only after 1 s. Change: Flights ends an attempt when the view names a later term (NOT_RUN when it was not sent yet, else OUTCOME_UNKNOWN, its connection closed); broken connections under writes hurry the watcher's probe; follow is retried after 50 ms until a majority follows; urgent probes go every 20 ms.

--- a/alderyard-control/src/main/java/org/alderyard/control/failover/GroupRun.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/GroupRun.java
@@ -264,9 +264,13 @@
               .exceptionallyCompose(failure -> askTermOfRefusal(record, view, server, failure)));
     }
     CompletableFuture.allOf(asked.toArray(CompletableFuture[]::new))
-        .whenComplete(
-            (done, failure) ->
-                context.later(() -> ended(mine, failure == null ? 0 : FOLLOW_RETRY_MILLIS)));
+        .whenComplete((done, failure) -> context.later(() -> ended(mine, followPause(record))));
+  }
+
+  /** No write is acknowledged before a majority follows, so until then no time is wasted. */
+  private synchronized long followPause(FailoverRecord record) {
+    boolean majorityFollows = attempt.following().size() + 1 >= record.majority();
+    return majorityFollows ? FOLLOW_RETRY_MILLIS : RETRY_MILLIS;
   }
 
   private CompletableFuture<Void> followOne(long term, ServerState primary, ServerState server) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -234,9 +234,11 @@
     HttpServerAdmin admin = new HttpServerAdmin(connector);
     GroupMonitor monitor = new GroupMonitor(views, admin, clock, settings.monitorInterval());
     monitor.start(workers);
-    part(new WatcherService(
-            settings.host(), views, admin, control, workers, clock, WatchOptions.DEFAULT))
-        .start();
+    WatcherService watchers =
+        part(
+            new WatcherService(
+                settings.host(), views, admin, control, workers, clock, WatchOptions.DEFAULT));
+    watchers.start();
     LeaseTable leases = new LeaseTable(clock);
     PacedConnector paced =
         new PacedConnector(
@@ -263,6 +265,7 @@
     WriteStack writes =
         new WriteStack(
             self, views, viewClient, monitor, admin, pools, workers, clock, wallClock, links);
+    writes.feed(watchers);
     writes.serveLedger(dispatcher, inFlight);
     StatementService statements =
         new StatementService(views, tokens, new PoolLimits(), reads.path(), writes.ledgered());
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/WriteStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/WriteStack.java
@@ -23,6 +23,7 @@
 import org.alderyard.proxy.transaction.TransactionService;
 import org.alderyard.proxy.view.ViewClient;
 import org.alderyard.proxy.view.ViewHolder;
+import org.alderyard.proxy.watch.WatcherService;
 import org.alderyard.proxy.write.WritePath;
 
 /** The parts of a proxy that change data: writes, their ledgers and transactions. */
@@ -76,6 +77,11 @@
     viewClient.onLeaseLapsed(owner::viewLeaseLapsed);
   }
 
+  /** Makes the watchers look at once at a primary whose connections are refused or break. */
+  void feed(WatcherService watchers) {
+    writes.onPrimaryLost(watchers::requestFailed);
+  }
+
   /** Returns the way of single writes. */
   LedgeredWrites ledgered() {
     return new LedgeredWrites(writes, ledgerOnServers, owner);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/watch/WatchOptions.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/watch/WatchOptions.java
@@ -29,7 +29,7 @@
     int budgetBytesPerSecond) {
   /** What is used when the settings say nothing. */
   public static final WatchOptions DEFAULT =
-      new WatchOptions(100, 50, 100, 2_000, 4, 600, 10, 8.0, 3, 700, 3_000);
+      new WatchOptions(100, 20, 100, 2_000, 4, 600, 10, 8.0, 3, 525, 3_000);
 
   /** Returns the time between two probes of each of so many primaries, within the budget. */
   public long probeMillis(int watched) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WritePath.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WritePath.java
@@ -1,7 +1,10 @@
 package org.alderyard.proxy.write;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.alderyard.backend.BackendAnswer;
@@ -10,6 +13,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.PoolState;
 import org.alderyard.proxy.limit.RetryBudget;
@@ -20,6 +24,7 @@
 public final class WritePath {
   private static final int MAX_WAITING_PER_GROUP = 1_000;
 
+  private final List<BiConsumer<GroupId, ServerId>> lostListeners = new CopyOnWriteArrayList<>();
   private final WriteParts parts;
 
   /**
@@ -43,13 +48,20 @@
             pools,
             new MajorityAcknowledger(views, admin, workers),
             new PrimaryWaiters(views, workers, MAX_WAITING_PER_GROUP),
+            new Flights(views),
             permits,
             ledgerOnServers,
             viewLeaseValid,
+            (group, server) -> lostListeners.forEach(listener -> listener.accept(group, server)),
             workers,
             clock);
   }
 
+  /** Adds a listener for each connection to a primary that was refused or broke under a write. */
+  public void onPrimaryLost(BiConsumer<GroupId, ServerId> listener) {
+    lostListeners.add(listener);
+  }
+
   /** Runs a write; a failure is a typed error that tells the outcome. */
   public CompletableFuture<WriteAnswer> run(WriteRequest request) {
     return new WriteRun(parts, request).start();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
@@ -69,10 +69,21 @@
         request.group(),
         target.primary().id(),
         target.term());
+    Flights.Flight flight = parts.flights().begin(request.group(), target.term());
+    flight
+        .result()
+        .whenComplete(
+            (answer, failure) -> {
+              if (failure == null) {
+                result.complete(answer);
+              } else {
+                failed(Futures.typed(failure), target);
+              }
+            });
     parts
         .pools()
         .take(target.primary(), deadline.remaining(parts.clock()))
-        .thenCompose(connection -> runOn(connection, target))
+        .thenCompose(connection -> runOn(connection, target, flight))
         .thenCompose(
             answer ->
                 Acknowledgement.of(
@@ -85,16 +96,17 @@
         .whenComplete(
             (answer, failure) -> {
               if (failure == null) {
-                result.complete(answer);
+                flight.result().complete(answer);
               } else {
-                failed(Futures.typed(failure), target);
+                flight.result().completeExceptionally(failure);
               }
             });
   }
 
-  private CompletableFuture<BackendAnswer> runOn(ServerConnection connection, WriteTarget target) {
+  private CompletableFuture<BackendAnswer> runOn(
+      ServerConnection connection, WriteTarget target, Flights.Flight flight) {
     Duration left = deadline.remaining(parts.clock());
-    if (left.isZero()) {
+    if (left.isZero() || !flight.trySend(connection)) {
       parts.pools().release(target.primary(), connection);
       // NOT_RUN holds: the connection goes back without a byte of this write.
       return CompletableFuture.failedFuture(
@@ -123,6 +135,9 @@
   }
 
   private void failed(AlderyardException failure, WriteTarget target) {
+    if (failure.code() == ErrorCode.CONNECTION_LOST) {
+      parts.onPrimaryLost().accept(request.group(), target.primary().id());
+    }
     boolean ledgerProves =
         request.ledgerKey().isPresent() && parts.ledgerOnServers().test(request.group());
     RetryDecision decision =
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
@@ -5,12 +5,14 @@
 import static org.alderyard.proxy.write.TestGroup.B;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.alderyard.backend.BackendAnswer;
 import org.alderyard.backend.BackendException;
 import org.alderyard.backend.BackendException.Refusal;
 import org.alderyard.backend.LedgerKey;
@@ -20,6 +22,7 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.common.id.CallerId;
+import org.alderyard.common.id.Position;
 import org.alderyard.common.id.RequestId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ServerStatus;
@@ -89,6 +92,45 @@
     assertThat(servers.sent.get(1).statement().term()).isEqualTo(2);
   }
 
+  /**
+   * The primary's process is stopped with an order on its connection, and wakes after it was
+   * replaced. The caller is told at once that the outcome is unknown, not at its deadline; the
+   * answer that comes after the wake is never passed on as an acknowledgement.
+   */
+  @Test
+  void stoppedPrimaryEndsWriteAtItsReplacement() {
+    CompletableFuture<BackendAnswer> asleep = new CompletableFuture<>();
+    servers.does(statement -> asleep);
+    group.publish(1, Optional.of(A));
+    CompletableFuture<WriteAnswer> write = writes.run(order(LONG));
+    assertThat(write.isDone()).isFalse();
+
+    group.publish(2, Optional.empty());
+
+    AlderyardException failure = failureOf(write);
+    assertThat(failure.code()).isEqualTo(ErrorCode.PRIMARY_REPLACED);
+    assertThat(failure.outcome()).isEqualTo(Outcome.OUTCOME_UNKNOWN);
+    asleep.complete(new BackendAnswer(JsonNodeFactory.instance.nullNode(), new Position(1, 1)));
+    assertThat(failureOf(write)).isEqualTo(failure);
+    servers.answers(2, 1);
+    group.publish(2, Optional.of(B));
+    assertThat(writes.run(order(LONG)).join().server()).isEqualTo(B);
+  }
+
+  /** The same with servers that keep a ledger: the order is sent again under its name. */
+  @Test
+  void ledgerResendsWriteOfStoppedPrimary() {
+    ledger = true;
+    servers.does(statement -> new CompletableFuture<>()).answers(2, 1);
+    group.publish(1, Optional.of(A));
+    CompletableFuture<WriteAnswer> write = writes.run(order(LONG));
+
+    group.publish(2, Optional.of(B));
+
+    assertThat(write.join().server()).isEqualTo(B);
+    assertThat(servers.sent).hasSize(2);
+  }
+
   /** No primary comes before the deadline: the order was given to no server, and is told so. */
   @Test
   void noPrimaryBeforeDeadlineIsNotRun() {
