--- a/alderyard-control/src/main/java/org/alderyard/control/failover/DirectorOptions.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/DirectorOptions.java
@@ -23,5 +23,5 @@
     long flapMaxMillis) {
   /** What is used when the settings say nothing. */
   public static final DirectorOptions DEFAULT =
-      new DirectorOptions(150, 100, 1_000, 500, 64, 60_000, 500, 16_000);
+      new DirectorOptions(150, 100, 1_000, 500, 128, 60_000, 500, 16_000);
 }
