--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/failover/GapCluster.java
@@ -0,0 +1,198 @@
+package org.alderyard.benchmarks.failover;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.alderyard.daemon.Daemon;
+import org.alderyard.daemon.DaemonSettings;
+
+/** Three hosts in three zones, in this process, and groups of three server processes. */
+final class GapCluster implements AutoCloseable {
+  private static final String[] ZONES = {"quimper", "lorient", "vannes"};
+  private static final int BETWEEN_ZONES_MILLIS = 3;
+
+  private final Path folder;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final List<DaemonSettings> hosts = new ArrayList<>();
+  private final List<Daemon> daemons = new ArrayList<>();
+  private final List<List<ServerProcess>> groups = new ArrayList<>();
+
+  GapCluster(Path folder, int groupCount) throws IOException, InterruptedException {
+    this.folder = folder;
+    Files.writeString(folder.resolve("cluster.key"), "a secret of the whole cluster");
+    Files.writeString(folder.resolve("operator.key"), "operator-secret");
+    for (int i = 0; i < ZONES.length; i++) {
+      startHost(i);
+    }
+    for (int group = 0; group < groupCount; group++) {
+      groups.add(startGroup(group));
+    }
+    for (List<ServerProcess> group : groups) {
+      for (ServerProcess server : group) {
+        server.awaitReady();
+      }
+    }
+    putTicket(groupCount);
+  }
+
+  HttpClient http() {
+    return http;
+  }
+
+  InetSocketAddress proxy(int number) {
+    return hosts.get(number % hosts.size()).callerAddress();
+  }
+
+  DaemonSettings controlHost() {
+    return hosts.get(0);
+  }
+
+  List<ServerProcess> group(int number) {
+    return groups.get(number);
+  }
+
+  /** Returns the server that says that it is the primary of the highest term. */
+  Optional<ServerProcess> primary(int group) {
+    long best = -1;
+    Optional<ServerProcess> found = Optional.empty();
+    for (ServerProcess server : groups.get(group)) {
+      var report = server.report();
+      boolean primary = report.isPresent() && report.get().role().name().equals("PRIMARY");
+      if (primary && report.get().term() > best) {
+        best = report.get().term();
+        found = Optional.of(server);
+      }
+    }
+    return found;
+  }
+
+  /** Returns whether the group has one primary and two replicas in one term. */
+  boolean whole(int group) {
+    List<String> roles = new ArrayList<>();
+    List<Long> terms = new ArrayList<>();
+    for (ServerProcess server : groups.get(group)) {
+      server
+          .report()
+          .ifPresent(
+              report -> {
+                roles.add(report.role().name());
+                terms.add(report.term());
+              });
+    }
+    roles.sort(null);
+    return roles.equals(List.of("PRIMARY", "REPLICA", "REPLICA"))
+        && terms.stream().distinct().count() == 1;
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private void startHost(int number) throws IOException {
+    int inner = freePort();
+    int control = hosts.isEmpty() ? inner : hosts.get(0).innerAddress().getPort();
+    String text =
+        """
+        [host]
+        id = h%d
+        zone = %s
+        cluster-id = gap
+        roles = %s
+        [network]
+        caller-address = 127.0.0.1:%d
+        inner-address = 127.0.0.1:%d
+        operator-address = 127.0.0.1:%d
+        [control]
+        hosts = 127.0.0.1:%d
+        [proxy]
+        monitor-interval = 100ms
+        routing-log-sample = 1000
+        [keys]
+        cluster-key-file = %s
+        operator-key-file = %s
+        """
+            .formatted(
+                number,
+                ZONES[number],
+                number == 0 ? "proxy,control" : "proxy",
+                freePort(),
+                inner,
+                freePort(),
+                control,
+                folder.resolve("cluster.key"),
+                folder.resolve("operator.key"));
+    Path file = folder.resolve("h" + number + ".ini");
+    Files.writeString(file, text);
+    DaemonSettings settings = DaemonSettings.read(file);
+    hosts.add(settings);
+    daemons.add(new Daemon(settings));
+  }
+
+  private List<ServerProcess> startGroup(int group) throws IOException {
+    List<ServerProcess> servers = new ArrayList<>();
+    String first = "";
+    for (int i = 0; i < ZONES.length; i++) {
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+      String name = "g" + group + "-" + i;
+      String listen = "127.0.0.1:" + address.getPort();
+      List<String> arguments =
+          new ArrayList<>(List.of("--server", name, "--group", "g" + group, "--zone", ZONES[i]));
+      arguments.addAll(List.of("--listen", listen, "--entry-hosts", entryHosts()));
+      arguments.addAll(i == 0 ? List.of("--primary") : List.of("--follow", first));
+      first = i == 0 ? listen : first;
+      ServerProcess server =
+          new ServerProcess(http, name, address, arguments, folder, BETWEEN_ZONES_MILLIS);
+      server.start();
+      servers.add(server);
+    }
+    return servers;
+  }
+
+  private String entryHosts() {
+    return String.join(
+        ",", hosts.stream().map(host -> "127.0.0.1:" + host.callerAddress().getPort()).toList());
+  }
+
+  private void putTicket(int groupCount) throws IOException, InterruptedException {
+    StringBuilder objects = new StringBuilder();
+    for (int group = 0; group < groupCount; group++) {
+      objects.append("{\"kind\":\"group\",\"id\":\"g%d\"},".formatted(group));
+      objects.append(
+          "{\"kind\":\"pool\",\"name\":\"p%d\",\"groups\":[\"g%d\"]},".formatted(group, group));
+    }
+    objects.append(
+        "{\"kind\":\"keys\",\"keys\":[{\"id\":1,"
+            + "\"secretBase64\":\"MDEyMzQ1Njc4OWFiY2RlZg==\"}]}");
+    InetSocketAddress operators = controlHost().operatorAddress().orElseThrow();
+    URI uri = URI.create("http://127.0.0.1:" + operators.getPort() + "/v1/tickets/1");
+    String body = "{\"objects\":[" + objects + "]}";
+    var answer =
+        http.send(
+            HttpRequest.newBuilder(uri)
+                .header("Authorization", "Bearer operator-secret")
+                .PUT(HttpRequest.BodyPublishers.ofString(body))
+                .build(),
+            HttpResponse.BodyHandlers.ofString());
+    if (answer.statusCode() != 200) {
+      throw new IllegalStateException("ticket refused: " + answer.body());
+    }
+  }
+
+  @Override
+  public void close() {
+    groups.forEach(group -> group.forEach(ServerProcess::close));
+    daemons.forEach(Daemon::close);
+  }
+}
