--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/capacity/LineFit.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/capacity/LineFit.java
@@ -39,7 +39,7 @@
 
   String text(String unit) {
     return String.format(
-        "slope %.1f %s, intercept %.0f, worst error %.1f %%",
+        "slope %.4g %s, intercept %.4g, worst error %.1f %%",
         slope, unit, intercept, 100 * worstError);
   }
 }
--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/capacity/ProcessCost.java
@@ -0,0 +1,24 @@
+package org.alderyard.benchmarks.capacity;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** Prints the processor time that a running process uses. Arguments: its id and the seconds. */
+public final class ProcessCost {
+
+  private ProcessCost() {}
+
+  /** Prints milliseconds of processor time for each second. */
+  public static void main(String[] args) throws IOException {
+    if (args.length != 2) {
+      System.err.println("usage: ProcessCost PID SECONDS");
+      System.exit(2);
+    }
+    long seconds = Long.parseLong(args[1]);
+    long before = ProcessTime.millis(args[0]);
+    LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(seconds));
+    double used = ProcessTime.millis(args[0]) - before;
+    System.out.printf("%.2f ms of processor time a second%n", used / seconds);
+  }
+}
