See a lost tail although the next primary's log is longer

Cause: a session could have read an entry of term T from a primary that died before any replica got it. If the next primary has a longer log of term T-1 and missed term T, its start index lies past the entry, GroupState.lost said "kept", and the session silently missed what it had seen. Change: a term's start also tells the term of its last entry, through the director's choice in the log; entries of terms in between are lost. A group that is taken over while it runs has no history, in place of a start at index 0 that declared all entries of its earlier terms lost. Conclusion: such a session now gets SESSION_TAIL_LOST.

--- a/alderyard-common/src/main/java/org/alderyard/common/view/GroupState.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/GroupState.java
@@ -32,9 +32,20 @@
     termHistory = List.copyOf(termHistory);
   }
 
-  /** Returns whether an entry at this position was lost when a later term began. */
+  /**
+   * Returns whether an entry at this position was lost when a later term began.
+   *
+   * <p>Either its index lies past the log of a later primary, or that log had missed its term: it
+   * may be longer, and yet hold other entries there.
+   */
   public boolean lost(Position position) {
-    return termHistory.stream()
-        .anyMatch(start -> start.term() > position.term() && start.startIndex() < position.index());
+    return termHistory.stream().anyMatch(start -> cutsOff(start, position));
+  }
+
+  private static boolean cutsOff(TermStart start, Position position) {
+    if (start.term() <= position.term()) {
+      return false;
+    }
+    return start.startIndex() < position.index() || start.previousTerm() < position.term();
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/failover/Director.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/Director.java
@@ -122,7 +122,7 @@
                     .thenComparing(entry -> !isPrevious(record, entry.getKey()))
                     .thenComparing(Map.Entry::getKey, Comparator.reverseOrder()))
             .orElseThrow();
-    return new Choice(best.getKey(), best.getValue().index());
+    return new Choice(best.getKey(), best.getValue());
   }
 
   /** Returns whether an eligible replica holds all that the primary of a hand-over holds. */
--- a/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverTable.java
@@ -78,7 +78,12 @@
     boolean published = record.phase() == FailoverPhase.STEADY;
     List<TermStart> history = new ArrayList<>(group.termHistory());
     if (published) {
-      record.choice().ifPresent(c -> history.add(new TermStart(record.term(), c.startIndex())));
+      record
+          .choice()
+          .ifPresent(
+              choice ->
+                  history.add(
+                      new TermStart(record.term(), choice.held().index(), choice.held().term())));
     }
     return new GroupState(
         group.id(),
--- a/alderyard-control/src/main/java/org/alderyard/control/failover/StepCodec.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/StepCodec.java
@@ -7,6 +7,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.protocol.generated.failover.ChooseStep;
 import org.alderyard.protocol.generated.failover.FailoverRecordEntry;
@@ -37,7 +38,8 @@
           ChooseStep.newBuilder()
               .setTerm(choose.term())
               .setServer(choose.choice().server().value())
-              .setStartIndex(choose.choice().startIndex()));
+              .setStartIndex(choose.choice().held().index())
+              .setStartTerm(choose.choice().held().term()));
     } else {
       entry.setPublish(PublishStep.newBuilder().setTerm(step.term()));
     }
@@ -66,7 +68,9 @@
           new FailoverStep.Choose(
               entry.getChoose().getTerm(),
               new Choice(
-                  new ServerId(entry.getChoose().getServer()), entry.getChoose().getStartIndex()));
+                  new ServerId(entry.getChoose().getServer()),
+                  new Position(
+                      entry.getChoose().getStartTerm(), entry.getChoose().getStartIndex())));
       case PUBLISH -> new FailoverStep.Publish(entry.getPublish().getTerm());
       case STEP_NOT_SET ->
           throw AlderyardException.notRun(
@@ -87,7 +91,11 @@
     record
         .choice()
         .ifPresent(
-            choice -> entry.setChosen(choice.server().value()).setStartIndex(choice.startIndex()));
+            choice ->
+                entry
+                    .setChosen(choice.server().value())
+                    .setStartIndex(choice.held().index())
+                    .setStartTerm(choice.held().term()));
     return entry.build();
   }
 
@@ -99,7 +107,10 @@
         FailoverKind.valueOf(entry.getKind().name()),
         servers(entry.getMembersList()),
         server(entry.getPreviousPrimary()),
-        server(entry.getChosen()).map(chosen -> new Choice(chosen, entry.getStartIndex())),
+        server(entry.getChosen())
+            .map(
+                chosen ->
+                    new Choice(chosen, new Position(entry.getStartTerm(), entry.getStartIndex()))),
         entry.getGrantedAtMillisList());
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
@@ -12,7 +12,6 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
-import org.alderyard.common.view.TermStart;
 import org.alderyard.common.view.View;
 import org.alderyard.protocol.generated.control.Announcement;
 import org.alderyard.protocol.generated.control.ControlSnapshot;
@@ -50,7 +49,10 @@
     return changed;
   }
 
-  /** A group that had no primary yet takes over the one that it runs with. */
+  /**
+   * A group that had no primary yet takes over the one that it runs with. Where its earlier terms
+   * began is not known, so none of their entries is taken for lost.
+   */
   private static Optional<ObjectState> firstPrimary(Announcement announcement, View view) {
     GroupId id = new GroupId(announcement.getServer().getGroup());
     Optional<GroupState> group = view.group(id);
@@ -62,7 +64,7 @@
             id,
             announcement.getTerm(),
             Optional.of(new ServerId(announcement.getServer().getId())),
-            List.of(new TermStart(announcement.getTerm(), 0)),
+            List.of(),
             group.get().slotsPerServer(),
             group.get().connectionsPerServer());
     return Optional.of(ObjectState.newBuilder().setGroup(StateCodec.groupMessage(adopted)).build());
--- a/alderyard-control/src/test/java/org/alderyard/control/failover/DirectorExplorationTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/failover/DirectorExplorationTest.java
@@ -100,7 +100,7 @@
         attempt.fenced().entrySet().stream()
             .max(order.thenComparing(Map.Entry::getKey, Comparator.reverseOrder()))
             .orElseThrow();
-    return new Choice(best.getKey(), best.getValue().index());
+    return new Choice(best.getKey(), best.getValue());
   }
 
   private static DirectorDecision propose(FailoverRecord record, Choice choice) {
--- a/alderyard-control/src/test/java/org/alderyard/control/failover/DirectorTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/failover/DirectorTest.java
@@ -43,7 +43,8 @@
     assertThat(decision)
         .isEqualTo(
             new DirectorDecision.Propose(
-                new FailoverStep.Choose(5, new Choice(S2, 12)), "majority-fenced"));
+                new FailoverStep.Choose(5, new Choice(S2, new Position(4, 12))),
+                "majority-fenced"));
   }
 
   /**
@@ -103,14 +104,16 @@
     assertThat(director.decide(record, fenced, ALL, 10))
         .isEqualTo(
             new DirectorDecision.Propose(
-                new FailoverStep.Choose(5, new Choice(S2, 8)), "majority-fenced"));
+                new FailoverStep.Choose(5, new Choice(S2, new Position(4, 8))), "majority-fenced"));
   }
 
   /** The chosen server dies before it takes the term; the group must not wait for it for ever. */
   @Test
   void silentCandidateIsReplacedInHigherTerm() {
     FailoverRecord chosen =
-        granted(FailoverKind.FAILURE).apply(new FailoverStep.Choose(5, new Choice(S1, 3))).record();
+        granted(FailoverKind.FAILURE)
+            .apply(new FailoverStep.Choose(5, new Choice(S1, new Position(4, 3))))
+            .record();
     assertThat(director.decide(chosen, Attempt.begin(5, 0), ALL, 0))
         .isEqualTo(new DirectorDecision.Promote(S1, "chosen"));
     assertThat(director.decide(chosen, Attempt.begin(5, 0), ALL, OPTIONS.promoteMillis()))
@@ -121,10 +124,13 @@
   @Test
   void secondChoiceInOneTermIsRefused() {
     FailoverRecord chosen =
-        granted(FailoverKind.FAILURE).apply(new FailoverStep.Choose(5, new Choice(S1, 3))).record();
-    StepResult second = chosen.apply(new FailoverStep.Choose(5, new Choice(S2, 3)));
+        granted(FailoverKind.FAILURE)
+            .apply(new FailoverStep.Choose(5, new Choice(S1, new Position(4, 3))))
+            .record();
+    StepResult second =
+        chosen.apply(new FailoverStep.Choose(5, new Choice(S2, new Position(4, 3))));
     assertThat(second.reason()).isEqualTo(StepResult.Reason.ALREADY_DONE);
-    assertThat(second.record().choice()).hasValue(new Choice(S1, 3));
+    assertThat(second.record().choice()).hasValue(new Choice(S1, new Position(4, 3)));
     assertThat(chosen.apply(new FailoverStep.Publish(4)).reason())
         .isEqualTo(StepResult.Reason.STALE_TERM);
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/failover/ModelState.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/failover/ModelState.java
@@ -262,7 +262,7 @@
   private static void encodeRecord(StringBuilder out, FailoverRecord record) {
     out.append((char) record.term()).append((char) record.phase().ordinal());
     out.append(record.choice().map(Choice::server).map(ServerId::value).orElse("-"));
-    out.append(record.choice().map(Choice::startIndex).orElse(0L));
+    out.append(record.choice().map(choice -> choice.held().toString()).orElse("-"));
   }
 
   private String encodeDirector(int director) {
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -81,7 +81,11 @@
   }
 
   private static TermBegin termMessage(TermStart start) {
-    return TermBegin.newBuilder().setTerm(start.term()).setStartIndex(start.startIndex()).build();
+    return TermBegin.newBuilder()
+        .setTerm(start.term())
+        .setStartIndex(start.startIndex())
+        .setPreviousTerm(start.previousTerm())
+        .build();
   }
 
   /** Returns the group of a message. */
@@ -95,7 +99,9 @@
         group.getTerm(),
         primary,
         group.getTermHistoryList().stream()
-            .map(start -> new TermStart(start.getTerm(), start.getStartIndex()))
+            .map(
+                start ->
+                    new TermStart(start.getTerm(), start.getStartIndex(), start.getPreviousTerm()))
             .toList(),
         group.getSlotsPerServer(),
         group.getConnectionsPerServer());
