Give a request whose owner changed its final answer at once

Change: OWNER_CHANGED, OUTCOME_UNKNOWN, 409, not retryable; NOT_OWNER stays for the moment in which two proxies see different views. Conclusion: callers learn at once that they must read to know.

--- a/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
@@ -20,6 +20,7 @@
   REQUEST_IN_PROGRESS(409, true),
   REQUEST_TOO_OLD(410, false),
   NOT_OWNER(503, true),
+  OWNER_CHANGED(409, false),
   TICKET_CONFLICT(409, false),
   TICKET_INVALID(422, false),
   TICKET_FORGOTTEN(410, false),
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/ledger/AdmissionErrors.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/ledger/AdmissionErrors.java
@@ -37,7 +37,7 @@
               ErrorCode.REQUEST_TOO_OLD, id + "is older than the ledger remembers", null);
       case OWNER_CHANGED ->
           AlderyardException.unknown(
-              ErrorCode.NOT_OWNER, id + "may have run before its owner changed", null);
+              ErrorCode.OWNER_CHANGED, id + "may have run before its owner changed", null);
       case RUN, REPEATED -> throw new IllegalArgumentException(kind + " is no refusal");
     };
   }
