Send writes through the gate; ask for connections by what waits

With the gate a second fault showed: the lease sets how many statements run at once, and what ran at once was the demand, so a proxy with sixty waiting writes asked for three connections, ran one write at a time, and ten of them ran out of time. Change: WriteAdmission, by default open, in the daemon the gates of the reads; the demand for connections counts what waits before the gate. Conclusion: slots hold for reads and writes, and the limit follows the demand.

--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/writes/WritesBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/writes/WritesBenchmark.java
@@ -29,6 +29,7 @@
 import org.alderyard.proxy.limit.RetryBudget;
 import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.view.ViewHolder;
+import org.alderyard.proxy.write.WriteAdmission;
 import org.alderyard.proxy.write.WritePath;
 import org.alderyard.proxy.write.WriteRequest;
 import org.slf4j.LoggerFactory;
@@ -77,6 +78,7 @@
             new ServerPools(connector),
             new HttpServerAdmin(connector),
             new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED),
+            WriteAdmission.OPEN,
             id -> false,
             () -> true,
             workers,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -250,7 +250,6 @@
             PacedConnector.DEFAULT_PER_SECOND,
             PacedConnector.DEFAULT_BURST);
     ServerPools pools = part(new ServerPools(paced, leases));
-    new LeaseClient(control, self, views, leases, pools).start(workers);
     ReadStack reads =
         new ReadStack(
             settings.readOptions(),
@@ -263,10 +262,22 @@
             clock,
             sharedRandom(),
             registry);
+    new LeaseClient(control, self, views, leases, pools, reads.gates()::takePeakQueued)
+        .start(workers);
     SessionTokens tokens = new SessionTokens(wallClock, settings.maxTokenAge());
     WriteStack writes =
         new WriteStack(
-            self, views, viewClient, monitor, admin, pools, workers, clock, wallClock, links);
+            self,
+            views,
+            viewClient,
+            monitor,
+            admin,
+            pools,
+            reads.gates(),
+            workers,
+            clock,
+            wallClock,
+            links);
     writes.feed(watchers);
     writes.serveLedger(dispatcher, inFlight);
     StatementService statements =
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/WriteStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/WriteStack.java
@@ -15,6 +15,7 @@
 import org.alderyard.proxy.ledger.LedgerSupport;
 import org.alderyard.proxy.ledger.LedgeredWrites;
 import org.alderyard.proxy.ledger.OwnerLedger;
+import org.alderyard.proxy.limit.Gates;
 import org.alderyard.proxy.limit.RetryBudget;
 import org.alderyard.proxy.monitor.GroupMonitor;
 import org.alderyard.proxy.pool.ServerPools;
@@ -24,6 +25,7 @@
 import org.alderyard.proxy.view.ViewClient;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.watch.WatcherService;
+import org.alderyard.proxy.write.GatedWrites;
 import org.alderyard.proxy.write.WritePath;
 
 /** The parts of a proxy that change data: writes, their ledgers and transactions. */
@@ -43,6 +45,7 @@
       GroupMonitor monitor,
       ServerAdmin admin,
       ServerPools pools,
+      Gates gates,
       WorkerPool workers,
       MonotonicClock clock,
       InstantSource wallClock,
@@ -58,6 +61,7 @@
             pools,
             admin,
             new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED),
+            new GatedWrites(gates, views),
             ledgerOnServers,
             viewClient::leaseValid,
             workers,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToIntFunction;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.id.ServerId;
@@ -37,21 +38,28 @@
   private final ViewHolder views;
   private final LeaseTable leases;
   private final ServerPools pools;
+  private final ToIntFunction<ServerId> queued;
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicBoolean underWay = new AtomicBoolean();
 
-  /** Creates a client that does nothing until {@link #start(WorkerPool)}. */
+  /**
+   * Creates a client that does nothing until {@link #start(WorkerPool)}.
+   *
+   * @param queued the most statements that waited before a server since the last call
+   */
   public LeaseClient(
       ControlClient control,
       HostState self,
       ViewHolder views,
       LeaseTable leases,
-      ServerPools pools) {
+      ServerPools pools,
+      ToIntFunction<ServerId> queued) {
     this.control = Objects.requireNonNull(control);
     this.self = Objects.requireNonNull(self);
     this.views = Objects.requireNonNull(views);
     this.leases = Objects.requireNonNull(leases);
     this.pools = Objects.requireNonNull(pools);
+    this.queued = Objects.requireNonNull(queued);
   }
 
   /** Starts to renew. */
@@ -89,13 +97,20 @@
             });
   }
 
+  /**
+   * Returns what this proxy asks for.
+   *
+   * <p>Guards against a demand that its own limit hides: the lease sets how many statements may run
+   * at once, and what runs at once was the demand, so a proxy with sixty waiting statements asked
+   * for three connections and ran one statement at a time. What waits before the gate counts too.
+   */
   private ConnectionDemand demand(ServerState server, long number) {
     PoolUse use = pools.readUse(server.id());
     int held = leases.request(server.id(), number, use.open());
     return ConnectionDemand.newBuilder()
         .setServer(server.id().value())
         .setHeld(held)
-        .setWanted(use.peakInUse() + use.waiting() + HEADROOM)
+        .setWanted(use.peakInUse() + use.waiting() + queued.applyAsInt(server.id()) + HEADROOM)
         .build();
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/Gates.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/Gates.java
@@ -27,6 +27,8 @@
   private final RefusalListener listener;
   // Guarded by this.
   private final Map<ServerId, ServerGate<CompletableFuture<Permit>>> gates = new HashMap<>();
+  // Guarded by this.
+  private final Map<ServerId, Integer> peakQueued = new HashMap<>();
 
   /** Creates a table of gates, each with a queue of the given capacity. */
   public Gates(
@@ -59,6 +61,7 @@
       ServerGate<CompletableFuture<Permit>> gate = gate(server, slots);
       gate.primary(primary);
       change = gate.enter(new Entrant<>(flow, write, deadlineNanos, result), clock.nowNanos());
+      peakQueued.merge(server, gate.queued(), Math::max);
     }
     perform(server, change);
     return result;
@@ -93,6 +96,17 @@
     }
   }
 
+  /** Returns the most statements that waited for a server since the last call. */
+  public synchronized int takePeakQueued(ServerId server) {
+    ServerGate<CompletableFuture<Permit>> gate = gates.get(server);
+    if (gate == null) {
+      return 0;
+    }
+    int now = gate.queued();
+    Integer peak = peakQueued.put(server, now);
+    return peak == null ? now : Math.max(peak, now);
+  }
+
   /** Returns the statements that wait at all gates. */
   public synchronized int queued() {
     return gates.values().stream().mapToInt(ServerGate::queued).sum();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadStack.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadStack.java
@@ -34,6 +34,7 @@
   private final FreshnessTable freshness = new FreshnessTable();
   private final ArrivalWaits arrivals;
   private final ServerLoads loads;
+  private final Gates gates;
   private final ServerRunner runner;
   private final ReadPath path;
 
@@ -56,7 +57,7 @@
     ReadMetrics metrics = new ReadMetrics(registry);
     arrivals = new ArrivalWaits(workers);
     loads = new ServerLoads(clock);
-    Gates gates =
+    gates =
         new Gates(
             clock,
             (server, slots) ->
@@ -91,9 +92,9 @@
     return path;
   }
 
-  /** Returns what runs statements at servers, for writes as well. */
-  public ServerRunner runner() {
-    return runner;
+  /** Returns the gates before the servers, for writes as well. */
+  public Gates gates() {
+    return gates;
   }
 
   private static int connections(ViewHolder views, ServerId server) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteParts.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteParts.java
@@ -18,6 +18,7 @@
  * @param pools the connections
  * @param majority the wait for a majority
  * @param waiters the writes that wait for a primary
+ * @param admission when a write may be sent
  * @param flights the writes that wait for an answer of a primary
  * @param permits the permits for resends
  * @param ledgerOnServers whether all servers of a group record writes under their ledger keys
@@ -31,6 +32,7 @@
     ServerPools pools,
     MajorityAcknowledger majority,
     PrimaryWaiters waiters,
+    WriteAdmission admission,
     Flights flights,
     RetryBudget permits,
     Predicate<GroupId> ledgerOnServers,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WritePath.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WritePath.java
@@ -30,6 +30,7 @@
   /**
    * Creates the path.
    *
+   * @param admission when a write may be sent
    * @param ledgerOnServers whether all servers of a group record writes under their ledger keys
    * @param viewLeaseValid whether the view may be acted on
    */
@@ -38,6 +39,7 @@
       ServerPools pools,
       ServerAdmin admin,
       RetryBudget permits,
+      WriteAdmission admission,
       Predicate<GroupId> ledgerOnServers,
       BooleanSupplier viewLeaseValid,
       WorkerPool workers,
@@ -48,6 +50,7 @@
             pools,
             new MajorityAcknowledger(views, admin, workers),
             new PrimaryWaiters(views, workers, MAX_WAITING_PER_GROUP),
+            admission,
             new Flights(views),
             permits,
             ledgerOnServers,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/write/WriteRun.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.BackendAnswer;
+import org.alderyard.backend.BackendException;
 import org.alderyard.backend.BackendStatement;
 import org.alderyard.backend.ServerConnection;
 import org.alderyard.backend.StatementKind;
@@ -81,9 +82,9 @@
               }
             });
     parts
-        .pools()
-        .take(target.primary(), deadline.remaining(parts.clock()))
-        .thenCompose(connection -> runOn(connection, target, flight))
+        .admission()
+        .enter(request, target.primary(), deadlineNanos())
+        .thenCompose(turn -> inTurn(turn, target, flight))
         .thenCompose(
             answer ->
                 Acknowledgement.of(
@@ -103,6 +104,36 @@
             });
   }
 
+  private long deadlineNanos() {
+    return parts.clock().nowNanos() + deadline.remaining(parts.clock()).toNanos();
+  }
+
+  private CompletableFuture<BackendAnswer> inTurn(
+      WriteAdmission.Turn turn, WriteTarget target, Flights.Flight flight) {
+    CompletableFuture<BackendAnswer> run;
+    try {
+      run =
+          parts
+              .pools()
+              .take(target.primary(), deadline.remaining(parts.clock()))
+              .thenCompose(connection -> runOn(connection, target, flight));
+    } catch (RuntimeException failure) {
+      run = CompletableFuture.failedFuture(failure);
+    }
+    return run.whenComplete((answer, failure) -> endTurn(turn, failure));
+  }
+
+  /** A refusal by the server is an answer too; what was not run says nothing of its load. */
+  private static void endTurn(WriteAdmission.Turn turn, Throwable failure) {
+    if (failure == null || Futures.unwrap(failure) instanceof BackendException) {
+      turn.end(true);
+    } else if (Futures.typed(failure).outcome() == Outcome.NOT_RUN) {
+      turn.notSent();
+    } else {
+      turn.end(false);
+    }
+  }
+
   private CompletableFuture<BackendAnswer> runOn(
       ServerConnection connection, WriteTarget target, Flights.Flight flight) {
     Duration left = deadline.remaining(parts.clock());
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/transaction/TransactionServiceTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/transaction/TransactionServiceTest.java
@@ -26,6 +26,7 @@
 import org.alderyard.proxy.write.FakeReplicas;
 import org.alderyard.proxy.write.FakeServers;
 import org.alderyard.proxy.write.TestGroup;
+import org.alderyard.proxy.write.WriteAdmission;
 import org.alderyard.proxy.write.WritePath;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,6 +52,7 @@
           pools,
           new FakeReplicas(),
           new RetryBudget(1, 5),
+          WriteAdmission.OPEN,
           id -> false,
           () -> true,
           workers,
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/write/WritePathTest.java
@@ -49,6 +49,7 @@
           new ServerPools(servers),
           new FakeReplicas(),
           new RetryBudget(1, 5),
+          WriteAdmission.OPEN,
           id -> ledger,
           () -> leaseValid,
           workers,
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInServer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInServer.java
@@ -43,6 +43,8 @@
   private final Semaphore slots;
   private final AtomicInteger answers = new AtomicInteger();
   private final AtomicInteger statements = new AtomicInteger();
+  private final AtomicInteger concurrent = new AtomicInteger();
+  private final AtomicInteger mostConcurrent = new AtomicInteger();
   private final Undertow http;
   private final StandInReplication replication;
   private final StandInAnnouncer announcer;
@@ -75,6 +77,11 @@
     return switches;
   }
 
+  /** Returns the most statements that were at the server at once, in slots or waiting. */
+  public int mostConcurrentStatements() {
+    return mostConcurrent.get();
+  }
+
   /** Announces that the server leaves. */
   public void leave() {
     announcer.leave();
@@ -143,6 +150,16 @@
   }
 
   private JsonNode inSlot(java.util.function.Supplier<JsonNode> work) throws InterruptedException {
+    mostConcurrent.accumulateAndGet(concurrent.incrementAndGet(), Math::max);
+    try {
+      return inFreeSlot(work);
+    } finally {
+      concurrent.decrementAndGet();
+    }
+  }
+
+  private JsonNode inFreeSlot(java.util.function.Supplier<JsonNode> work)
+      throws InterruptedException {
     if (slots.getQueueLength() >= options.maxQueued()
         || !slots.tryAcquire(QUEUE_MILLIS, TimeUnit.MILLISECONDS)) {
       throw new BackendException(Refusal.BUSY, "all slots are taken");
