--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/Fault.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/Fault.java
@@ -1,13 +1,31 @@
 package org.alderyard.cli.prove;
 
+import java.util.Objects;
 import org.alderyard.cli.local.LocalSystem;
 
-/** One attack on a local system: it does its harm, and mends it before it returns. */
-interface Fault {
+/**
+ * One attack on a local system.
+ *
+ * @param name the name for the report
+ * @param attack does the harm, lets it last, and mends it before it returns
+ */
+record Fault(String name, Attack attack) {
 
-  /** Returns the name for the report. */
-  String name();
+  /** Checks. */
+  Fault {
+    Objects.requireNonNull(name);
+    Objects.requireNonNull(attack);
+  }
 
-  /** Does the harm, lets it last, and mends it. */
-  void inject(LocalSystem system, FaultContext context);
+  void inject(LocalSystem system, FaultContext context) {
+    attack.inject(system, context);
+  }
+
+  /** What an attack does. */
+  @FunctionalInterface
+  interface Attack {
+
+    /** Does the harm, lets it last, and mends it. */
+    void inject(LocalSystem system, FaultContext context);
+  }
 }
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/SlotsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/SlotsTest.java
@@ -20,6 +20,11 @@
         {"kind":"pool","name":"orders","groups":["g1"]},
         {"kind":"keys","keys":[{"id":1,"secretBase64":"MDEyMzQ1Njc4OWFiY2RlZg=="}]}]}
       """;
+  private static final String WRITE =
+      """
+      {"key":"orders","kind":"write","statement":"append","parameters":[%d],
+       "deadlineMillis":60000}
+      """;
   private static final int WRITES = 60;
 
   @TempDir Path folder;
@@ -62,8 +67,6 @@
   }
 
   private static String write(int order) {
-    return "{\"key\":\"orders\",\"kind\":\"write\",\"statement\":\"append\",\"deadlineMillis\":60000,\"parameters\":["
-        + order
-        + "]}";
+    return WRITE.formatted(order);
   }
 }
