--- a/alderyard-backend/src/main/java/org/alderyard/backend/ServerConnection.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/ServerConnection.java
@@ -9,7 +9,7 @@
  * <p>After a failure that leaves doubt about what the server still sends (a timeout, a broken or
  * unreadable answer) the connection is closed and {@link #usable()} is false for ever.
  */
-public interface ServerConnection extends AutoCloseable {
+public interface ServerConnection extends PooledConnection {
 
   /** Runs a statement, inside the transaction of this connection if one is open. */
   CompletableFuture<BackendAnswer> run(BackendStatement statement, Duration timeout);
@@ -22,10 +22,4 @@
 
   /** Drops the transaction. */
   CompletableFuture<Void> rollback(Duration timeout);
-
-  /** Returns whether another request may be sent. */
-  boolean usable();
-
-  @Override
-  void close();
 }
--- a/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
@@ -24,6 +24,8 @@
   TICKET_CONFLICT(409, false),
   TICKET_INVALID(422, false),
   TICKET_FORGOTTEN(410, false),
+  CONFIGURATION_INVALID(422, false),
+  CONFIGURATION_CONFLICT(409, false),
   OVERLOADED(503, true),
   DRAINING(503, true),
   NO_PRIMARY(503, true),
--- a/alderyard-common/src/main/java/org/alderyard/common/settings/SettingTypes.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/settings/SettingTypes.java
@@ -50,6 +50,18 @@
     }
   }
 
+  /** Returns the type of what is true or false. */
+  public static SettingType<Boolean> flag() {
+    return new SettingType<>(
+        "true or false",
+        text ->
+            switch (text) {
+              case "true" -> Optional.of(true);
+              case "false" -> Optional.of(false);
+              default -> Optional.empty();
+            });
+  }
+
   /** Returns a type of durations in a range, written with their unit. */
   public static SettingType<Duration> duration(Duration min, Duration max) {
     return new SettingType<>(
--- a/alderyard-common/src/main/java/org/alderyard/common/view/ServerStatus.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ServerStatus.java
@@ -7,5 +7,7 @@
   /** It said that it leaves: no new work, what runs may end. */
   LEAVING,
   /** Its lease ran out: no new work. */
-  EXPIRED
+  EXPIRED,
+  /** It said that it leaves, and has left; only another incarnation comes back. */
+  GONE
 }
--- a/alderyard-common/src/main/java/org/alderyard/common/view/View.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/View.java
@@ -29,6 +29,7 @@
   private final SortedMap<HostId, HostState> hosts;
   private final List<SigningKey> keys;
   private final Map<GroupId, List<ServerState>> serversByGroup;
+  private final Optional<ConfigurationState> configuration;
 
   /** Copies the state; {@code keys} holds the signing key first. */
   public View(
@@ -45,7 +46,8 @@
         Collections.unmodifiableSortedMap(new TreeMap<>(servers)),
         Collections.unmodifiableSortedMap(new TreeMap<>(hosts)),
         List.copyOf(keys),
-        indexByGroup(servers.values()));
+        indexByGroup(servers.values()),
+        Optional.empty());
   }
 
   private View(
@@ -55,7 +57,8 @@
       SortedMap<ServerId, ServerState> servers,
       SortedMap<HostId, HostState> hosts,
       List<SigningKey> keys,
-      Map<GroupId, List<ServerState>> serversByGroup) {
+      Map<GroupId, List<ServerState>> serversByGroup,
+      Optional<ConfigurationState> configuration) {
     this.version = version;
     this.pools = pools;
     this.groups = groups;
@@ -63,6 +66,7 @@
     this.hosts = hosts;
     this.keys = keys;
     this.serversByGroup = serversByGroup;
+    this.configuration = configuration;
   }
 
   private static Map<GroupId, List<ServerState>> indexByGroup(Collection<ServerState> servers) {
@@ -96,6 +100,7 @@
     private Map<HostId, HostState> hosts;
     private Map<GroupId, List<ServerState>> serversByGroup;
     private List<SigningKey> keys;
+    private Optional<ConfigurationState> configuration;
 
     private Editor(View base) {
       this.base = base;
@@ -105,6 +110,7 @@
       hosts = base.hosts;
       serversByGroup = base.serversByGroup;
       keys = base.keys;
+      configuration = base.configuration;
     }
 
     /** Returns the pools, to be changed. */
@@ -159,6 +165,11 @@
       keys = List.copyOf(replaced);
     }
 
+    /** Replaces the configuration of sessions. */
+    public void configuration(ConfigurationState replaced) {
+      configuration = Optional.of(replaced);
+    }
+
     /** Returns the view; the editor is not used again. */
     public View at(ViewVersion version) {
       return new View(
@@ -168,7 +179,8 @@
           frozen(servers, base.servers),
           frozen(hosts, base.hosts),
           keys,
-          serversByGroup);
+          serversByGroup,
+          configuration);
     }
 
     private static <K, V> SortedMap<K, V> frozen(Map<K, V> edited, SortedMap<K, V> before) {
@@ -208,6 +220,11 @@
     return keys;
   }
 
+  /** Returns the configuration of sessions, once there is one. */
+  public Optional<ConfigurationState> configuration() {
+    return configuration;
+  }
+
   /** Returns the pool of this name. */
   public Optional<PoolState> pool(PoolName name) {
     return Optional.ofNullable(pools.get(name));
--- a/alderyard-control/src/main/java/org/alderyard/control/log/Formation.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/Formation.java
@@ -83,6 +83,27 @@
         : waiting("founders-differ");
   }
 
+  /**
+   * Decides for a host that may not found: it joins as soon as a host answers that takes part.
+   *
+   * <p>Guards against hosts that lost their disks, all at once or one by one: they would found a
+   * second cluster beside the first.
+   */
+  static Decision decideToJoin(Member self, Map<String, JoinReply> replies) {
+    boolean cluster = replies.values().stream().anyMatch(JoinReply::getFormed);
+    if (!cluster) {
+      return waiting("no-cluster-found");
+    }
+    return replies.values().stream()
+        .filter(JoinReply::getFormed)
+        .map(JoinReply::getFounders)
+        .filter(founders -> founders.getMembersCount() > 0)
+        .findFirst()
+        .map(founders -> follow(self, founders))
+        .orElseGet(
+            () -> new Decision(Action.JOIN, MemberList.getDefaultInstance(), "not-a-founder"));
+  }
+
   private static Decision follow(Member self, MemberList founders) {
     boolean founder =
         founders.getMembersList().stream()
--- a/alderyard-control/src/main/java/org/alderyard/control/log/JoinRounds.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/JoinRounds.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.alderyard.protocol.generated.raft.JoinReply;
 import org.alderyard.protocol.generated.raft.JoinRequest;
 import org.alderyard.protocol.generated.raft.Member;
@@ -16,7 +17,8 @@
   private final SerialLoop loop;
   private final ReplicatedLogOptions options;
   private final Member self;
-  private final Map<String, InetSocketAddress> others;
+  private final Supplier<Map<String, InetSocketAddress>> addresses;
+  private Map<String, InetSocketAddress> others = Map.of();
   private final Consumer<Map<String, JoinReply>> onRound;
   private Map<String, JoinReply> replies = new HashMap<>();
   private int outstanding;
@@ -26,13 +28,13 @@
       SerialLoop loop,
       ReplicatedLogOptions options,
       Member self,
-      Map<String, InetSocketAddress> others,
+      Supplier<Map<String, InetSocketAddress>> addresses,
       Consumer<Map<String, JoinReply>> onRound) {
     this.links = links;
     this.loop = loop;
     this.options = options;
     this.self = self;
-    this.others = others;
+    this.addresses = addresses;
     this.onRound = onRound;
   }
 
@@ -46,6 +48,7 @@
       return;
     }
     replies = new HashMap<>();
+    others = addresses.get();
     if (others.isEmpty()) {
       onRound.accept(replies);
       return;
--- a/alderyard-control/src/main/java/org/alderyard/control/log/RepairPlan.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/RepairPlan.java
@@ -20,10 +20,24 @@
 final class RepairPlan {
   private final Membership membership;
   private final LongPredicate hasCaughtUp;
+  private final int voters;
+  private final LongPredicate isLost;
 
+  /** Creates a plan in which every replica that asks becomes a voter. */
   RepairPlan(Membership membership, LongPredicate hasCaughtUp) {
+    this(membership, hasCaughtUp, Integer.MAX_VALUE, replicaId -> false);
+  }
+
+  /**
+   * Creates a plan that keeps to a number of voters.
+   *
+   * @param isLost whether a voter has been silent for so long that another may take its place
+   */
+  RepairPlan(Membership membership, LongPredicate hasCaughtUp, int voters, LongPredicate isLost) {
     this.membership = membership;
     this.hasCaughtUp = hasCaughtUp;
+    this.voters = voters;
+    this.isLost = isLost;
   }
 
   /** Returns the next change for the replicas that asked to be taken in, if one is due. */
@@ -45,6 +59,17 @@
         .filter(member -> member.getReplicaId() != replica.getReplicaId())
         .map(old -> (MembershipChange) new Remove(old.getReplicaId()))
         .findFirst()
-        .or(() -> Optional.of(new Promote(replica.getReplicaId())));
+        .or(() -> seat(replica));
+  }
+
+  /** A lost voter goes first: a vote beside it would make the majority larger than it was. */
+  private Optional<MembershipChange> seat(Member replica) {
+    if (membership.voters().size() < voters) {
+      return Optional.of(new Promote(replica.getReplicaId()));
+    }
+    return membership.voters().stream()
+        .filter(isLost::test)
+        .findFirst()
+        .map(lost -> (MembershipChange) new Remove(lost));
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -33,6 +33,10 @@
 final class ReplicaHost {
   private static final Logger log = LoggerFactory.getLogger(ReplicaHost.class);
   private static final int JOINING_KEPT_ROUNDS = 20;
+  // Longer than a restart or a short partition takes, so that those change no membership.
+  private static final long LOST_AFTER_MILLIS = 6_000;
+  // A learner that waits for a seat only has to be remembered by the leader.
+  private static final long WAITING_ROUND_MILLIS = 2_000;
 
   private final ReplicatedLogBuilder builder;
   private final SerialLoop loop;
@@ -64,9 +68,8 @@
             .setHostId(builder.host.value())
             .setAddress(endpoint(builder.address))
             .build();
-    Map<String, InetSocketAddress> others = new LinkedHashMap<>(listed);
-    others.remove(self.getAddress());
-    rounds = new JoinRounds(builder.links, loop, builder.options, self, others, this::onRound);
+    rounds =
+        new JoinRounds(builder.links, loop, builder.options, self, this::others, this::onRound);
     try {
       if (folder.identity().getFormed()) {
         takePart();
@@ -79,6 +82,32 @@
     builder.dispatcher.serve(RaftMethods.JOIN, this::onJoin);
   }
 
+  /** The hosts to ask: to found, those that are listed; to join, any control host. */
+  private Map<String, InetSocketAddress> others() {
+    Map<String, InetSocketAddress> others = new LinkedHashMap<>(listed);
+    if (!founding()) {
+      builder
+          .open
+          .orElseThrow()
+          .controlHosts()
+          .get()
+          .forEach(address -> others.put(endpoint(address), address));
+    }
+    others.remove(self.getAddress());
+    return others;
+  }
+
+  /** A host that has recorded founders goes on with them, also after a restart. */
+  private boolean founding() {
+    if (builder.open.isEmpty()) {
+      return true;
+    }
+    boolean begun = folder.identity().getFounders().getMembersCount() > 0;
+    return driver == null
+        && (builder.open.get().mayFound() || begun)
+        && listed.containsKey(self.getAddress());
+  }
+
   private static String endpoint(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
@@ -141,7 +170,18 @@
         .membership()
         .member(replicaId)
         .or(() -> Optional.ofNullable(senders.get(replicaId)))
-        .flatMap(member -> Optional.ofNullable(listed.get(member.getAddress())));
+        .flatMap(member -> reachable(member.getAddress()));
+  }
+
+  private Optional<InetSocketAddress> reachable(String endpoint) {
+    Optional<InetSocketAddress> known = Optional.ofNullable(listed.get(endpoint));
+    if (known.isPresent() || builder.open.isEmpty()) {
+      return known;
+    }
+    int colon = endpoint.lastIndexOf(':');
+    return Optional.of(
+        new InetSocketAddress(
+            endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1))));
   }
 
   void tick(long nowMillis) {
@@ -154,13 +194,30 @@
       noteAdmission();
     }
     if (needsJoin() && nowMillis >= nextRoundMillis) {
-      nextRoundMillis = nowMillis + builder.options.joinInterval().toMillis();
+      nextRoundMillis = nowMillis + roundMillis();
       rounds.start(driver != null);
     }
   }
 
-  /** A replica asks to be taken in only once; if it is voted out later it stays out. */
+  private long roundMillis() {
+    boolean waits =
+        driver != null
+            && driver.core().leader().isPresent()
+            && driver.core().membership().member(self.getReplicaId()).isPresent();
+    return waits ? WAITING_ROUND_MILLIS : builder.options.joinInterval().toMillis();
+  }
+
+  /**
+   * A replica asks to be taken in only once; if it is voted out later it stays out. With an open
+   * membership it comes back as a learner, and asks whenever it sees no leader: it may have been
+   * voted out while it was away, and nobody else would tell it.
+   */
   private boolean needsJoin() {
+    if (builder.open.isPresent()) {
+      return driver == null
+          || driver.core().leader().isEmpty()
+          || !driver.core().membership().isVoter(self.getReplicaId());
+    }
     return driver == null || (isNewcomer() && !folder.identity().getAdmitted());
   }
 
@@ -169,7 +226,8 @@
   }
 
   private void noteAdmission() {
-    if (needsJoin() && driver.core().membership().isVoter(self.getReplicaId())) {
+    boolean admitted = folder.identity().getAdmitted() || !isNewcomer();
+    if (!admitted && driver.core().membership().isVoter(self.getReplicaId())) {
       folder.write(folder.identity().toBuilder().setAdmitted(true).build());
       log.info("event=admitted replica={}", self.getReplicaId());
     }
@@ -180,7 +238,9 @@
       return;
     }
     Formation.Decision decision =
-        Formation.decide(self, folder.identity(), rounds.others(), replies);
+        founding()
+            ? Formation.decide(self, folder.identity(), rounds.others(), replies)
+            : Formation.decideToJoin(self, replies);
     if (!decision.reason().equals(lastReason)) {
       lastReason = decision.reason();
       log.info(
@@ -218,13 +278,23 @@
                 nowMillis - entry.heardMillis > keptMillis
                     || core.membership().isVoter(entry.member.getReplicaId()));
     Optional<MembershipChange> change =
-        new RepairPlan(core.membership(), core::hasCaughtUp)
-            .next(joining.values().stream().map(Joining::member).toList());
+        plan(core).next(joining.values().stream().map(Joining::member).toList());
     if (change.isPresent() && core.change(change.get()) == Verdict.ACCEPTED) {
       log.info("event=membership-repair change=\"{}\" term={}", change.get(), core.term());
     }
   }
 
+  private RepairPlan plan(RaftCore core) {
+    if (builder.open.isEmpty()) {
+      return new RepairPlan(core.membership(), core::hasCaughtUp);
+    }
+    return new RepairPlan(
+        core.membership(),
+        core::hasCaughtUp,
+        builder.open.get().voters(),
+        replicaId -> core.silentMillis(replicaId) > LOST_AFTER_MILLIS);
+  }
+
   /** The receipt is answered at once; what the messages ask for is answered by messages. */
   private CompletableFuture<RaftAck> onMessages(PeerIdentity peer, RaftBatch batch) {
     if (!batch.getSender().getHostId().equals(peer.host().value())) {
@@ -260,7 +330,8 @@
             () -> {
               Member member = request.getSelf();
               boolean own = member.getHostId().equals(peer.host().value());
-              if (request.getNewcomer() && own && listed.containsKey(member.getAddress())) {
+              boolean welcome = builder.open.isPresent() || listed.containsKey(member.getAddress());
+              if (request.getNewcomer() && own && welcome) {
                 joining.put(member.getAddress(), new Joining(member, nowMillis));
               }
               answer.complete(
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLogBuilder.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLogBuilder.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
 import org.alderyard.common.error.AlderyardException;
@@ -19,6 +20,7 @@
   HostId host;
   InetSocketAddress address;
   List<InetSocketAddress> members;
+  Optional<OpenMembership> open = Optional.empty();
   Path dataFolder;
   StateMachine machine;
   PeerLinks links;
@@ -50,6 +52,12 @@
     return this;
   }
 
+  /** Lets hosts join that are not among the members; those only found the cluster then. */
+  public ReplicatedLogBuilder open(OpenMembership value) {
+    open = Optional.of(value);
+    return this;
+  }
+
   /** Sets the folder for all files. */
   public ReplicatedLogBuilder dataFolder(Path value) {
     dataFolder = value;
@@ -115,7 +123,7 @@
     Objects.requireNonNull(links, "network");
     Objects.requireNonNull(callbacks, "callbacks");
     Objects.requireNonNull(random, "random");
-    if (!members.contains(address)) {
+    if (open.isEmpty() && !members.contains(address)) {
       throw AlderyardException.notRun(
           ErrorCode.SETTINGS_INVALID,
           "this host's inner address " + address + " is not among the control hosts " + members);
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -170,6 +170,12 @@
     return state.log.commitIndex() >= firstIndex;
   }
 
+  /** Returns for how long a replica was not heard. */
+  long silentMillis(long replicaId) {
+    Progress progress = peers.get(replicaId);
+    return progress == null ? 0 : state.nowMillis() - progress.heardMillis();
+  }
+
   boolean hasCaughtUp(long replicaId) {
     Progress progress = peers.get(replicaId);
     return progress != null
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -353,6 +353,11 @@
     return leadership != null && leadership.hasCaughtUp(replicaId);
   }
 
+  /** Returns for how long the leader has not heard a replica; 0 when not leading. */
+  public long silentMillis(long replicaId) {
+    return leadership == null ? 0 : leadership.silentMillis(replicaId);
+  }
+
   /** Returns what this replica does in its term. */
   public Role role() {
     return role;
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
@@ -20,6 +20,7 @@
   private final TicketService tickets;
   private final RegistryService registry;
   private final ViewService views;
+  private final ConfigurationService configurations;
 
   /** Creates the service over a log and the state that it builds. */
   public ControlService(
@@ -33,6 +34,7 @@
     registry = new RegistryService(controlLog, state, proposer, clock);
     tickets = new TicketService(controlLog, state, proposer, registry);
     views = new ViewService(controlLog, state, feed);
+    configurations = new ConfigurationService(controlLog, state, proposer);
   }
 
   /** Adds the methods of this service. */
@@ -44,7 +46,12 @@
         .serve(ControlMethods.FETCH_VIEW, (peer, request) -> views.fetch(request))
         .serve(ControlMethods.HEARTBEAT, (peer, request) -> registry.heartbeat(request))
         .serve(ControlMethods.STATUS, (peer, request) -> tickets.controlStatus())
-        .serve(ControlMethods.DRAIN_HOST, (peer, request) -> tickets.drain(request));
+        .serve(ControlMethods.DRAIN_HOST, (peer, request) -> tickets.drain(request))
+        .serve(
+            ControlMethods.REPLACE_CONFIGURATION,
+            (peer, request) -> configurations.replace(request))
+        .serve(
+            ControlMethods.FETCH_CONFIGURATION, (peer, request) -> configurations.fetch(request));
   }
 
   /** Starts to end the leases that run out. */
--- a/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
@@ -70,6 +70,7 @@
   private final LeaseTable<ServerId> serverLeases = new LeaseTable<>();
   private final LeaseTable<HostId> hostLeases = new LeaseTable<>();
   private final Map<HostId, ViewVersion> acknowledged = new HashMap<>();
+  private final Map<ServerId, Heard> heard = new HashMap<>();
   private long leasesOfTerm = NO_TERM;
   private ViewVersion leasesOfVersion = ViewVersion.NONE;
 
@@ -106,6 +107,14 @@
         reply.addStaleServers(server.id().value());
         continue;
       }
+      if (overtaken(announcement, server)) {
+        log.info(
+            "event=announcement-ignored server={} reason=overtaken incarnation={} sequence={}",
+            server.id(),
+            server.incarnation(),
+            announcement.getSequence());
+        continue;
+      }
       renew(server, receivedMillis + announcement.getLeaseMillis());
       if (changes(announcement, server, known)) {
         log.info(
@@ -116,10 +125,37 @@
         proposals.add(proposer.propose(Command.newBuilder().setAnnouncement(announcement)));
       }
     }
+    for (ServerExpiry ended : request.getEndedList()) {
+      log.info("event=server-ended server={} reason=said-goodbye", ended.getServer());
+      proposals.add(
+          proposer.propose(
+              Command.newBuilder().setServerExpiry(ended.toBuilder().setSaidGoodbye(true))));
+    }
     return CompletableFuture.allOf(proposals.toArray(CompletableFuture[]::new))
         .thenApply(done -> reply.build());
   }
 
+  /** An announcement that was passed by a later one of the same server says nothing new. */
+  private boolean overtaken(Announcement announcement, ServerState server) {
+    if (announcement.getSequence() == 0) {
+      return false;
+    }
+    synchronized (lock) {
+      startTerm();
+      Heard last = heard.get(server.id());
+      boolean late =
+          last != null
+              && last.incarnation() == server.incarnation()
+              && last.sequence() > announcement.getSequence();
+      if (!late) {
+        heard.put(server.id(), new Heard(server.incarnation(), announcement.getSequence()));
+      }
+      return late;
+    }
+  }
+
+  private record Heard(long incarnation, long sequence) {}
+
   private static Announcement bounded(Announcement announcement) {
     int leaseMillis =
         Math.max(
@@ -137,7 +173,14 @@
     boolean firstPrimary =
         announcement.getPrimary()
             && state.view().group(announced.group()).stream().anyMatch(group -> group.term() == 0);
-    return firstPrimary || !known.equals(Optional.of(announced));
+    boolean newRole =
+        announcement.getReportsRole()
+            && !state
+                .reportedPrimary(announced.id().value())
+                .equals(Optional.of(announcement.getPrimary()));
+    return firstPrimary && !announcement.getReportsRole()
+        || newRole
+        || !known.equals(Optional.of(announced));
   }
 
   private void renew(ServerState server, long endMillis) {
@@ -278,6 +321,11 @@
     serverLeases.clear();
     hostLeases.clear();
     acknowledged.clear();
+    heard.clear();
+  }
+
+  private static boolean ended(ServerStatus status) {
+    return status == ServerStatus.EXPIRED || status == ServerStatus.GONE;
   }
 
   /** Gives a full period to who is in the view without a lease, and drops who is no longer. */
@@ -287,13 +335,13 @@
       return;
     }
     leasesOfVersion = view.version();
-    serverLeases.keepOnly(
-        id -> view.server(id).filter(s -> s.status() != ServerStatus.EXPIRED).isPresent());
+    serverLeases.keepOnly(id -> view.server(id).filter(s -> !ended(s.status())).isPresent());
+    heard.keySet().retainAll(view.servers().keySet());
     hostLeases.keepOnly(id -> view.hosts().containsKey(id));
     acknowledged.keySet().retainAll(view.hosts().keySet());
     for (ServerState server : view.servers().values()) {
       boolean covered =
-          server.status() == ServerStatus.EXPIRED
+          ended(server.status())
               || serverLeases
                   .find(server.id())
                   .filter(lease -> lease.incarnation() >= server.incarnation())
--- a/alderyard-control/src/main/java/org/alderyard/control/state/AnnouncementRule.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/AnnouncementRule.java
@@ -21,6 +21,9 @@
     if (announced.getIncarnation() != known.incarnation()) {
       return announced.getIncarnation() < known.incarnation();
     }
+    if (known.status() == ServerStatus.GONE) {
+      return true;
+    }
     return known.status() == ServerStatus.LEAVING && announced.getStatus() == Status.ACTIVE;
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
@@ -10,16 +10,22 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.FieldFault;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.view.Bytes;
+import org.alderyard.common.view.ConfigurationState;
+import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.View;
 import org.alderyard.control.log.StateMachine;
 import org.alderyard.protocol.generated.control.Command;
 import org.alderyard.protocol.generated.control.ControlSnapshot;
 import org.alderyard.protocol.generated.control.DrainHostReply;
 import org.alderyard.protocol.generated.control.DrainHostRequest;
+import org.alderyard.protocol.generated.control.PromotionIntentReply;
+import org.alderyard.protocol.generated.control.ReplaceConfigurationReply;
 import org.alderyard.protocol.generated.control.Ticket;
 import org.alderyard.protocol.generated.control.TicketAnswer;
 import org.alderyard.protocol.generated.control.TicketFault;
 import org.alderyard.protocol.generated.control.TicketVerdict;
+import org.alderyard.protocol.generated.state.Configuration;
 import org.alderyard.protocol.generated.state.Group;
 import org.alderyard.protocol.generated.state.Host;
 import org.alderyard.protocol.generated.state.HostPolicy;
@@ -121,6 +127,10 @@
         change(index, applied.changed());
         yield applied.answer();
       }
+      case REPLACE_CONFIGURATION ->
+          replaceConfiguration(index, command.getReplaceConfiguration()).toByteString();
+      case PROMOTION_INTENT ->
+          PromotionIntentReply.newBuilder().setFencingToken(index).build().toByteString();
       case COMMAND_NOT_SET -> ByteString.EMPTY;
     };
   }
@@ -148,6 +158,60 @@
     return answer.build();
   }
 
+  /**
+   * The highest number counts. A lower one is answered like one that was taken and overtaken since,
+   * which is what it is when its first answer was lost.
+   */
+  private ReplaceConfigurationReply replaceConfiguration(long index, Configuration wanted) {
+    Optional<ConfigurationState> current = view().configuration();
+    long number = current.map(ConfigurationState::number).orElse(0L);
+    if (wanted.getNumber() <= number) {
+      boolean conflict =
+          wanted.getNumber() == number
+              && !current
+                  .orElseThrow()
+                  .contentHash()
+                  .equals(Bytes.of(wanted.getContentHash().toByteArray()));
+      return ReplaceConfigurationReply.newBuilder().setNumber(number).setConflict(conflict).build();
+    }
+    ConfigurationState next = StateCodec.configuration(wanted);
+    List<ObjectState> changed = new ArrayList<>();
+    changed.add(ObjectState.newBuilder().setConfiguration(wanted).build());
+    next.connectionsPerServer()
+        .forEach((group, connections) -> changed.add(limitedGroup(group, connections)));
+    current.stream()
+        .flatMap(before -> before.connectionsPerServer().keySet().stream())
+        .filter(group -> !next.connectionsPerServer().containsKey(group))
+        .forEach(
+            group -> changed.add(ObjectState.newBuilder().setRemovedGroup(group.value()).build()));
+    change(index, changed);
+    return ReplaceConfigurationReply.newBuilder().setNumber(wanted.getNumber()).build();
+  }
+
+  private ObjectState limitedGroup(GroupId id, int connections) {
+    GroupState group =
+        view()
+            .group(id)
+            .map(
+                known ->
+                    new GroupState(
+                        id,
+                        known.term(),
+                        known.primary(),
+                        known.termHistory(),
+                        known.slotsPerServer(),
+                        connections))
+            .orElseGet(() -> new GroupState(id, 0, Optional.empty(), List.of(), 1, connections));
+    return ObjectState.newBuilder()
+        .setGroup(StateCodec.groupMessage(servers.withReportedPrimary(group, view())))
+        .build();
+  }
+
+  /** Returns what a server that reports its role said last; empty for other servers. */
+  public synchronized Optional<Boolean> reportedPrimary(String server) {
+    return servers.reportedPrimary(server);
+  }
+
   private static TicketFault message(FieldFault fault) {
     return TicketFault.newBuilder()
         .setObject(fault.object())
--- a/alderyard-control/src/main/java/org/alderyard/control/state/TicketObjects.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/TicketObjects.java
@@ -26,6 +26,7 @@
       case REMOVED_HOST -> "host/" + object.getRemovedHost();
       case HOST_POLICY -> "host/" + object.getHostPolicy().getId();
       case REMOVED_HOST_POLICY -> "host/" + object.getRemovedHostPolicy();
+      case CONFIGURATION -> "configuration/sessions";
       case OBJECT_NOT_SET -> "unknown/";
     };
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/state/TicketRules.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/TicketRules.java
@@ -180,7 +180,9 @@
     }
     var known = view.server(new ServerId(server));
     known(name, known.isPresent());
-    if (known.isPresent() && known.get().status() != ServerStatus.EXPIRED) {
+    if (known.isPresent()
+        && known.get().status() != ServerStatus.EXPIRED
+        && known.get().status() != ServerStatus.GONE) {
       add(name, "removed", "in use: its lease runs", "a server whose lease ran out");
     }
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ViewTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ViewTable.java
@@ -72,6 +72,10 @@
       case REMOVED_GROUP -> view.group(new GroupId(object.getRemovedGroup())).isPresent();
       case REMOVED_SERVER -> view.server(new ServerId(object.getRemovedServer())).isPresent();
       case REMOVED_HOST -> view.hosts().containsKey(new HostId(object.getRemovedHost()));
+      case CONFIGURATION ->
+          !view.configuration()
+              .map(StateCodec::configurationMessage)
+              .equals(Optional.of(object.getConfiguration()));
       case HOST_POLICY, REMOVED_HOST_POLICY, OBJECT_NOT_SET -> false;
     };
   }
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -0,0 +1,130 @@
+package org.alderyard.daemon;
+
+import java.security.SecureRandom;
+import org.alderyard.backend.http.HttpConnector;
+import org.alderyard.backend.http.HttpServerAdmin;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.control.failover.DirectorOptions;
+import org.alderyard.control.failover.FailoverObserver;
+import org.alderyard.control.failover.FailoverService;
+import org.alderyard.control.failover.FailoverTable;
+import org.alderyard.control.grant.GrantOptions;
+import org.alderyard.control.grant.GrantService;
+import org.alderyard.control.log.ControlLog;
+import org.alderyard.control.log.LocalLog;
+import org.alderyard.control.log.LogListener;
+import org.alderyard.control.log.OpenMembership;
+import org.alderyard.control.log.ReplicatedLog;
+import org.alderyard.control.log.ReplicatedLogBuilder;
+import org.alderyard.control.promotion.PromotionService;
+import org.alderyard.control.service.ControlService;
+import org.alderyard.control.service.ViewFeed;
+import org.alderyard.control.state.ControlState;
+import org.alderyard.platform.PlatformPromoter;
+import org.alderyard.platform.WireSessionConnector;
+import org.alderyard.platform.WireStandingProbe;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The parts of a control host: its copy of the log, and the services over it. */
+final class ControlStack {
+  private static final Logger log = LoggerFactory.getLogger(ControlStack.class);
+
+  private final HostContext host;
+
+  ControlStack(HostContext host) {
+    this.host = host;
+  }
+
+  /** Starts the services; returns the log, to be closed after the inner port. */
+  ControlLog start() {
+    ViewFeed feed = new ViewFeed(host.workers);
+    FailoverTable failovers = new FailoverTable();
+    ControlState state = new ControlState(feed::publish, failovers);
+    ControlLog controlLog = host.part(controlLog(state));
+    ControlService service =
+        new ControlService(controlLog, state, feed, host.clock, host.wallClock);
+    service.serve(host.dispatcher);
+    service.start(host.workers);
+    new GrantService(controlLog, state::view, GrantOptions.DEFAULT, host.clock)
+        .serve(host.dispatcher);
+    if (host.settings.sessions().isPresent()) {
+      startPromotion(controlLog, state);
+    } else {
+      startFailover(controlLog, state, failovers);
+    }
+    return controlLog;
+  }
+
+  /** Without a data folder the state of a single control host lasts as long as its process. */
+  private ControlLog controlLog(ControlState state) {
+    DaemonSettings settings = host.settings;
+    if (settings.dataFolder().isEmpty()) {
+      log.warn("event=log-volatile reason=no-data-folder");
+      return new LocalLog(settings.host(), state);
+    }
+    ReplicatedLogBuilder builder =
+        ReplicatedLog.builder()
+            .clusterId(settings.clusterId())
+            .host(settings.host(), settings.innerAddress())
+            .members(host.controlHosts.listed())
+            .dataFolder(settings.dataFolder().get())
+            .machine(state)
+            .network(host.links, host.dispatcher)
+            .callbacks(host.workers)
+            .clock(host.clock)
+            .random(new SecureRandom())
+            .listener(
+                new LogListener() {
+                  @Override
+                  public void onFailure(AlderyardException cause) {
+                    host.workers.execute(() -> host.failure.complete(cause));
+                  }
+                });
+    settings
+        .open()
+        .ifPresent(
+            open ->
+                builder.open(
+                    new OpenMembership(
+                        open.voters(), open.mayFound(), host.controlHosts::addresses)));
+    return builder.start();
+  }
+
+  private void startFailover(ControlLog controlLog, ControlState state, FailoverTable failovers) {
+    FailoverService service =
+        host.part(
+            new FailoverService(
+                controlLog,
+                failovers,
+                state::view,
+                new HttpServerAdmin(new HttpConnector(host.ioWorker, host.workers)),
+                host.workers,
+                host.clock,
+                host.wallClock,
+                DirectorOptions.DEFAULT,
+                FailoverObserver.NONE));
+    service.serve(host.dispatcher);
+    service.start();
+  }
+
+  private void startPromotion(ControlLog controlLog, ControlState state) {
+    host.settings
+        .sessions()
+        .flatMap(SessionOptions::appointerAddress)
+        .ifPresent(
+            address -> {
+              PromotionService service =
+                  new PromotionService(
+                      controlLog,
+                      host.settings.host(),
+                      state::view,
+                      new WireStandingProbe(new WireSessionConnector(host.loops)),
+                      new PlatformPromoter(address, host.workers),
+                      host.workers,
+                      host.clock);
+              service.serve(host.dispatcher);
+              service.start();
+            });
+  }
+}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -31,6 +31,7 @@
  * @param innerAddress where other hosts connect
  * @param operatorAddress where operators connect, if they may here
  * @param controlHosts inner addresses of the control hosts
+ * @param open how the others are found where the control hosts are not listed
  * @param dataFolder where a control host keeps its state
  * @param clusterKey the secret of the hosts
  * @param operatorKey the secret of the operators
@@ -42,6 +43,8 @@
  * @param drainLinger how long the callers' port stays open after that
  * @param workerThreads threads of the worker pool
  * @param ioThreads threads of the HTTP ports
+ * @param innerThreads threads of the connections to hosts, and of sessions
+ * @param sessions how callers' sessions are served, where they do not send HTTP
  * @param httpLimits what HTTP clients may send
  * @param tls the keys of the HTTP ports that speak TLS
  * @param log how lines are logged
@@ -55,6 +58,7 @@
     InetSocketAddress innerAddress,
     Optional<InetSocketAddress> operatorAddress,
     List<InetSocketAddress> controlHosts,
+    Optional<OpenClusterOptions> open,
     Optional<Path> dataFolder,
     ClusterKey clusterKey,
     Optional<Secret> operatorKey,
@@ -66,6 +70,8 @@
     Duration drainLinger,
     int workerThreads,
     int ioThreads,
+    int innerThreads,
+    Optional<SessionOptions> sessions,
     HttpLimits httpLimits,
     TlsOptions tls,
     LogOptions log) {
@@ -86,7 +92,8 @@
             settings.get(DaemonSpec.CALLER_ADDRESS),
             settings.get(DaemonSpec.INNER_ADDRESS),
             settings.find(DaemonSpec.OPERATOR_ADDRESS),
-            settings.get(DaemonSpec.CONTROL_HOSTS),
+            settings.find(DaemonSpec.CONTROL_HOSTS).orElse(List.of()),
+            open(settings),
             settings.findPath(DaemonSpec.DATA_FOLDER),
             clusterKey(settings),
             operatorKey(settings),
@@ -101,6 +108,8 @@
             settings.get(DaemonSpec.DRAIN_LINGER),
             settings.get(DaemonSpec.WORKER_THREADS),
             settings.get(DaemonSpec.IO_THREADS),
+            settings.get(DaemonSpec.INNER_THREADS),
+            sessions(settings),
             new HttpLimits(
                 settings.get(DaemonSpec.MAX_HEADER_BYTES).intValue(),
                 settings.get(DaemonSpec.MAX_BODY_BYTES),
@@ -114,19 +123,27 @@
   }
 
   private void checkTogether(Settings settings) {
-    if (operatorAddress.isPresent() && operatorKey.isEmpty()) {
+    if (operatorAddress.isPresent() && operatorKey.isEmpty() && sessions.isEmpty()) {
       throw wrong(
           settings,
           DaemonSpec.OPERATOR_KEY_FILE,
           "the key is missing; [network] operator-address needs it");
     }
-    if (roles.contains(Role.CONTROL) && !controlHosts.contains(innerAddress)) {
+    if (open.isPresent() != controlHosts.isEmpty()) {
+      throw wrong(
+          settings,
+          DaemonSpec.CONTROL_HOSTS,
+          "the key is missing; accepted: either [control] hosts or [control] seeds");
+    }
+    boolean listed = open.isEmpty();
+    if (listed && roles.contains(Role.CONTROL) && !controlHosts.contains(innerAddress)) {
       throw wrong(
           settings,
           DaemonSpec.CONTROL_HOSTS,
           "[network] inner-address " + innerAddress + " of this control host is not in the list");
     }
-    if (roles.contains(Role.CONTROL) && dataFolder.isEmpty() && controlHosts.size() > 1) {
+    boolean several = open.isPresent() || controlHosts.size() > 1;
+    if (roles.contains(Role.CONTROL) && dataFolder.isEmpty() && several) {
       throw wrong(
           settings,
           DaemonSpec.DATA_FOLDER,
@@ -148,8 +165,36 @@
     }
   }
 
+  /** Seeds are given by any port of theirs: the inner port is the same on all hosts. */
+  private static Optional<OpenClusterOptions> open(Settings settings) {
+    int innerPort = settings.get(DaemonSpec.INNER_ADDRESS).getPort();
+    return settings
+        .find(DaemonSpec.SEEDS)
+        .map(
+            seeds ->
+                new OpenClusterOptions(
+                    seeds.stream()
+                        .map(seed -> new InetSocketAddress(seed.getAddress(), innerPort))
+                        .toList(),
+                    settings.get(DaemonSpec.MAY_FOUND),
+                    settings.get(DaemonSpec.BORNE_LOSSES)));
+  }
+
+  private static Optional<SessionOptions> sessions(Settings settings) {
+    return settings
+        .find(DaemonSpec.READY_ADDRESS)
+        .map(
+            ready ->
+                new SessionOptions(
+                    ready,
+                    settings.find(DaemonSpec.METRICS_ADDRESS),
+                    settings.find(DaemonSpec.APPOINTER_ADDRESS),
+                    settings.get(DaemonSpec.GRACE),
+                    settings.get(DaemonSpec.MAX_SESSIONS)));
+  }
+
   private static ClusterKey clusterKey(Settings settings) {
-    byte[] secret = secret(settings, DaemonSpec.CLUSTER_KEY_FILE).getBytes(StandardCharsets.UTF_8);
+    byte[] secret = clusterSecret(settings).getBytes(StandardCharsets.UTF_8);
     if (secret.length < ClusterKey.MIN_BYTES) {
       throw wrong(
           settings,
@@ -159,6 +204,26 @@
     return new ClusterKey(secret);
   }
 
+  private static String clusterSecret(Settings settings) {
+    Optional<String> variable = settings.find(DaemonSpec.CLUSTER_KEY_VARIABLE);
+    if (variable.isEmpty() && settings.find(DaemonSpec.CLUSTER_KEY_FILE).isEmpty()) {
+      throw wrong(
+          settings,
+          DaemonSpec.CLUSTER_KEY_FILE,
+          "the key is missing; accepted: a path, or [keys] cluster-key-variable");
+    }
+    if (variable.isEmpty()) {
+      return secret(settings, DaemonSpec.CLUSTER_KEY_FILE);
+    }
+    return Optional.ofNullable(System.getenv(variable.get()))
+        .orElseThrow(
+            () ->
+                wrong(
+                    settings,
+                    DaemonSpec.CLUSTER_KEY_VARIABLE,
+                    "the environment variable " + variable.get() + " is not set"));
+  }
+
   private static Optional<Secret> operatorKey(Settings settings) {
     return settings
         .find(DaemonSpec.OPERATOR_KEY_FILE)
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -3,6 +3,7 @@
 import static org.alderyard.common.settings.SettingTypes.address;
 import static org.alderyard.common.settings.SettingTypes.bytes;
 import static org.alderyard.common.settings.SettingTypes.duration;
+import static org.alderyard.common.settings.SettingTypes.flag;
 import static org.alderyard.common.settings.SettingTypes.integer;
 import static org.alderyard.common.settings.SettingTypes.list;
 import static org.alderyard.common.settings.SettingTypes.name;
@@ -40,13 +41,35 @@
       Setting.optional("network", "operator-address", address(), "where operators connect");
 
   static final Setting<List<InetSocketAddress>> CONTROL_HOSTS =
-      Setting.required("control", "hosts", list(address()), "inner addresses of the control hosts");
+      Setting.optional("control", "hosts", list(address()), "inner addresses of the control hosts");
+  static final Setting<List<InetSocketAddress>> SEEDS =
+      Setting.optional(
+          "control",
+          "seeds",
+          list(address()),
+          "in place of hosts: some hosts, which tell of the others; the inner port is this host's");
+  static final Setting<Boolean> MAY_FOUND =
+      Setting.preset(
+          "control", "may-found", flag(), "false", "whether control hosts among the seeds found");
+  static final Setting<Integer> BORNE_LOSSES =
+      Setting.preset(
+          "control",
+          "borne-losses",
+          integer(0, 3),
+          "1",
+          "control hosts that may be lost at once; twice as many and one vote");
   static final Setting<Path> DATA_FOLDER =
       Setting.optional("control", "data-folder", path(), "where a control host keeps its state");
 
   static final Setting<Path> CLUSTER_KEY_FILE =
-      Setting.required(
+      Setting.optional(
           "keys", "cluster-key-file", path(), "secret that all hosts share, at least 16 bytes");
+  static final Setting<String> CLUSTER_KEY_VARIABLE =
+      Setting.optional(
+          "keys",
+          "cluster-key-variable",
+          name(text -> new HostId(text).value()),
+          "in place of the file: the environment variable that holds the secret");
   static final Setting<Path> OPERATOR_KEY_FILE =
       Setting.optional("keys", "operator-key-file", path(), "secret that operators send");
 
@@ -111,6 +134,36 @@
   static final Setting<Integer> IO_THREADS =
       Setting.preset("proxy", "io-threads", integer(1, 64), "2", "threads of the HTTP ports");
 
+  static final Setting<Integer> INNER_THREADS =
+      Setting.preset(
+          "proxy",
+          "inner-threads",
+          integer(1, 64),
+          "2",
+          "threads of the connections to hosts, and of sessions");
+
+  static final Setting<InetSocketAddress> READY_ADDRESS =
+      Setting.optional(
+          "sessions",
+          "ready-address",
+          address(),
+          "where the balancer asks; with it callers open sessions instead of sending HTTP");
+  static final Setting<InetSocketAddress> METRICS_ADDRESS =
+      Setting.optional("sessions", "metrics-address", address(), "where metrics are served");
+  static final Setting<InetSocketAddress> APPOINTER_ADDRESS =
+      Setting.optional(
+          "sessions", "appointer-address", address(), "the service that appoints primaries");
+  static final Setting<Duration> GRACE =
+      Setting.preset(
+          "sessions",
+          "grace",
+          duration(Duration.ofSeconds(1), Duration.ofMinutes(10)),
+          "10s",
+          "time between the request to stop and the kill");
+  static final Setting<Integer> MAX_SESSIONS =
+      Setting.preset(
+          "sessions", "max-sessions", integer(1, 1_000_000), "3000", "most sessions at a time");
+
   static final Setting<Long> MAX_HEADER_BYTES =
       Setting.preset(
           "limits", "max-header-size", bytes(1024, 1 << 20), "16KiB", "most bytes of all headers");
@@ -163,8 +216,12 @@
               INNER_ADDRESS,
               OPERATOR_ADDRESS,
               CONTROL_HOSTS,
+              SEEDS,
+              MAY_FOUND,
+              BORNE_LOSSES,
               DATA_FOLDER,
               CLUSTER_KEY_FILE,
+              CLUSTER_KEY_VARIABLE,
               OPERATOR_KEY_FILE,
               MONITOR_INTERVAL,
               MONITOR_IDLE_INTERVAL,
@@ -176,6 +233,12 @@
               DRAIN_LINGER,
               WORKER_THREADS,
               IO_THREADS,
+              INNER_THREADS,
+              READY_ADDRESS,
+              METRICS_ADDRESS,
+              APPOINTER_ADDRESS,
+              GRACE,
+              MAX_SESSIONS,
               MAX_HEADER_BYTES,
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -0,0 +1,139 @@
+package org.alderyard.daemon;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import javax.net.ssl.SSLContext;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.http.HttpPort;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.HostState;
+import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.protocol.control.ControlHosts;
+import org.alderyard.protocol.wire.Dispatcher;
+import org.alderyard.protocol.wire.EventLoops;
+import org.alderyard.protocol.wire.PeerLinks;
+import org.alderyard.protocol.wire.ProtocolOptions;
+import org.alderyard.proxy.view.ViewClient;
+import org.alderyard.proxy.view.ViewHolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** What the parts of one process share, and the order in which they are closed. */
+final class HostContext implements AutoCloseable {
+  private static final Logger log = LoggerFactory.getLogger(HostContext.class);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
+  private static final int MAX_OUTSTANDING = 4_096;
+
+  final DaemonSettings settings;
+  final MonotonicClock clock = MonotonicClock.system();
+  final InstantSource wallClock = InstantSource.system();
+  final PrometheusRegistry registry = new PrometheusRegistry();
+  final Dispatcher dispatcher = new Dispatcher();
+  final ViewHolder views = new ViewHolder();
+  final CompletableFuture<AlderyardException> failure = new CompletableFuture<>();
+  final WorkerPool workers;
+  final XnioWorker ioWorker;
+  final EventLoops loops;
+  final ProtocolOptions protocol;
+  final PeerLinks links;
+  final ControlHosts controlHosts;
+  final ControlClient control;
+  final HostState self;
+  final ViewClient viewClient;
+  // Closed in the opposite order of their start.
+  private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+
+  HostContext(DaemonSettings settings) {
+    this.settings = settings;
+    workers = part(new WorkerPool("worker", settings.workerThreads()));
+    ioWorker = newIoWorker();
+    loops = part(new EventLoops(settings.innerThreads()));
+    long incarnation = wallClock.millis();
+    protocol =
+        new ProtocolOptions(
+            settings.clusterId(),
+            settings.host(),
+            incarnation,
+            settings.clusterKey(),
+            CONNECT_TIMEOUT,
+            MAX_OUTSTANDING);
+    links = part(new PeerLinks(loops, protocol));
+    controlHosts = new ControlHosts(knownControlHosts());
+    control = new ControlClient(links, controlHosts::addresses, workers);
+    self =
+        new HostState(
+            settings.host(),
+            incarnation,
+            settings.zone(),
+            settings.innerAddress(),
+            settings.callerAddress(),
+            settings.roles().contains(Role.PROXY),
+            settings.roles().contains(Role.CONTROL),
+            false);
+    viewClient = new ViewClient(control, self, views, workers, clock);
+  }
+
+  private List<InetSocketAddress> knownControlHosts() {
+    return settings.open().map(OpenClusterOptions::seeds).orElse(settings.controlHosts());
+  }
+
+  /** Takes a part that is closed before those that were taken earlier. */
+  <T extends AutoCloseable> T part(T part) {
+    parts.push(part);
+    return part;
+  }
+
+  private XnioWorker newIoWorker() {
+    try {
+      XnioWorker worker =
+          Xnio.getInstance()
+              .createWorker(
+                  OptionMap.builder()
+                      .set(Options.WORKER_IO_THREADS, settings.ioThreads())
+                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                      .set(Options.WORKER_TASK_MAX_THREADS, settings.workerThreads())
+                      .set(Options.TCP_NODELAY, true)
+                      .set(Options.THREAD_DAEMON, true)
+                      .getMap());
+      parts.push(worker::shutdownNow);
+      return worker;
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+
+  /** Opens an HTTP port that speaks TLS if the settings say so for its kind. */
+  HttpPort port(
+      String name, InetSocketAddress address, Optional<SSLContext> tls, HttpHandler handler) {
+    HttpPort port =
+        part(new HttpPort(name, address, ioWorker, settings.httpLimits(), tls, handler));
+    log.info("event=listening port={} address={} tls={}", name, port.address(), tls.isPresent());
+    return port;
+  }
+
+  @Override
+  public void close() {
+    while (!parts.isEmpty()) {
+      try {
+        parts.pop().close();
+      } catch (Exception failed) {
+        log.warn("event=close-failed reason=\"{}\"", failed.toString());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -0,0 +1,141 @@
+package org.alderyard.daemon;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.common.http.MetricsHandler;
+import org.alderyard.platform.CallerPort;
+import org.alderyard.platform.ControlPort;
+import org.alderyard.platform.WireSessionConnector;
+import org.alderyard.proxy.callersession.SessionService;
+import org.alderyard.proxy.lease.LeaseClient;
+import org.alderyard.proxy.lease.LeaseTable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The parts of a host whose callers open sessions. */
+final class SessionStack implements Drainable {
+  private static final Logger log = LoggerFactory.getLogger(SessionStack.class);
+
+  /** The connections to a server before the first lease: one that works, and one for a burst. */
+  private static final int CONNECTIONS_WITHOUT_LEASE = 2;
+
+  /** Leases change with the load, which moves over seconds. */
+  private static final Duration LEASE_INTERVAL = Duration.ofSeconds(1);
+
+  /**
+   * The part of the grace until new callers stop coming: the balancer asks every second and takes a
+   * host out after two bad answers.
+   */
+  private static final double BALANCER_SHARE = 0.42;
+
+  /** Then transactions have had half of the grace, and are ended. */
+  private static final double TRANSACTION_SHARE = 0.52;
+
+  /** What is left after that closes ports, files and the log. */
+  private static final double END_SHARE = 0.85;
+
+  private static final long POLL_MILLIS = 50;
+
+  private final HostContext host;
+  private final SessionOptions options;
+  private final SessionService sessions;
+  private Optional<CallerPort> callers = Optional.empty();
+  private volatile boolean stopping;
+
+  SessionStack(HostContext host, SessionOptions options) {
+    this.host = host;
+    this.options = options;
+    LeaseTable leases = new LeaseTable(host.clock, CONNECTIONS_WITHOUT_LEASE);
+    sessions =
+        new SessionService(
+            host.views,
+            host.settings.zone(),
+            new WireSessionConnector(host.loops),
+            leases,
+            host.workers,
+            host.clock,
+            host.wallClock,
+            options.maxSessions());
+    new LeaseClient(host.control, host.self, host.views, leases, sessions.pools(), server -> 0)
+        .start(host.workers, LEASE_INTERVAL);
+  }
+
+  void start() {
+    sessions.start();
+    sessions.startReports(host.control, host.settings.host());
+    callers =
+        Optional.of(
+            host.part(
+                new CallerPort(
+                    host.loops,
+                    host.settings.callerAddress(),
+                    sessions,
+                    host.workers,
+                    host.clock)));
+    host.port(
+        "ready", options.readyAddress(), Optional.empty(), ControlPort.readiness(this::ready));
+    host.settings
+        .operatorAddress()
+        .ifPresent(
+            address ->
+                host.port(
+                    "control",
+                    address,
+                    Optional.empty(),
+                    new ControlPort(host.control, host.workers).handler()));
+    options
+        .metricsAddress()
+        .ifPresent(
+            address ->
+                host.port("metrics", address, Optional.empty(), new MetricsHandler(host.registry)));
+  }
+
+  private boolean ready() {
+    return !stopping && sessions.ready();
+  }
+
+  /**
+   * Ends the sessions within the grace.
+   *
+   * <p>The port stays open until the balancer has seen that this host is not ready; sessions in
+   * which nothing happens are closed then, the others as soon as they rest, and open transactions
+   * after half of the grace.
+   */
+  @Override
+  public void drain() {
+    stopping = true;
+    if (callers.isEmpty()) {
+      return;
+    }
+    long startNanos = host.clock.nowNanos();
+    log.info("event=drain-begin sessions={}", sessions.sessionCount());
+    try {
+      waitUntil(startNanos, BALANCER_SHARE);
+      sessions.drain();
+      closeIdleUntil(startNanos, TRANSACTION_SHARE);
+      callers.get().abortTransactions();
+      closeIdleUntil(startNanos, END_SHARE);
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+    log.info("event=drain-end sessions={}", sessions.sessionCount());
+  }
+
+  private void waitUntil(long startNanos, double share) throws InterruptedException {
+    while (!over(startNanos, share) && sessions.sessionCount() > 0) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    }
+  }
+
+  private void closeIdleUntil(long startNanos, double share) throws InterruptedException {
+    while (!over(startNanos, share) && sessions.sessionCount() > 0) {
+      callers.get().closeIdle();
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    }
+  }
+
+  private boolean over(long startNanos, double share) {
+    return host.clock.nowNanos() - startNanos > options.grace().toNanos() * share;
+  }
+}
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
@@ -24,33 +25,45 @@
   private static final Duration ROUND_PAUSE = Duration.ofMillis(100);
 
   private final PeerLinks links;
-  private final List<InetSocketAddress> controlHosts;
+  private final Supplier<List<InetSocketAddress>> controlHosts;
   private final WorkerPool workers;
   private final AtomicInteger preferred = new AtomicInteger();
 
   /** Uses the given links to the given inner addresses. */
   public ControlClient(PeerLinks links, List<InetSocketAddress> controlHosts, WorkerPool workers) {
+    this(links, fixed(controlHosts), workers);
+  }
+
+  /** Uses the given links to the inner addresses that are known at each call. */
+  public ControlClient(
+      PeerLinks links, Supplier<List<InetSocketAddress>> controlHosts, WorkerPool workers) {
     this.links = links;
-    this.controlHosts = List.copyOf(controlHosts);
+    this.controlHosts = controlHosts;
     this.workers = workers;
   }
 
-  /** Returns how many control hosts there are. */
+  private static Supplier<List<InetSocketAddress>> fixed(List<InetSocketAddress> addresses) {
+    List<InetSocketAddress> copy = List.copyOf(addresses);
+    return () -> copy;
+  }
+
+  /** Returns how many control hosts are known. */
   public int hostCount() {
-    return controlHosts.size();
+    return controlHosts.get().size();
   }
 
   /** Sends a request to one host, by its place in the list. */
   public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callHost(
       int place, Method<Q, R> method, Q request, Duration timeout) {
-    int index = Math.floorMod(place, controlHosts.size());
-    return links.to(controlHosts.get(index)).call(method, request, timeout);
+    List<InetSocketAddress> addresses = controlHosts.get();
+    int index = Math.floorMod(place, addresses.size());
+    return links.to(addresses.get(index)).call(method, request, timeout);
   }
 
   /** Sends an idempotent request to one host after another until one serves it. */
   public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callIdempotent(
       Method<Q, R> method, Q request, Duration timeout) {
-    return new Search<>(method, request, timeout, controlHosts.size(), Duration.ZERO).run();
+    return new Search<>(method, request, timeout, hostCount(), Duration.ZERO).run();
   }
 
   /**
@@ -59,13 +72,14 @@
    */
   public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callPatiently(
       Method<Q, R> method, Q request, Duration timeout) {
-    int tries = controlHosts.size() * PATIENT_ROUNDS;
+    int tries = hostCount() * PATIENT_ROUNDS;
     return new Search<>(method, request, timeout, tries, ROUND_PAUSE).run();
   }
 
   private static boolean worthAnother(AlderyardException failure) {
     return switch (failure.code()) {
-      case NOT_LEADER, NO_QUORUM, CONNECTION_LOST, DEADLINE_EXCEEDED, DRAINING -> true;
+      // A host that does not serve the method: the list may hold one that is no control host.
+      case NOT_FOUND, NOT_LEADER, NO_QUORUM, CONNECTION_LOST, DEADLINE_EXCEEDED, DRAINING -> true;
       default -> false;
     };
   }
@@ -114,7 +128,7 @@
         result.completeExceptionally(failure);
         return;
       }
-      preferred.compareAndSet(place, Math.floorMod(place + 1, controlHosts.size()));
+      preferred.compareAndSet(place, Math.floorMod(place + 1, hostCount()));
       if (triesLeft == 0) {
         result.completeExceptionally(
             new AlderyardException(
@@ -124,7 +138,7 @@
                 failure));
         return;
       }
-      boolean roundOver = triesLeft % controlHosts.size() == 0;
+      boolean roundOver = triesLeft % hostCount() == 0;
       if (roundOver && !pause.isZero()) {
         workers.schedule(pause, this::next);
       } else {
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlMethods.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlMethods.java
@@ -6,10 +6,18 @@
 import org.alderyard.protocol.generated.control.ControlStatusRequest;
 import org.alderyard.protocol.generated.control.DrainHostReply;
 import org.alderyard.protocol.generated.control.DrainHostRequest;
+import org.alderyard.protocol.generated.control.FetchConfigurationReply;
+import org.alderyard.protocol.generated.control.FetchConfigurationRequest;
 import org.alderyard.protocol.generated.control.FetchViewReply;
 import org.alderyard.protocol.generated.control.FetchViewRequest;
+import org.alderyard.protocol.generated.control.FindControlHostsReply;
+import org.alderyard.protocol.generated.control.FindControlHostsRequest;
 import org.alderyard.protocol.generated.control.HeartbeatReply;
 import org.alderyard.protocol.generated.control.HeartbeatRequest;
+import org.alderyard.protocol.generated.control.ReplaceConfigurationReply;
+import org.alderyard.protocol.generated.control.ReplaceConfigurationRequest;
+import org.alderyard.protocol.generated.control.ReportPrimariesReply;
+import org.alderyard.protocol.generated.control.ReportPrimariesRequest;
 import org.alderyard.protocol.generated.control.SubmitTicketReply;
 import org.alderyard.protocol.generated.control.SubmitTicketRequest;
 import org.alderyard.protocol.generated.control.TicketStatusReply;
@@ -46,5 +54,36 @@
   public static final Method<DrainHostRequest, DrainHostReply> DRAIN_HOST =
       new Method<>(7, "drain-host", DrainHostRequest.parser(), DrainHostReply.parser());
 
+  /** Replaces the configuration of sessions; answered once it is committed. */
+  public static final Method<ReplaceConfigurationRequest, ReplaceConfigurationReply>
+      REPLACE_CONFIGURATION =
+          new Method<>(
+              8,
+              "replace-configuration",
+              ReplaceConfigurationRequest.parser(),
+              ReplaceConfigurationReply.parser());
+
+  /** Returns the newest configuration of sessions, with a quorum's proof that it is. */
+  public static final Method<FetchConfigurationRequest, FetchConfigurationReply>
+      FETCH_CONFIGURATION =
+          new Method<>(
+              9,
+              "fetch-configuration",
+              FetchConfigurationRequest.parser(),
+              FetchConfigurationReply.parser());
+
+  /** Returns the control hosts that the asked host knows; every host serves it. */
+  public static final Method<FindControlHostsRequest, FindControlHostsReply> FIND_CONTROL_HOSTS =
+      new Method<>(
+          10,
+          "find-control-hosts",
+          FindControlHostsRequest.parser(),
+          FindControlHostsReply.parser());
+
+  /** Takes what a host saw of the primaries that it sends work to. */
+  public static final Method<ReportPrimariesRequest, ReportPrimariesReply> REPORT_PRIMARIES =
+      new Method<>(
+          11, "report-primaries", ReportPrimariesRequest.parser(), ReportPrimariesReply.parser());
+
   private ControlMethods() {}
 }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -2,24 +2,34 @@
 
 import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.PoolName;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.Bytes;
+import org.alderyard.common.view.ConfigurationState;
+import org.alderyard.common.view.DatabaseState;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.PoolState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
+import org.alderyard.common.view.SessionReads;
 import org.alderyard.common.view.SigningKey;
 import org.alderyard.common.view.TermStart;
 import org.alderyard.common.view.ViewVersion;
 import org.alderyard.common.view.WriteAcknowledgement;
+import org.alderyard.protocol.generated.state.Configuration;
+import org.alderyard.protocol.generated.state.Database;
 import org.alderyard.protocol.generated.state.Endpoint;
 import org.alderyard.protocol.generated.state.Group;
+import org.alderyard.protocol.generated.state.GroupLimits;
 import org.alderyard.protocol.generated.state.Host;
 import org.alderyard.protocol.generated.state.Key;
 import org.alderyard.protocol.generated.state.KeyRing;
@@ -135,6 +145,7 @@
     return switch (status) {
       case ACTIVE -> ServerStatus.ACTIVE;
       case LEAVING -> ServerStatus.LEAVING;
+      case GONE -> ServerStatus.GONE;
       default -> ServerStatus.EXPIRED;
     };
   }
@@ -182,6 +193,75 @@
         .toList();
   }
 
+  /** Returns the message of the configuration of sessions. */
+  public static Configuration configurationMessage(ConfigurationState configuration) {
+    Configuration.Builder message =
+        Configuration.newBuilder()
+            .setNumber(configuration.number())
+            .setTransactionIdleMillis(configuration.transactionIdleMillis())
+            .setSessionIdleMillis(configuration.sessionIdleMillis())
+            .setSource(ByteString.copyFrom(configuration.source().toArray()))
+            .setContentHash(ByteString.copyFrom(configuration.contentHash().toArray()));
+    configuration.databases().forEach(database -> message.addDatabases(message(database)));
+    new TreeMap<>(configuration.connectionsPerServer())
+        .forEach(
+            (group, connections) ->
+                message.addGroups(
+                    GroupLimits.newBuilder()
+                        .setId(group.value())
+                        .setConnectionsPerServer(connections)));
+    return message.build();
+  }
+
+  private static Database message(DatabaseState database) {
+    return Database.newBuilder()
+        .setName(database.name())
+        .setScope(database.scope())
+        .setGroup(database.group().value())
+        .setReads(
+            org.alderyard.protocol.generated.state.SessionReads.forNumber(
+                database.reads().ordinal()))
+        .setStatementTimeoutMillis(database.statementTimeoutMillis())
+        .setLatencyObjectiveMillis(database.latencyObjectiveMillis())
+        .setPriority(database.priority())
+        .setMaxStalenessMillis(database.maxStalenessMillis())
+        .build();
+  }
+
+  /** Returns the configuration of sessions of a message. */
+  public static ConfigurationState configuration(Configuration message) {
+    Map<GroupId, Integer> connections = new HashMap<>();
+    message
+        .getGroupsList()
+        .forEach(
+            group -> connections.put(new GroupId(group.getId()), group.getConnectionsPerServer()));
+    return new ConfigurationState(
+        message.getNumber(),
+        message.getDatabasesList().stream().map(StateCodec::database).toList(),
+        connections,
+        message.getTransactionIdleMillis(),
+        message.getSessionIdleMillis(),
+        Bytes.of(message.getSource().toByteArray()),
+        Bytes.of(message.getContentHash().toByteArray()));
+  }
+
+  private static DatabaseState database(Database database) {
+    return new DatabaseState(
+        database.getName(),
+        database.getScope(),
+        new GroupId(database.getGroup()),
+        switch (database.getReads()) {
+          case BOUNDED -> SessionReads.BOUNDED;
+          case OWN_WRITES -> SessionReads.OWN_WRITES;
+          // What a newer peer added is read as the strictest.
+          default -> SessionReads.NEWEST;
+        },
+        database.getStatementTimeoutMillis(),
+        database.getLatencyObjectiveMillis(),
+        database.getPriority(),
+        database.getMaxStalenessMillis());
+  }
+
   /** Returns the message of an address; its IP number is used, no name is looked up. */
   public static Endpoint endpointMessage(InetSocketAddress address) {
     return Endpoint.newBuilder()
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewCodec.java
@@ -37,6 +37,10 @@
     if (!view.keys().isEmpty()) {
       snapshot.addObjects(object().setKeyRing(StateCodec.keyRingMessage(view.keys())));
     }
+    view.configuration()
+        .ifPresent(
+            c ->
+                snapshot.addObjects(object().setConfiguration(StateCodec.configurationMessage(c))));
     return snapshot.build();
   }
 
@@ -72,6 +76,8 @@
         case REMOVED_GROUP -> editor.groups().remove(new GroupId(object.getRemovedGroup()));
         case REMOVED_SERVER -> editor.remove(new ServerId(object.getRemovedServer()));
         case REMOVED_HOST -> editor.hosts().remove(new HostId(object.getRemovedHost()));
+        case CONFIGURATION ->
+            editor.configuration(StateCodec.configuration(object.getConfiguration()));
         case HOST_POLICY, REMOVED_HOST_POLICY -> {
           // Views carry the effect of a policy in the host itself.
         }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
@@ -30,7 +30,7 @@
     if (handler == null) {
       return CompletableFuture.failedFuture(
           AlderyardException.notRun(
-              ErrorCode.BAD_REQUEST, "method " + method + " is not served by this host"));
+              ErrorCode.NOT_FOUND, "method " + method + " is not served by this host"));
     }
     try {
       return handler.handle(peer, payload);
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/EventLoops.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/EventLoops.java
@@ -17,7 +17,8 @@
     group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
   }
 
-  EventLoopGroup group() {
+  /** Returns the threads for the channels of other protocols. */
+  public EventLoopGroup group() {
     return group;
   }
 
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -0,0 +1,505 @@
+package org.alderyard.proxy.callersession;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.StatementKind;
+import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionRequest;
+import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.backend.session.SessionStatement.Begin;
+import org.alderyard.backend.session.SessionStatement.Commit;
+import org.alderyard.backend.session.SessionStatement.Deallocate;
+import org.alderyard.backend.session.SessionStatement.Execute;
+import org.alderyard.backend.session.SessionStatement.Prepare;
+import org.alderyard.backend.session.SessionStatement.Read;
+import org.alderyard.backend.session.SessionStatement.Rollback;
+import org.alderyard.backend.session.SessionStatement.SetValue;
+import org.alderyard.backend.session.SessionStatement.Unreadable;
+import org.alderyard.backend.session.SessionStatement.Write;
+import org.alderyard.backend.session.TransactionState;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.view.DatabaseState;
+import org.alderyard.common.view.SessionReads;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One caller's session: its values, prepared statements, own writes and transaction.
+ *
+ * <p>The port hands over one statement at a time, the next one after the answer to the one before;
+ * only {@link #close()}, {@link #endIdleTransaction} and {@link #abort()} may come in between. What
+ * those touch is in {@link OpenTransaction}, under its lock.
+ */
+public final class CallerSession {
+  private static final Logger log = LoggerFactory.getLogger(CallerSession.class);
+
+  /** A busy server is asked again this often within a transaction, at this pause. */
+  private static final int BUSY_REPEATS = 8;
+
+  private static final Duration BUSY_PAUSE = Duration.ofMillis(12);
+
+  /** The most values of one session; more would only be a way to fill the host's memory. */
+  private static final int MAX_VALUES = 1_000;
+
+  private final SessionParts parts;
+  private final SampleRefresher refresher;
+  private final String databaseName;
+  private final Map<String, String> values = new LinkedHashMap<>();
+  private final Map<String, Prepare> prepared = new HashMap<>();
+  private final Map<GroupId, GroupRouting.Floor> written = new HashMap<>();
+  private volatile TransactionState state = TransactionState.NONE;
+  private volatile Optional<OpenTransaction> transaction = Optional.empty();
+  private volatile boolean busy;
+  private volatile boolean closed;
+
+  CallerSession(SessionParts parts, SampleRefresher refresher, String databaseName) {
+    this.parts = parts;
+    this.refresher = refresher;
+    this.databaseName = databaseName;
+  }
+
+  /**
+   * Answers one statement.
+   *
+   * @param id the caller's name for it
+   * @return never fails
+   */
+  public CompletableFuture<SessionReply> handle(String id, SessionStatement statement) {
+    busy = true;
+    CompletableFuture<SessionReply> answer;
+    try {
+      answer = dispatch(id, statement);
+    } catch (RuntimeException unexpected) {
+      answer = CompletableFuture.failedFuture(unexpected);
+    }
+    return answer
+        .exceptionally(failure -> internal(id, failure))
+        .thenApply(
+            reply -> {
+              state = reply.state();
+              transaction.ifPresent(open -> open.rest(parts.clock().nowNanos()));
+              busy = false;
+              if (closed) {
+                rollBack();
+              }
+              return reply;
+            });
+  }
+
+  private SessionReply internal(String id, Throwable failure) {
+    log.error("event=statement-failed id={} outcome=OUTCOME_UNKNOWN", id, Futures.unwrap(failure));
+    rollBack();
+    return SessionReply.refused(RefusalCode.IN_DOUBT, "internal error", failed());
+  }
+
+  private CompletableFuture<SessionReply> dispatch(String id, SessionStatement statement) {
+    if (state == TransactionState.FAILED && !ends(statement)) {
+      return refuse(RefusalCode.MALFORMED, "the transaction failed; it can only be ended", state);
+    }
+    if (statement instanceof SetValue set) {
+      return setValue(set);
+    }
+    if (statement instanceof Prepare prepare) {
+      return prepare(prepare);
+    }
+    if (statement instanceof Deallocate deallocate) {
+      return prepared.remove(deallocate.name()) == null
+          ? refuse(RefusalCode.NOT_PREPARED, deallocate.name(), failed())
+          : done(state);
+    }
+    if (statement instanceof Begin begin) {
+      return begin(begin);
+    }
+    if (statement instanceof Rollback) {
+      return rollBackAsked();
+    }
+    if (statement instanceof Commit) {
+      return commit(id);
+    }
+    return onServer(id, statement);
+  }
+
+  private static boolean ends(SessionStatement statement) {
+    return statement instanceof Commit || statement instanceof Rollback;
+  }
+
+  private TransactionState failed() {
+    return state == TransactionState.NONE ? TransactionState.NONE : TransactionState.FAILED;
+  }
+
+  private static CompletableFuture<SessionReply> done(TransactionState state) {
+    return CompletableFuture.completedFuture(SessionReply.done(state));
+  }
+
+  private CompletableFuture<SessionReply> refuse(
+      RefusalCode code, String text, TransactionState next) {
+    if (next == TransactionState.FAILED) {
+      rollBack();
+    }
+    return CompletableFuture.completedFuture(SessionReply.refused(code, text, next));
+  }
+
+  private CompletableFuture<SessionReply> setValue(SetValue set) {
+    if (values.size() >= MAX_VALUES && !values.containsKey(set.name())) {
+      return refuse(RefusalCode.TOO_LARGE, "at most " + MAX_VALUES + " values", failed());
+    }
+    values.put(set.name(), set.value());
+    return done(state);
+  }
+
+  private CompletableFuture<SessionReply> prepare(Prepare prepare) {
+    if (prepared.size() >= MAX_VALUES && !prepared.containsKey(prepare.name())) {
+      return refuse(RefusalCode.TOO_LARGE, "at most " + MAX_VALUES + " statements", failed());
+    }
+    prepared.put(prepare.name(), prepare);
+    return done(state);
+  }
+
+  private CompletableFuture<SessionReply> begin(Begin begin) {
+    if (state != TransactionState.NONE) {
+      return refuse(RefusalCode.MALFORMED, "a transaction is open", failed());
+    }
+    Optional<DatabaseState> database = database();
+    if (database.isEmpty()) {
+      return refuse(RefusalCode.UNKNOWN_DATABASE, databaseName, TransactionState.NONE);
+    }
+    transaction =
+        Optional.of(
+            new OpenTransaction(database.get(), begin.readOnly(), parts.clock().nowNanos()));
+    return done(TransactionState.OPEN);
+  }
+
+  private Optional<DatabaseState> database() {
+    return parts
+        .views()
+        .current()
+        .configuration()
+        .flatMap(configuration -> configuration.database(databaseName));
+  }
+
+  private CompletableFuture<SessionReply> rollBackAsked() {
+    if (state == TransactionState.NONE) {
+      return refuse(RefusalCode.MALFORMED, "no transaction is open", TransactionState.NONE);
+    }
+    rollBack();
+    return done(TransactionState.NONE);
+  }
+
+  /** Ends the transaction without keeping anything. */
+  private void rollBack() {
+    Optional<OpenTransaction> open = transaction;
+    transaction = Optional.empty();
+    open.ifPresent(this::rollBack);
+  }
+
+  private void rollBack(OpenTransaction open) {
+    open.end().ifPresent(pinned -> parts.rollBackAndRelease(pinned.server(), pinned.session()));
+  }
+
+  private CompletableFuture<SessionReply> commit(String id) {
+    if (state == TransactionState.NONE) {
+      return refuse(RefusalCode.MALFORMED, "no transaction is open", TransactionState.NONE);
+    }
+    Optional<OpenTransaction> open = transaction.filter(OpenTransaction::begin);
+    if (state == TransactionState.FAILED || open.isEmpty()) {
+      rollBack();
+      return refuse(RefusalCode.ABORTED, "the transaction kept nothing", TransactionState.NONE);
+    }
+    StatementTask task =
+        task(
+            SessionRequest.of(id, new Commit()),
+            StatementKind.READ,
+            true,
+            Optional.empty(),
+            open.get().database());
+    return inTransaction(open.get(), task);
+  }
+
+  private CompletableFuture<SessionReply> onServer(String id, SessionStatement statement) {
+    Optional<Prepare> shape = Optional.empty();
+    SessionStatement sent = statement;
+    StatementKind kind;
+    if (statement instanceof Read) {
+      kind = StatementKind.READ;
+    } else if (statement instanceof Write) {
+      kind = StatementKind.WRITE;
+    } else if (statement instanceof Execute execute) {
+      shape = Optional.ofNullable(prepared.get(execute.name()));
+      if (shape.isEmpty()) {
+        return refuse(RefusalCode.NOT_PREPARED, execute.name(), failed());
+      }
+      kind = shape.get().kind();
+      if ((kind == StatementKind.WRITE) != execute.data().isPresent()) {
+        return refuse(RefusalCode.MALFORMED, "data is for statements that write", failed());
+      }
+      sent = new Execute(PooledSession.serverName(shape.get()), execute.item(), execute.data());
+    } else {
+      String reason =
+          statement instanceof Unreadable unreadable ? unreadable.reason() : "not for callers";
+      return refuse(RefusalCode.MALFORMED, reason, failed());
+    }
+    SessionRequest request = SessionRequest.of(id, sent);
+    if (state == TransactionState.OPEN) {
+      return inOpenTransaction(request, kind, shape);
+    }
+    Optional<DatabaseState> database = database();
+    if (database.isEmpty()) {
+      return refuse(RefusalCode.UNKNOWN_DATABASE, databaseName, TransactionState.NONE);
+    }
+    return single(task(request, kind, false, shape, database.get()));
+  }
+
+  private StatementTask task(
+      SessionRequest request,
+      StatementKind kind,
+      boolean ending,
+      Optional<Prepare> shape,
+      DatabaseState database) {
+    long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(database.statementTimeoutMillis());
+    return new StatementTask(
+        request, kind, ending, shape, database, values, parts.clock().nowNanos() + timeoutNanos);
+  }
+
+  private CompletableFuture<SessionReply> single(StatementTask task) {
+    ServerDemand demand =
+        task.kind() == StatementKind.WRITE
+            ? ServerDemand.lead()
+            : floor(task.database()).map(ServerDemand::holding).orElse(ServerDemand.provedLead());
+    return new StatementRun(parts, task, demand)
+        .run()
+        .thenApply(
+            result -> {
+              if (task.kind() == StatementKind.WRITE && result.reply().succeeded()) {
+                remember(task.database(), result.reply());
+              }
+              return result.reply();
+            });
+  }
+
+  /** Returns what a server must hold for a read; empty if it must be the primary. */
+  private Optional<GroupRouting.Floor> floor(DatabaseState database) {
+    if (database.reads() == SessionReads.NEWEST) {
+      return Optional.empty();
+    }
+    long now = parts.clock().nowNanos();
+    Optional<GroupRouting.Floor> own =
+        database.reads() == SessionReads.OWN_WRITES
+            ? Optional.ofNullable(written.get(database.group()))
+            : Optional.empty();
+    refresher.used(database, now);
+    return parts
+        .routings()
+        .of(database.group())
+        .floor(
+            now,
+            parts.wallClock().millis(),
+            TimeUnit.MILLISECONDS.toNanos(database.maxStalenessMillis()),
+            own);
+  }
+
+  private void remember(DatabaseState database, SessionReply reply) {
+    long now = parts.clock().nowNanos();
+    reply
+        .position()
+        .ifPresent(
+            position -> written.put(database.group(), new GroupRouting.Floor(position, now)));
+  }
+
+  private CompletableFuture<SessionReply> inOpenTransaction(
+      SessionRequest request, StatementKind kind, Optional<Prepare> shape) {
+    Optional<OpenTransaction> open = transaction.filter(OpenTransaction::begin);
+    if (open.isEmpty()) {
+      return refuse(
+          RefusalCode.ABORTED, "the transaction was idle for too long", TransactionState.FAILED);
+    }
+    if (open.get().readOnly() && kind == StatementKind.WRITE) {
+      return refuse(RefusalCode.NOT_PRIMARY, "the transaction only reads", TransactionState.FAILED);
+    }
+    return inTransaction(open.get(), task(request, kind, false, shape, open.get().database()));
+  }
+
+  private CompletableFuture<SessionReply> inTransaction(OpenTransaction open, StatementTask task) {
+    if (task.kind() == StatementKind.WRITE) {
+      open.wrote();
+    }
+    Optional<StatementRun.Pinned> pinned = open.pinned();
+    if (pinned.isPresent()) {
+      return onPinned(open, pinned.get(), task, 0);
+    }
+    Optional<GroupRouting.Floor> floor =
+        open.readOnly() ? floor(open.database()) : Optional.empty();
+    ServerDemand demand =
+        floor.map(ServerDemand::readTransaction).orElse(ServerDemand.transaction());
+    return new StatementRun(parts, task, demand)
+        .run()
+        .thenApply(
+            result -> {
+              result
+                  .pinned()
+                  .filter(connection -> !open.pin(connection))
+                  .ifPresent(
+                      connection ->
+                          parts.rollBackAndRelease(connection.server(), connection.session()));
+              if (result.reply().state() != TransactionState.OPEN) {
+                rollBack();
+              }
+              return result.reply();
+            });
+  }
+
+  private CompletableFuture<SessionReply> onPinned(
+      OpenTransaction open, StatementRun.Pinned pinned, StatementTask task, int repeats) {
+    GroupRouting routing = parts.routings().of(open.database().group());
+    PooledSession session = pinned.session();
+    List<SessionRequest> requests = session.adopt(task.values(), task.prepared(), false);
+    requests.add(task.request());
+    long sent = parts.clock().nowNanos();
+    Duration timeout = Duration.ofNanos(Math.max(1, task.deadlineNanos() - sent));
+    routing.started(pinned.server());
+    return session
+        .run(requests, timeout)
+        .handle(
+            (replies, failure) -> {
+              routing.ended(pinned.server());
+              if (failure != null) {
+                return lost(open, pinned, task, Futures.typed(failure));
+              }
+              return answered(open, pinned, task, replies, sent, repeats);
+            })
+        .thenCompose(reply -> reply);
+  }
+
+  private CompletableFuture<SessionReply> lost(
+      OpenTransaction open,
+      StatementRun.Pinned pinned,
+      StatementTask task,
+      AlderyardException failure) {
+    parts.routings().of(open.database().group()).failed(pinned.server(), parts.clock().nowNanos());
+    open.end();
+    parts.discard(pinned.server(), pinned.session());
+    transaction = Optional.empty();
+    boolean inDoubt = task.ending() && open.hasWritten();
+    log.warn(
+        "event=transaction-lost id={} database={} server={} incarnation={} commit={} wrote={}"
+            + " reason={} outcome={}",
+        task.request().id().orElse("-"),
+        open.database().name(),
+        pinned.server().id(),
+        pinned.server().incarnation(),
+        task.ending(),
+        open.hasWritten(),
+        failure.code(),
+        inDoubt ? "OUTCOME_UNKNOWN" : "NOT_KEPT");
+    return CompletableFuture.completedFuture(
+        SessionReply.refused(
+            inDoubt ? RefusalCode.IN_DOUBT : RefusalCode.ABORTED,
+            "the connection to the server was lost",
+            task.ending() ? TransactionState.NONE : TransactionState.FAILED));
+  }
+
+  private CompletableFuture<SessionReply> answered(
+      OpenTransaction open,
+      StatementRun.Pinned pinned,
+      StatementTask task,
+      List<SessionReply> replies,
+      long sent,
+      int repeats) {
+    long now = parts.clock().nowNanos();
+    SessionReply reply = replies.get(replies.size() - 1);
+    GroupRouting routing = parts.routings().of(open.database().group());
+    routing.answered(pinned.server(), now, now - sent, true, reply.position());
+    if (reply.succeeded()) {
+      if (task.ending()) {
+        committed(open, pinned, reply, sent);
+        return CompletableFuture.completedFuture(reply.inState(TransactionState.NONE));
+      }
+      return CompletableFuture.completedFuture(reply.inState(TransactionState.OPEN));
+    }
+    boolean stillOpen = reply.state() == TransactionState.OPEN;
+    if (reply.refusedWith(RefusalCode.BUSY) && stillOpen && repeats < BUSY_REPEATS) {
+      CompletableFuture<Void> pause = new CompletableFuture<>();
+      parts.workers().schedule(BUSY_PAUSE, () -> pause.complete(null));
+      return pause.thenCompose(waited -> onPinned(open, pinned, task, repeats + 1));
+    }
+    if (reply.refusedWith(RefusalCode.NOT_PRIMARY)) {
+      parts
+          .group(open.database().group())
+          .ifPresent(group -> routing.doesNotLead(pinned.server(), group));
+    }
+    log.info(
+        "event=transaction-refused id={} database={} server={} commit={} code={}",
+        task.request().id().orElse("-"),
+        open.database().name(),
+        pinned.server().id(),
+        task.ending(),
+        reply.refusal().orElseThrow().code());
+    rollBack();
+    return CompletableFuture.completedFuture(
+        reply.inState(task.ending() ? TransactionState.NONE : TransactionState.FAILED));
+  }
+
+  private void committed(
+      OpenTransaction open, StatementRun.Pinned pinned, SessionReply reply, long sent) {
+    open.end();
+    transaction = Optional.empty();
+    if (open.hasWritten()) {
+      remember(open.database(), reply);
+      reply
+          .position()
+          .ifPresent(
+              position -> parts.routings().of(open.database().group()).sampled(sent, position));
+    }
+    if (reply.state() == TransactionState.NONE) {
+      parts.release(pinned.server(), pinned.session());
+    } else {
+      parts.rollBackAndRelease(pinned.server(), pinned.session());
+    }
+  }
+
+  /** Ends the transaction if it has been idle for this long; its next statement is told so. */
+  void endIdleTransaction(long nowNanos) {
+    Optional<OpenTransaction> open = transaction;
+    if (open.isEmpty()) {
+      return;
+    }
+    long idleMillis =
+        parts
+            .views()
+            .current()
+            .configuration()
+            .map(configuration -> (long) configuration.transactionIdleMillis())
+            .filter(millis -> millis > 0)
+            .orElse(Long.MAX_VALUE / 2_000_000);
+    if (open.get().idleFor(nowNanos, TimeUnit.MILLISECONDS.toNanos(idleMillis))) {
+      log.info("event=transaction-ended database={} reason=idle", open.get().database().name());
+      rollBack(open.get());
+    }
+  }
+
+  /** Ends an open transaction although its caller has not asked for it: this host shuts down. */
+  public void abort() {
+    transaction.ifPresent(this::rollBack);
+  }
+
+  /** Returns whether the session has no transaction and no statement runs. */
+  public boolean idle() {
+    return !busy && state == TransactionState.NONE;
+  }
+
+  /** The caller is gone. */
+  public void close() {
+    closed = true;
+    if (!busy) {
+      rollBack();
+    }
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -0,0 +1,268 @@
+package org.alderyard.proxy.callersession;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.common.id.Position;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.ServerStatus;
+
+/**
+ * Where the statements of one group go, by what its servers have shown this host.
+ *
+ * <p>Pure but for its tables. Lock: the object itself, a leaf.
+ */
+final class GroupRouting {
+  /** What a hop to another availability zone counts as: its way there and back, and its price. */
+  private static final double OTHER_ZONE_MILLIS = 6;
+
+  /**
+   * Reads keep away from the primary, which alone can write, unless replicas are this much slower.
+   */
+  private static final double PRIMARY_MILLIS = 10;
+
+  /** A replica that probably lacks the position would refuse; the primary surely holds it. */
+  private static final double LACKS_MILLIS = 500;
+
+  /** An expired server may still serve this host; others come first. */
+  private static final double EXPIRED_MILLIS = 1_000;
+
+  private static final double PAUSED_MILLIS = 100_000;
+
+  /** An answer of the primary this long ago still speaks for it. */
+  private static final long SIGHT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final ZoneName zone;
+  // Guarded by this.
+  private final Map<ServerId, ServerTrack> tracks = new HashMap<>();
+  private final PositionSamples samples = new PositionSamples();
+  private long termOfBelief = -1;
+  // A server that proved that it leads, or one that was refused as primary, since the view's term.
+  private Optional<ServerId> proved = Optional.empty();
+  private Optional<ServerId> disproved = Optional.empty();
+
+  GroupRouting(ZoneName zone) {
+    this.zone = zone;
+  }
+
+  /**
+   * A position that a read's server must hold.
+   *
+   * @param position the position
+   * @param sinceNanos a time at which the primary held it
+   */
+  record Floor(Position position, long sinceNanos) {}
+
+  /**
+   * Returns the position that a read of a bounded age must see.
+   *
+   * @param own the position of the session's own last write, if it counts
+   * @return empty when no sample is young enough: only a server that leads may run the read then
+   */
+  synchronized Optional<Floor> floor(
+      long nowNanos, long wallMillis, long maxAgeNanos, Optional<Floor> own) {
+    samples.checkClocks(nowNanos, wallMillis);
+    Optional<Floor> bound =
+        samples
+            .oldestWithin(nowNanos, maxAgeNanos)
+            .map(sample -> new Floor(sample.position(), sample.askedNanos()));
+    if (bound.isEmpty() || own.isEmpty()) {
+      return bound;
+    }
+    // A sample of a later term covers all writes of earlier ones that were not lost with them.
+    boolean covered = bound.get().position().compareTo(own.get().position()) >= 0;
+    return covered ? bound : own;
+  }
+
+  /** Returns how long ago the newest sample was asked. */
+  synchronized Optional<Long> newestSampleAgeNanos(long nowNanos) {
+    return samples.newest().map(sample -> nowNanos - sample.askedNanos());
+  }
+
+  /** Takes a position that came with a proof that the server leads. */
+  synchronized void sampled(long askedNanos, Position position) {
+    samples.add(askedNanos, position);
+  }
+
+  /** Returns the servers that may run a read from the given position on, the best first. */
+  synchronized List<ServerState> readOrder(
+      List<ServerState> servers, Optional<ServerId> primary, Floor floor, long nowNanos) {
+    record Scored(ServerState server, double millis) {}
+
+    List<Scored> scored = new ArrayList<>();
+    for (ServerState server : servers) {
+      ServerTrack track = track(server);
+      if (!serves(server) || track.gone()) {
+        continue;
+      }
+      scored.add(new Scored(server, score(server, track, primary, floor, nowNanos)));
+    }
+    scored.sort(Comparator.comparingDouble(Scored::millis));
+    return scored.stream().map(Scored::server).toList();
+  }
+
+  private double score(
+      ServerState server,
+      ServerTrack track,
+      Optional<ServerId> primary,
+      Floor floor,
+      long nowNanos) {
+    boolean leads = primary.filter(server.id()::equals).isPresent();
+    double millis = track.expectedMillis();
+    millis += server.zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS;
+    millis += leads ? PRIMARY_MILLIS : 0;
+    millis +=
+        leads || track.likelyHolds(floor.position(), nowNanos - floor.sinceNanos())
+            ? 0
+            : LACKS_MILLIS;
+    millis += server.status() == ServerStatus.EXPIRED ? EXPIRED_MILLIS : 0;
+    millis += track.paused(nowNanos) ? PAUSED_MILLIS : 0;
+    return millis;
+  }
+
+  /**
+   * A server that leaves gets no new work; one that is expired may only have lost the way to us.
+   */
+  private static boolean serves(ServerState server) {
+    return server.status() == ServerStatus.ACTIVE || server.status() == ServerStatus.EXPIRED;
+  }
+
+  /**
+   * Returns the servers to try as primary, the most likely first.
+   *
+   * <p>The view may lag behind a change of primary, or the host may be cut off from the control
+   * hosts: a server that refused as primary comes last, and one that proved the lead first.
+   */
+  synchronized List<ServerState> primaryOrder(
+      List<ServerState> servers, GroupState group, long nowNanos) {
+    followTerm(group);
+    Optional<ServerId> believed = believedPrimary(group);
+    return servers.stream()
+        .filter(server -> server.status() != ServerStatus.GONE && !track(server).gone())
+        .filter(server -> serves(server) || believed.filter(server.id()::equals).isPresent())
+        .sorted(Comparator.comparingInt(server -> primaryRank(server, believed, nowNanos)))
+        .toList();
+  }
+
+  private int primaryRank(ServerState server, Optional<ServerId> believed, long nowNanos) {
+    if (believed.filter(server.id()::equals).isPresent()) {
+      return 0;
+    }
+    if (disproved.filter(server.id()::equals).isPresent()) {
+      return 3;
+    }
+    return track(server).paused(nowNanos) ? 2 : 1;
+  }
+
+  /** Returns the server that is believed to lead. */
+  synchronized Optional<ServerId> believedPrimary(GroupState group) {
+    followTerm(group);
+    return proved.or(() -> group.primary().filter(id -> !disproved.equals(Optional.of(id))));
+  }
+
+  private void followTerm(GroupState group) {
+    if (group.term() != termOfBelief) {
+      termOfBelief = group.term();
+      proved = Optional.empty();
+      disproved = Optional.empty();
+    }
+  }
+
+  /** A server took a statement that only a primary takes. */
+  synchronized void leads(ServerState server) {
+    proved = Optional.of(server.id());
+    if (disproved.equals(proved)) {
+      disproved = Optional.empty();
+    }
+  }
+
+  /** A server answered that it does not lead; returns whether it was believed to. */
+  synchronized boolean doesNotLead(ServerState server, GroupState group) {
+    boolean believed = believedPrimary(group).filter(server.id()::equals).isPresent();
+    if (believed) {
+      disproved = Optional.of(server.id());
+      proved = Optional.empty();
+    }
+    return believed;
+  }
+
+  synchronized void started(ServerState server) {
+    track(server).started();
+  }
+
+  synchronized void ended(ServerState server) {
+    track(server).ended();
+  }
+
+  synchronized void answered(
+      ServerState server, long nowNanos, long tookNanos, boolean ran, Optional<Position> shown) {
+    ServerTrack track = track(server);
+    track.answered(nowNanos, tookNanos, ran);
+    shown.ifPresent(track::shows);
+  }
+
+  synchronized void lacked(ServerState server, long ageNanos) {
+    track(server).lacked(ageNanos);
+  }
+
+  synchronized void failed(ServerState server, long nowNanos) {
+    track(server).failed(nowNanos);
+  }
+
+  synchronized void replaced(ServerState server) {
+    track(server).replaced();
+  }
+
+  /**
+   * What this host sees of the primary.
+   *
+   * @param server the server that is believed to lead
+   * @param silentMillis for how long it gave no answer to what waits for one; 0 if it answers
+   */
+  record PrimarySight(ServerId server, long silentMillis) {}
+
+  /** Returns what this host sees of the primary; empty when it had no work for it lately. */
+  synchronized Optional<PrimarySight> primarySight(GroupState group, long nowNanos) {
+    Optional<ServerId> believed = group.primary();
+    ServerTrack track = believed.map(tracks::get).orElse(null);
+    if (track == null) {
+      return Optional.empty();
+    }
+    if (track.failing()) {
+      long silentMillis = TimeUnit.NANOSECONDS.toMillis(track.silentNanos(nowNanos));
+      return Optional.of(new PrimarySight(believed.get(), Math.max(1, silentMillis)));
+    }
+    return track.answeredWithin(nowNanos, SIGHT_NANOS)
+        ? Optional.of(new PrimarySight(believed.get(), 0))
+        : Optional.empty();
+  }
+
+  synchronized boolean paused(ServerState server, long nowNanos) {
+    return track(server).paused(nowNanos);
+  }
+
+  synchronized double latencyMillis(ServerState server) {
+    return track(server).latencyMillis();
+  }
+
+  /** Forgets servers that are no longer in the view. */
+  synchronized void keepOnly(List<ServerState> servers) {
+    tracks.keySet().removeIf(id -> servers.stream().noneMatch(server -> server.id().equals(id)));
+  }
+
+  private ServerTrack track(ServerState server) {
+    ServerTrack track = tracks.get(server.id());
+    if (track == null || track.incarnation() < server.incarnation()) {
+      track = new ServerTrack(server.incarnation());
+      tracks.put(server.id(), track);
+    }
+    return track;
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OpenTransaction.java
@@ -0,0 +1,82 @@
+package org.alderyard.proxy.callersession;
+
+import java.util.Optional;
+import org.alderyard.common.view.DatabaseState;
+
+/**
+ * A caller's transaction. It gets a connection with its first statement, so that none is held while
+ * the caller has not begun to work.
+ *
+ * <p>Lock: the object itself, a leaf.
+ */
+final class OpenTransaction {
+  private final DatabaseState database;
+  private final boolean readOnly;
+  // Guarded by this.
+  private Optional<StatementRun.Pinned> pinned = Optional.empty();
+  private boolean wrote;
+  private boolean ended;
+  private long quietSinceNanos;
+  private boolean running;
+
+  OpenTransaction(DatabaseState database, boolean readOnly, long nowNanos) {
+    this.database = database;
+    this.readOnly = readOnly;
+    this.quietSinceNanos = nowNanos;
+  }
+
+  DatabaseState database() {
+    return database;
+  }
+
+  boolean readOnly() {
+    return readOnly;
+  }
+
+  synchronized Optional<StatementRun.Pinned> pinned() {
+    return pinned;
+  }
+
+  /** Takes the connection; returns false when the transaction has ended meanwhile. */
+  synchronized boolean pin(StatementRun.Pinned connection) {
+    if (ended) {
+      return false;
+    }
+    pinned = Optional.of(connection);
+    return true;
+  }
+
+  synchronized void wrote() {
+    wrote = true;
+  }
+
+  synchronized boolean hasWritten() {
+    return wrote;
+  }
+
+  /** Marks a statement as running; returns false when the transaction has ended. */
+  synchronized boolean begin() {
+    if (ended) {
+      return false;
+    }
+    running = true;
+    return true;
+  }
+
+  synchronized void rest(long nowNanos) {
+    running = false;
+    quietSinceNanos = nowNanos;
+  }
+
+  synchronized boolean idleFor(long nowNanos, long nanos) {
+    return !ended && !running && nowNanos - quietSinceNanos >= nanos;
+  }
+
+  /** Ends it; returns the connection to give back, once. */
+  synchronized Optional<StatementRun.Pinned> end() {
+    ended = true;
+    Optional<StatementRun.Pinned> connection = pinned;
+    pinned = Optional.empty();
+    return connection;
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PooledSession.java
@@ -0,0 +1,108 @@
+package org.alderyard.proxy.callersession;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.PooledConnection;
+import org.alderyard.backend.session.SessionConnection;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionRequest;
+import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.backend.session.SessionStatement.Prepare;
+import org.alderyard.backend.session.SessionStatement.Reset;
+import org.alderyard.backend.session.SessionStatement.SetValue;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * A pooled connection that remembers what the sessions before left on it.
+ *
+ * <p>Prepared statements are named by their shape here, so that sessions whose names collide can
+ * share a connection, and a shape is prepared once on each. One session uses it at a time.
+ */
+final class PooledSession implements PooledConnection {
+  /** Beyond this many the connection is cleared; more shapes are not in use at one time. */
+  private static final int MAX_PREPARED = 256;
+
+  private static final int NAME_BYTES = 8;
+
+  private final SessionConnection connection;
+  private final Map<String, String> values = new HashMap<>();
+  private final Set<String> prepared = new HashSet<>();
+
+  PooledSession(SessionConnection connection) {
+    this.connection = connection;
+  }
+
+  /** Returns the name under which a shape is prepared on any server. */
+  static String serverName(Prepare statement) {
+    byte[] hash =
+        DigestUtils.sha256(
+            (statement.kind() + " " + statement.shape()).getBytes(StandardCharsets.UTF_8));
+    return "p" + HexFormat.of().formatHex(hash, 0, NAME_BYTES);
+  }
+
+  /**
+   * Returns what must be sent before a statement of a session with these values.
+   *
+   * @param wanted the session's values
+   * @param statement the prepared statement that it is about to run, if it runs one
+   * @param mayClear whether the connection is outside of a transaction
+   */
+  List<SessionRequest> adopt(
+      Map<String, String> wanted, Optional<Prepare> statement, boolean mayClear) {
+    List<SessionRequest> requests = new ArrayList<>();
+    boolean foreign = !wanted.keySet().containsAll(values.keySet());
+    if (mayClear && (foreign || prepared.size() >= MAX_PREPARED)) {
+      requests.add(SessionRequest.own(new Reset()));
+      values.clear();
+      prepared.clear();
+    }
+    wanted.forEach(
+        (name, value) -> {
+          if (!value.equals(values.put(name, value))) {
+            requests.add(SessionRequest.own(new SetValue(name, value)));
+          }
+        });
+    statement.ifPresent(
+        shape -> {
+          String name = serverName(shape);
+          if (prepared.add(name)) {
+            requests.add(SessionRequest.own(new Prepare(name, shape.kind(), shape.shape())));
+          }
+        });
+    return requests;
+  }
+
+  /** The server no longer knows a prepared statement; the next use prepares it again. */
+  void forget(Prepare statement) {
+    prepared.remove(serverName(statement));
+  }
+
+  CompletableFuture<List<SessionReply>> run(List<SessionRequest> requests, Duration timeout) {
+    return connection.run(requests, timeout);
+  }
+
+  /** Sends one statement of the system itself. */
+  CompletableFuture<SessionReply> runOwn(SessionStatement statement, Duration timeout) {
+    return run(List.of(SessionRequest.own(statement)), timeout)
+        .thenApply(replies -> replies.get(0));
+  }
+
+  @Override
+  public boolean usable() {
+    return connection.usable();
+  }
+
+  @Override
+  public void close() {
+    connection.close();
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
@@ -0,0 +1,113 @@
+package org.alderyard.proxy.callersession;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionRequest;
+import org.alderyard.backend.session.SessionStatement.Begin;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.view.DatabaseState;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.ServerState;
+
+/**
+ * Asks a primary for its position when reads need one and no write brought one for a while.
+ *
+ * <p>The question is a transaction that could write, begun and rolled back: it takes no slot, and a
+ * primary that was replaced refuses it.
+ */
+final class SampleRefresher {
+  /** The part of the age bound after which the newest sample is replaced. */
+  private static final double DUE_SHARE = 0.5;
+
+  private static final Duration TIMEOUT = Duration.ofMillis(400);
+
+  /** The pause between two questions that get no answer. */
+  private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  private final SessionParts parts;
+  private final Map<GroupId, Long> notBeforeNanos = new ConcurrentHashMap<>();
+
+  SampleRefresher(SessionParts parts) {
+    this.parts = parts;
+  }
+
+  /** A read of a bounded age comes; asks for a position if the last one is getting old. */
+  void used(DatabaseState database, long nowNanos) {
+    GroupRouting routing = parts.routings().of(database.group());
+    double dueNanos = TimeUnit.MILLISECONDS.toNanos(database.maxStalenessMillis()) * DUE_SHARE;
+    boolean due = routing.newestSampleAgeNanos(nowNanos).map(age -> age > dueNanos).orElse(true);
+    if (due) {
+      parts
+          .group(database.group())
+          .ifPresent(group -> ask(group, nowNanos, server -> !routing.paused(server, nowNanos)));
+    }
+  }
+
+  /**
+   * Asks the believed primary although it failed lately.
+   *
+   * <p>A slow server answers this question, as it takes no slot; one that does not is lost.
+   */
+  void askAgain(GroupState group, long nowNanos) {
+    ask(group, nowNanos, server -> true);
+  }
+
+  private void ask(GroupState group, long nowNanos, Predicate<ServerState> usable) {
+    Long notBefore = notBeforeNanos.get(group.id());
+    if (notBefore != null && nowNanos - notBefore < 0) {
+      return;
+    }
+    notBeforeNanos.put(group.id(), nowNanos + PAUSE_NANOS);
+    GroupRouting routing = parts.routings().of(group.id());
+    routing.primaryOrder(parts.servers(group.id()), group, nowNanos).stream()
+        .filter(usable)
+        .findFirst()
+        .ifPresent(server -> ask(routing, group, server));
+  }
+
+  private void ask(GroupRouting routing, GroupState group, ServerState server) {
+    parts
+        .pools()
+        .take(server, TIMEOUT)
+        .whenComplete(
+            (session, failure) -> {
+              if (failure == null) {
+                ask(routing, group, server, session);
+              } else if (!StatementRun.ownLimit(Futures.unwrap(failure))) {
+                routing.failed(server, parts.clock().nowNanos());
+              }
+            });
+  }
+
+  private void ask(
+      GroupRouting routing, GroupState group, ServerState server, PooledSession session) {
+    long asked = parts.clock().nowNanos();
+    session
+        .run(List.of(SessionRequest.own(new Begin(false))), TIMEOUT)
+        .whenComplete(
+            (replies, failure) -> {
+              if (failure != null) {
+                routing.failed(server, parts.clock().nowNanos());
+                parts.discard(server, session);
+                return;
+              }
+              SessionReply reply = replies.get(0);
+              long now = parts.clock().nowNanos();
+              routing.answered(server, now, now - asked, false, reply.position());
+              if (reply.succeeded()) {
+                routing.leads(server);
+                reply.position().ifPresent(position -> routing.sampled(asked, position));
+              } else if (reply.refusedWith(RefusalCode.NOT_PRIMARY)) {
+                routing.doesNotLead(server, group);
+              }
+              parts.rollBackAndRelease(server, session);
+            });
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTrack.java
@@ -0,0 +1,134 @@
+package org.alderyard.proxy.callersession;
+
+import java.util.concurrent.TimeUnit;
+import org.alderyard.common.id.Position;
+
+/** What one start of one server has shown this host. Not safe for several threads. */
+final class ServerTrack {
+  /** The weight of a new latency in the average: about the last ten answers count. */
+  private static final double LATENCY_WEIGHT = 0.1;
+
+  /** Until an answer came; near the work of common statements, so that no server looks best. */
+  private static final double FIRST_LATENCY_MILLIS = 15;
+
+  /** The lag that a replica is believed to have before anything is known of it. */
+  private static final double FIRST_LAG_MILLIS = 100;
+
+  private static final double LAG_GROWTH = 1.5;
+  private static final double LAG_DECAY = 0.97;
+  private static final long MAX_LAG_MILLIS = 10_000;
+
+  /** A server that failed is left alone this long at first, and twice as long each time. */
+  private static final long FIRST_PAUSE_MILLIS = 200;
+
+  private static final long MAX_PAUSE_MILLIS = 1_600;
+
+  private final long incarnation;
+  private int inFlight;
+  private double latencyMillis = FIRST_LATENCY_MILLIS;
+  private double lagMillis = FIRST_LAG_MILLIS;
+  private Position position = Position.NONE;
+  private int failures;
+  private long firstFailureNanos;
+  private long pausedUntilNanos;
+  private boolean paused;
+  private long lastAnswerNanos;
+  private boolean answered;
+  private boolean gone;
+
+  ServerTrack(long incarnation) {
+    this.incarnation = incarnation;
+  }
+
+  long incarnation() {
+    return incarnation;
+  }
+
+  void started() {
+    inFlight++;
+  }
+
+  void answered(long nowNanos, long tookNanos, boolean ran) {
+    failures = 0;
+    paused = false;
+    answered = true;
+    lastAnswerNanos = nowNanos;
+    if (ran) {
+      double millis = tookNanos / (double) TimeUnit.MILLISECONDS.toNanos(1);
+      latencyMillis += LATENCY_WEIGHT * (millis - latencyMillis);
+    }
+  }
+
+  void ended() {
+    inFlight--;
+  }
+
+  /** A connection could not be opened, broke, or gave no answer in time. */
+  void failed(long nowNanos) {
+    if (failures == 0) {
+      firstFailureNanos = nowNanos;
+    }
+    if (paused && nowNanos - pausedUntilNanos < 0) {
+      failures = Math.max(1, failures);
+      return;
+    }
+    long pauseMillis = Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures, 4));
+    failures++;
+    paused = true;
+    pausedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(pauseMillis);
+  }
+
+  /** Another server listens at its address. */
+  void replaced() {
+    gone = true;
+  }
+
+  boolean gone() {
+    return gone;
+  }
+
+  /** Returns for how long no answer came although some were waited for; 0 if the last one came. */
+  long silentNanos(long nowNanos) {
+    return failures == 0 ? 0 : nowNanos - (answered ? lastAnswerNanos : firstFailureNanos);
+  }
+
+  boolean paused(long nowNanos) {
+    return paused && nowNanos - pausedUntilNanos < 0;
+  }
+
+  boolean failing() {
+    return failures > 0;
+  }
+
+  void shows(Position shown) {
+    if (shown.compareTo(position) > 0) {
+      position = shown;
+    }
+    lagMillis *= LAG_DECAY;
+  }
+
+  /** It lacked a position that had been the primary's for this long. */
+  void lacked(long ageNanos) {
+    double millis = ageNanos / (double) TimeUnit.MILLISECONDS.toNanos(1);
+    lagMillis = Math.min(MAX_LAG_MILLIS, Math.max(lagMillis, millis) * LAG_GROWTH);
+  }
+
+  /** Returns whether it is expected to hold a position of this age. */
+  boolean likelyHolds(Position wanted, long ageNanos) {
+    return position.compareTo(wanted) >= 0
+        || ageNanos >= lagMillis * TimeUnit.MILLISECONDS.toNanos(1);
+  }
+
+  /** Returns how long a statement is expected to take here. */
+  double expectedMillis() {
+    return latencyMillis * (1 + inFlight);
+  }
+
+  double latencyMillis() {
+    return latencyMillis;
+  }
+
+  boolean answeredWithin(long nowNanos, long nanos) {
+    return answered && nowNanos - lastAnswerNanos <= nanos;
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -0,0 +1,120 @@
+package org.alderyard.proxy.callersession;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.alderyard.backend.session.Refusal;
+import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.backend.session.SessionConnector;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.ConfigurationState;
+import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.proxy.pool.ConnectionAllowance;
+import org.alderyard.proxy.pool.ConnectionPools;
+import org.alderyard.proxy.view.ViewHolder;
+
+/** Opens callers' sessions, and ends what they leave behind. */
+public final class SessionService {
+  /** The pace at which idle transactions are looked for; a tenth of the usual bound of 3 s. */
+  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(300);
+
+  private final SessionParts parts;
+  private final SampleRefresher refresher;
+  private final int maxSessions;
+  private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
+  private volatile boolean draining;
+
+  /**
+   * Creates a service without a session.
+   *
+   * @param zone the availability zone of this host
+   * @param maxSessions the most sessions at a time, so that their descriptors and memory suffice
+   */
+  public SessionService(
+      ViewHolder views,
+      ZoneName zone,
+      SessionConnector connector,
+      ConnectionAllowance allowance,
+      WorkerPool workers,
+      MonotonicClock clock,
+      InstantSource wallClock,
+      int maxSessions) {
+    ConnectionPools<PooledSession> pools =
+        new ConnectionPools<>(
+            (server, timeout) -> connector.connect(server, timeout).thenApply(PooledSession::new),
+            allowance);
+    GroupRoutings routings = new GroupRoutings(zone);
+    parts = new SessionParts(views, routings, pools, workers, clock, wallClock);
+    refresher = new SampleRefresher(parts);
+    this.maxSessions = maxSessions;
+    views.onChange(routings::follow);
+  }
+
+  /** Starts to look for idle transactions. */
+  public void start() {
+    parts.workers().scheduleRepeatedly(SWEEP_INTERVAL, this::sweep);
+  }
+
+  private void sweep() {
+    long now = parts.clock().nowNanos();
+    sessions.forEach(session -> session.endIdleTransaction(now));
+  }
+
+  /** Starts to tell the control leader what this host sees of the primaries. */
+  public void startReports(ControlClient control, HostId self) {
+    new PrimaryReporter(control, self, parts, refresher).start();
+  }
+
+  /** Returns the pools, whose size the host's leases set. */
+  public ConnectionPools<?> pools() {
+    return parts.pools();
+  }
+
+  /** Returns why a session on this database can't be opened now, if it can't. */
+  public Optional<Refusal> refusal(String database) {
+    if (draining || sessions.size() >= maxSessions) {
+      return Optional.of(
+          new Refusal(RefusalCode.BUSY, draining ? "this host shuts down" : "too many sessions"));
+    }
+    Optional<ConfigurationState> configuration = parts.views().current().configuration();
+    if (configuration.isEmpty()) {
+      return Optional.of(new Refusal(RefusalCode.BUSY, "no configuration yet"));
+    }
+    return configuration.get().database(database).isPresent()
+        ? Optional.empty()
+        : Optional.of(new Refusal(RefusalCode.UNKNOWN_DATABASE, database));
+  }
+
+  /** Opens a session. */
+  public CallerSession open(String database) {
+    CallerSession session = new CallerSession(parts, refresher, database);
+    sessions.add(session);
+    return session;
+  }
+
+  /** Ends a session, and its transaction with it. */
+  public void close(CallerSession session) {
+    sessions.remove(session);
+    session.close();
+  }
+
+  /** Takes no new sessions any more. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Returns whether this host has what it needs to serve. */
+  public boolean ready() {
+    return !draining && parts.views().current().configuration().isPresent();
+  }
+
+  /** Returns how many sessions are open. */
+  public int sessionCount() {
+    return sessions.size();
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/ConnectionLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/ConnectionLease.java
@@ -28,6 +28,11 @@
     return underWay ? Math.min(granted, promised) : granted;
   }
 
+  /** Returns how many connections the last lease allowed, whether it has run out or not. */
+  public int lastAllowed() {
+    return underWay ? Math.min(granted, promised) : granted;
+  }
+
   /**
    * Begins a request.
    *
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
@@ -18,8 +18,8 @@
 import org.alderyard.protocol.generated.grant.RenewGrantsReply;
 import org.alderyard.protocol.generated.grant.RenewGrantsRequest;
 import org.alderyard.protocol.grant.GrantMethods;
+import org.alderyard.proxy.pool.ConnectionPools;
 import org.alderyard.proxy.pool.PoolUse;
-import org.alderyard.proxy.pool.ServerPools;
 import org.alderyard.proxy.view.ViewHolder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,7 +27,10 @@
 /** Renews the leases of connections, and keeps the pools to them. */
 public final class LeaseClient {
   private static final Logger log = LoggerFactory.getLogger(LeaseClient.class);
-  private static final Duration INTERVAL = Duration.ofMillis(500);
+
+  /** The pace of renewals unless another is given. */
+  public static final Duration DEFAULT_INTERVAL = Duration.ofMillis(500);
+
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
 
   /** What a proxy asks for beyond its use of late, so that a rise finds a connection. */
@@ -37,7 +40,7 @@
   private final HostState self;
   private final ViewHolder views;
   private final LeaseTable leases;
-  private final ServerPools pools;
+  private final ConnectionPools<?> pools;
   private final ToIntFunction<ServerId> queued;
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicBoolean underWay = new AtomicBoolean();
@@ -52,7 +55,7 @@
       HostState self,
       ViewHolder views,
       LeaseTable leases,
-      ServerPools pools,
+      ConnectionPools<?> pools,
       ToIntFunction<ServerId> queued) {
     this.control = Objects.requireNonNull(control);
     this.self = Objects.requireNonNull(self);
@@ -64,7 +67,13 @@
 
   /** Starts to renew. */
   public void start(WorkerPool workers) {
-    workers.scheduleRepeatedly(INTERVAL, this::renew);
+    start(workers, DEFAULT_INTERVAL);
+  }
+
+  /** Starts to renew at the given pace. */
+  public void start(WorkerPool workers, Duration interval) {
+    workers.execute(this::renew);
+    workers.scheduleRepeatedly(interval, this::renew);
   }
 
   private void renew() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseTable.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseTable.java
@@ -11,18 +11,35 @@
 /** The leases of all servers. Lock: the object itself, a leaf. */
 public final class LeaseTable implements ConnectionAllowance {
   private final MonotonicClock clock;
+  private final int withoutLease;
   // Guarded by this.
   private final Map<ServerId, ConnectionLease> leases = new HashMap<>();
 
   /** Creates a table without a lease. */
   public LeaseTable(MonotonicClock clock) {
+    this(clock, 0);
+  }
+
+  /**
+   * Creates a table for servers that refuse connections beyond their limit by themselves.
+   *
+   * <p>Guards against callers who are refused although the servers are up, when no leader grants
+   * leases for a while: connections are kept then, as too many of them break nothing.
+   *
+   * @param withoutLease the connections to a server that a host may have before its first lease
+   */
+  public LeaseTable(MonotonicClock clock, int withoutLease) {
     this.clock = Objects.requireNonNull(clock);
+    this.withoutLease = withoutLease;
   }
 
   @Override
   public synchronized int allowed(ServerId server) {
     ConnectionLease lease = leases.get(server);
-    return lease == null ? 0 : lease.allowed(clock.nowNanos());
+    if (withoutLease == 0) {
+      return lease == null ? 0 : lease.allowed(clock.nowNanos());
+    }
+    return lease == null ? withoutLease : Math.max(withoutLease, lease.lastAllowed());
   }
 
   /** Begins a request for one server; returns the most connections until its reply. */
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -0,0 +1,228 @@
+package org.alderyard.proxy.pool;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.alderyard.backend.PooledConnection;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.view.ServerState;
+
+/**
+ * The connections to all servers, never more to one server than its allowance.
+ *
+ * <p>Lock: the object itself; the allowance is read while it is held, and its lock is a leaf.
+ * Connections are opened and closed, and futures completed, after it is released.
+ */
+public class ConnectionPools<C extends PooledConnection> implements AutoCloseable {
+  private static final long RETRY_AFTER_MILLIS = 100;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+  private final ConnectionSource<C> source;
+  private final ConnectionAllowance allowance;
+  // Guarded by this.
+  private final Map<ServerId, ServerPool<C>> pools = new HashMap<>();
+  private final List<C> retired = new ArrayList<>();
+
+  /** Creates pools without a limit. */
+  public ConnectionPools(ConnectionSource<C> source) {
+    this(source, ConnectionAllowance.UNLIMITED);
+  }
+
+  /** Creates pools that keep to an allowance. */
+  public ConnectionPools(ConnectionSource<C> source, ConnectionAllowance allowance) {
+    this.source = Objects.requireNonNull(source);
+    this.allowance = Objects.requireNonNull(allowance);
+  }
+
+  /**
+   * Returns a connection that nobody else uses until it is given back.
+   *
+   * @return fails with {@code NOT_RUN} when none is to be had within the timeout
+   */
+  public CompletableFuture<C> take(ServerState server, Duration timeout) {
+    return take(server, 0, timeout);
+  }
+
+  /**
+   * Returns a connection that nobody else uses until it is given back.
+   *
+   * @param priority who waits is served in this order, 0 first, and then in the order of arrival
+   * @return fails with {@code NOT_RUN} when none is to be had within the timeout
+   */
+  public CompletableFuture<C> take(ServerState server, int priority, Duration timeout) {
+    CompletableFuture<C> waiter = new CompletableFuture<>();
+    ServerPool<C> pool;
+    synchronized (this) {
+      pool = pool(server);
+      Optional<C> idle = pool.takeIdle();
+      if (idle.isPresent()) {
+        return CompletableFuture.completedFuture(idle.get());
+      }
+      int allowed = allowance.allowed(server.id());
+      if (allowed == 0) {
+        return CompletableFuture.failedFuture(noLease(server));
+      }
+      if (pool.open() >= allowed) {
+        pool.await(waiter, priority);
+        return limited(server, waiter, timeout);
+      }
+      pool.beginOpening();
+    }
+    return open(server, pool, timeout);
+  }
+
+  private static AlderyardException noLease(ServerState server) {
+    return AlderyardException.notRun(
+        ErrorCode.NO_ELIGIBLE_SERVER,
+        "this proxy has no lease of connections to server " + server.id(),
+        RETRY_AFTER_MILLIS);
+  }
+
+  private CompletableFuture<C> limited(
+      ServerState server, CompletableFuture<C> waiter, Duration timeout) {
+    return waiter
+        .orTimeout(timeout.toNanos(), TimeUnit.NANOSECONDS)
+        .exceptionallyCompose(
+            failure -> {
+              synchronized (this) {
+                pool(server).stopWaiting(waiter);
+              }
+              boolean late = Futures.unwrap(failure) instanceof TimeoutException;
+              return CompletableFuture.failedFuture(late ? allInUse(server) : failure);
+            });
+  }
+
+  private static AlderyardException allInUse(ServerState server) {
+    return AlderyardException.notRun(
+        ErrorCode.OVERLOADED,
+        "all leased connections to server " + server.id() + " are in use",
+        RETRY_AFTER_MILLIS);
+  }
+
+  private CompletableFuture<C> open(ServerState server, ServerPool<C> pool, Duration timeout) {
+    CompletableFuture<C> opened;
+    try {
+      opened = source.connect(server, timeout);
+    } catch (RuntimeException failure) {
+      opened = CompletableFuture.failedFuture(failure);
+    }
+    return opened.whenComplete(
+        (connection, failure) -> {
+          synchronized (this) {
+            if (failure == null) {
+              pool.opened(connection);
+            } else {
+              pool.openingFailed();
+            }
+          }
+          if (failure != null) {
+            serveWaiter(server);
+          }
+        });
+  }
+
+  /** Gives a connection back; one that is in doubt or beyond the allowance is closed. */
+  public void release(ServerState server, C connection) {
+    boolean keep;
+    Optional<CompletableFuture<C>> waiter = Optional.empty();
+    synchronized (this) {
+      ServerPool<C> pool = pool(server);
+      boolean ours = pool.giveBack(connection);
+      keep = ours && connection.usable() && pool.open() < allowance.allowed(server.id());
+      if (keep) {
+        pool.keep(connection);
+        waiter = pool.nextWaiter();
+        if (waiter.isPresent()) {
+          pool.takeIdle();
+        }
+      }
+    }
+    if (!keep) {
+      connection.close();
+      serveWaiter(server);
+      return;
+    }
+    if (waiter.isPresent() && !waiter.get().complete(connection)) {
+      release(server, connection);
+    }
+  }
+
+  /** Opens a connection for one that waits, if there is room again. */
+  private void serveWaiter(ServerState server) {
+    Optional<CompletableFuture<C>> waiter;
+    ServerPool<C> pool;
+    synchronized (this) {
+      pool = pool(server);
+      if (pool.open() >= allowance.allowed(server.id())) {
+        return;
+      }
+      waiter = pool.nextWaiter();
+      if (waiter.isEmpty()) {
+        return;
+      }
+      pool.beginOpening();
+    }
+    CompletableFuture<C> waiting = waiter.get();
+    open(server, pool, CONNECT_TIMEOUT)
+        .whenComplete(
+            (connection, failure) -> {
+              if (failure != null) {
+                waiting.completeExceptionally(failure);
+              } else if (!waiting.complete(connection)) {
+                release(server, connection);
+              }
+            });
+  }
+
+  /** Closes what the allowances do not cover any more, and opens for those that wait. */
+  public void keepToAllowances(Iterable<ServerState> servers) {
+    for (ServerState server : servers) {
+      List<C> excess;
+      synchronized (this) {
+        excess = pool(server).excess(allowance.allowed(server.id()));
+        excess.addAll(retired);
+        retired.clear();
+      }
+      excess.forEach(PooledConnection::close);
+      serveWaiter(server);
+    }
+  }
+
+  /** Returns how a server's connections were used since the last call. */
+  public synchronized PoolUse readUse(ServerId server) {
+    ServerPool<C> pool = pools.get(server);
+    return pool == null ? PoolUse.NONE : pool.readUse();
+  }
+
+  private ServerPool<C> pool(ServerState server) {
+    ServerPool<C> pool = pools.get(server.id());
+    if (pool != null && pool.incarnation() >= server.incarnation()) {
+      return pool;
+    }
+    ServerPool<C> fresh = new ServerPool<>(server.incarnation());
+    if (pool != null) {
+      retired.addAll(pool.retireTo(fresh));
+    }
+    pools.put(server.id(), fresh);
+    return fresh;
+  }
+
+  @Override
+  public void close() {
+    List<C> all = new ArrayList<>();
+    synchronized (this) {
+      pools.values().forEach(pool -> all.addAll(pool.excess(0)));
+    }
+    all.forEach(PooledConnection::close);
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionSource.java
@@ -0,0 +1,18 @@
+package org.alderyard.proxy.pool;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.PooledConnection;
+import org.alderyard.common.view.ServerState;
+
+/**
+ * Opens the connections of a pool.
+ *
+ * @param <C> the kind of connection
+ */
+@FunctionalInterface
+public interface ConnectionSource<C extends PooledConnection> {
+
+  /** Opens a connection; the failure of the future says {@code NOT_RUN}. */
+  CompletableFuture<C> connect(ServerState server, Duration timeout);
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -8,14 +8,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.alderyard.backend.ServerConnection;
+import org.alderyard.backend.PooledConnection;
 
 /** The connections to one start of one server. Not safe for several threads. */
-final class ServerPool {
+final class ServerPool<C extends PooledConnection> {
   private final long incarnation;
-  private final Deque<ServerConnection> idle = new ArrayDeque<>();
-  private final Set<ServerConnection> inUse = new HashSet<>();
-  private final Deque<CompletableFuture<ServerConnection>> waiting = new ArrayDeque<>();
+  private final Deque<C> idle = new ArrayDeque<>();
+  private final Set<C> inUse = new HashSet<>();
+  private final List<Waiter<C>> waiting = new ArrayList<>();
   private int opening;
   private int peakInUse;
 
@@ -32,9 +32,9 @@
   }
 
   /** Takes the connection that was used last, so that those beyond the need stay idle. */
-  Optional<ServerConnection> takeIdle() {
+  Optional<C> takeIdle() {
     while (!idle.isEmpty()) {
-      ServerConnection connection = idle.removeLast();
+      C connection = idle.removeLast();
       if (connection.usable()) {
         use(connection);
         return Optional.of(connection);
@@ -44,7 +44,7 @@
     return Optional.empty();
   }
 
-  private void use(ServerConnection connection) {
+  private void use(C connection) {
     inUse.add(connection);
     peakInUse = Math.max(peakInUse, inUse.size() + opening);
   }
@@ -58,35 +58,42 @@
     opening--;
   }
 
-  void opened(ServerConnection connection) {
+  void opened(C connection) {
     opening--;
     use(connection);
   }
 
   /** Returns whether the connection was in use here. */
-  boolean giveBack(ServerConnection connection) {
+  boolean giveBack(C connection) {
     return inUse.remove(connection);
   }
 
-  void keep(ServerConnection connection) {
+  void keep(C connection) {
     idle.addLast(connection);
   }
 
-  void await(CompletableFuture<ServerConnection> waiter) {
-    waiting.addLast(waiter);
+  /** Queues behind all that have the same priority or a lower number. */
+  void await(CompletableFuture<C> waiter, int priority) {
+    int place = waiting.size();
+    while (place > 0 && waiting.get(place - 1).priority() > priority) {
+      place--;
+    }
+    waiting.add(place, new Waiter<>(waiter, priority));
   }
 
-  void stopWaiting(CompletableFuture<ServerConnection> waiter) {
-    waiting.remove(waiter);
+  void stopWaiting(CompletableFuture<C> waiter) {
+    waiting.removeIf(entry -> entry.connection() == waiter);
   }
 
-  Optional<CompletableFuture<ServerConnection>> nextWaiter() {
-    return Optional.ofNullable(waiting.pollFirst());
+  Optional<CompletableFuture<C>> nextWaiter() {
+    return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.remove(0).connection());
   }
 
+  private record Waiter<C>(CompletableFuture<C> connection, int priority) {}
+
   /** Returns the connections to close: idle ones first, those in use only if nothing is allowed. */
-  List<ServerConnection> excess(int allowed) {
-    List<ServerConnection> excess = new ArrayList<>();
+  List<C> excess(int allowed) {
+    List<C> excess = new ArrayList<>();
     while (open() > allowed && !idle.isEmpty()) {
       excess.add(idle.removeFirst());
     }
@@ -97,10 +104,10 @@
   }
 
   /** Hands those that wait to the pool of a later start; returns the connections to close. */
-  List<ServerConnection> retireTo(ServerPool later) {
+  List<C> retireTo(ServerPool<C> later) {
     later.waiting.addAll(waiting);
     waiting.clear();
-    List<ServerConnection> old = new ArrayList<>(idle);
+    List<C> old = new ArrayList<>(idle);
     idle.clear();
     return old;
   }
