--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/log/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers for log lines whose number must not grow with a fault. */
+package org.alderyard.common.log;
--- a/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
@@ -111,4 +111,36 @@
     now = now.without(3);
     assertThat(new RepairPlan(now, id -> true).next(List.of(returned))).hasValue(new Promote(9));
   }
+
+  /**
+   * Every host lost its disk, or a host starts anew long after the foundation: whatever its seeds
+   * answer, it must not found a second cluster beside the first.
+   */
+  @Test
+  void hostThatMayNotFoundOnlyJoins() {
+    Member self = learner(9, "a");
+    JoinReply unformed = reply(2, "b", MemberList.getDefaultInstance(), false);
+    assertThat(Formation.decideToJoin(self, Map.of("b", unformed)).action()).isEqualTo(Action.WAIT);
+    assertThat(Formation.decideToJoin(self, Map.of()).action()).isEqualTo(Action.WAIT);
+
+    JoinReply formed = reply(3, "c", FOUNDERS, true);
+    assertThat(Formation.decideToJoin(self, Map.of("b", unformed, "c", formed)).action())
+        .isEqualTo(Action.JOIN);
+  }
+
+  /** A machine is replaced by an empty one with another name: it takes the lost voter's seat. */
+  @Test
+  void newHostTakesTheSeatOfALostVoterAndOfNoOther() {
+    Member newcomer = learner(9, "d");
+    Membership now = new Membership(list(voter(1, "a"), voter(2, "b"), voter(3, "c"), newcomer));
+    RepairPlan calm = new RepairPlan(now, id -> true, 3, id -> false);
+    assertThat(calm.next(List.of(newcomer))).isEmpty();
+
+    RepairPlan lost = new RepairPlan(now, id -> true, 3, id -> id == 2);
+    assertThat(lost.next(List.of(newcomer))).hasValue(new Remove(2));
+
+    Membership smaller = now.without(2);
+    RepairPlan seat = new RepairPlan(smaller, id -> true, 3, id -> false);
+    assertThat(seat.next(List.of(newcomer))).hasValue(new Promote(9));
+  }
 }
--- /dev/null
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -0,0 +1,189 @@
+package org.alderyard.control.promotion;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.alderyard.backend.session.ServerStanding;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.Position;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.ServerStatus;
+import org.alderyard.common.view.View;
+import org.alderyard.common.view.ViewVersion;
+import org.alderyard.control.log.ControlLog;
+import org.alderyard.protocol.generated.control.PromotionIntentReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Failovers through the appointing service, with its answers scripted. */
+class PromotionServiceTest {
+  private static final GroupId GROUP = new GroupId("g1");
+
+  private record Call(String server, long token) {}
+
+  private final WorkerPool workers = new WorkerPool("test", 2);
+  private final List<Call> calls = Collections.synchronizedList(new ArrayList<>());
+  private final List<PromotionAnswer> answers = Collections.synchronizedList(new ArrayList<>());
+  private final Map<String, ServerStanding> standings = new HashMap<>();
+  private volatile ServerStatus primaryStatus = ServerStatus.ACTIVE;
+
+  @AfterEach
+  void close() {
+    workers.close();
+  }
+
+  private static ServerStanding standing(long index, long lagMillis) {
+    return new ServerStanding(false, 3, new Position(3, index), lagMillis);
+  }
+
+  private View view() {
+    View.Editor editor = View.EMPTY.edit();
+    editor
+        .groups()
+        .put(GROUP, new GroupState(GROUP, 1, Optional.of(new ServerId("s1")), List.of(), 2, 40));
+    for (String id : List.of("s1", "s2", "s3")) {
+      ServerStatus status = id.equals("s1") ? primaryStatus : ServerStatus.ACTIVE;
+      editor.put(
+          new ServerState(
+              new ServerId(id),
+              1,
+              GROUP,
+              new ZoneName("z"),
+              new InetSocketAddress("127.0.0.1", 1),
+              status));
+    }
+    return editor.at(new ViewVersion(1, 1));
+  }
+
+  private void start() {
+    PromotionService service =
+        new PromotionService(
+            new LeadingLog(),
+            new HostId("h1"),
+            this::view,
+            (server, timeout) ->
+                Optional.ofNullable(standings.get(server.id().value()))
+                    .map(CompletableFuture::completedFuture)
+                    .orElseGet(
+                        () ->
+                            CompletableFuture.failedFuture(
+                                AlderyardException.notRun(ErrorCode.CONNECTION_LOST, "gone"))),
+            (group, server, holder, token) -> {
+              calls.add(new Call(server.value(), token));
+              return CompletableFuture.completedFuture(
+                  answers.isEmpty() ? PromotionAnswer.ACCEPTED : answers.remove(0));
+            },
+            workers,
+            MonotonicClock.system());
+    service.start();
+  }
+
+  private static void eventually(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).isLessThan(end);
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
+  @Test
+  void longestLogIsChosen() throws Exception {
+    standings.put("s2", standing(10, 0));
+    standings.put("s3", standing(12, 500));
+    primaryStatus = ServerStatus.LEAVING;
+    start();
+
+    eventually(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s3");
+  }
+
+  @Test
+  void callWithoutAnswerIsRepeatedWithTheSameToken() throws Exception {
+    // The service carries a call out, but its answer is lost. A new token for another server would
+    // appoint a second primary seconds after the first.
+    standings.put("s2", standing(10, 0));
+    answers.add(PromotionAnswer.UNKNOWN);
+    answers.add(PromotionAnswer.THROTTLED);
+    primaryStatus = ServerStatus.GONE;
+    start();
+
+    eventually(() -> calls.size() >= 3);
+    assertThat(calls.subList(0, 3).stream().distinct().toList()).hasSize(1);
+  }
+
+  @Test
+  void refusedCallIsNotRepeatedWithItsToken() throws Exception {
+    standings.put("s2", standing(10, 0));
+    answers.add(PromotionAnswer.REFUSED);
+    primaryStatus = ServerStatus.LEAVING;
+    start();
+
+    eventually(() -> calls.size() >= 2);
+    assertThat(calls.get(1).token()).isGreaterThan(calls.get(0).token());
+  }
+
+  @Test
+  void primaryThatServesIsLeftAlone() throws Exception {
+    standings.put("s2", standing(10, 0));
+    start();
+
+    TimeUnit.MILLISECONDS.sleep(300);
+    assertThat(calls).isEmpty();
+  }
+
+  /** A log whose entries are committed at once. */
+  private static final class LeadingLog implements ControlLog {
+    private final AtomicLong index = new AtomicLong();
+
+    @Override
+    public CompletableFuture<ByteString> propose(ByteString command) {
+      return CompletableFuture.completedFuture(
+          PromotionIntentReply.newBuilder()
+              .setFencingToken(index.incrementAndGet())
+              .build()
+              .toByteString());
+    }
+
+    @Override
+    public CompletableFuture<Void> readBarrier() {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public boolean leading() {
+      return true;
+    }
+
+    @Override
+    public Optional<HostId> leader() {
+      return Optional.of(new HostId("h1"));
+    }
+
+    @Override
+    public long term() {
+      return 1;
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -383,7 +383,7 @@
       StatementRun.Pinned pinned,
       StatementTask task,
       AlderyardException failure) {
-    parts.routings().of(open.database().group()).failed(pinned.server(), parts.clock().nowNanos());
+    parts.routings().of(open.database().group()).doubted(pinned.server(), parts.clock().nowNanos());
     open.end();
     parts.discard(pinned.server(), pinned.session());
     transaction = Optional.empty();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -216,6 +216,16 @@
     track(server).failed(nowNanos);
   }
 
+  /**
+   * An answer was lost on its way.
+   *
+   * <p>Guards against writes that stop for a while each time that one connection breaks: the
+   * primary is asked whether it is there, and left alone only when it does not answer.
+   */
+  synchronized void doubted(ServerState server, long nowNanos) {
+    track(server).doubted(nowNanos);
+  }
+
   synchronized void replaced(ServerState server) {
     track(server).replaced();
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTrack.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTrack.java
@@ -78,6 +78,14 @@
     pausedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(pauseMillis);
   }
 
+  /** An answer was lost; only a question that takes no slot tells whether the server is. */
+  void doubted(long nowNanos) {
+    if (failures == 0) {
+      firstFailureNanos = nowNanos;
+      failures = 1;
+    }
+  }
+
   /** Another server listens at its address. */
   void replaced() {
     gone = true;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -379,7 +379,11 @@
 
     private void lost(PooledSession session, AlderyardException failure) {
       long now = parts.clock().nowNanos();
-      routing.failed(server, now);
+      if (failure.code() == ErrorCode.DEADLINE_EXCEEDED && !demand.needsLead()) {
+        routing.failed(server, now);
+      } else {
+        routing.doubted(server, now);
+      }
       note(server, "lost-after-sending");
       parts.discard(server, session);
       boolean late = task.deadlineNanos() - now <= 0;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.log.DependencyLog;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
 import org.alderyard.protocol.control.ControlClient;
@@ -50,6 +52,10 @@
   private ViewFollower follower = ViewFollower.EMPTY;
   private boolean heartbeatOnItsWay;
   private boolean heartbeatWanted;
+  // A host that lacks the start of the deltas gets the whole view, which only the leader gives.
+  private volatile boolean needsLeader;
+  private final DependencyLog fetches = new DependencyLog(log, "view-fetch");
+  private final DependencyLog heartbeats = new DependencyLog(log, "heartbeat");
   private final List<Runnable> lapseListeners = new CopyOnWriteArrayList<>();
   private volatile boolean closed;
 
@@ -107,26 +113,33 @@
         FetchViewRequest.newBuilder()
             .setRunning(StateCodec.versionMessage(before.view().version()))
             .setChainHash(before.chainHash())
-            .setWaitMillis((int) WAIT.toMillis())
+            .setWaitMillis(needsLeader ? 0 : (int) WAIT.toMillis())
             .build();
     int place = source.get();
-    control
-        .callHost(place, ControlMethods.FETCH_VIEW, request, CALL_TIMEOUT)
-        .whenComplete(
-            (reply, failure) -> {
-              if (failure == null && accept(reply)) {
-                workers.execute(this::fetch);
-                return;
-              }
-              if (failure != null) {
-                log.warn(
-                    "event=view-fetch-failed source={} reason=\"{}\"",
-                    place,
-                    Futures.unwrap(failure).toString());
-              }
-              source.compareAndSet(place, place + 1);
-              workers.schedule(RETRY_DELAY, this::fetch);
-            });
+    CompletableFuture<FetchViewReply> fetched =
+        needsLeader
+            ? control.callIdempotent(ControlMethods.FETCH_VIEW, request, CALL_TIMEOUT)
+            : control.callHost(place, ControlMethods.FETCH_VIEW, request, CALL_TIMEOUT);
+    fetched.whenComplete(
+        (reply, failure) -> {
+          if (failure == null && accept(reply)) {
+            fetches.worked();
+            needsLeader = false;
+            workers.execute(this::fetch);
+            return;
+          }
+          if (failure != null) {
+            fetches.failed(Futures.typed(failure).code());
+            if (!needsLeader && Futures.typed(failure).code() == ErrorCode.NOT_LEADER) {
+              needsLeader = true;
+              workers.execute(this::fetch);
+              return;
+            }
+          }
+          needsLeader = false;
+          source.compareAndSet(place, place + 1);
+          workers.schedule(RETRY_DELAY, this::fetch);
+        });
   }
 
   /** Returns whether the source is good to go on with. */
@@ -192,6 +205,7 @@
 
   private void heartbeatDone(long sentMillis, HeartbeatReply reply, Throwable failure) {
     if (failure == null) {
+      heartbeats.worked();
       tellOfLapse();
       lease.confirmed(
           StateCodec.version(reply.getCurrent()),
@@ -199,7 +213,7 @@
           reply.getLeaseMillis(),
           clock.nowMillis());
     } else {
-      log.warn("event=heartbeat-failed reason=\"{}\"", Futures.unwrap(failure).toString());
+      heartbeats.failed(Futures.typed(failure).code());
     }
     boolean again;
     synchronized (lock) {
--- /dev/null
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
@@ -0,0 +1,210 @@
+package org.alderyard.testkit.session;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.StatementKind;
+import org.alderyard.backend.session.Refusal;
+import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.backend.session.SessionConnection;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionRequest;
+import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.backend.session.SessionStatement.Begin;
+import org.alderyard.backend.session.SessionStatement.Commit;
+import org.alderyard.backend.session.SessionStatement.Execute;
+import org.alderyard.backend.session.SessionStatement.Prepare;
+import org.alderyard.backend.session.SessionStatement.Read;
+import org.alderyard.backend.session.SessionStatement.Reset;
+import org.alderyard.backend.session.SessionStatement.Rollback;
+import org.alderyard.backend.session.SessionStatement.SetValue;
+import org.alderyard.backend.session.SessionStatement.Write;
+import org.alderyard.backend.session.TransactionState;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.Outcome;
+
+/** A connection to a {@link ModelServer}. */
+final class ModelConnection implements SessionConnection {
+  private final ModelGroup group;
+  private final ModelServer server;
+  private final int number;
+  private final Map<String, String> values = new TreeMap<>();
+  private final Map<String, Prepare> prepared = new HashMap<>();
+  private final Map<String, String> written = new TreeMap<>();
+  private TransactionState state = TransactionState.NONE;
+  private boolean readOnly;
+  private boolean closed;
+
+  /** The server ran a statement, and its answer does not arrive. */
+  private static final class LostAnswer extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+  }
+
+  ModelConnection(ModelGroup group, ModelServer server, int number) {
+    this.group = group;
+    this.server = server;
+    this.number = number;
+  }
+
+  @Override
+  public CompletableFuture<List<SessionReply>> run(
+      List<SessionRequest> requests, Duration timeout) {
+    if (closed || server.isUnreachable()) {
+      return lost(ErrorCode.CONNECTION_LOST);
+    }
+    if (server.isSilent()) {
+      CompletableFuture<List<SessionReply>> never = new CompletableFuture<>();
+      return never
+          .orTimeout(timeout.toNanos(), TimeUnit.NANOSECONDS)
+          .handle((replies, late) -> this.<List<SessionReply>>lost(ErrorCode.DEADLINE_EXCEEDED))
+          .thenCompose(failure -> failure);
+    }
+    List<SessionReply> replies = new ArrayList<>();
+    try {
+      requests.forEach(request -> replies.add(answer(request)));
+    } catch (LostAnswer lostAnswer) {
+      return lost(ErrorCode.CONNECTION_LOST);
+    }
+    return CompletableFuture.completedFuture(replies);
+  }
+
+  private <T> CompletableFuture<T> lost(ErrorCode code) {
+    close();
+    return CompletableFuture.failedFuture(
+        new AlderyardException(code, Outcome.OUTCOME_UNKNOWN, "no answer"));
+  }
+
+  private SessionReply answer(SessionRequest request) {
+    Optional<Refusal> refusal = refusal(request);
+    List<String> rows = new ArrayList<>();
+    Optional<String> proof = Optional.empty();
+    if (refusal.isEmpty()) {
+      refusal = run(request, rows);
+      proof = request.id().map(id -> "proof-" + server.state().id() + "-" + id);
+    }
+    if (refusal.isPresent() && state != TransactionState.NONE) {
+      state = TransactionState.FAILED;
+    }
+    return new SessionReply(rows, proof, refusal, state, Optional.of(server.shown()));
+  }
+
+  private Optional<Refusal> refusal(SessionRequest request) {
+    SessionStatement statement = request.statement();
+    boolean work =
+        statement instanceof Read
+            || statement instanceof Write
+            || statement instanceof Execute
+            || statement instanceof Commit;
+    if (request.after().filter(after -> server.shown().compareTo(after) < 0).isPresent()) {
+      return refuse(RefusalCode.BEHIND);
+    }
+    if (statement instanceof Execute execute && !prepared.containsKey(execute.name())) {
+      return refuse(RefusalCode.NOT_PREPARED);
+    }
+    boolean inPlain = state == TransactionState.OPEN && !readOnly;
+    boolean commitsNothing = statement instanceof Commit && written.isEmpty();
+    boolean needsLead =
+        writes(statement)
+            || statement instanceof Begin begin && !begin.readOnly()
+            || inPlain && work && !commitsNothing;
+    if (needsLead && !group.leads(server)) {
+      return refuse(RefusalCode.NOT_PRIMARY);
+    }
+    return work && server.takeBusy() ? refuse(RefusalCode.BUSY) : Optional.empty();
+  }
+
+  private boolean writes(SessionStatement statement) {
+    return statement instanceof Write
+        || statement instanceof Execute execute
+            && prepared.get(execute.name()).kind() == StatementKind.WRITE;
+  }
+
+  private static Optional<Refusal> refuse(RefusalCode code) {
+    return Optional.of(new Refusal(code, "model"));
+  }
+
+  private Optional<Refusal> run(SessionRequest request, List<String> rows) {
+    SessionStatement statement = request.statement();
+    if (statement instanceof SetValue set) {
+      values.put(set.name(), set.value());
+    } else if (statement instanceof Prepare prepare) {
+      prepared.put(prepare.name(), prepare);
+    } else if (statement instanceof Reset) {
+      values.clear();
+      prepared.clear();
+    } else if (statement instanceof Begin begin) {
+      state = TransactionState.OPEN;
+      readOnly = begin.readOnly();
+    } else if (statement instanceof Rollback) {
+      state = TransactionState.NONE;
+      written.clear();
+    } else {
+      return work(request, rows);
+    }
+    return Optional.empty();
+  }
+
+  private Optional<Refusal> work(SessionRequest request, List<String> rows) {
+    server.note(
+        new ModelServer.Ran(
+            request.id(), number, request.statement(), Map.copyOf(values), server.shown()));
+    if (server.takeFailure()) {
+      return refuse(RefusalCode.FAILED);
+    }
+    SessionStatement statement = request.statement();
+    if (statement instanceof Read read) {
+      rows.add(read(read.item()));
+    } else if (statement instanceof Write write) {
+      write(write.item(), write.data());
+    } else if (statement instanceof Execute execute) {
+      if (execute.data().isPresent()) {
+        write(execute.item(), execute.data().get());
+      } else {
+        rows.add(read(execute.item()));
+      }
+    } else if (statement instanceof Commit) {
+      commit();
+    }
+    if (server.takeLostAnswer()) {
+      throw new LostAnswer();
+    }
+    return Optional.empty();
+  }
+
+  private String read(String item) {
+    return Optional.ofNullable(written.get(item)).or(() -> server.read(item)).orElse("");
+  }
+
+  private void write(String item, String data) {
+    written.put(item, data);
+    if (state == TransactionState.NONE) {
+      commit();
+    }
+  }
+
+  private void commit() {
+    if (!written.isEmpty()) {
+      group.commit(server, written);
+    }
+    written.clear();
+    state = TransactionState.NONE;
+  }
+
+  @Override
+  public boolean usable() {
+    return !closed;
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    written.clear();
+  }
+}
