Take SIGHUP and changed settings without a restart; log without blocking

Change: SettingsWatch reads the file again at the signal or when it changed; the JSON appender is behind a bounded queue that never blocks; a lost first statement ends its transaction; a leaving primary gets work for 5 s at most.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package org.alderyard.daemon;
 
+import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.error.AlderyardException;
@@ -69,6 +70,16 @@
     http.startOperators();
   }
 
+  /** Takes changes of the settings file that need no restart: the log's level and the seeds. */
+  void watch(Path file) {
+    new SettingsWatch(file, host.workers, this::reload).start();
+  }
+
+  private void reload(DaemonSettings changed) {
+    changed.log().apply();
+    changed.open().ifPresent(open -> host.controlHosts.add(open.seeds()));
+  }
+
   /** Returns a future that is completed when a part failed so that the process must end. */
   public CompletableFuture<AlderyardException> failure() {
     return host.failure;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -47,7 +47,7 @@
         out.println("settings are valid: " + line.getOptionValue("settings"));
         return ExitCode.OK;
       }
-      runUntilAsked(settings);
+      runUntilAsked(settings, Path.of(line.getOptionValue("settings")));
       return ExitCode.OK;
     } catch (AlderyardException failure) {
       err.println(failure.code() + ": " + failure.getMessage());
@@ -56,9 +56,11 @@
   }
 
   /** Ends when the process is asked to, or throws what made the daemon give up. */
-  private static void runUntilAsked(DaemonSettings settings) throws InterruptedException {
+  private static void runUntilAsked(DaemonSettings settings, Path file)
+      throws InterruptedException {
     settings.log().apply();
     Daemon daemon = new Daemon(settings);
+    daemon.watch(file);
     CompletableFuture<Void> ended = new CompletableFuture<>();
     daemon.failure().thenAccept(ended::completeExceptionally);
     Runtime.getRuntime()
@@ -66,6 +68,7 @@
             new Thread(
                 () -> {
                   daemon.close();
+                  LogOptions.close();
                   ended.complete(null);
                 },
                 "shutdown"));
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/LogOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/LogOptions.java
@@ -1,5 +1,6 @@
 package org.alderyard.daemon;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -15,6 +16,11 @@
  * @param level the least level that is written
  */
 public record LogOptions(LogFormat format, LogLevel level) {
+  /** Lines that wait for a reader of the output; about 0.5 MB. */
+  private static final int MAX_WAITING = 2_048;
+
+  /** How long the end of a process waits for lines that are not written yet. */
+  private static final int FLUSH_MILLIS = 300;
 
   /** Puts the options in force for this process. */
   void apply() {
@@ -23,10 +29,31 @@
     root.setLevel(Level.toLevel(level.name()));
     if (format == LogFormat.JSON) {
       root.detachAndStopAllAppenders();
-      root.addAppender(jsonAppender(context));
+      root.addAppender(bounded(context, jsonAppender(context)));
     }
   }
 
+  /** Writes what waits; nothing is logged after it. */
+  static void close() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+  }
+
+  /**
+   * Guards against a reader of the output that is stuck: a thread that logs would wait for it, and
+   * callers with it. Lines beyond the bound are dropped, routine ones first.
+   */
+  private static AsyncAppender bounded(
+      LoggerContext context, ConsoleAppender<ILoggingEvent> appender) {
+    AsyncAppender async = new AsyncAppender();
+    async.setContext(context);
+    async.setQueueSize(MAX_WAITING);
+    async.setNeverBlock(true);
+    async.setMaxFlushTime(FLUSH_MILLIS);
+    async.addAppender(appender);
+    async.start();
+    return async;
+  }
+
   private static ConsoleAppender<ILoggingEvent> jsonAppender(LoggerContext context) {
     JsonEncoder encoder = new JsonEncoder();
     encoder.setContext(context);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -36,6 +36,11 @@
 
   private static final double PAUSED_MILLIS = 100_000;
 
+  /**
+   * Shorter than the shortest time for which a leaving server goes on serving, 7 s, by a margin.
+   */
+  private static final long LEAVING_PRIMARY_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   /** An answer of the primary this long ago still speaks for it. */
   private static final long SIGHT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -47,6 +52,7 @@
   // A server that proved that it leads, or one that was refused as primary, since the view's term.
   private Optional<ServerId> proved = Optional.empty();
   private Optional<ServerId> disproved = Optional.empty();
+  private final Map<ServerId, Long> leavingSinceNanos = new HashMap<>();
 
   GroupRouting(ZoneName zone) {
     this.zone = zone;
@@ -146,11 +152,21 @@
     Optional<ServerId> believed = believedPrimary(group);
     return servers.stream()
         .filter(server -> server.status() != ServerStatus.GONE && !track(server).gone())
-        .filter(server -> serves(server) || believed.filter(server.id()::equals).isPresent())
+        .filter(
+            server ->
+                serves(server)
+                    || believed.filter(server.id()::equals).isPresent()
+                        && leftAtMost(server, nowNanos))
         .sorted(Comparator.comparingInt(server -> primaryRank(server, believed, nowNanos)))
         .toList();
   }
 
+  /** A primary that leaves takes writes until another is appointed, but not for long. */
+  private boolean leftAtMost(ServerState server, long nowNanos) {
+    long since = leavingSinceNanos.computeIfAbsent(server.id(), id -> nowNanos);
+    return nowNanos - since <= LEAVING_PRIMARY_NANOS;
+  }
+
   private int primaryRank(ServerState server, Optional<ServerId> believed, long nowNanos) {
     if (believed.filter(server.id()::equals).isPresent()) {
       return 0;
@@ -264,6 +280,14 @@
 
   /** Forgets servers that are no longer in the view. */
   synchronized void keepOnly(List<ServerState> servers) {
+    leavingSinceNanos
+        .keySet()
+        .removeIf(
+            id ->
+                servers.stream()
+                    .noneMatch(
+                        server ->
+                            server.id().equals(id) && server.status() == ServerStatus.LEAVING));
     tracks.keySet().removeIf(id -> servers.stream().noneMatch(server -> server.id().equals(id)));
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -351,6 +351,7 @@
               });
     }
 
+    /** The statements of a transaction run on one connection, so a lost one ends it. */
     private boolean repeatable() {
       return task.kind() == StatementKind.READ && !task.ending();
     }
@@ -387,13 +388,12 @@
       note(server, "lost-after-sending");
       parts.discard(server, session);
       boolean late = task.deadlineNanos() - now <= 0;
-      if (repeatable() && late) {
+      if (repeatable() && !demand.keep() && late) {
         end();
         finish(
             SessionReply.refused(RefusalCode.TIMED_OUT, "no answer in time", stateAfterRefusal()),
             Optional.empty());
-      } else if (repeatable() || demand.keep() && !task.ending() && !late) {
-        // A transaction that lost its connection keeps nothing; its first statement starts again.
+      } else if (repeatable() && !demand.keep()) {
         again();
       } else {
         end();
