Derive the groups of a configuration in one order on all control hosts

Cause: the objects that a configuration changes were listed in the order of Map.copyOf, which differs from process to process, so the chains of the control hosts' views differed. Change: the groups of a configuration are a sorted map; a test with 40 groups.

--- a/alderyard-common/src/main/java/org/alderyard/common/view/ConfigurationState.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ConfigurationState.java
@@ -1,9 +1,12 @@
 package org.alderyard.common.view;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import org.alderyard.common.id.GroupId;
 
 /**
@@ -20,16 +23,19 @@
 public record ConfigurationState(
     long number,
     List<DatabaseState> databases,
-    Map<GroupId, Integer> connectionsPerServer,
+    SortedMap<GroupId, Integer> connectionsPerServer,
     int transactionIdleMillis,
     int sessionIdleMillis,
     Bytes source,
     Bytes contentHash) {
 
-  /** Copies. */
+  /**
+   * Copies. The groups are in order: what all control hosts derive from them must be the same, and
+   * the order of an unsorted map differs from process to process.
+   */
   public ConfigurationState {
     databases = List.copyOf(databases);
-    connectionsPerServer = Map.copyOf(connectionsPerServer);
+    connectionsPerServer = Collections.unmodifiableSortedMap(new TreeMap<>(connectionsPerServer));
   }
 
   /** Returns the first database of each name. */
--- a/alderyard-control/src/test/java/org/alderyard/control/state/ConfigurationStateTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/state/ConfigurationStateTest.java
@@ -81,6 +81,32 @@
     assertThat(state.view().groups().keySet()).containsExactly(new GroupId("g2"));
   }
 
+  @Test
+  void groupsChangeInOneOrderOnAllControlHosts() throws Exception {
+    // Each control host derives the changed objects itself, and the hash of their chain must come
+    // out the same everywhere. In the order of an unsorted map, which differs from process to
+    // process, it did not: followers had no deltas to give, all hosts turned to the leader again
+    // and again, and those that did not reach it stayed behind.
+    String[] groups = new String[40];
+    for (int i = 0; i < groups.length; i++) {
+      groups[i] = String.format("g%02d", (i * 7) % groups.length);
+    }
+    replace(configuration(3, "three", groups));
+    replace(configuration(4, "four"));
+
+    for (ViewChange change : changes) {
+      List<String> names =
+          change.delta().orElseThrow().getObjectsList().stream()
+              .filter(object -> object.hasGroup() || !object.getRemovedGroup().isEmpty())
+              .map(
+                  object ->
+                      object.hasGroup() ? object.getGroup().getId() : object.getRemovedGroup())
+              .toList();
+      assertThat(names).hasSize(groups.length);
+      assertThat(names).isInOrder();
+    }
+  }
+
   @Test
   void configurationOutlivesASnapshot() throws Exception {
     replace(configuration(3, "three", "g1"));
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -2,10 +2,9 @@
 
 import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
@@ -203,7 +202,8 @@
             .setSource(ByteString.copyFrom(configuration.source().toArray()))
             .setContentHash(ByteString.copyFrom(configuration.contentHash().toArray()));
     configuration.databases().forEach(database -> message.addDatabases(message(database)));
-    new TreeMap<>(configuration.connectionsPerServer())
+    configuration
+        .connectionsPerServer()
         .forEach(
             (group, connections) ->
                 message.addGroups(
@@ -230,7 +230,7 @@
 
   /** Returns the configuration of sessions of a message. */
   public static ConfigurationState configuration(Configuration message) {
-    Map<GroupId, Integer> connections = new HashMap<>();
+    SortedMap<GroupId, Integer> connections = new TreeMap<>();
     message
         .getGroupsList()
         .forEach(
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.alderyard.backend.StatementKind;
@@ -87,7 +88,7 @@
                 database(NEWEST, SessionReads.NEWEST),
                 database(BOUNDED, SessionReads.BOUNDED),
                 database(OWN_WRITES, SessionReads.OWN_WRITES)),
-            Map.of(id, 40),
+            new TreeMap<>(Map.of(id, 40)),
             IDLE_MILLIS,
             0,
             Bytes.of(new byte[0]),
