--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -73,7 +73,9 @@
             CONNECT_TIMEOUT,
             MAX_OUTSTANDING);
     links = part(new PeerLinks(loops, protocol));
-    controlHosts = new ControlHosts(knownControlHosts());
+    controlHosts =
+        new ControlHosts(
+            knownControlHosts(), settings.open().map(OpenClusterOptions::voters).orElse(0));
     control = new ControlClient(links, controlHosts::addresses, workers);
     self =
         new HostState(
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlHosts.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlHosts.java
@@ -13,13 +13,19 @@
  */
 public final class ControlHosts {
   private final List<InetSocketAddress> listed;
+  private final int enough;
   // Guarded by this.
   private Set<InetSocketAddress> learned = new LinkedHashSet<>();
   private volatile List<InetSocketAddress> addresses;
 
-  /** Starts with what the settings list. */
-  public ControlHosts(List<InetSocketAddress> listed) {
+  /**
+   * Starts with what the settings list.
+   *
+   * @param enough how many control hosts vote: a list with fewer is not the whole one
+   */
+  public ControlHosts(List<InetSocketAddress> listed, int enough) {
     this.listed = List.copyOf(listed);
+    this.enough = enough;
     this.addresses = this.listed;
   }
 
@@ -33,12 +39,19 @@
     return addresses;
   }
 
-  /** Takes a list that is complete, such as that of a view. */
+  /**
+   * Takes the control hosts of a view, and forgets others if these can be all.
+   *
+   * <p>Guards against a view from when the hosts register one by one: it names a single control
+   * host, which need not lead, and all others would never be asked again.
+   */
   public synchronized void replace(Collection<InetSocketAddress> known) {
-    if (!known.isEmpty()) {
+    if (known.size() >= enough) {
       learned = new LinkedHashSet<>(known);
-      publish();
+    } else {
+      learned.addAll(known);
     }
+    publish();
   }
 
   /** Takes what another host knows; nothing is forgotten. */
@@ -50,7 +63,7 @@
 
   private void publish() {
     Set<InetSocketAddress> all = new LinkedHashSet<>(learned);
-    if (learned.isEmpty()) {
+    if (learned.size() < enough) {
       all.addAll(listed);
     }
     addresses = List.copyOf(all);
