Count and explain what sessions do: metrics, sampled routine lines, alderyard explain

Cause: on the platform engineers have logs and metrics only; sessions had neither counters nor a line for a statement that went well, and a story over several hosts had to be joined by hand.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
@@ -7,6 +7,7 @@
 import org.alderyard.cli.command.CommandLineTool;
 import org.alderyard.cli.command.TokenInspectCommand;
 import org.alderyard.cli.demo.DemoCommand;
+import org.alderyard.cli.explain.ExplainCommand;
 import org.alderyard.cli.load.LoadCommand;
 import org.alderyard.cli.operator.DrainCommand;
 import org.alderyard.cli.operator.ShowCommand;
@@ -41,6 +42,7 @@
         new DrainCommand(),
         new TokenInspectCommand(),
         new CheckSettingsCommand(),
+        new ExplainCommand(),
         new LoadCommand(),
         new DemoCommand(),
         new ProveCommand());
--- /dev/null
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/explain/ExplainCommand.java
@@ -0,0 +1,103 @@
+package org.alderyard.cli.explain;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.alderyard.cli.command.Command;
+import org.alderyard.cli.command.CommandSpec;
+import org.alderyard.cli.command.Invocation;
+import org.alderyard.cli.command.OptionNames;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.daemon.ExitCode;
+import org.apache.commons.cli.Options;
+
+/**
+ * Tells the story of one request from the logs of several processes.
+ *
+ * <pre>alderyard explain --request 5c0e7a21d94b36f8 LOG-FOLDER</pre>
+ */
+public final class ExplainCommand implements Command {
+  /** A failover and what led to it fit into this much time before and after a request. */
+  private static final long DEFAULT_MARGIN_MILLIS = 3_000;
+
+  private static final CommandSpec SPEC =
+      new CommandSpec(
+          "explain",
+          "tell the story of one request from the logs in a folder",
+          List.of("FOLDER"),
+          new Options()
+              .addOption(OptionNames.valued("request", "ID", "the request's id"))
+              .addOption(
+                  OptionNames.valued(
+                      "margin-millis", "N", "how much before and after it is shown; 3000"))
+              .addOption(
+                  OptionNames.flag("strict", "end at a line that is not one of this system")));
+
+  @Override
+  public CommandSpec spec() {
+    return SPEC;
+  }
+
+  @Override
+  public ExitCode run(Invocation invocation) {
+    String request = invocation.required("request");
+    long margin = invocation.number("margin-millis", DEFAULT_MARGIN_MILLIS, 0, 3_600_000);
+    List<LogLine> lines = new ArrayList<>();
+    int unreadable = 0;
+    for (Path file : files(Path.of(invocation.arguments().get(0)))) {
+      unreadable += read(file, invocation.has("strict"), lines);
+    }
+    if (unreadable > 0) {
+      invocation.err().println(unreadable + " lines are not of this system and were passed over");
+    }
+    List<LogLine> story = new Story(lines).around(request, margin);
+    if (story.isEmpty()) {
+      invocation.err().println("no line names request " + request);
+      return ExitCode.FAILED;
+    }
+    story.forEach(
+        line ->
+            invocation
+                .out()
+                .printf(
+                    "%s %-24s %s%n",
+                    Instant.ofEpochMilli(line.timeMillis()), line.source(), line.message()));
+    return ExitCode.OK;
+  }
+
+  private static List<Path> files(Path folder) {
+    try (var entries = Files.list(folder)) {
+      return entries.filter(Files::isRegularFile).sorted().toList();
+    } catch (IOException unreadable) {
+      throw AlderyardException.notRun(
+          ErrorCode.BAD_REQUEST, "the folder '" + folder + "' can't be read: " + unreadable);
+    }
+  }
+
+  private static int read(Path file, boolean strict, List<LogLine> lines) {
+    String source = file.getFileName().toString().replaceFirst("\\.[a-z]+$", "");
+    List<String> texts;
+    try {
+      texts = Files.readAllLines(file);
+    } catch (IOException unreadable) {
+      throw AlderyardException.notRun(
+          ErrorCode.BAD_REQUEST, "the file '" + file + "' can't be read: " + unreadable);
+    }
+    int unreadable = 0;
+    for (int i = 0; i < texts.size(); i++) {
+      try {
+        lines.add(LogLine.parse(source, i + 1, texts.get(i)));
+      } catch (AlderyardException foreign) {
+        if (strict) {
+          throw foreign;
+        }
+        unreadable++;
+      }
+    }
+    return unreadable;
+  }
+}
--- /dev/null
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/explain/ExplainCommandTest.java
@@ -0,0 +1,60 @@
+package org.alderyard.cli.explain;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.alderyard.common.error.AlderyardException;
+import org.junit.jupiter.api.Test;
+
+/** The story of one request, joined from the lines of several hosts. */
+class ExplainCommandTest {
+
+  private static LogLine line(String host, long millis, String message) {
+    return LogLine.parse(
+        host,
+        1,
+        "{\"timestamp\":"
+            + millis
+            + ",\"level\":\"INFO\",\"formattedMessage\":\""
+            + message.replace("\"", "\\\"")
+            + "\"}");
+  }
+
+  @Test
+  void storyJoinsTheRequestWithTheFailoverOfItsGroup() {
+    // A caller complains about a write in doubt. Its own line is on one host; that the primary was
+    // lost and replaced stands in the log of another.
+    List<LogLine> lines = new ArrayList<>();
+    lines.add(line("h1", 1_000, "event=statement-lost id=q7 server=s1 kind=WRITE outcome=UNKNOWN"));
+    lines.add(line("h2", 1_600, "event=failover-begin group=g1 primary=s1 server=s1 reason=lost"));
+    lines.add(line("h2", 1_500, "event=failover-begin group=g9 primary=s9 reason=lost"));
+    lines.add(line("h1", 1_010, "event=statement-ran id=q8 server=s1"));
+    lines.add(line("h1", 900, "event=dependency-lost dependency=heartbeat reason=NO_QUORUM"));
+
+    assertThat(new Story(lines).around("q7", 1_000).stream().map(LogLine::timeMillis))
+        .containsExactly(900L, 1_000L, 1_600L)
+        .inOrder();
+    assertThat(new Story(lines).around("q9", 1_000)).isEmpty();
+  }
+
+  @Test
+  void fieldsAreReadWithAndWithoutQuotes() {
+    LogLine line = line("h1", 1, "event=statement-refused id=q1 tried=\"s1:BUSY, s2\" x=y");
+
+    assertThat(line.event()).hasValue("statement-refused");
+    assertThat(line.field("id")).hasValue("q1");
+    assertThat(line.field("tried")).hasValue("s1:BUSY, s2");
+    assertThat(line.field("x")).hasValue("y");
+    assertThat(line.field("missing")).isEmpty();
+  }
+
+  @Test
+  void lineOfAnotherProgramIsATypedError() {
+    AlderyardException wrong =
+        assertThrows(AlderyardException.class, () -> LogLine.parse("h1", 12, "Killed"));
+
+    assertThat(wrong).hasMessageThat().contains("h1:12");
+  }
+}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -56,7 +56,9 @@
             host.workers,
             host.clock,
             host.wallClock,
-            options.maxSessions());
+            host.registry,
+            options.maxSessions(),
+            host.settings.readOptions().routingLogSample());
     new LeaseClient(host.control, host.self, host.views, leases, sessions.pools(), server -> 0)
         .start(host.workers, LEASE_INTERVAL);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -75,6 +75,7 @@
    */
   public CompletableFuture<SessionReply> handle(String id, SessionStatement statement) {
     busy = true;
+    long start = parts.clock().nowNanos();
     CompletableFuture<SessionReply> answer;
     try {
       answer = dispatch(id, statement);
@@ -86,7 +87,11 @@
         .thenApply(
             reply -> {
               state = reply.state();
-              transaction.ifPresent(open -> open.rest(parts.clock().nowNanos()));
+              long now = parts.clock().nowNanos();
+              transaction.ifPresent(open -> open.rest(now));
+              database()
+                  .ifPresent(
+                      database -> parts.metrics().answered(database.reads(), reply, now - start));
               busy = false;
               if (closed) {
                 rollBack();
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
@@ -0,0 +1,116 @@
+package org.alderyard.proxy.callersession;
+
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.Unit;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.alderyard.backend.session.Refusal;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.common.view.SessionReads;
+
+/**
+ * The metrics of callers' sessions.
+ *
+ * <p>Labels are kinds and codes only, 3 by 15 at most: databases, groups, servers and callers are
+ * no labels, since their number grows with the users.
+ */
+final class SessionMetrics {
+  private static final String DONE = "done";
+
+  private final Counter statements;
+  private final Counter notRun;
+  private final Counter repeated;
+  private final Counter lost;
+  private final Map<SessionReads, DistributionDataPoint> durations =
+      new EnumMap<>(SessionReads.class);
+  private final DistributionDataPoint atServer;
+  private final DistributionDataPoint waitedForConnection;
+  private final PrometheusRegistry registry;
+
+  SessionMetrics(PrometheusRegistry registry) {
+    this.registry = registry;
+    statements =
+        Counter.builder()
+            .name("alderyard_session_statements")
+            .help("Statements of sessions by what reads must see and by their outcome.")
+            .labelNames("reads", "outcome")
+            .register(registry);
+    notRun = counter("alderyard_session_attempts_not_run", "Attempts that a server refused.");
+    repeated = counter("alderyard_session_reads_sent_twice", "Reads sent to a second server.");
+    lost = counter("alderyard_session_answers_lost", "Answers of servers that did not arrive.");
+    Histogram total =
+        histogram("alderyard_session_statement", "From a statement's arrival to its answer.");
+    for (SessionReads reads : SessionReads.values()) {
+      durations.put(reads, total.labelValues(lower(reads)));
+    }
+    Histogram stages =
+        histogram("alderyard_session_stage", "Parts of a statement's time, by their name.");
+    atServer = stages.labelValues("at-server");
+    waitedForConnection = stages.labelValues("connection");
+  }
+
+  private Counter counter(String name, String help) {
+    return Counter.builder().name(name).help(help).register(registry);
+  }
+
+  private Histogram histogram(String name, String help) {
+    return Histogram.builder()
+        .name(name)
+        .unit(Unit.SECONDS)
+        .help(help)
+        .labelNames("kind")
+        .classicUpperBounds(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5)
+        .classicOnly()
+        .register(registry);
+  }
+
+  void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  void answered(SessionReads reads, SessionReply reply, long tookNanos) {
+    Optional<Refusal> refusal = reply.refusal();
+    statements.labelValues(lower(reads), refusal.map(r -> lower(r.code())).orElse(DONE)).inc();
+    durations.get(reads).observe(seconds(tookNanos));
+  }
+
+  void ranAtServer(long tookNanos) {
+    atServer.observe(seconds(tookNanos));
+  }
+
+  void gotConnection(long tookNanos) {
+    waitedForConnection.observe(seconds(tookNanos));
+  }
+
+  void refusedByServer() {
+    notRun.inc();
+  }
+
+  void sentTwice() {
+    repeated.inc();
+  }
+
+  void lostAnswer() {
+    lost.inc();
+  }
+
+  private static double seconds(long nanos) {
+    return nanos / (double) TimeUnit.SECONDS.toNanos(1);
+  }
+
+  private static String lower(Enum<?> value) {
+    return value.name().toLowerCase(Locale.ROOT);
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionParts.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionParts.java
@@ -25,6 +25,8 @@
  * @param workers run what happens later
  * @param clock for intervals
  * @param wallClock the time of day, to notice that this host was suspended
+ * @param metrics what is counted
+ * @param routineLog of how many statements that went well one is logged
  */
 record SessionParts(
     ViewHolder views,
@@ -32,7 +34,9 @@
     ConnectionPools<PooledSession> pools,
     WorkerPool workers,
     MonotonicClock clock,
-    InstantSource wallClock) {
+    InstantSource wallClock,
+    SessionMetrics metrics,
+    SampledLog routineLog) {
   /** A rollback takes no slot; a server that does not answer it in this time is not waited for. */
   private static final Duration ROLLBACK_TIMEOUT = Duration.ofMillis(500);
 
@@ -44,6 +48,8 @@
     Objects.requireNonNull(workers);
     Objects.requireNonNull(clock);
     Objects.requireNonNull(wallClock);
+    Objects.requireNonNull(metrics);
+    Objects.requireNonNull(routineLog);
   }
 
   List<ServerState> servers(GroupId group) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -1,5 +1,6 @@
 package org.alderyard.proxy.callersession;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
@@ -34,6 +35,7 @@
    *
    * @param zone the availability zone of this host
    * @param maxSessions the most sessions at a time, so that their descriptors and memory suffice
+   * @param routineLogSample of how many statements that went well one is logged
    */
   public SessionService(
       ViewHolder views,
@@ -43,13 +45,34 @@
       WorkerPool workers,
       MonotonicClock clock,
       InstantSource wallClock,
-      int maxSessions) {
+      PrometheusRegistry registry,
+      int maxSessions,
+      int routineLogSample) {
     ConnectionPools<PooledSession> pools =
         new ConnectionPools<>(
             (server, timeout) -> connector.connect(server, timeout).thenApply(PooledSession::new),
             allowance);
     GroupRoutings routings = new GroupRoutings(zone);
-    parts = new SessionParts(views, routings, pools, workers, clock, wallClock);
+    SessionMetrics metrics = new SessionMetrics(registry);
+    parts =
+        new SessionParts(
+            views,
+            routings,
+            pools,
+            workers,
+            clock,
+            wallClock,
+            metrics,
+            new SampledLog(routineLogSample));
+    metrics.gauge("alderyard_sessions_open", "Sessions of callers.", sessions::size);
+    metrics.gauge(
+        "alderyard_configuration_number",
+        "Number of the configuration that this host acts on.",
+        () -> views.current().configuration().map(ConfigurationState::number).orElse(0L));
+    metrics.gauge(
+        "alderyard_view_version",
+        "Version of the view that this host acts on.",
+        () -> views.current().version().version());
     refresher = new SampleRefresher(parts);
     this.maxSessions = maxSessions;
     views.onChange(routings::follow);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -155,13 +155,16 @@
       reason = String.join(",", story);
     }
     log.warn(
-        "event=statement-refused id={} database={} group={} kind={} needs-lead={} waited-millis={}"
-            + " tried=\"{}\" outcome=NOT_RUN",
+        "event=statement-refused id={} database={} group={} kind={} needs-lead={} floor={}"
+            + " sample-age-millis={} view={} waited-millis={} tried=\"{}\" outcome=NOT_RUN",
         task.request().id().orElse("-"),
         task.database().name(),
         task.database().group(),
         task.kind(),
         demand.needsLead(),
+        demand.floor().map(floor -> floor.position().toString()).orElse("lead"),
+        routing.newestSampleAgeNanos(now).map(TimeUnit.NANOSECONDS::toMillis).orElse(-1L),
+        parts.views().current().version(),
         TimeUnit.NANOSECONDS.toMillis(now - startNanos),
         reason);
     TransactionState state = demand.keep() ? TransactionState.FAILED : TransactionState.NONE;
@@ -214,6 +217,7 @@
           .take(server, task.database().priority(), wait)
           .whenComplete(
               (session, failure) -> {
+                parts.metrics().gotConnection(parts.clock().nowNanos() - now);
                 if (failure != null) {
                   noConnection(Futures.unwrap(failure));
                 } else if (result.isDone()) {
@@ -316,6 +320,7 @@
 
     /** Takes in why a server refused; a busy primary is not made good by asking the others. */
     private void learn(SessionReply refused) {
+      parts.metrics().refusedByServer();
       RefusalCode code = refused.refusal().orElseThrow().code();
       note(server, code);
       if (code == RefusalCode.NOT_PRIMARY) {
@@ -373,6 +378,7 @@
                   }
                   sentTwice = true;
                 }
+                parts.metrics().sentTwice();
                 note(server, "slow");
                 next();
               });
@@ -385,6 +391,7 @@
       } else {
         routing.doubted(server, now);
       }
+      parts.metrics().lostAnswer();
       note(server, "lost-after-sending");
       parts.discard(server, session);
       boolean late = task.deadlineNanos() - now <= 0;
@@ -425,7 +432,9 @@
     private void answered(PooledSession session, SessionReply reply) {
       long now = parts.clock().nowNanos();
       routing.answered(server, now, now - sentNanos, true, reply.position());
+      parts.metrics().ranAtServer(now - sentNanos);
       if (reply.succeeded()) {
+        logRoutine(now);
         succeeded(session, reply);
         return;
       }
@@ -458,6 +467,28 @@
       }
     }
 
+    private void logRoutine(long now) {
+      if (!parts.routineLog().due()) {
+        return;
+      }
+      log.info(
+          "event=statement-ran id={} database={} server={} incarnation={} kind={} floor={}"
+              + " floor-age-millis={} view={} at-server-millis={} attempts={} outcome=DONE",
+          task.request().id().orElse("-"),
+          task.database().name(),
+          server.id(),
+          server.incarnation(),
+          task.kind(),
+          demand.floor().map(floor -> floor.position().toString()).orElse("lead"),
+          demand
+              .floor()
+              .map(floor -> TimeUnit.NANOSECONDS.toMillis(now - floor.sinceNanos()))
+              .orElse(0L),
+          parts.views().current().version(),
+          TimeUnit.NANOSECONDS.toMillis(now - sentNanos),
+          tried.size());
+    }
+
     private void putBack(PooledSession session, SessionReply reply) {
       if (demand.begin().isPresent() || reply.state() != TransactionState.NONE) {
         parts.rollBackAndRelease(server, session);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -1,5 +1,6 @@
 package org.alderyard.proxy.callersession;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -68,7 +69,9 @@
             workers,
             clock,
             () -> Instant.ofEpochMilli(clock.nowMillis()),
-            100);
+            new PrometheusRegistry(),
+            100,
+            1);
     publish("s1", group.states());
   }
 
