--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -5,7 +5,9 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnector;
@@ -24,10 +26,17 @@
   /** The pace at which idle transactions are looked for; a tenth of the usual bound of 3 s. */
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(300);
 
+  /**
+   * How long an opening waits for the first view of a host: as long as an election takes, and half
+   * of the time after which callers give up an opening.
+   */
+  private static final long FIRST_VIEW_MILLIS = 1_000;
+
   private final SessionParts parts;
   private final SampleRefresher refresher;
   private final int maxSessions;
   private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
+  private final CompletableFuture<Void> firstView = new CompletableFuture<>();
   private volatile boolean draining;
 
   /**
@@ -76,6 +85,12 @@
     refresher = new SampleRefresher(parts);
     this.maxSessions = maxSessions;
     views.onChange(routings::follow);
+    views.onChange(
+        view -> {
+          if (view.configuration().isPresent()) {
+            firstView.complete(null);
+          }
+        });
   }
 
   /** Starts to look for idle transactions. */
@@ -98,6 +113,25 @@
     return parts.pools();
   }
 
+  /**
+   * Returns why a session can't be opened, once that is known.
+   *
+   * <p>Guards against callers who use up their tries on a host that has just started: its first
+   * view comes within some tenths of a second, and one that is refused until then may have no time
+   * left.
+   *
+   * @return empty if a session may be opened
+   */
+  public CompletableFuture<Optional<Refusal>> admission(String database) {
+    if (draining || parts.views().current().configuration().isPresent()) {
+      return CompletableFuture.completedFuture(refusal(database));
+    }
+    return firstView
+        .copy()
+        .completeOnTimeout(null, FIRST_VIEW_MILLIS, TimeUnit.MILLISECONDS)
+        .thenApply(waited -> refusal(database));
+  }
+
   /** Returns why a session on this database can't be opened now, if it can't. */
   public Optional<Refusal> refusal(String database) {
     if (draining || sessions.size() >= maxSessions) {
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
@@ -86,7 +86,7 @@
     List<String> rows = new ArrayList<>();
     Optional<String> proof = Optional.empty();
     if (refusal.isEmpty()) {
-      refusal = run(request, rows);
+      refusal = perform(request, rows);
       proof = request.id().map(id -> "proof-" + server.state().id() + "-" + id);
     }
     if (refusal.isPresent() && state != TransactionState.NONE) {
@@ -130,7 +130,7 @@
     return Optional.of(new Refusal(code, "model"));
   }
 
-  private Optional<Refusal> run(SessionRequest request, List<String> rows) {
+  private Optional<Refusal> perform(SessionRequest request, List<String> rows) {
     SessionStatement statement = request.statement();
     if (statement instanceof SetValue set) {
       values.put(set.name(), set.value());
