Take samples of a primary from other hosts when it is out of reach; smaller first heap

Cause: a host that is cut off from a primary proves no bounded read after the age bound, though its replicas hold what is needed.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -66,6 +66,7 @@
   void start() {
     sessions.start();
     sessions.startReports(host.control, host.settings.host());
+    sessions.shareSamples(host.dispatcher, host.links, host.settings.host());
     callers =
         Optional.of(
             host.part(
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
@@ -1,5 +1,7 @@
 package org.alderyard.protocol.data;
 
+import org.alderyard.protocol.generated.control.PositionSampleReply;
+import org.alderyard.protocol.generated.control.PositionSampleRequest;
 import org.alderyard.protocol.generated.forward.ForwardReply;
 import org.alderyard.protocol.generated.forward.ForwardRequest;
 import org.alderyard.protocol.generated.ledger.OwnedWriteReply;
@@ -16,5 +18,10 @@
   public static final Method<ForwardRequest, ForwardReply> FORWARD_TRANSACTION =
       new Method<>(201, "forward-transaction", ForwardRequest.parser(), ForwardReply.parser());
 
+  /** Returns the newest position of a primary that the asked proxy knows. */
+  public static final Method<PositionSampleRequest, PositionSampleReply> POSITION_SAMPLE =
+      new Method<>(
+          202, "position-sample", PositionSampleRequest.parser(), PositionSampleReply.parser());
+
   private DataMethods() {}
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -87,6 +87,17 @@
     return covered ? bound : own;
   }
 
+  /** Returns the newest sample, for another host. */
+  synchronized Optional<PositionSamples.Sample> newestSample(long nowNanos, long wallMillis) {
+    samples.checkClocks(nowNanos, wallMillis);
+    return samples.newest();
+  }
+
+  /** Returns whether the server that is believed to lead was left alone, or none is. */
+  synchronized boolean primaryOutOfReach(GroupState group, long nowNanos) {
+    return believedPrimary(group).map(tracks::get).map(t -> t.paused(nowNanos)).orElse(true);
+  }
+
   /** Returns how long ago the newest sample was asked. */
   synchronized Optional<Long> newestSampleAgeNanos(long nowNanos) {
     return samples.newest().map(sample -> nowNanos - sample.askedNanos());
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -33,6 +34,7 @@
 
   private final SessionParts parts;
   private final Map<GroupId, Long> notBeforeNanos = new ConcurrentHashMap<>();
+  private volatile Optional<PeerSamples> peers = Optional.empty();
 
   SampleRefresher(SessionParts parts) {
     this.parts = parts;
@@ -43,13 +45,21 @@
     GroupRouting routing = parts.routings().of(database.group());
     double dueNanos = TimeUnit.MILLISECONDS.toNanos(database.maxStalenessMillis()) * DUE_SHARE;
     boolean due = routing.newestSampleAgeNanos(nowNanos).map(age -> age > dueNanos).orElse(true);
-    if (due) {
-      parts
-          .group(database.group())
-          .ifPresent(group -> ask(group, nowNanos, server -> !routing.paused(server, nowNanos)));
+    Optional<GroupState> group = parts.group(database.group());
+    if (!due || group.isEmpty()) {
+      return;
+    }
+    ask(group.get(), nowNanos, server -> !routing.paused(server, nowNanos));
+    if (routing.primaryOutOfReach(group.get(), nowNanos)) {
+      peers.ifPresent(others -> others.ask(database.group(), nowNanos));
     }
   }
 
+  /** Turns to other hosts as well when the primary is out of reach. */
+  void askPeers(PeerSamples others) {
+    peers = Optional.of(others);
+  }
+
   /**
    * Asks the believed primary although it failed lately.
    *
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -17,6 +17,8 @@
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.protocol.control.ControlClient;
+import org.alderyard.protocol.wire.Dispatcher;
+import org.alderyard.protocol.wire.PeerLinks;
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ConnectionPools;
 import org.alderyard.proxy.view.ViewHolder;
@@ -108,6 +110,13 @@
     new PrimaryReporter(control, self, parts, refresher).start();
   }
 
+  /** Gives samples of primaries to other hosts, and takes theirs when a primary is out of reach. */
+  public void shareSamples(Dispatcher dispatcher, PeerLinks links, HostId self) {
+    PeerSamples peers = new PeerSamples(links, self, parts);
+    peers.serve(dispatcher);
+    refresher.askPeers(peers);
+  }
+
   /** Returns the pools, whose size the host's leases set. */
   public ConnectionPools<?> pools() {
     return parts.pools();
--- a/deploy/class-archive.sh
+++ b/deploy/class-archive.sh
@@ -35,7 +35,7 @@
 format = json
 INI
 ALDERYARD_CLUSTER_KEY=only-for-the-archive-of-classes \
-  java -Xms24m -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+  java -Xms8m -Xmn3m -Xmx96m -Xss256k -XX:-UsePerfData -Dio.netty.allocator.type=unpooled -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
   -XX:ArchiveClassesAtExit="$folder/alderyard.jsa" \
   -cp "alderyard-cli/target/alderyard-cli-0.1.0-SNAPSHOT.jar:alderyard-cli/target/lib/*" \
   org.alderyard.daemon.DaemonMain --settings "$folder/settings.ini" > "$folder/host.log" 2>&1 &
