Let control hosts tell the seeds of themselves

The control hosts elected a leader 0.5 s after their start, but they knew only the seeds, and the seeds knew nobody: no host found a control host again, 0 of 811 requests served.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/ControlLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ControlLog.java
@@ -1,6 +1,8 @@
 package org.alderyard.control.log;
 
 import com.google.protobuf.ByteString;
+import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.id.HostId;
@@ -35,6 +37,11 @@
   /** Returns the term of the log, which only grows. */
   long term();
 
+  /** Returns the inner addresses of the hosts that hold the log, as far as this host knows them. */
+  default List<InetSocketAddress> memberAddresses() {
+    return List.of();
+  }
+
   @Override
   void close();
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -178,10 +178,13 @@
     if (known.isPresent() || builder.open.isEmpty()) {
       return known;
     }
+    return Optional.of(address(endpoint));
+  }
+
+  static InetSocketAddress address(String endpoint) {
     int colon = endpoint.lastIndexOf(':');
-    return Optional.of(
-        new InetSocketAddress(
-            endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1))));
+    return new InetSocketAddress(
+        endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1)));
   }
 
   void tick(long nowMillis) {
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -1,8 +1,10 @@
 package org.alderyard.control.log;
 
 import com.google.protobuf.ByteString;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -253,6 +255,13 @@
     return status.term();
   }
 
+  @Override
+  public List<InetSocketAddress> memberAddresses() {
+    return status.membership().members().stream()
+        .map(member -> ReplicaHost.address(member.getAddress()))
+        .toList();
+  }
+
   /** Returns what this host knows of the log. */
   public LogStatus status() {
     return status;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package org.alderyard.daemon;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.error.AlderyardException;
@@ -34,14 +35,18 @@
   }
 
   private void start(DaemonSettings settings) {
-    ControlDiscovery discovery =
-        new ControlDiscovery(
-            host.controlHosts, host.links, host.workers, host.viewClient::leaseValid);
-    discovery.serve(host.dispatcher);
     Optional<ControlLog> controlLog =
         settings.roles().contains(Role.CONTROL)
             ? Optional.of(new ControlStack(host).start())
             : Optional.empty();
+    ControlDiscovery discovery =
+        new ControlDiscovery(
+            host.controlHosts,
+            host.links,
+            host.workers,
+            host.viewClient::leaseValid,
+            () -> controlLog.map(ControlLog::memberAddresses).orElse(List.of()));
+    discovery.serve(host.dispatcher);
     host.part(
         new InnerServer(
             host.loops, settings.innerAddress(), host.protocol, host.dispatcher, host.workers));
