Split the run of a statement into its parts; refuse a write that could only begin too late

Read while splitting: a write whose connection came in the last moments of its time was sent with no time to answer, and so was in doubt though it could be refused; a server that forgets a prepared statement each time was asked without end. Change: StatementAttempt and TransactionStatement are classes of their own; nothing is begun within 10 ms of the deadline; a statement is prepared again twice at most; a test of the late write. Conclusion: behaviour as before but for the two faults.

--- a/alderyard-cli/src/test/java/org/alderyard/cli/explain/ExplainCommandTest.java
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/explain/ExplainCommandTest.java
@@ -51,7 +51,7 @@
   }
 
   @Test
-  void lineOfAnotherProgramIsATypedError() {
+  void lineOfAnotherProgramIsTypedError() {
     AlderyardException wrong =
         assertThrows(AlderyardException.class, () -> LogLine.parse("h1", 12, "Killed"));
 
--- a/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
@@ -130,7 +130,7 @@
 
   /** A machine is replaced by an empty one with another name: it takes the lost voter's seat. */
   @Test
-  void newHostTakesTheSeatOfALostVoterAndOfNoOther() {
+  void newHostTakesTheSeatOfLostVoterAndOfNoOther() {
     Member newcomer = learner(9, "d");
     Membership now = new Membership(list(voter(1, "a"), voter(2, "b"), voter(3, "c"), newcomer));
     RepairPlan calm = new RepairPlan(now, id -> true, 3, id -> false);
--- a/alderyard-control/src/test/java/org/alderyard/control/state/ConfigurationStateTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/state/ConfigurationStateTest.java
@@ -65,7 +65,7 @@
   }
 
   @Test
-  void otherContentUnderTheNumberInForceIsAConflict() throws Exception {
+  void otherContentUnderTheNumberInForceIsConflict() throws Exception {
     replace(configuration(3, "three", "g1"));
 
     assertThat(replace(configuration(3, "other", "g1", "g2")).getConflict()).isTrue();
@@ -108,7 +108,7 @@
   }
 
   @Test
-  void configurationOutlivesASnapshot() throws Exception {
+  void configurationOutlivesSnapshot() throws Exception {
     replace(configuration(3, "three", "g1"));
     ByteString snapshot = state.snapshot();
 
--- a/alderyard-control/src/test/java/org/alderyard/control/state/ReportedRoleTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/state/ReportedRoleTest.java
@@ -120,7 +120,7 @@
   }
 
   @Test
-  void leavingServerWhoseLeaseEndsIsGoneAndASilentOneOnlyExpires() {
+  void leavingServerWhoseLeaseEndsIsGoneAndSilentOneOnlyExpires() {
     announce("s1", 1, 1, false, true);
     announce("s2", 1, 2, false, false);
     for (String id : new String[] {"s1", "s2"}) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -1,9 +1,7 @@
 package org.alderyard.proxy.callersession;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -25,7 +23,6 @@
 import org.alderyard.backend.session.SessionStatement.Write;
 import org.alderyard.backend.session.TransactionState;
 import org.alderyard.common.concurrent.Futures;
-import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.view.DatabaseState;
 import org.alderyard.common.view.SessionReads;
@@ -42,11 +39,6 @@
 public final class CallerSession {
   private static final Logger log = LoggerFactory.getLogger(CallerSession.class);
 
-  /** A busy server is asked again this often within a transaction, at this pause. */
-  private static final int BUSY_REPEATS = 8;
-
-  private static final Duration BUSY_PAUSE = Duration.ofMillis(12);
-
   /** The most values of one session; more would only be a way to fill the host's memory. */
   private static final int MAX_VALUES = 1_000;
 
@@ -199,8 +191,17 @@
     return done(TransactionState.NONE);
   }
 
+  SessionParts parts() {
+    return parts;
+  }
+
+  /** The transaction has ended, and its connection was given back. */
+  void transactionEnded() {
+    transaction = Optional.empty();
+  }
+
   /** Ends the transaction without keeping anything. */
-  private void rollBack() {
+  void rollBack() {
     Optional<OpenTransaction> open = transaction;
     transaction = Optional.empty();
     open.ifPresent(this::rollBack);
@@ -226,7 +227,7 @@
             true,
             Optional.empty(),
             open.get().database());
-    return inTransaction(open.get(), task);
+    return new TransactionStatement(this, open.get(), task).run();
   }
 
   private CompletableFuture<SessionReply> onServer(String id, SessionStatement statement) {
@@ -291,7 +292,7 @@
   }
 
   /** Returns what a server must hold for a read; empty if it must be the primary. */
-  private Optional<GroupRouting.Floor> floor(DatabaseState database) {
+  Optional<GroupRouting.Floor> floor(DatabaseState database) {
     if (database.reads() == SessionReads.NEWEST) {
       return Optional.empty();
     }
@@ -311,7 +312,7 @@
             own);
   }
 
-  private void remember(DatabaseState database, SessionReply reply) {
+  void remember(DatabaseState database, SessionReply reply) {
     long now = parts.clock().nowNanos();
     reply
         .position()
@@ -329,145 +330,8 @@
     if (open.get().readOnly() && kind == StatementKind.WRITE) {
       return refuse(RefusalCode.NOT_PRIMARY, "the transaction only reads", TransactionState.FAILED);
     }
-    return inTransaction(open.get(), task(request, kind, false, shape, open.get().database()));
-  }
-
-  private CompletableFuture<SessionReply> inTransaction(OpenTransaction open, StatementTask task) {
-    if (task.kind() == StatementKind.WRITE) {
-      open.wrote();
-    }
-    Optional<StatementRun.Pinned> pinned = open.pinned();
-    if (pinned.isPresent()) {
-      return onPinned(open, pinned.get(), task, 0);
-    }
-    Optional<GroupRouting.Floor> floor =
-        open.readOnly() ? floor(open.database()) : Optional.empty();
-    ServerDemand demand =
-        floor.map(ServerDemand::readTransaction).orElse(ServerDemand.transaction());
-    return new StatementRun(parts, task, demand)
-        .run()
-        .thenApply(
-            result -> {
-              result
-                  .pinned()
-                  .filter(connection -> !open.pin(connection))
-                  .ifPresent(
-                      connection ->
-                          parts.rollBackAndRelease(connection.server(), connection.session()));
-              if (result.reply().state() != TransactionState.OPEN) {
-                rollBack();
-              }
-              return result.reply();
-            });
-  }
-
-  private CompletableFuture<SessionReply> onPinned(
-      OpenTransaction open, StatementRun.Pinned pinned, StatementTask task, int repeats) {
-    GroupRouting routing = parts.routings().of(open.database().group());
-    PooledSession session = pinned.session();
-    List<SessionRequest> requests = session.adopt(task.values(), task.prepared(), false);
-    requests.add(task.request());
-    long sent = parts.clock().nowNanos();
-    Duration timeout = Duration.ofNanos(Math.max(1, task.deadlineNanos() - sent));
-    routing.started(pinned.server());
-    return session
-        .run(requests, timeout)
-        .handle(
-            (replies, failure) -> {
-              routing.ended(pinned.server());
-              if (failure != null) {
-                return lost(open, pinned, task, Futures.typed(failure));
-              }
-              return answered(open, pinned, task, replies, sent, repeats);
-            })
-        .thenCompose(reply -> reply);
-  }
-
-  private CompletableFuture<SessionReply> lost(
-      OpenTransaction open,
-      StatementRun.Pinned pinned,
-      StatementTask task,
-      AlderyardException failure) {
-    parts.routings().of(open.database().group()).doubted(pinned.server(), parts.clock().nowNanos());
-    open.end();
-    parts.discard(pinned.server(), pinned.session());
-    transaction = Optional.empty();
-    boolean inDoubt = task.ending() && open.hasWritten();
-    log.warn(
-        "event=transaction-lost id={} database={} server={} incarnation={} commit={} wrote={}"
-            + " reason={} outcome={}",
-        task.request().id().orElse("-"),
-        open.database().name(),
-        pinned.server().id(),
-        pinned.server().incarnation(),
-        task.ending(),
-        open.hasWritten(),
-        failure.code(),
-        inDoubt ? "OUTCOME_UNKNOWN" : "NOT_KEPT");
-    return CompletableFuture.completedFuture(
-        SessionReply.refused(
-            inDoubt ? RefusalCode.IN_DOUBT : RefusalCode.ABORTED,
-            "the connection to the server was lost",
-            task.ending() ? TransactionState.NONE : TransactionState.FAILED));
-  }
-
-  private CompletableFuture<SessionReply> answered(
-      OpenTransaction open,
-      StatementRun.Pinned pinned,
-      StatementTask task,
-      List<SessionReply> replies,
-      long sent,
-      int repeats) {
-    long now = parts.clock().nowNanos();
-    SessionReply reply = replies.get(replies.size() - 1);
-    GroupRouting routing = parts.routings().of(open.database().group());
-    routing.answered(pinned.server(), now, now - sent, true, reply.position());
-    if (reply.succeeded()) {
-      if (task.ending()) {
-        committed(open, pinned, reply, sent);
-        return CompletableFuture.completedFuture(reply.inState(TransactionState.NONE));
-      }
-      return CompletableFuture.completedFuture(reply.inState(TransactionState.OPEN));
-    }
-    boolean stillOpen = reply.state() == TransactionState.OPEN;
-    if (reply.refusedWith(RefusalCode.BUSY) && stillOpen && repeats < BUSY_REPEATS) {
-      CompletableFuture<Void> pause = new CompletableFuture<>();
-      parts.workers().schedule(BUSY_PAUSE, () -> pause.complete(null));
-      return pause.thenCompose(waited -> onPinned(open, pinned, task, repeats + 1));
-    }
-    if (reply.refusedWith(RefusalCode.NOT_PRIMARY)) {
-      parts
-          .group(open.database().group())
-          .ifPresent(group -> routing.doesNotLead(pinned.server(), group));
-    }
-    log.info(
-        "event=transaction-refused id={} database={} server={} commit={} code={}",
-        task.request().id().orElse("-"),
-        open.database().name(),
-        pinned.server().id(),
-        task.ending(),
-        reply.refusal().orElseThrow().code());
-    rollBack();
-    return CompletableFuture.completedFuture(
-        reply.inState(task.ending() ? TransactionState.NONE : TransactionState.FAILED));
-  }
-
-  private void committed(
-      OpenTransaction open, StatementRun.Pinned pinned, SessionReply reply, long sent) {
-    open.end();
-    transaction = Optional.empty();
-    if (open.hasWritten()) {
-      remember(open.database(), reply);
-      reply
-          .position()
-          .ifPresent(
-              position -> parts.routings().of(open.database().group()).sampled(sent, position));
-    }
-    if (reply.state() == TransactionState.NONE) {
-      parts.release(pinned.server(), pinned.session());
-    } else {
-      parts.rollBackAndRelease(pinned.server(), pinned.session());
-    }
+    StatementTask task = task(request, kind, false, shape, open.get().database());
+    return new TransactionStatement(this, open.get(), task).run();
   }
 
   /** Ends the transaction if it has been idle for this long; its next statement is told so. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -117,6 +117,10 @@
     refresher.askPeers(peers);
   }
 
+  SessionParts parts() {
+    return parts;
+  }
+
   /** Returns the pools, whose size the host's leases set. */
   public ConnectionPools<?> pools() {
     return parts.pools();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -8,14 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.alderyard.backend.StatementKind;
-import org.alderyard.backend.session.ConnectRefusedException;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
-import org.alderyard.backend.session.SessionRequest;
-import org.alderyard.backend.session.SessionStatement.Begin;
 import org.alderyard.backend.session.TransactionState;
-import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.ServerId;
@@ -44,16 +39,11 @@
 
   private static final long MAX_PAUSE_MILLIS = 64;
 
-  /** A server that does not answer a begin, which takes no slot, in this time is out of reach. */
-  private static final long SETUP_MILLIS = 400;
+  /** A statement that can only begin in its last moments would be sent and be in doubt. */
+  private static final long MIN_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
-  /** A read without an answer is sent to a second server after this many usual times. */
-  private static final double SECOND_SENDING_LATENCIES = 6;
-
-  /** And not before this, so that a load that makes all servers slow is not doubled. */
-  private static final long MIN_SECOND_SENDING_MILLIS = 120;
-
-  private static final int MAX_REPREPARED = 2;
+  /** A server that forgets a statement each time it is prepared is not asked for ever. */
+  private static final int MAX_PREPARED_AGAIN = 2;
 
   private final SessionParts parts;
   private final StatementTask task;
@@ -68,6 +58,7 @@
   private int round;
   private boolean sentTwice;
   private boolean roundOver;
+  private int preparedAgain;
   private Optional<SessionReply> failedReply = Optional.empty();
 
   StatementRun(SessionParts parts, StatementTask task, ServerDemand demand) {
@@ -95,14 +86,15 @@
     return result;
   }
 
-  private void next() {
+  void next() {
     if (result.isDone()) {
       return;
     }
     long now = parts.clock().nowNanos();
     Optional<ServerState> choice;
     synchronized (this) {
-      choice = roundOver ? Optional.empty() : choose(now);
+      boolean tooLate = task.deadlineNanos() - now < MIN_RUN_NANOS;
+      choice = roundOver || tooLate ? Optional.empty() : choose(now);
       if (choice.isPresent()) {
         tried.add(choice.get().id());
         active++;
@@ -112,7 +104,7 @@
       }
     }
     if (choice.isPresent()) {
-      new Attempt(choice.get()).start(now);
+      new StatementAttempt(this, choice.get()).start(now);
       return;
     }
     if (now - startNanos >= (task.deadlineNanos() - startNanos) * SEARCH_SHARE) {
@@ -174,7 +166,7 @@
         Optional.empty());
   }
 
-  private boolean finish(SessionReply reply, Optional<Pinned> pinned) {
+  boolean finish(SessionReply reply, Optional<Pinned> pinned) {
     return result.complete(new Result(reply, pinned));
   }
 
@@ -185,337 +177,82 @@
     return code == ErrorCode.OVERLOADED || code == ErrorCode.NO_ELIGIBLE_SERVER;
   }
 
-  private Duration remaining(long capMillis) {
+  Duration remaining(long capMillis) {
     long nanos = task.deadlineNanos() - parts.clock().nowNanos();
     long capped = Math.min(nanos, TimeUnit.MILLISECONDS.toNanos(capMillis));
     return Duration.ofNanos(Math.max(1, capped));
   }
 
-  private synchronized void note(ServerState server, Object why) {
+  synchronized void note(ServerState server, Object why) {
     if (story.size() < 12) {
       story.add(server.id() + ":" + why);
     }
   }
 
-  /** One sending to one server. */
-  private final class Attempt {
-    private final ServerState server;
-    private long sentNanos;
-    private int reprepared;
-
-    Attempt(ServerState server) {
-      this.server = server;
-    }
-
-    void start(long now) {
-      routing.started(server);
-      long searchNanos =
-          (long) ((task.deadlineNanos() - startNanos) * SEARCH_SHARE) - (now - startNanos);
-      Duration wait = Duration.ofNanos(Math.max(1, searchNanos));
-      parts
-          .pools()
-          .take(server, task.database().priority(), wait)
-          .whenComplete(
-              (session, failure) -> {
-                parts.metrics().gotConnection(parts.clock().nowNanos() - now);
-                if (failure != null) {
-                  noConnection(Futures.unwrap(failure));
-                } else if (result.isDone()) {
-                  parts.release(server, session);
-                  end();
-                } else {
-                  prepare(session);
-                }
-              });
-    }
-
-    private void noConnection(Throwable failure) {
-      boolean refused = failure instanceof ConnectRefusedException;
-      if (refused && ((ConnectRefusedException) failure).refusal() == RefusalCode.WRONG_SERVER) {
-        routing.replaced(server);
-      } else if (!ownLimit(failure)) {
-        routing.failed(server, parts.clock().nowNanos());
-      }
-      note(server, Futures.typed(failure).code());
-      again();
-    }
-
-    private void end() {
-      routing.ended(server);
-      synchronized (StatementRun.this) {
-        active--;
-      }
-    }
-
-    /** Looks for another server: nothing that could be kept has run here. */
-    private void again() {
-      end();
-      next();
-    }
-
-    private void prepare(PooledSession session) {
-      List<SessionRequest> setup = session.adopt(task.values(), task.prepared(), true);
-      demand
-          .begin()
-          .ifPresent(
-              readOnly -> {
-                SessionRequest begin = SessionRequest.own(new Begin(readOnly));
-                setup.add(demand.floor().map(f -> begin.after(f.position())).orElse(begin));
-              });
-      if (setup.isEmpty()) {
-        send(session);
-        return;
-      }
-      long asked = parts.clock().nowNanos();
-      session
-          .run(setup, remaining(SETUP_MILLIS))
-          .whenComplete(
-              (replies, failure) -> {
-                if (failure != null) {
-                  lostBefore(session);
-                } else {
-                  prepared(session, asked, replies);
-                }
-              });
-    }
-
-    private void lostBefore(PooledSession session) {
-      routing.failed(server, parts.clock().nowNanos());
-      note(server, "lost-before-sending");
-      parts.discard(server, session);
-      again();
-    }
+  Duration untilDeadline() {
+    return remaining(Long.MAX_VALUE / 2_000_000);
+  }
 
-    private void prepared(PooledSession session, long asked, List<SessionReply> replies) {
-      long now = parts.clock().nowNanos();
-      SessionReply last = replies.get(replies.size() - 1);
-      int own = demand.begin().isPresent() ? replies.size() - 1 : replies.size();
-      if (replies.subList(0, own).stream().anyMatch(reply -> !reply.succeeded())) {
-        note(server, "values-refused");
-        parts.discard(server, session);
-        again();
-        return;
-      }
-      routing.answered(server, now, now - asked, false, last.position());
-      if (demand.begin().isPresent() && !last.succeeded()) {
-        refusedBegin(session, last);
-        return;
-      }
-      if (demand.needsLead() && demand.begin().isPresent()) {
-        routing.leads(server);
-        last.position().ifPresent(position -> routing.sampled(asked, position));
-      }
-      send(session);
-    }
+  /** Returns how much of the time for the search is left. */
+  Duration searchLeft(long now) {
+    long nanos = (long) ((task.deadlineNanos() - startNanos) * SEARCH_SHARE) - (now - startNanos);
+    return Duration.ofNanos(Math.max(1, nanos));
+  }
 
-    private void refusedBegin(PooledSession session, SessionReply refusal) {
-      learn(refusal);
-      if (refusal.state() == TransactionState.NONE) {
-        parts.release(server, session);
-      } else {
-        parts.rollBackAndRelease(server, session);
-      }
-      again();
-    }
+  boolean isDone() {
+    return result.isDone();
+  }
 
-    /** Takes in why a server refused; a busy primary is not made good by asking the others. */
-    private void learn(SessionReply refused) {
-      parts.metrics().refusedByServer();
-      RefusalCode code = refused.refusal().orElseThrow().code();
-      note(server, code);
-      if (code == RefusalCode.NOT_PRIMARY) {
-        parts.group(task.database().group()).ifPresent(group -> routing.doesNotLead(server, group));
-      } else if (code == RefusalCode.BEHIND) {
-        long now = parts.clock().nowNanos();
-        demand.floor().ifPresent(floor -> routing.lacked(server, now - floor.sinceNanos()));
-      } else if (code == RefusalCode.BUSY && demand.needsLead()) {
-        synchronized (StatementRun.this) {
-          roundOver = true;
-        }
-      }
-    }
+  synchronized void attemptEnded() {
+    active--;
+  }
 
-    private void send(PooledSession session) {
-      sentNanos = parts.clock().nowNanos();
-      SessionRequest request =
-          demand.begin().isEmpty()
-              ? demand.floor().map(f -> task.request().after(f.position())).orElse(task.request())
-              : task.request();
-      if (repeatable() && !demand.keep()) {
-        planSecondSending();
-      }
-      session
-          .run(List.of(request), remaining(Long.MAX_VALUE / 2_000_000))
-          .whenComplete(
-              (replies, failure) -> {
-                if (failure != null) {
-                  lost(session, Futures.typed(failure));
-                } else {
-                  answered(session, replies.get(0));
-                }
-              });
-    }
+  /** The rest of the servers need not be asked in this round. */
+  synchronized void endRound() {
+    roundOver = true;
+  }
 
-    /** The statements of a transaction run on one connection, so a lost one ends it. */
-    private boolean repeatable() {
-      return task.kind() == StatementKind.READ && !task.ending();
-    }
+  /** Returns whether a second sending may begin; it may only once. */
+  synchronized boolean maySendTwice() {
+    boolean may = !result.isDone() && !sentTwice;
+    sentTwice |= may;
+    return may;
+  }
 
-    /** Guards against an answer that is lost, or a connection that went silent, under a read. */
-    private void planSecondSending() {
-      long millis =
-          Math.max(
-              MIN_SECOND_SENDING_MILLIS,
-              (long) (routing.latencyMillis(server) * SECOND_SENDING_LATENCIES));
-      parts
-          .workers()
-          .schedule(
-              Duration.ofMillis(millis),
-              () -> {
-                synchronized (StatementRun.this) {
-                  if (result.isDone() || sentTwice) {
-                    return;
-                  }
-                  sentTwice = true;
-                }
-                parts.metrics().sentTwice();
-                note(server, "slow");
-                next();
-              });
+  /** Returns whether a server that forgot the prepared statement is asked once more. */
+  synchronized boolean mayPrepareAgain(ServerState server) {
+    preparedAgain++;
+    if (preparedAgain > MAX_PREPARED_AGAIN) {
+      return false;
     }
+    tried.remove(server.id());
+    return true;
+  }
 
-    private void lost(PooledSession session, AlderyardException failure) {
-      long now = parts.clock().nowNanos();
-      if (failure.code() == ErrorCode.DEADLINE_EXCEEDED && !demand.needsLead()) {
-        routing.failed(server, now);
-      } else {
-        routing.doubted(server, now);
-      }
-      parts.metrics().lostAnswer();
-      note(server, "lost-after-sending");
-      parts.discard(server, session);
-      boolean late = task.deadlineNanos() - now <= 0;
-      if (repeatable() && !demand.keep() && late) {
-        end();
-        finish(
-            SessionReply.refused(RefusalCode.TIMED_OUT, "no answer in time", stateAfterRefusal()),
-            Optional.empty());
-      } else if (repeatable() && !demand.keep()) {
-        again();
-      } else {
-        end();
-        boolean nothingKept = demand.keep();
-        log.warn(
-            "event=statement-lost id={} database={} server={} incarnation={} kind={}"
-                + " after-millis={} reason={} outcome={}",
-            task.request().id().orElse("-"),
-            task.database().name(),
-            server.id(),
-            server.incarnation(),
-            task.kind(),
-            TimeUnit.NANOSECONDS.toMillis(now - sentNanos),
-            failure.code(),
-            nothingKept ? "NOT_KEPT" : "OUTCOME_UNKNOWN");
-        finish(
-            SessionReply.refused(
-                nothingKept ? RefusalCode.ABORTED : RefusalCode.IN_DOUBT,
-                "the connection to the server was lost",
-                stateAfterRefusal()),
-            Optional.empty());
-      }
-    }
+  /** Keeps the answer of a read that failed, for when no other server does better. */
+  synchronized boolean keepFailure(SessionReply reply) {
+    boolean first = failedReply.isEmpty();
+    failedReply = first ? Optional.of(reply) : failedReply;
+    return first;
+  }
 
-    private TransactionState stateAfterRefusal() {
-      return demand.keep() && !task.ending() ? TransactionState.FAILED : TransactionState.NONE;
-    }
+  synchronized int triedCount() {
+    return tried.size();
+  }
 
-    private void answered(PooledSession session, SessionReply reply) {
-      long now = parts.clock().nowNanos();
-      routing.answered(server, now, now - sentNanos, true, reply.position());
-      parts.metrics().ranAtServer(now - sentNanos);
-      if (reply.succeeded()) {
-        logRoutine(now);
-        succeeded(session, reply);
-        return;
-      }
-      RefusalCode code = reply.refusal().orElseThrow().code();
-      learn(reply);
-      if (code == RefusalCode.NOT_PREPARED
-          && task.prepared().isPresent()
-          && reprepared < MAX_REPREPARED) {
-        reprepared++;
-        session.forget(task.prepared().get());
-        putBack(session, reply);
-        synchronized (StatementRun.this) {
-          tried.remove(server.id());
-        }
-        again();
-        return;
-      }
-      boolean nothingRan =
-          code == RefusalCode.BUSY || code == RefusalCode.NOT_PRIMARY || code == RefusalCode.BEHIND;
-      boolean elsewhere = code == RefusalCode.FAILED && repeatable() && !demand.keep();
-      putBack(session, reply);
-      if (nothingRan && !(task.ending() && code == RefusalCode.NOT_PRIMARY)) {
-        again();
-      } else if (elsewhere && failedReply.isEmpty()) {
-        failedReply = Optional.of(reply.inState(TransactionState.NONE));
-        again();
-      } else {
-        end();
-        finish(reply.inState(stateAfterRefusal()), Optional.empty());
-      }
-    }
+  SessionParts parts() {
+    return parts;
+  }
 
-    private void logRoutine(long now) {
-      if (!parts.routineLog().due()) {
-        return;
-      }
-      log.info(
-          "event=statement-ran id={} database={} server={} incarnation={} kind={} floor={}"
-              + " floor-age-millis={} view={} at-server-millis={} attempts={} outcome=DONE",
-          task.request().id().orElse("-"),
-          task.database().name(),
-          server.id(),
-          server.incarnation(),
-          task.kind(),
-          demand.floor().map(floor -> floor.position().toString()).orElse("lead"),
-          demand
-              .floor()
-              .map(floor -> TimeUnit.NANOSECONDS.toMillis(now - floor.sinceNanos()))
-              .orElse(0L),
-          parts.views().current().version(),
-          TimeUnit.NANOSECONDS.toMillis(now - sentNanos),
-          tried.size());
-    }
+  StatementTask task() {
+    return task;
+  }
 
-    private void putBack(PooledSession session, SessionReply reply) {
-      if (demand.begin().isPresent() || reply.state() != TransactionState.NONE) {
-        parts.rollBackAndRelease(server, session);
-      } else {
-        parts.release(server, session);
-      }
-    }
+  ServerDemand demand() {
+    return demand;
+  }
 
-    private void succeeded(PooledSession session, SessionReply reply) {
-      if (task.kind() == StatementKind.WRITE && demand.begin().isEmpty()) {
-        routing.leads(server);
-        reply.position().ifPresent(position -> routing.sampled(sentNanos, position));
-      }
-      end();
-      if (demand.keep() && !task.ending()) {
-        Pinned pinned = new Pinned(server, session);
-        if (!finish(reply.inState(TransactionState.OPEN), Optional.of(pinned))) {
-          parts.rollBackAndRelease(server, session);
-        }
-        return;
-      }
-      finish(reply.inState(TransactionState.NONE), Optional.empty());
-      if (demand.begin().isPresent() && reply.state() != TransactionState.NONE) {
-        parts.rollBackAndRelease(server, session);
-      } else {
-        parts.release(server, session);
-      }
-    }
+  GroupRouting routing() {
+    return routing;
   }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
@@ -25,7 +25,7 @@
   }
 
   @Test
-  void valuesAndPreparedNamesOfTwoSessionsNeverMixOnASharedConnection() {
+  void valuesAndPreparedNamesOfTwoSessionsNeverMixOnSharedConnection() {
     // Two callers prepare different statements under one name and set the same value differently.
     // Their statements share pooled connections in turn. A mixed value or shape would read or
     // write what the caller did not ask for.
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/PeerSamplesTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/PeerSamplesTest.java
@@ -28,7 +28,7 @@
   }
 
   @Test
-  void hostWithoutASampleGivesNone() {
+  void hostWithoutSampleGivesNone() {
     assertThat(PeerSamples.sample(PositionSampleReply.getDefaultInstance(), SENT_NANOS)).isEmpty();
   }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/PositionSamplesTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/PositionSamplesTest.java
@@ -29,7 +29,7 @@
   }
 
   @Test
-  void sampleOfALaterTermReplacesAllOfEarlierOnes() {
+  void sampleOfLaterTermReplacesAllOfEarlierOnes() {
     // What an earlier primary said may name commits that were lost with it: no server would ever
     // hold them, and reads would be refused.
     samples.add(millis(100), at(1, 50));
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ReadFreshnessTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ReadFreshnessTest.java
@@ -40,7 +40,7 @@
   }
 
   @Test
-  void newestReadIsNotAnsweredByAReplacedPrimary() {
+  void newestReadIsNotAnsweredByReplacedPrimary() {
     // The primary was replaced, but the view does not say so yet. A read that stands alone is not
     // refused by the old primary, and would miss what the new one acknowledged.
     SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -104,6 +104,10 @@
         name, "/", group.id(), reads, TIMEOUT_MILLIS, 100, 1, STALENESS_MILLIS);
   }
 
+  SessionParts parts() {
+    return service.parts();
+  }
+
   /** Lets time pass for all sessions. */
   void advance(long millis) {
     advancedMillis.addAndGet(millis);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
@@ -2,8 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Map;
+import java.util.Optional;
+import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionRequest;
+import org.alderyard.backend.session.SessionStatement.Write;
+import org.alderyard.common.id.ZoneName;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -55,7 +61,7 @@
   }
 
   @Test
-  void silentReplicaCostsAReadAShortWaitOnly() {
+  void silentReplicaCostsReadShortWaitOnly() {
     // A replica stops answering without closing anything: only time tells. The read goes to a
     // second server long before its own time is over.
     fixture.caller(SessionFixture.NEWEST).write("room", "old");
@@ -79,7 +85,7 @@
   }
 
   @Test
-  void brokenConnectionToALivingPrimaryStopsNoWrites() {
+  void brokenConnectionToLivingPrimaryStopsNoWrites() {
     // Answers are lost with their connections now and then. If each made the host leave the
     // primary alone for a while, writes would stop though the primary is there.
     SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
@@ -88,8 +94,29 @@
 
     long before = System.nanoTime();
     assertThat(caller.write("a", "2").succeeded()).isTrue();
-    GroupRouting routing = new GroupRouting(new org.alderyard.common.id.ZoneName("z1"));
+    GroupRouting routing = new GroupRouting(new ZoneName("z1"));
     routing.doubted(fixture.group.states().get(0), before);
     assertThat(routing.paused(fixture.group.states().get(0), before)).isFalse();
   }
+
+  @Test
+  void writeThatCouldOnlyBeginInItsLastMomentsIsRefusedAsNotRun() throws Exception {
+    // All connections were in use until a write's time was nearly over. To send it then would
+    // leave it in doubt; not to send it lets its caller try again.
+    StatementTask late =
+        new StatementTask(
+            SessionRequest.of("q", new Write("a", "1")),
+            StatementKind.WRITE,
+            false,
+            Optional.empty(),
+            fixture.views.current().configuration().orElseThrow().databases().get(0),
+            Map.of(),
+            System.nanoTime() + 1_000_000);
+
+    SessionReply reply =
+        new StatementRun(fixture.parts(), late, ServerDemand.lead()).run().get().reply();
+
+    assertThat(reply.refusedWith(RefusalCode.BUSY)).isTrue();
+    assertThat(fixture.group.server("s1").ran()).isEmpty();
+  }
 }
