Test a whole host with sessions through its ports

Cause: configurations, heartbeats, readiness and openings were tested part by part only. Change: a test that starts a host from a settings file and speaks to its ports: configurations taken, resent, conflicting, invalid and cut short; heartbeats of servers and of other writers; openings; settings that change.

--- /dev/null
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/SessionHostTest.java
@@ -0,0 +1,193 @@
+package org.alderyard.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One host whose callers open sessions, as a whole: its settings, its ports, its control log. */
+class SessionHostTest {
+  private static final String FIRST =
+      "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"orders\",\"path_prefix\":\"/\","
+          + "\"route_type\":\"primary\",\"timeout_ms\":400,\"service\":\"g1\"}],"
+          + "\"services\":[{\"name\":\"g1\",\"max_connections\":4}],\"limits\":{}}";
+
+  @TempDir Path folder;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final List<LogLevel> seen = new ArrayList<>();
+  private int[] ports;
+  private Daemon daemon;
+
+  @BeforeEach
+  void start() throws IOException {
+    ports = freePorts(4);
+    Files.createDirectory(folder.resolve("data"));
+    Files.writeString(folder.resolve("cluster.key"), "0123456789abcdef0123456789abcdef");
+    Files.writeString(folder.resolve("host.ini"), settings("info"));
+    daemon = new Daemon(DaemonSettings.read(folder.resolve("host.ini")));
+  }
+
+  @AfterEach
+  void stop() {
+    daemon.close();
+  }
+
+  private static int[] freePorts(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    int[] ports = new int[count];
+    for (int i = 0; i < count; i++) {
+      sockets.add(new ServerSocket(0));
+      ports[i] = sockets.get(i).getLocalPort();
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return ports;
+  }
+
+  private String settings(String level) {
+    return String.join(
+        "\n",
+        "[host]",
+        "id = h1",
+        "zone = z",
+        "cluster-id = c",
+        "roles = proxy, control",
+        "[network]",
+        "caller-address = 127.0.0.1:" + ports[0],
+        "inner-address = 127.0.0.1:" + ports[1],
+        "operator-address = 127.0.0.1:" + ports[2],
+        "[sessions]",
+        "ready-address = 127.0.0.1:" + ports[3],
+        "grace = 1s",
+        "[control]",
+        "seeds = 127.0.0.1:1",
+        "may-found = true",
+        "borne-losses = 0",
+        "data-folder = data",
+        "[keys]",
+        "cluster-key-file = cluster.key",
+        "[log]",
+        "level = " + level,
+        "");
+  }
+
+  private int status(String method, String path, String body) throws Exception {
+    return send(ports[2], method, path, body).statusCode();
+  }
+
+  private HttpResponse<String> send(int port, String method, String path, String body)
+      throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Sends as an operator does: what has no clear answer is sent again unchanged. */
+  private int replace(String configuration) throws Exception {
+    int status = 503;
+    for (int i = 0; i < 60 && status == 503; i++) {
+      status = status("POST", "/api/Config.Replace", configuration);
+      TimeUnit.MILLISECONDS.sleep(status == 503 ? 100 : 0);
+    }
+    return status;
+  }
+
+  private boolean ready() throws Exception {
+    return send(ports[3], "GET", "/api/readiness", "").statusCode() == 200;
+  }
+
+  private String open(String database) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", ports[0])) {
+      socket.setSoTimeout(10_000);
+      socket
+          .getOutputStream()
+          .write(("START " + database + " me\r\n").getBytes(StandardCharsets.ISO_8859_1));
+      return new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1))
+          .readLine();
+    }
+  }
+
+  @Test
+  void configurationIsTakenGivenBackAndObeyed() throws Exception {
+    assertThat(ready()).isFalse();
+    assertThat(replace(FIRST)).isEqualTo(200);
+    assertThat(replace(FIRST)).isEqualTo(200);
+    assertThat(send(ports[2], "GET", "/api/Config.Fetch", "").body()).isEqualTo(FIRST);
+
+    for (int i = 0; i < 100 && !ready(); i++) {
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+    assertThat(ready()).isTrue();
+    assertThat(open("orders")).isEqualTo("READY I -");
+    assertThat(open("nowhere")).startsWith("ERROR NODB");
+  }
+
+  @Test
+  void invalidAndConflictingConfigurationsAreRefusedAndChangeNothing() throws Exception {
+    assertThat(replace(FIRST)).isEqualTo(200);
+
+    assertThat(replace(FIRST.replace("400", "500"))).isEqualTo(409);
+    assertThat(replace(FIRST.replace("\"version\":3", "\"version\":4").replace("400", "0")))
+        .isEqualTo(422);
+    assertThat(
+            replace(
+                FIRST
+                    .replace("\"version\":3", "\"version\":4")
+                    .replace("\"service\":\"g1\"", "\"service\":\"g2\"")))
+        .isEqualTo(422);
+    assertThat(replace(FIRST.substring(0, 60))).isEqualTo(400);
+    assertThat(replace(FIRST.replace("\"version\":3", "\"version\":2"))).isEqualTo(200);
+    assertThat(send(ports[2], "GET", "/api/Config.Fetch", "").body()).isEqualTo(FIRST);
+  }
+
+  @Test
+  void serversAnnounceThemselvesAndOthersWritersAreRefused() throws Exception {
+    assertThat(replace(FIRST)).isEqualTo(200);
+    String heartbeat =
+        "{\"service\":\"g1\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"version\":\"v1\","
+            + "\"slots\":2,\"state\":\"ready\",\"cold_remaining_ms\":0,\"db_role\":\"primary\","
+            + "\"seq_no\":1,\"born\":5}";
+    assertThat(status("POST", "/api/Instances.Heartbeat/i-1", heartbeat)).isEqualTo(200);
+    assertThat(status("POST", "/api/Instances.Heartbeat/i-1", heartbeat.replace("ready", "asleep")))
+        .isEqualTo(400);
+    assertThat(status("POST", "/api/Instances.Deregister/i-1", "")).isEqualTo(200);
+  }
+
+  @Test
+  void changedSettingsAreReadAndUnusableOnesChangeNothing() throws Exception {
+    SettingsWatch watch =
+        new SettingsWatch(
+            folder.resolve("host.ini"),
+            new WorkerPool("test", 1),
+            changed -> seen.add(changed.log().level()));
+    watch.look("file");
+    Files.writeString(folder.resolve("host.ini"), settings("warn"));
+    watch.look("file");
+    Files.writeString(folder.resolve("host.ini"), settings("loud"));
+    watch.look("signal");
+
+    assertThat(seen).containsExactly(LogLevel.WARN);
+  }
+}
