--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -3,6 +3,7 @@
 import java.security.SecureRandom;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
+import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.control.failover.DirectorOptions;
 import org.alderyard.control.failover.FailoverObserver;
@@ -114,13 +115,15 @@
         .flatMap(SessionOptions::appointerAddress)
         .ifPresent(
             address -> {
+              // Its calls wait for their answers; no other work must wait behind them.
+              WorkerPool appointer = host.part(new WorkerPool("appointer", 1));
               PromotionService service =
                   new PromotionService(
                       controlLog,
                       host.settings.host(),
                       state::view,
                       new WireStandingProbe(new WireSessionConnector(host.loops)),
-                      new PlatformPromoter(address, host.workers),
+                      new PlatformPromoter(address, appointer),
                       host.workers,
                       host.clock);
               service.serve(host.dispatcher);
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -76,6 +76,21 @@
     return new Search<>(method, request, timeout, tries, ROUND_PAUSE).run();
   }
 
+  /**
+   * Sends an idempotent request round after round, until the given time is over.
+   *
+   * <p>Guards against a storm: who waited for the answer has turned to another host by then, and
+   * tries that go on for nobody keep the control hosts from those that still wait. While a leader
+   * was slow, such tries alone were several hundred requests a second.
+   */
+  public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callWithin(
+      Method<Q, R> method, Q request, Duration timeout, Duration total) {
+    Search<Q, R> search =
+        new Search<>(method, request, timeout, hostCount() * PATIENT_ROUNDS, ROUND_PAUSE);
+    workers.schedule(total, search::stop);
+    return search.run();
+  }
+
   private static boolean worthAnother(AlderyardException failure) {
     return switch (failure.code()) {
       // A host that does not serve the method: the list may hold one that is no control host.
@@ -94,6 +109,7 @@
     private int triesLeft;
     // Whether any try may have been served without an answer.
     private boolean doubt;
+    private volatile boolean stopped;
 
     Search(Method<Q, R> method, Q request, Duration timeout, int tries, Duration pause) {
       this.method = method;
@@ -108,6 +124,11 @@
       return result;
     }
 
+    /** Makes the try that is under way the last one. */
+    void stop() {
+      stopped = true;
+    }
+
     private void next() {
       triesLeft--;
       int place = preferred.get();
@@ -129,7 +150,7 @@
         return;
       }
       preferred.compareAndSet(place, Math.floorMod(place + 1, hostCount()));
-      if (triesLeft == 0) {
+      if (triesLeft == 0 || stopped) {
         result.completeExceptionally(
             new AlderyardException(
                 ErrorCode.NO_QUORUM,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.view.GroupState;
@@ -30,6 +31,8 @@
   private final SampleRefresher refresher;
   private long lastNanos;
   private boolean troubled;
+  // A second report on top of one without an answer would only slow the leader down.
+  private final AtomicBoolean underWay = new AtomicBoolean();
 
   PrimaryReporter(
       ControlClient control, HostId self, SessionParts parts, SampleRefresher refresher) {
@@ -65,17 +68,19 @@
               .setSilentMillis((int) sight.get().silentMillis()));
     }
     boolean due = silent || troubled || now - lastNanos >= CALM_NANOS;
-    if (!due || report.getSightingsCount() == 0) {
+    if (!due || report.getSightingsCount() == 0 || !underWay.compareAndSet(false, true)) {
       return;
     }
     troubled = silent;
     lastNanos = now;
     control
         .callIdempotent(ControlMethods.REPORT_PRIMARIES, report.build(), TIMEOUT)
-        .exceptionally(
-            failure -> {
-              log.debug("event=report-failed reason={}", Futures.typed(failure).code());
-              return null;
+        .whenComplete(
+            (reply, failure) -> {
+              underWay.set(false);
+              if (failure != null) {
+                log.debug("event=report-failed reason={}", Futures.typed(failure).code());
+              }
             });
   }
 }
