Give up silent connections between hosts

Their connections from before stayed silent after it, as what was sent meanwhile waited to be sent again; nothing ever closed them, so front-quimper-2 was without a view until 14 s and served a configuration 3.6 s old. Change: a connection on which nothing comes while a request of 0.7 s or more waits for its whole time is closed, and the next request connects anew; connecting takes 1 s at most; a test that failed before.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -36,7 +36,10 @@
 /** What the parts of one process share, and the order in which they are closed. */
 final class HostContext implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(HostContext.class);
-  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
+
+  /** As long as a request waits: a host that does not take a connection must not cost more. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
   private static final int MAX_OUTSTANDING = 4_096;
 
   final DaemonSettings settings;
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -37,6 +37,10 @@
   private final ProtocolOptions options;
   private final AtomicLong nextCorrelationId = new AtomicLong(1);
   private final Object lock = new Object();
+
+  /** A shorter wait may be a pause of the peer, and is no reason to fail its other requests. */
+  private static final Duration MIN_SILENCE = Duration.ofMillis(700);
+
   // Guarded by lock; null before the first use and after a failure.
   private CompletableFuture<Connection> current;
   private boolean closed;
@@ -152,6 +156,7 @@
     private final CompletableFuture<Connection> self;
     private final Map<Long, CompletableFuture<ByteString>> waiting = new ConcurrentHashMap<>();
     private volatile boolean broken;
+    private volatile long framesRead;
 
     Connection(Channel channel, CompletableFuture<Connection> self) {
       this.channel = channel;
@@ -166,6 +171,7 @@
                 ErrorCode.OVERLOADED, "too many requests without a reply at " + address));
       }
       long id = nextCorrelationId.getAndIncrement();
+      long readBefore = framesRead;
       CompletableFuture<ByteString> answer = new CompletableFuture<>();
       waiting.put(id, answer);
       if (broken) {
@@ -195,6 +201,7 @@
                               ErrorCode.DEADLINE_EXCEEDED,
                               Outcome.OUTCOME_UNKNOWN,
                               name + " at " + address + " gave no reply in " + timeout));
+                      closeIfSilent(readBefore, timeout);
                     }
                   },
                   timeout.toNanos(),
@@ -203,8 +210,23 @@
       return answer;
     }
 
+    /**
+     * Closes a connection on which nothing came while a request waited for its whole time.
+     *
+     * <p>Guards against a connection that went silent for good, or waits for seconds to send again
+     * what a partition swallowed: the partition is over, new connections work, and yet this host
+     * would stay without a view. The next request connects anew.
+     */
+    private void closeIfSilent(long readBefore, Duration waited) {
+      if (framesRead == readBefore && waited.compareTo(MIN_SILENCE) >= 0) {
+        log.info("event=connection-silent peer={} waited={}", address, waited);
+        channel.close();
+      }
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Envelope frame) {
+      framesRead++;
       switch (frame.getFrameCase()) {
         case REPLY -> {
           var answer = waiting.remove(frame.getReply().getCorrelationId());
--- /dev/null
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/SilentConnectionTest.java
@@ -0,0 +1,70 @@
+package org.alderyard.protocol.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.id.HostId;
+import org.alderyard.protocol.control.ControlMethods;
+import org.alderyard.protocol.generated.control.FindControlHostsReply;
+import org.alderyard.protocol.generated.control.FindControlHostsRequest;
+import org.junit.jupiter.api.Test;
+
+class SilentConnectionTest {
+
+  private static ProtocolOptions options(String host) {
+    return new ProtocolOptions(
+        "c",
+        new HostId(host),
+        1,
+        new ClusterKey("0123456789abcdef0123".getBytes(StandardCharsets.UTF_8)),
+        Duration.ofSeconds(2),
+        16);
+  }
+
+  @Test
+  void requestAfterOneThatGotNoAnswerGoesOverNewConnection() throws Exception {
+    // A partition is over, but the connections from before it stay silent. Hosts that went on
+    // using them got no view for seconds more, and served an old configuration.
+    List<PeerIdentity> connections = Collections.synchronizedList(new ArrayList<>());
+    Dispatcher dispatcher = new Dispatcher();
+    dispatcher.serve(
+        ControlMethods.FIND_CONTROL_HOSTS,
+        (peer, request) -> {
+          connections.add(peer);
+          return connections.size() == 1
+              ? new CompletableFuture<>()
+              : CompletableFuture.completedFuture(FindControlHostsReply.getDefaultInstance());
+        });
+    try (EventLoops loops = new EventLoops(1);
+        WorkerPool workers = new WorkerPool("test", 1);
+        InnerServer server =
+            new InnerServer(
+                loops, new InetSocketAddress("127.0.0.1", 0), options("h1"), dispatcher, workers);
+        PeerLinks links = new PeerLinks(loops, options("h2"))) {
+      PeerLink link = links.to(server.address());
+      assertThrows(ExecutionException.class, () -> ask(link, Duration.ofMillis(800)));
+      ask(link, Duration.ofSeconds(5));
+
+      assertThat(connections).hasSize(2);
+      assertThat(connections.get(0)).isNotSameInstanceAs(connections.get(1));
+    }
+  }
+
+  private static void ask(PeerLink link, Duration timeout) throws Exception {
+    link.call(
+            ControlMethods.FIND_CONTROL_HOSTS,
+            FindControlHostsRequest.getDefaultInstance(),
+            timeout)
+        .get(20, TimeUnit.SECONDS);
+  }
+}
