--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -32,15 +32,15 @@
 public final class PeerLink implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(PeerLink.class);
 
+  /** A shorter wait may be a pause of the peer, and is no reason to fail its other requests. */
+  private static final Duration MIN_SILENCE = Duration.ofMillis(700);
+
   private final EventLoops loops;
   private final InetSocketAddress address;
   private final ProtocolOptions options;
   private final AtomicLong nextCorrelationId = new AtomicLong(1);
   private final Object lock = new Object();
 
-  /** A shorter wait may be a pause of the peer, and is no reason to fail its other requests. */
-  private static final Duration MIN_SILENCE = Duration.ofMillis(700);
-
   // Guarded by lock; null before the first use and after a failure.
   private CompletableFuture<Connection> current;
   private boolean closed;
@@ -171,7 +171,7 @@
                 ErrorCode.OVERLOADED, "too many requests without a reply at " + address));
       }
       long id = nextCorrelationId.getAndIncrement();
-      long readBefore = framesRead;
+      final long readBefore = framesRead;
       CompletableFuture<ByteString> answer = new CompletableFuture<>();
       waiting.put(id, answer);
       if (broken) {
