--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -196,12 +196,13 @@
                   () -> {
                     CompletableFuture<ByteString> late = waiting.remove(id);
                     if (late != null) {
+                      // First: who gets the failure may ask again at once.
+                      closeIfSilent(readBefore, timeout);
                       late.completeExceptionally(
                           new AlderyardException(
                               ErrorCode.DEADLINE_EXCEEDED,
                               Outcome.OUTCOME_UNKNOWN,
                               name + " at " + address + " gave no reply in " + timeout));
-                      closeIfSilent(readBefore, timeout);
                     }
                   },
                   timeout.toNanos(),
@@ -220,6 +221,7 @@
     private void closeIfSilent(long readBefore, Duration waited) {
       if (framesRead == readBefore && waited.compareTo(MIN_SILENCE) >= 0) {
         log.info("event=connection-silent peer={} waited={}", address, waited);
+        forget(self);
         channel.close();
       }
     }
