Deal ports to local processes outside the range of outgoing connections

The ports came from the system (bind to 0, close), which takes them from the range of outgoing connections; a host that was up already had got the port for a connection of its own before the server listened. Ruled out: the time limit (60 s, ended after 2.8 s), slow hosts (their logs are calm).

Change: FreePorts in the testkit deals loopback ports below 32,768, each once per process, checked by a bind. All eight copies of the old way use it. A local system whose process ends during its start now names that process and its log at once.

Conclusion: the range is the cause; the same theft was possible for a server that is down for a moment during an attack.

--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/failover/GapCluster.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/failover/GapCluster.java
@@ -1,9 +1,7 @@
 package org.alderyard.benchmarks.failover;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,6 +13,7 @@
 import java.util.Optional;
 import org.alderyard.daemon.Daemon;
 import org.alderyard.daemon.DaemonSettings;
+import org.alderyard.testkit.net.FreePorts;
 
 /** Three hosts in three zones, in this process, and groups of three server processes. */
 final class GapCluster implements AutoCloseable {
@@ -94,14 +93,8 @@
         && terms.stream().distinct().count() == 1;
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   private void startHost(int number) throws IOException {
-    int inner = freePort();
+    int inner = FreePorts.next();
     int control = hosts.isEmpty() ? inner : hosts.get(0).innerAddress().getPort();
     String text =
         """
@@ -127,9 +120,9 @@
                 number,
                 ZONES[number],
                 number == 0 ? "proxy,control" : "proxy",
-                freePort(),
+                FreePorts.next(),
                 inner,
-                freePort(),
+                FreePorts.next(),
                 control,
                 folder.resolve("cluster.key"),
                 folder.resolve("operator.key"));
@@ -144,7 +137,7 @@
     List<ServerProcess> servers = new ArrayList<>();
     String first = "";
     for (int i = 0; i < ZONES.length; i++) {
-      InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", FreePorts.next());
       String name = "g" + group + "-" + i;
       String listen = "127.0.0.1:" + address.getPort();
       List<String> arguments =
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/BenchCluster.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/BenchCluster.java
@@ -1,11 +1,7 @@
 package org.alderyard.benchmarks.log;
 
 import com.google.protobuf.ByteString;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +9,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import org.alderyard.control.log.ReplicatedLogOptions;
 import org.alderyard.control.log.StateMachine;
+import org.alderyard.testkit.net.FreePorts;
 
 /** Some control hosts and the news of who leads. */
 final class BenchCluster {
@@ -24,21 +21,13 @@
   BenchCluster(Path folder, int size) {
     this.folder = folder;
     for (int number = 0; number < size; number++) {
-      members.add(freeAddress());
+      members.add(FreePorts.nextAddress());
     }
     for (int number = 0; number < size; number++) {
       hosts.add(start(number));
     }
   }
 
-  private static InetSocketAddress freeAddress() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-    } catch (IOException impossible) {
-      throw new UncheckedIOException(impossible);
-    }
-  }
-
   private BenchHost start(int number) {
     return new BenchHost(
         number,
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/RestartBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/RestartBenchmark.java
@@ -4,9 +4,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -28,6 +25,7 @@
 import org.alderyard.protocol.generated.state.Server;
 import org.alderyard.protocol.generated.state.Version;
 import org.alderyard.protocol.generated.state.ViewSnapshot;
+import org.alderyard.testkit.net.FreePorts;
 
 /** The time to open a data folder: by entries of the log, and by objects in a snapshot. */
 final class RestartBenchmark {
@@ -157,15 +155,12 @@
             preset.maxPending(),
             preset.maxCommandBytes());
     return new BenchHost(
-        0, List.of(freeAddress()), data, machine, options, host -> elected.complete(host));
-  }
-
-  private static InetSocketAddress freeAddress() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-    } catch (IOException impossible) {
-      throw new UncheckedIOException(impossible);
-    }
+        0,
+        List.of(FreePorts.nextAddress()),
+        data,
+        machine,
+        options,
+        host -> elected.complete(host));
   }
 
   private static long bytes(Path data, String prefix) {
--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/BenchCluster.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/BenchCluster.java
@@ -4,9 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -17,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.alderyard.common.http.Json;
+import org.alderyard.testkit.net.FreePorts;
 
 /** Daemons as processes on this machine; the first ones are the control hosts. */
 final class BenchCluster implements AutoCloseable {
@@ -38,7 +37,7 @@
   BenchCluster(Path folder, int controlHosts) throws IOException {
     this.folder = folder;
     for (int host = 0; host < controlHosts; host++) {
-      controlPorts.add(freePort());
+      controlPorts.add(FreePorts.next());
     }
     Files.writeString(folder.resolve("cluster.key"), CLUSTER_KEY);
     Files.writeString(folder.resolve("operator.key"), OPERATOR_KEY);
@@ -58,7 +57,7 @@
     boolean control = number < controlPorts.size();
     boolean stored = control && controlPorts.size() > 1;
     String id = "h" + (number + 1);
-    int operator = freePort();
+    int operator = FreePorts.next();
     String dataFolder =
         stored ? "data-folder = " + Files.createDirectories(folder.resolve(id + "-data")) : "";
     String text =
@@ -83,8 +82,8 @@
                 id,
                 CLUSTER_ID,
                 control ? "proxy,control" : "proxy",
-                freePort(),
-                control ? controlPorts.get(number) : freePort(),
+                FreePorts.next(),
+                control ? controlPorts.get(number) : FreePorts.next(),
                 operator,
                 controlPorts.stream().map(port -> "127.0.0.1:" + port).collect(joining(",")),
                 dataFolder,
@@ -111,12 +110,6 @@
     processes.set(host, DaemonProcess.start(settings.get(host), HEAP_MIB));
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   JsonNode get(int host, String path) throws IOException, InterruptedException {
     return send(request(host, path).GET().build());
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.alderyard.daemon.DaemonMain;
+import org.alderyard.testkit.net.FreePorts;
 
 /** The hosts of a local system: their settings and processes. */
 final class LocalHosts {
@@ -29,9 +30,9 @@
     this.folder = folder;
     this.processes = processes;
     for (int host = 0; host < plan.hosts(); host++) {
-      callerPorts.add(LocalHttp.freePort());
-      innerPorts.add(LocalHttp.freePort());
-      operatorPorts.add(LocalHttp.freePort());
+      callerPorts.add(FreePorts.nextAddress());
+      innerPorts.add(FreePorts.nextAddress());
+      operatorPorts.add(FreePorts.nextAddress());
     }
   }
 
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHttp.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHttp.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,14 +21,6 @@
   private final HttpClient http =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
 
-  static InetSocketAddress freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-    } catch (IOException none) {
-      throw new java.io.UncheckedIOException(none);
-    }
-  }
-
   static String text(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalServers.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalServers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import org.alderyard.testkit.net.FreePorts;
 import org.alderyard.testkit.standin.StandInMain;
 
 /** The stand-in servers of a local system, and their processes. */
@@ -29,7 +30,7 @@
     for (String group : plan.groups()) {
       for (int number = 0; number < PER_GROUP; number++) {
         String name = group + "-" + (number + 1);
-        servers.put(name, new Server(group, number, LocalHttp.freePort()));
+        servers.put(name, new Server(group, number, FreePorts.nextAddress()));
       }
     }
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalSystem.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalSystem.java
@@ -101,16 +101,23 @@
   /** Waits for a condition; a process that ended meanwhile is an error at once. */
   private void await(String what, BooleanSupplier condition) {
     long polls = START_TIMEOUT.dividedBy(POLL);
-    for (long poll = 0; poll < polls && processes.allAlive(); poll++) {
+    for (long poll = 0; poll < polls; poll++) {
       if (condition.getAsBoolean()) {
         return;
       }
+      processes.ended().ifPresent(this::reject);
       LockSupport.parkNanos(POLL.toNanos());
     }
     throw AlderyardException.notRun(
         ErrorCode.DEADLINE_EXCEEDED, "waited for " + what + " in vain; logs: " + folder);
   }
 
+  private void reject(String ended) {
+    throw AlderyardException.notRun(
+        ErrorCode.INTERNAL,
+        ended + " ended during the start; its log: " + folder.resolve(ended + ".log"));
+  }
+
   /** Returns the primary of a group, as the last host that answers sees it. */
   public Optional<String> primaryOf(String group) {
     for (int host = plan.hosts() - 1; host >= 0; host--) {
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/ProcessSet.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/ProcessSet.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** The Java processes that a local system started, by name; closing ends all of them. */
@@ -79,8 +80,12 @@
     awaitEnd(run(List.of("kill", signal, processId), folder.resolve("signals.log").toFile()));
   }
 
-  synchronized boolean allAlive() {
-    return processes.values().stream().allMatch(Process::isAlive);
+  /** Returns the name of a process that ended by itself, if there is one. */
+  synchronized Optional<String> ended() {
+    return processes.entrySet().stream()
+        .filter(process -> !process.getValue().isAlive())
+        .map(Map.Entry::getKey)
+        .findFirst();
   }
 
   private static void awaitEnd(Process process) {
--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -1,10 +1,7 @@
 package org.alderyard.control.log;
 
 import com.google.protobuf.ByteString;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -70,14 +67,6 @@
         1_000);
   }
 
-  static InetSocketAddress freeAddress() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-    } catch (IOException impossible) {
-      throw new AssertionError(impossible);
-    }
-  }
-
   /** Waits for what must come; the limit is far beyond what it takes. */
   static void await(String what, BooleanSupplier condition) {
     long deadlineNanos = System.nanoTime() + PATIENCE.toNanos();
--- a/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
@@ -22,6 +22,7 @@
 import org.alderyard.control.raft.Membership;
 import org.alderyard.control.raft.MembershipChange.Remove;
 import org.alderyard.control.raft.MembershipChange.Verdict;
+import org.alderyard.testkit.net.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,7 +32,7 @@
   @TempDir Path root;
 
   private final List<InetSocketAddress> members =
-      Stream.generate(LogHost::freeAddress).limit(3).toList();
+      Stream.generate(FreePorts::nextAddress).limit(3).toList();
   private final Map<Integer, LogHost> hosts = new TreeMap<>();
   private final List<String> accepted = new ArrayList<>();
 
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/SessionHostTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/SessionHostTest.java
@@ -5,7 +5,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -17,7 +16,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.testkit.net.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,7 +39,7 @@
 
   @BeforeEach
   void start() throws IOException {
-    ports = freePorts(4);
+    ports = IntStream.generate(FreePorts::next).limit(4).toArray();
     Files.createDirectory(folder.resolve("data"));
     Files.writeString(folder.resolve("cluster.key"), "0123456789abcdef0123456789abcdef");
     Files.writeString(folder.resolve("host.ini"), settings("info"));
@@ -50,19 +51,6 @@
     daemon.close();
   }
 
-  private static int[] freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    int[] ports = new int[count];
-    for (int i = 0; i < count; i++) {
-      sockets.add(new ServerSocket(0));
-      ports[i] = sockets.get(i).getLocalPort();
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
-
   private String settings(String level) {
     return String.join(
         "\n",
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -1,9 +1,7 @@
 package org.alderyard.daemon;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -16,6 +14,7 @@
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.testkit.net.FreePorts;
 import org.alderyard.testkit.standin.StandInOptions;
 import org.alderyard.testkit.standin.StandInServer;
 
@@ -38,12 +37,6 @@
     Files.writeString(folder.resolve("operator.key"), OPERATOR_KEY);
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   /** Starts a host; the first one is the control host. */
   void startHost(String id) throws IOException {
     startHost(id, "");
@@ -51,7 +44,7 @@
 
   /** Starts a host with the given lines in its proxy section. */
   void startHost(String id, String proxyLines) throws IOException {
-    int inner = freePort();
+    int inner = FreePorts.next();
     boolean first = hosts.isEmpty();
     InetSocketAddress control =
         first ? new InetSocketAddress("127.0.0.1", inner) : hosts.get(0).innerAddress();
@@ -78,9 +71,9 @@
             .formatted(
                 id,
                 first ? "proxy,control" : "proxy",
-                freePort(),
+                FreePorts.next(),
                 inner,
-                freePort(),
+                FreePorts.next(),
                 control.getPort(),
                 folder.resolve("cluster.key"),
                 folder.resolve("operator.key"),
@@ -108,7 +101,7 @@
   void startGroup(String group, boolean ledger) throws IOException {
     List<InetSocketAddress> addresses = new ArrayList<>();
     for (int number = 1; number <= 3; number++) {
-      InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", FreePorts.next());
       addresses.add(address);
       StandInServer server =
           new StandInServer(
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/ThreeControlHostsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/ThreeControlHostsTest.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.alderyard.common.settings.SettingsException;
+import org.alderyard.testkit.net.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,8 +39,8 @@
     innerPorts = new int[HOSTS];
     operatorPorts = new int[HOSTS];
     for (int number = 0; number < HOSTS; number++) {
-      innerPorts[number] = TestCluster.freePort();
-      operatorPorts[number] = TestCluster.freePort();
+      innerPorts[number] = FreePorts.next();
+      operatorPorts[number] = FreePorts.next();
       Files.createDirectories(root.resolve("data-" + number));
     }
     Files.writeString(root.resolve("cluster.key"), "a secret of the whole cluster");
@@ -75,7 +76,7 @@
         """
             .formatted(
                 number,
-                TestCluster.freePort(),
+                FreePorts.next(),
                 innerPorts[number],
                 operatorPorts[number],
                 hosts,
