Let reads of a host without a sample wait for one question

A host that has just started has no sample of the primary's position, so each read that came until the first one turned to the primaries, queued there for half of its time limit and was refused, while the replicas had nothing to do. Besides, a replica that had not answered yet was taken for one that lacks a young position.

Tests with the load: ReadFreshnessTest, both fail without it.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -25,7 +25,6 @@
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.view.DatabaseState;
-import org.alderyard.common.view.SessionReads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,7 +42,7 @@
   private static final int MAX_VALUES = 1_000;
 
   private final SessionParts parts;
-  private final SampleRefresher refresher;
+  private final ReadFloors floors;
   private final String databaseName;
   private final Map<String, String> values = new LinkedHashMap<>();
   private final Map<String, Prepare> prepared = new HashMap<>();
@@ -53,9 +52,9 @@
   private volatile boolean busy;
   private volatile boolean closed;
 
-  CallerSession(SessionParts parts, SampleRefresher refresher, String databaseName) {
+  CallerSession(SessionParts parts, ReadFloors floors, String databaseName) {
     this.parts = parts;
-    this.refresher = refresher;
+    this.floors = floors;
     this.databaseName = databaseName;
   }
 
@@ -276,12 +275,14 @@
   }
 
   private CompletableFuture<SessionReply> single(StatementTask task) {
-    ServerDemand demand =
+    CompletableFuture<ServerDemand> demand =
         task.kind() == StatementKind.WRITE
-            ? ServerDemand.lead()
-            : floor(task.database()).map(ServerDemand::holding).orElse(ServerDemand.provedLead());
-    return new StatementRun(parts, task, demand)
-        .run()
+            ? CompletableFuture.completedFuture(ServerDemand.lead())
+            : floor(task.database())
+                .thenApply(
+                    floor -> floor.map(ServerDemand::holding).orElseGet(ServerDemand::provedLead));
+    return demand
+        .thenCompose(known -> new StatementRun(parts, task, known).run())
         .thenApply(
             result -> {
               if (task.kind() == StatementKind.WRITE && result.reply().succeeded()) {
@@ -292,24 +293,8 @@
   }
 
   /** Returns what a server must hold for a read; empty if it must be the primary. */
-  Optional<GroupRouting.Floor> floor(DatabaseState database) {
-    if (database.reads() == SessionReads.NEWEST) {
-      return Optional.empty();
-    }
-    long now = parts.clock().nowNanos();
-    Optional<GroupRouting.Floor> own =
-        database.reads() == SessionReads.OWN_WRITES
-            ? Optional.ofNullable(written.get(database.group()))
-            : Optional.empty();
-    refresher.used(database, now);
-    return parts
-        .routings()
-        .of(database.group())
-        .floor(
-            now,
-            parts.wallClock().millis(),
-            TimeUnit.MILLISECONDS.toNanos(database.maxStalenessMillis()),
-            own);
+  CompletableFuture<Optional<GroupRouting.Floor>> floor(DatabaseState database) {
+    return floors.floor(database, Optional.ofNullable(written.get(database.group())));
   }
 
   void remember(DatabaseState database, SessionReply reply) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
@@ -48,6 +51,7 @@
   // Guarded by this.
   private final Map<ServerId, ServerTrack> tracks = new HashMap<>();
   private final PositionSamples samples = new PositionSamples();
+  private final Set<CompletableFuture<Void>> sampleWaiters = new LinkedHashSet<>();
   private long termOfBelief = -1;
   // A server that proved that it leads, or one that was refused as primary, since the view's term.
   private Optional<ServerId> proved = Optional.empty();
@@ -104,8 +108,28 @@
   }
 
   /** Takes a position that came with a proof that the server leads. */
-  synchronized void sampled(long askedNanos, Position position) {
-    samples.add(askedNanos, position);
+  void sampled(long askedNanos, Position position) {
+    List<CompletableFuture<Void>> waiting;
+    synchronized (this) {
+      samples.add(askedNanos, position);
+      waiting = List.copyOf(sampleWaiters);
+      sampleWaiters.clear();
+    }
+    waiting.forEach(waiter -> waiter.complete(null));
+  }
+
+  /** Returns a future that is done when a sample comes, or when the time is over. */
+  CompletableFuture<Void> nextSample(long limitMillis) {
+    CompletableFuture<Void> waiter = new CompletableFuture<>();
+    synchronized (this) {
+      sampleWaiters.add(waiter);
+    }
+    waiter.completeOnTimeout(null, limitMillis, TimeUnit.MILLISECONDS);
+    return waiter.whenComplete((done, failure) -> stopWaiting(waiter));
+  }
+
+  private synchronized void stopWaiting(CompletableFuture<Void> waiter) {
+    sampleWaiters.remove(waiter);
   }
 
   /** Returns the servers that may run a read from the given position on, the best first. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
@@ -75,21 +75,33 @@
       return;
     }
     notBeforeNanos.put(group.id(), nowNanos + PAUSE_NANOS);
+    askNext(group, nowNanos, usable, parts.servers(group.id()).size());
+  }
+
+  /**
+   * Asks the server that leads most likely, and the next one if it says that it does not.
+   *
+   * @param questions how many servers may be asked yet
+   */
+  private void askNext(
+      GroupState group, long nowNanos, Predicate<ServerState> usable, int questions) {
     GroupRouting routing = parts.routings().of(group.id());
+    Runnable elsewhere = () -> askNext(group, parts.clock().nowNanos(), usable, questions - 1);
     routing.primaryOrder(parts.servers(group.id()), group, nowNanos).stream()
         .filter(usable)
         .findFirst()
-        .ifPresent(server -> ask(routing, group, server));
+        .filter(server -> questions > 0)
+        .ifPresent(server -> ask(routing, group, server, elsewhere));
   }
 
-  private void ask(GroupRouting routing, GroupState group, ServerState server) {
+  private void ask(GroupRouting routing, GroupState group, ServerState server, Runnable elsewhere) {
     parts
         .pools()
         .take(server, TIMEOUT)
         .whenComplete(
             (session, failure) -> {
               if (failure == null) {
-                ask(routing, group, server, session);
+                ask(routing, group, server, session, elsewhere);
               } else if (!StatementRun.ownLimit(Futures.unwrap(failure))) {
                 routing.failed(server, parts.clock().nowNanos());
               }
@@ -97,7 +109,11 @@
   }
 
   private void ask(
-      GroupRouting routing, GroupState group, ServerState server, PooledSession session) {
+      GroupRouting routing,
+      GroupState group,
+      ServerState server,
+      PooledSession session,
+      Runnable elsewhere) {
     long asked = parts.clock().nowNanos();
     session
         .run(List.of(SessionRequest.own(new Begin(false))), TIMEOUT)
@@ -116,6 +132,7 @@
                 reply.position().ifPresent(position -> routing.sampled(asked, position));
               } else if (reply.refusedWith(RefusalCode.NOT_PRIMARY)) {
                 routing.doesNotLead(server, group);
+                elsewhere.run();
               }
               parts.rollBackAndRelease(server, session);
             });
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTrack.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTrack.java
@@ -121,9 +121,15 @@
     lagMillis = Math.min(MAX_LAG_MILLIS, Math.max(lagMillis, millis) * LAG_GROWTH);
   }
 
-  /** Returns whether it is expected to hold a position of this age. */
+  /**
+   * Returns whether it is expected to hold a position of this age.
+   *
+   * <p>One that has not answered yet is asked: a refusal costs one way there and back, while all
+   * reads of a host that has just started would turn to the primary otherwise.
+   */
   boolean likelyHolds(Position wanted, long ageNanos) {
-    return position.compareTo(wanted) >= 0
+    return !answered
+        || position.compareTo(wanted) >= 0
         || ageNanos >= lagMillis * TimeUnit.MILLISECONDS.toNanos(1);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -36,6 +36,7 @@
 
   private final SessionParts parts;
   private final SampleRefresher refresher;
+  private final ReadFloors floors;
   private final int maxSessions;
   private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> firstView = new CompletableFuture<>();
@@ -85,6 +86,7 @@
         "Version of the view that this host acts on.",
         () -> views.current().version().version());
     refresher = new SampleRefresher(parts);
+    floors = new ReadFloors(parts, refresher);
     this.maxSessions = maxSessions;
     views.onChange(routings::follow);
     views.onChange(
@@ -162,7 +164,7 @@
 
   /** Opens a session. */
   public CallerSession open(String database) {
-    CallerSession session = new CallerSession(parts, refresher, database);
+    CallerSession session = new CallerSession(parts, floors, database);
     sessions.add(session);
     return session;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/TransactionStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/TransactionStatement.java
@@ -49,12 +49,13 @@
     if (pinned.isPresent()) {
       return onPinned(pinned.get(), 0);
     }
-    Optional<GroupRouting.Floor> floor =
-        open.readOnly() ? session.floor(open.database()) : Optional.empty();
-    ServerDemand demand =
-        floor.map(ServerDemand::readTransaction).orElse(ServerDemand.transaction());
-    return new StatementRun(parts, task, demand)
-        .run()
+    CompletableFuture<Optional<GroupRouting.Floor>> floor =
+        open.readOnly()
+            ? session.floor(open.database())
+            : CompletableFuture.completedFuture(Optional.empty());
+    return floor
+        .thenApply(f -> f.map(ServerDemand::readTransaction).orElseGet(ServerDemand::transaction))
+        .thenCompose(demand -> new StatementRun(parts, task, demand).run())
         .thenApply(
             result -> {
               result
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ReadFreshnessTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ReadFreshnessTest.java
@@ -2,7 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.testkit.session.ModelServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -82,4 +88,40 @@
                 .map(refusal -> refusal.code()))
         .hasValue(RefusalCode.BUSY);
   }
+
+  @Test
+  void readsOfHostThatHasJustStartedDoNotFloodThePrimary() {
+    // All hosts lost power and came back. Callers who had waited read at once, no host had a
+    // sample, and each read turned to the primary: it ran five at a time, the others waited for
+    // half a second and were refused, while the replicas had nothing to do.
+    ModelServer primary = fixture.group.server("s1");
+    fixture.caller(SessionFixture.NEWEST).write("room", "1");
+    fixture.group.replicate();
+    SessionFixture restarted = new SessionFixture("z1", fixture.group);
+    primary.hold();
+    List<CompletableFuture<SessionReply>> answers = new ArrayList<>();
+    for (int caller = 0; caller < 20; caller++) {
+      answers.add(
+          restarted
+              .caller(SessionFixture.BOUNDED)
+              .session
+              .handle("r" + caller, new SessionStatement.Read("room")));
+    }
+    primary.letGo();
+    answers.forEach(answer -> assertThat(answer.join().rows()).containsExactly("1"));
+
+    // One write of before, and no read.
+    assertThat(primary.ran()).hasSize(1);
+    restarted.close();
+  }
+
+  @Test
+  void sampleIsAskedElsewhereWhenTheBelievedPrimaryWasReplaced() {
+    // The view lags behind a change of primary. Reads that wait for a sample get it from the next
+    // server at once; before, each had to ask for itself.
+    fixture.group.promote("s2");
+
+    assertThat(fixture.caller(SessionFixture.BOUNDED).read("room").succeeded()).isTrue();
+    assertThat(fixture.group.server("s2").ran()).isEmpty();
+  }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -45,7 +45,7 @@
   static final int TIMEOUT_MILLIS = 600;
   static final int IDLE_MILLIS = 3_000;
 
-  final ModelGroup group = new ModelGroup("g1", "s1", "s2", "s3");
+  final ModelGroup group;
   final ViewHolder views = new ViewHolder();
   final WorkerPool workers = new WorkerPool("test", 2);
   final SessionService service;
@@ -60,6 +60,12 @@
   }
 
   SessionFixture(String zone) {
+    this(zone, new ModelGroup("g1", "s1", "s2", "s3"));
+  }
+
+  /** Another host over the same group. */
+  SessionFixture(String zone, ModelGroup group) {
+    this.group = group;
     service =
         new SessionService(
             views,
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
@@ -72,7 +72,7 @@
     } catch (LostAnswer lostAnswer) {
       return lost(ErrorCode.CONNECTION_LOST);
     }
-    return CompletableFuture.completedFuture(replies);
+    return server.gate().thenApply(open -> replies);
   }
 
   private <T> CompletableFuture<T> lost(ErrorCode code) {
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.session.SessionStatement;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.view.ServerState;
@@ -40,6 +41,7 @@
   private int busy;
   private int lostAnswers;
   private int failures;
+  private CompletableFuture<Void> gate = CompletableFuture.completedFuture(null);
 
   ModelServer(ServerState state) {
     this.state = state;
@@ -55,6 +57,20 @@
     silent = value;
   }
 
+  /** Holds its answers back until {@link #letGo()}. */
+  public synchronized void hold() {
+    gate = new CompletableFuture<>();
+  }
+
+  /** Sends the answers that were held back. */
+  public void letGo() {
+    gate().complete(null);
+  }
+
+  synchronized CompletableFuture<Void> gate() {
+    return gate;
+  }
+
   /** Refuses the next statements that take a slot. */
   public synchronized void busy(int statements) {
     busy = statements;
