Ask for pre-votes at once after a start

A replica that starts waited out an election timeout, though there was no leader whose silence it measures.

Change: in its first second, until it heard a leader, a replica repeats pre-votes at the pace of heartbeats. Those that hear a leader refuse, so a start disturbs none. Of equal logs the higher id goes first for as long.

Tests: leaderIsThereSoonAfterAllHostsLostPower fails without it; replicaThatStartsDisturbsNoLeader; random schedules pass.

--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
@@ -21,7 +21,7 @@
     preVoteRounds++;
     granted.clear();
     granted.add(state.self);
-    state.restartElectionTimer();
+    state.awaitNextPreVote();
     requestVotes(true, state.term() + 1, false);
   }
 
@@ -110,14 +110,15 @@
    *
    * <p>Guards against a split vote: with one host lost, the two that are left often notice it at
    * once, let each other stand, vote for themselves, and the gap grows by a timeout each time. Of
-   * two with equal logs the higher id goes first, but only in its first round: if it can't win, it
-   * holds up nobody.
+   * two with equal logs the higher id goes first, but only in its first round, or while it starts:
+   * if it can't win, it holds up nobody for long.
    */
   private boolean competes(long candidate, VoteRequest request) {
     boolean equalLogs =
         request.getLastIndex() == state.log.lastIndex()
             && request.getLastTerm() == state.log.lastTerm();
-    return preVoteRounds == 1 && equalLogs && state.self > candidate;
+    boolean early = preVoteRounds == 1 || preVoteRounds > 0 && state.isStarting();
+    return early && equalLogs && state.self > candidate;
   }
 
   private boolean mayGrant(long candidate, VoteRequest request) {
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
@@ -12,6 +12,12 @@
 final class ReplicaState {
   static final long NOBODY = 0;
 
+  /**
+   * For how long after its start a replica repeats pre-votes at the pace of heartbeats: machines
+   * that come back together differ by some tenths of a second.
+   */
+  private static final long STARTING_MILLIS = 1_000;
+
   final long self;
   final RaftOptions options;
   final RaftLog log;
@@ -24,6 +30,8 @@
   private long nowMillis;
   private long electionDeadlineMillis;
   private long leaderHeardMillis;
+  private final long startedMillis;
+  private boolean everHeardLeader;
 
   ReplicaState(
       long self,
@@ -39,7 +47,8 @@
     this.nowMillis = nowMillis;
     this.promised = stored;
     this.stored = stored;
-    restartElectionTimer();
+    this.startedMillis = nowMillis;
+    electionDeadlineMillis = nowMillis + random.nextLong(options.heartbeatMillis());
   }
 
   long nowMillis() {
@@ -86,6 +95,7 @@
 
   void heardLeader(long leader) {
     leaderId = leader;
+    everHeardLeader = true;
     leaderHeardMillis = nowMillis;
     restartElectionTimer();
   }
@@ -95,6 +105,26 @@
     return leaderId != NOBODY && nowMillis - leaderHeardMillis < options.electionTimeoutMinMillis();
   }
 
+  /**
+   * Returns whether this replica has just started and has not heard a leader yet.
+   *
+   * <p>Guards against an election timeout that nobody needs: after a loss of power everywhere all
+   * callers wait for the first leader, and there was none whose silence could be waited out. Asking
+   * for pre-votes at once disturbs no leader that lives, since those that hear it refuse.
+   */
+  boolean isStarting() {
+    return !everHeardLeader && nowMillis - startedMillis < STARTING_MILLIS;
+  }
+
+  /** Waits for the next round of pre-votes; others may not be up yet when this replica starts. */
+  void awaitNextPreVote() {
+    if (isStarting()) {
+      electionDeadlineMillis = nowMillis + options.heartbeatMillis();
+    } else {
+      restartElectionTimer();
+    }
+  }
+
   boolean electionIsDue() {
     return nowMillis >= electionDeadlineMillis;
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureStoriesTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureStoriesTest.java
@@ -68,6 +68,46 @@
     assertThat(old.digest()).isEqualTo(current.digest());
   }
 
+  /**
+   * All hosts lose power at once and come back within a tenth of a second of each other. There is
+   * no leader whose silence must be waited out, so they need not wait an election timeout, in which
+   * no caller is served.
+   */
+  @Test
+  void leaderIsThereSoonAfterAllHostsLostPower() {
+    proposeMany(cluster.settle(), 5);
+    List<RaftReplica> all = List.copyOf(cluster.up());
+    all.forEach(RaftReplica::crash);
+    cluster.run(LONG_MILLIS / 1_000);
+    for (RaftReplica replica : all) {
+      replica.start(cluster.nowMillis());
+      cluster.run(20);
+    }
+
+    cluster.run(100);
+
+    assertThat(cluster.leader().isPresent()).isTrue();
+  }
+
+  /**
+   * One host restarts while the leader lives. It asks for pre-votes at once; the others hear the
+   * leader and refuse, so the leader keeps its term.
+   */
+  @Test
+  void replicaThatStartsDisturbsNoLeader() {
+    RaftReplica leader = proposeMany(cluster.settle(), 5);
+    final long term = leader.core().term();
+    RaftReplica other = othersThan(leader).get(0);
+    other.crash();
+    cluster.run(LONG_MILLIS / 1_000);
+    other.start(cluster.nowMillis());
+
+    cluster.run(ELECTION_MILLIS);
+
+    assertThat(leader.leads()).isTrue();
+    assertThat(leader.core().term()).isEqualTo(term);
+  }
+
   /**
    * A reader asks a leader that was replaced and doesn't know it. If it answered from its own state
    * the reader would miss a change that was accepted elsewhere. The read must fail instead.
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
@@ -91,24 +91,25 @@
         .filter(usable)
         .findFirst()
         .filter(server -> questions > 0)
-        .ifPresent(server -> ask(routing, group, server, elsewhere));
+        .ifPresent(server -> connect(routing, group, server, elsewhere));
   }
 
-  private void ask(GroupRouting routing, GroupState group, ServerState server, Runnable elsewhere) {
+  private void connect(
+      GroupRouting routing, GroupState group, ServerState server, Runnable elsewhere) {
     parts
         .pools()
         .take(server, TIMEOUT)
         .whenComplete(
             (session, failure) -> {
               if (failure == null) {
-                ask(routing, group, server, session, elsewhere);
+                question(routing, group, server, session, elsewhere);
               } else if (!StatementRun.ownLimit(Futures.unwrap(failure))) {
                 routing.failed(server, parts.clock().nowNanos());
               }
             });
   }
 
-  private void ask(
+  private void question(
       GroupRouting routing,
       GroupState group,
       ServerState server,
