--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -8,7 +8,6 @@
 import org.alderyard.platform.ControlPort;
 import org.alderyard.platform.WireSessionConnector;
 import org.alderyard.proxy.callersession.SessionService;
-import org.alderyard.proxy.lease.EvenShare;
 import org.alderyard.proxy.lease.LeaseClient;
 import org.alderyard.proxy.lease.LeaseTable;
 import org.slf4j.Logger;
@@ -18,7 +17,7 @@
 final class SessionStack implements Drainable {
   private static final Logger log = LoggerFactory.getLogger(SessionStack.class);
 
-  /** The connections to a server without a lease: one that works, and one for a burst. */
+  /** The connections to a server before the first lease: one that works, and one for a burst. */
   private static final int CONNECTIONS_WITHOUT_LEASE = 2;
 
   /** Leases change with the load, which moves over seconds. */
@@ -47,9 +46,7 @@
   SessionStack(HostContext host, SessionOptions options) {
     this.host = host;
     this.options = options;
-    LeaseTable leases =
-        new LeaseTable(
-            host.clock, CONNECTIONS_WITHOUT_LEASE, new EvenShare(host.views::current)::of);
+    LeaseTable leases = new LeaseTable(host.clock, CONNECTIONS_WITHOUT_LEASE);
     sessions =
         new SessionService(
             host.views,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/ConnectionLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/ConnectionLease.java
@@ -28,11 +28,6 @@
     return underWay ? Math.min(granted, promised) : granted;
   }
 
-  /** Returns whether a leader has granted anything yet. */
-  public boolean everGranted() {
-    return everGranted;
-  }
-
   /** Returns how many connections the last lease allowed, whether it has run out or not. */
   public int lastAllowed() {
     return underWay ? Math.min(granted, promised) : granted;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseTable.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseTable.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.function.ToIntFunction;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.proxy.pool.ConnectionAllowance;
@@ -12,14 +11,13 @@
 /** The leases of all servers. Lock: the object itself, a leaf. */
 public final class LeaseTable implements ConnectionAllowance {
   private final MonotonicClock clock;
-  private final int always;
-  private final ToIntFunction<ServerId> beforeFirst;
+  private final int withoutLease;
   // Guarded by this.
   private final Map<ServerId, ConnectionLease> leases = new HashMap<>();
 
   /** Creates a table without a lease. */
   public LeaseTable(MonotonicClock clock) {
-    this(clock, 0, server -> 0);
+    this(clock, 0);
   }
 
   /**
@@ -28,24 +26,20 @@
    * <p>Guards against callers who are refused although the servers are up, when no leader grants
    * leases for a while: connections are kept then, as too many of them break nothing.
    *
-   * @param always the connections to a server that a host may have whatever a lease says; with 0
-   *     only leases count
-   * @param beforeFirst those that it may have before its first lease; does not block
+   * @param withoutLease the connections to a server that a host may have before its first lease
    */
-  public LeaseTable(MonotonicClock clock, int always, ToIntFunction<ServerId> beforeFirst) {
+  public LeaseTable(MonotonicClock clock, int withoutLease) {
     this.clock = Objects.requireNonNull(clock);
-    this.always = always;
-    this.beforeFirst = Objects.requireNonNull(beforeFirst);
+    this.withoutLease = withoutLease;
   }
 
   @Override
   public synchronized int allowed(ServerId server) {
     ConnectionLease lease = leases.get(server);
-    if (always == 0) {
+    if (withoutLease == 0) {
       return lease == null ? 0 : lease.allowed(clock.nowNanos());
     }
-    boolean granted = lease != null && lease.everGranted();
-    return Math.max(always, granted ? lease.lastAllowed() : beforeFirst.applyAsInt(server));
+    return lease == null ? withoutLease : Math.max(withoutLease, lease.lastAllowed());
   }
 
   /** Begins a request for one server; returns the most connections until its reply. */
