Do not ask a full server for connections again and again

Change: after a refusal as one too many, a host opens no connection to that server for 100 ms, then 200 ms; statements wait for connections that are given back, or turn to another server at once if there is none.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -63,7 +63,8 @@
     ConnectionPools<PooledSession> pools =
         new ConnectionPools<>(
             (server, timeout) -> connector.connect(server, timeout).thenApply(PooledSession::new),
-            allowance);
+            allowance,
+            clock);
     GroupRoutings routings = new GroupRoutings(zone);
     SessionMetrics metrics = new SessionMetrics(registry);
     parts =
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -11,10 +11,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.alderyard.backend.PooledConnection;
+import org.alderyard.backend.session.ConnectRefusedException;
+import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.ServerId;
+import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ServerState;
 
 /**
@@ -29,6 +32,7 @@
 
   private final ConnectionSource<C> source;
   private final ConnectionAllowance allowance;
+  private final MonotonicClock clock;
   // Guarded by this.
   private final Map<ServerId, ServerPool<C>> pools = new HashMap<>();
   private final List<C> retired = new ArrayList<>();
@@ -40,8 +44,15 @@
 
   /** Creates pools that keep to an allowance. */
   public ConnectionPools(ConnectionSource<C> source, ConnectionAllowance allowance) {
+    this(source, allowance, MonotonicClock.system());
+  }
+
+  /** Creates pools that keep to an allowance, by the given clock. */
+  public ConnectionPools(
+      ConnectionSource<C> source, ConnectionAllowance allowance, MonotonicClock clock) {
     this.source = Objects.requireNonNull(source);
     this.allowance = Objects.requireNonNull(allowance);
+    this.clock = Objects.requireNonNull(clock);
   }
 
   /**
@@ -72,7 +83,11 @@
       if (allowed == 0) {
         return CompletableFuture.failedFuture(noLease(server));
       }
-      if (pool.open() >= allowed) {
+      boolean mayOpen = pool.mayOpen(clock.nowNanos());
+      if (!mayOpen && pool.open() == 0) {
+        return CompletableFuture.failedFuture(serverFull(server));
+      }
+      if (!mayOpen || pool.open() >= allowed) {
         pool.await(waiter, priority);
         return limited(server, waiter, timeout);
       }
@@ -88,6 +103,13 @@
         RETRY_AFTER_MILLIS);
   }
 
+  private static AlderyardException serverFull(ServerState server) {
+    return AlderyardException.notRun(
+        ErrorCode.NO_ELIGIBLE_SERVER,
+        "server " + server.id() + " took no further connection a moment ago",
+        RETRY_AFTER_MILLIS);
+  }
+
   private CompletableFuture<C> limited(
       ServerState server, CompletableFuture<C> waiter, Duration timeout) {
     return waiter
@@ -123,6 +145,9 @@
               pool.opened(connection);
             } else {
               pool.openingFailed();
+              if (isConnectionLimit(failure)) {
+                pool.openingRefused(clock.nowNanos());
+              }
             }
           }
           if (failure != null) {
@@ -131,6 +156,11 @@
         });
   }
 
+  private static boolean isConnectionLimit(Throwable failure) {
+    return Futures.unwrap(failure) instanceof ConnectRefusedException refused
+        && refused.refusal() == RefusalCode.CONNECTION_LIMIT;
+  }
+
   /** Gives a connection back; one that is in doubt or beyond the allowance is closed. */
   public void release(ServerState server, C connection) {
     boolean keep;
@@ -157,22 +187,38 @@
     }
   }
 
-  /** Opens a connection for one that waits, if there is room again. */
+  /**
+   * Opens a connection for one that waits, if there is room again.
+   *
+   * <p>Guards against a storm on a server that is full: after a loss of power all hosts came back
+   * while servers still counted the dead connections, each statement that waited asked for one of
+   * its own, and servers refused 1,600 of them within a second. Those that wait get connections
+   * that are given back; without any they turn to another server at once.
+   */
   private void serveWaiter(ServerState server) {
     Optional<CompletableFuture<C>> waiter;
     ServerPool<C> pool;
+    List<CompletableFuture<C>> hopeless = List.of();
     synchronized (this) {
       pool = pool(server);
-      if (pool.open() >= allowance.allowed(server.id())) {
-        return;
+      boolean mayOpen = pool.mayOpen(clock.nowNanos());
+      if (!mayOpen && pool.open() == 0) {
+        hopeless = pool.takeWaiters();
       }
-      waiter = pool.nextWaiter();
-      if (waiter.isEmpty()) {
-        return;
+      if (!mayOpen || pool.open() >= allowance.allowed(server.id())) {
+        waiter = Optional.empty();
+      } else {
+        waiter = pool.nextWaiter();
+      }
+      if (waiter.isPresent()) {
+        pool.beginOpening();
       }
-      pool.beginOpening();
     }
-    CompletableFuture<C> waiting = waiter.get();
+    hopeless.forEach(waiting -> waiting.completeExceptionally(serverFull(server)));
+    waiter.ifPresent(waiting -> openFor(server, pool, waiting));
+  }
+
+  private void openFor(ServerState server, ServerPool<C> pool, CompletableFuture<C> waiting) {
     open(server, pool, CONNECT_TIMEOUT)
         .whenComplete(
             (connection, failure) -> {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -8,16 +8,27 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.PooledConnection;
 
 /** The connections to one start of one server. Not safe for several threads. */
 final class ServerPool<C extends PooledConnection> {
+  /**
+   * The first pause after a server refused a connection as one too many. Servers notice within
+   * seconds that connections are dead, and this adds little to that.
+   */
+  private static final long FIRST_REFUSED_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private static final long MAX_REFUSED_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   private final long incarnation;
   private final Deque<C> idle = new ArrayDeque<>();
   private final Set<C> inUse = new HashSet<>();
   private final List<Waiter<C>> waiting = new ArrayList<>();
   private int opening;
   private int peakInUse;
+  private long refusedPauseNanos;
+  private long closedUntilNanos;
 
   ServerPool(long incarnation) {
     this.incarnation = incarnation;
@@ -58,7 +69,21 @@
     opening--;
   }
 
+  /** The server takes no more connections; none is opened for a while. */
+  void openingRefused(long nowNanos) {
+    refusedPauseNanos =
+        Math.min(
+            MAX_REFUSED_PAUSE_NANOS, Math.max(FIRST_REFUSED_PAUSE_NANOS, 2 * refusedPauseNanos));
+    closedUntilNanos = nowNanos + refusedPauseNanos;
+  }
+
+  /** Returns whether the server may be asked for another connection. */
+  boolean mayOpen(long nowNanos) {
+    return refusedPauseNanos == 0 || nowNanos - closedUntilNanos >= 0;
+  }
+
   void opened(C connection) {
+    refusedPauseNanos = 0;
     opening--;
     use(connection);
   }
@@ -89,6 +114,13 @@
     return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.remove(0).connection());
   }
 
+  /** Returns those that wait, and forgets them. */
+  List<CompletableFuture<C>> takeWaiters() {
+    List<CompletableFuture<C>> all = waiting.stream().map(Waiter::connection).toList();
+    waiting.clear();
+    return all;
+  }
+
   private record Waiter<C>(CompletableFuture<C> connection, int priority) {}
 
   /** Returns the connections to close: idle ones first, those in use only if nothing is allowed. */
