Close the callers' port before kept connections are told to end

Told to close with each answer while the port was open, the callers connected anew at once; the connection that was in the port's queue when it closed was reset. Ruled out: kept connections beyond the linger (none was idle).

Change: while a host drains, connections are kept and refusals say where to go; then the port closes, and only then each answer ends its connection, for one more linger.

--- a/alderyard-common/src/main/java/org/alderyard/common/http/HttpPort.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/HttpPort.java
@@ -14,6 +14,8 @@
 /** One listening HTTP port with its limits. */
 public final class HttpPort implements AutoCloseable {
   private final Undertow undertow;
+  // Guarded by this.
+  private boolean closed;
 
   /**
    * Binds the port.
@@ -69,8 +71,15 @@
     return (InetSocketAddress) undertow.getListenerInfo().get(0).getAddress();
   }
 
+  /**
+   * Takes no more connections. Those that are open stay, as long as the worker of the port runs; a
+   * second call does nothing.
+   */
   @Override
-  public void close() {
-    undertow.stop();
+  public synchronized void close() {
+    if (!closed) {
+      closed = true;
+      undertow.stop();
+    }
   }
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
+import org.alderyard.common.http.HttpPort;
 import org.alderyard.common.http.MetricsHandler;
 import org.alderyard.control.operator.OperatorApi;
 import org.alderyard.control.operator.RemoteControlGateway;
@@ -41,6 +42,8 @@
 
   private final HostContext host;
   private final RequestsInFlight inFlight = new RequestsInFlight();
+  private Optional<CallerApi> callerApi = Optional.empty();
+  private Optional<HttpPort> callerPort = Optional.empty();
 
   HttpStack(HostContext host) {
     this.host = host;
@@ -128,7 +131,8 @@
             () -> host.viewClient.leaseValid() && !inFlight.draining() && !drained(views),
             inFlight,
             new MetricsHandler(host.registry));
-    port(TlsPort.CALLER, settings.callerAddress(), api.handler());
+    callerApi = Optional.of(api);
+    callerPort = Optional.of(port(TlsPort.CALLER, settings.callerAddress(), api.handler()));
   }
 
   /** Operators drain a host by ticket, or take its role away. */
@@ -159,9 +163,9 @@
     port(TlsPort.OPERATOR, host.settings.operatorAddress().get(), api.handler());
   }
 
-  private void port(TlsPort kind, InetSocketAddress address, HttpHandler handler) {
+  private HttpPort port(TlsPort kind, InetSocketAddress address, HttpHandler handler) {
     String name = kind.name().toLowerCase(Locale.ROOT);
-    host.port(name, address, host.settings.tls().forPort(kind), handler);
+    return host.port(name, address, host.settings.tls().forPort(kind), handler);
   }
 
   /**
@@ -169,7 +173,8 @@
    *
    * <p>Guards against a shutdown that cuts a write off between its run and its answer: the caller
    * would not know whether its order ran. The port stays open meanwhile, so new requests are told
-   * to go elsewhere, and the balancer sees it at {@code /ready}.
+   * to go elsewhere, and the balancer sees it at {@code /ready}. Then the port closes, and the
+   * connections that are left are ended by their next answers.
    */
   @Override
   public void drain() {
@@ -177,6 +182,10 @@
     log.info("event=drain-begin in-flight={}", inFlight.count());
     try {
       drained.get(host.settings.drainTimeout().toMillis(), TimeUnit.MILLISECONDS);
+      // The balancer and the callers turn to other hosts; meanwhile connections are kept.
+      TimeUnit.MILLISECONDS.sleep(host.settings.drainLinger().toMillis());
+      callerPort.ifPresent(HttpPort::close);
+      callerApi.ifPresent(CallerApi::endConnections);
       // Callers with a kept connection learn from their next answer that it ends.
       TimeUnit.MILLISECONDS.sleep(host.settings.drainLinger().toMillis());
       log.info("event=drain-end reason=NOTHING_IN_FLIGHT");
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/GracefulShutdownTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/GracefulShutdownTest.java
@@ -30,7 +30,9 @@
   /**
    * Callers send one request after the other on kept connections while the proxy ends. Each of four
    * of them once got no answer: its request left at the moment when the idle connection was closed.
-   * Now the proxy tells each caller to close first, and only then closes its port.
+   * Told to close while the port was open, they connected here anew at once, and the connection
+   * that was on its way when the port closed was reset. Now the port closes first, and then each
+   * caller is told to close the connection that it kept.
    */
   @Test
   void keptConnectionsAreToldToEndBeforeThePortCloses() throws Exception {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
@@ -37,6 +37,7 @@
   private final AnnouncementHandler announcements;
   private final BooleanSupplier ready;
   private final RequestsInFlight inFlight;
+  private volatile boolean ending;
   private final HttpHandler metrics;
 
   /** Creates the interface. */
@@ -67,14 +68,18 @@
   }
 
   /**
-   * Ends a kept connection with its answer once this host drains.
+   * Ends kept connections with their next answers; called once the port takes no new ones.
    *
-   * <p>Guards against a request that a caller sends on a kept connection at the moment when the
-   * port closes: it would get no answer. A caller that is told to close opens its next connection
-   * elsewhere.
+   * <p>Guards against a request that a caller sends at the moment when its connection is cut: it
+   * would get no answer. While the port still takes connections a caller that is told to end its
+   * own opens a new one here, and the one that is on its way when the port closes is cut.
    */
+  public void endConnections() {
+    ending = true;
+  }
+
   private void endKeptConnection(HttpServerExchange exchange) {
-    if (inFlight.draining()) {
+    if (ending) {
       exchange.setPersistent(false);
     }
   }
