--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/LogOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/LogOptions.java
@@ -25,6 +25,9 @@
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
     root.setLevel(Level.toLevel(level.name()));
+    if (LogSetup.hasOwnFile()) {
+      return;
+    }
     root.detachAndStopAllAppenders();
     BoundedAppender appender =
         new BoundedAppender(
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/LogSetup.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/LogSetup.java
@@ -31,7 +31,7 @@
 
   @Override
   public ExecutionStatus configure(LoggerContext context) {
-    if (System.getProperty(FILE_PROPERTY) != null) {
+    if (hasOwnFile()) {
       return ExecutionStatus.INVOKE_NEXT_IF_ANY;
     }
     Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
@@ -41,6 +41,11 @@
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
 
+  /** Returns whether a file of the user's own says where lines go. */
+  static boolean hasOwnFile() {
+    return System.getProperty(FILE_PROPERTY) != null;
+  }
+
   static ConsoleAppender<ILoggingEvent> textAppender(LoggerContext context) {
     PatternLayoutEncoder encoder = new PatternLayoutEncoder();
     encoder.setContext(context);
