Give the connections to servers threads of their own

Change: a thread for the connections to servers, in the HTTP stack.

What is left: servers announce themselves on the callers' port.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -63,8 +63,9 @@
 
   HostContext(DaemonSettings settings) {
     this.settings = settings;
+    LogOptions.countDropped(registry);
     workers = part(new WorkerPool("worker", settings.workerThreads()));
-    ioWorker = newIoWorker();
+    ioWorker = newIoWorker(settings.ioThreads());
     loops = part(new EventLoops(settings.innerThreads()));
     long incarnation = wallClock.millis();
     protocol =
@@ -103,13 +104,23 @@
     return part;
   }
 
-  private XnioWorker newIoWorker() {
+  /**
+   * Returns threads for the connections to servers alone.
+   *
+   * <p>Guards against a server that seems lost under load: its answers waited behind the requests
+   * of callers, on the same threads.
+   */
+  XnioWorker serverIo() {
+    return newIoWorker(1);
+  }
+
+  private XnioWorker newIoWorker(int ioThreads) {
     try {
       XnioWorker worker =
           Xnio.getInstance()
               .createWorker(
                   OptionMap.builder()
-                      .set(Options.WORKER_IO_THREADS, settings.ioThreads())
+                      .set(Options.WORKER_IO_THREADS, ioThreads)
                       .set(Options.WORKER_TASK_CORE_THREADS, 1)
                       .set(Options.WORKER_TASK_MAX_THREADS, settings.workerThreads())
                       .set(Options.TCP_NODELAY, true)
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -59,7 +59,7 @@
   private void startProxy() {
     DaemonSettings settings = host.settings;
     ViewHolder views = host.views;
-    HttpConnector connector = new HttpConnector(host.ioWorker, host.workers);
+    HttpConnector connector = new HttpConnector(host.serverIo(), host.workers);
     HttpServerAdmin admin = new HttpServerAdmin(connector);
     GroupMonitor monitor =
         new GroupMonitor(
