--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -129,7 +129,6 @@
             transactions,
             new AnnouncementHandler(host.control),
             () -> host.viewClient.leaseValid() && !inFlight.draining() && !drained(views),
-            new IoRounds(host.clock)::admits,
             inFlight,
             new MetricsHandler(host.registry));
     callerApi = Optional.of(api);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/CallerApi.java
@@ -29,9 +29,6 @@
   /** The header that names the caller, the scope of its request ids. */
   public static final HttpString CALLER_HEADER = new HttpString("Alderyard-Caller");
 
-  /** A host that is late has caught up by then, or is left to others. */
-  private static final long RETRY_AFTER_MILLIS = 1_000;
-
   private static final String TRANSACTION = "/v1/pools/{pool}/transactions/{id}";
 
   private final HostId host;
@@ -39,24 +36,17 @@
   private final TransactionApi transactions;
   private final AnnouncementHandler announcements;
   private final BooleanSupplier ready;
-  private final BooleanSupplier admits;
   private final RequestsInFlight inFlight;
   private volatile boolean ending;
   private final HttpHandler metrics;
 
-  /**
-   * Creates the interface.
-   *
-   * @param ready whether the balancer is to send callers here
-   * @param admits whether the thread that asks may begin another request of a caller now
-   */
+  /** Creates the interface. */
   public CallerApi(
       HostId host,
       StatementService statements,
       TransactionApi transactions,
       AnnouncementHandler announcements,
       BooleanSupplier ready,
-      BooleanSupplier admits,
       RequestsInFlight inFlight,
       HttpHandler metrics) {
     this.host = host;
@@ -64,7 +54,6 @@
     this.transactions = transactions;
     this.announcements = announcements;
     this.ready = ready;
-    this.admits = admits;
     this.inFlight = inFlight;
     this.metrics = metrics;
   }
@@ -97,8 +86,8 @@
 
   private HttpHandler routes() {
     return new RoutingHandler()
-        .post("/v1/pools/{pool}/statements", admitted(this::statement))
-        .post("/v1/pools/{pool}/transactions", admitted(this::begin))
+        .post("/v1/pools/{pool}/statements", this::statement)
+        .post("/v1/pools/{pool}/transactions", this::begin)
         .post(TRANSACTION + "/statements", exchange -> pinned(exchange, Action.STATEMENT))
         .post(TRANSACTION + "/commit", exchange -> pinned(exchange, Action.COMMIT))
         .post(TRANSACTION + "/rollback", exchange -> pinned(exchange, Action.ROLLBACK))
@@ -114,20 +103,6 @@
                         ErrorCode.NOT_FOUND, "no resource at " + exchange.getRequestPath())));
   }
 
-  /** Refuses what would begin something new, before its body is read, while this host is late. */
-  private HttpHandler admitted(HttpHandler handler) {
-    return exchange -> {
-      if (admits.getAsBoolean()) {
-        handler.handleRequest(exchange);
-        return;
-      }
-      JsonExchange.sendError(
-          exchange,
-          AlderyardException.notRun(
-              ErrorCode.OVERLOADED, "this host is late with what it has", RETRY_AFTER_MILLIS));
-    };
-  }
-
   private void statement(HttpServerExchange exchange) {
     JsonExchange.handle(exchange, body -> inFlight.run(() -> run(exchange, body)));
   }
