--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/BoundedAppender.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/BoundedAppender.java
@@ -15,7 +15,10 @@
  * dropped only when nothing is left.
  */
 final class BoundedAppender extends AsyncAppender {
-  /** Lines that wait for a reader of the output; about 0.5 MB. */
+  /**
+   * Lines that wait for the thread that writes, which may have as many again in its hands; about 1
+   * MB in all when nobody reads.
+   */
   static final int MAX_WAITING = 2_048;
 
   /** How long the end of a process waits for lines that are not written yet. */
