Ask each server once for a sample

Cause, found in reading the diff: when the believed primary and the next server both said that they don't lead, the second stayed the most likely and was asked again, the third never; the reads that waited went the longer way after 250 ms. Change: a series of questions remembers whom it asked.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
@@ -1,9 +1,11 @@
 package org.alderyard.proxy.callersession;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -13,6 +15,7 @@
 import org.alderyard.backend.session.SessionStatement.Begin;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.ServerId;
 import org.alderyard.common.view.DatabaseState;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
@@ -75,23 +78,31 @@
       return;
     }
     notBeforeNanos.put(group.id(), nowNanos + PAUSE_NANOS);
-    askNext(group, nowNanos, usable, parts.servers(group.id()).size());
+    askNext(group, nowNanos, usable, Set.of());
   }
 
   /**
    * Asks the server that leads most likely, and the next one if it says that it does not.
    *
-   * @param questions how many servers may be asked yet
+   * @param asked the servers that said so
    */
   private void askNext(
-      GroupState group, long nowNanos, Predicate<ServerState> usable, int questions) {
+      GroupState group, long nowNanos, Predicate<ServerState> usable, Set<ServerId> asked) {
     GroupRouting routing = parts.routings().of(group.id());
-    Runnable elsewhere = () -> askNext(group, parts.clock().nowNanos(), usable, questions - 1);
     routing.primaryOrder(parts.servers(group.id()), group, nowNanos).stream()
         .filter(usable)
+        .filter(server -> !asked.contains(server.id()))
         .findFirst()
-        .filter(server -> questions > 0)
-        .ifPresent(server -> connect(routing, group, server, elsewhere));
+        .ifPresent(
+            server -> {
+              Set<ServerId> next = new HashSet<>(asked);
+              next.add(server.id());
+              connect(
+                  routing,
+                  group,
+                  server,
+                  () -> askNext(group, parts.clock().nowNanos(), usable, next));
+            });
   }
 
   private void connect(
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ReadFreshnessTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ReadFreshnessTest.java
@@ -124,4 +124,14 @@
     assertThat(fixture.caller(SessionFixture.BOUNDED).read("room").succeeded()).isTrue();
     assertThat(fixture.group.server("s2").ran()).isEmpty();
   }
+
+  @Test
+  void sampleIsAskedOfEachServerOnceUntilOneLeads() {
+    // The third server was appointed. The question went to the second one again and again, as it
+    // stayed the most likely, and the reads that waited had to ask for themselves after all.
+    fixture.group.promote("s3");
+
+    assertThat(fixture.caller(SessionFixture.BOUNDED).read("room").succeeded()).isTrue();
+    assertThat(fixture.group.server("s3").ran()).isEmpty();
+  }
 }
