--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/LogOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/LogOptions.java
@@ -65,11 +65,6 @@
     encoder.setWithMessage(false);
     encoder.setWithArguments(false);
     encoder.setWithContext(false);
-    encoder.start();
-    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
-    appender.setContext(context);
-    appender.setEncoder(encoder);
-    appender.start();
-    return appender;
+    return LogSetup.console(context, encoder);
   }
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/LogSetup.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/LogSetup.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.classic.spi.Configurator;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
 import java.util.List;
 
@@ -50,6 +51,12 @@
     PatternLayoutEncoder encoder = new PatternLayoutEncoder();
     encoder.setContext(context);
     encoder.setPattern(PATTERN);
+    return console(context, encoder);
+  }
+
+  /** Starts an encoder and an appender that writes its lines to standard output. */
+  static ConsoleAppender<ILoggingEvent> console(
+      LoggerContext context, Encoder<ILoggingEvent> encoder) {
     encoder.start();
     ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
     appender.setContext(context);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -79,15 +79,13 @@
       if (idle.isPresent()) {
         return CompletableFuture.completedFuture(idle.get());
       }
-      int allowed = allowance.allowed(server.id());
-      if (allowed == 0) {
+      if (allowance.allowed(server.id()) == 0) {
         return CompletableFuture.failedFuture(noLease(server));
       }
-      boolean mayOpen = pool.mayOpen(clock.nowNanos());
-      if (!mayOpen && pool.open() == 0) {
+      if (pool.isShut(clock.nowNanos())) {
         return CompletableFuture.failedFuture(serverFull(server));
       }
-      if (!mayOpen || pool.open() >= allowed) {
+      if (!mayOpen(server, pool)) {
         pool.await(waiter, priority);
         return limited(server, waiter, timeout);
       }
@@ -96,6 +94,10 @@
     return open(server, pool, timeout);
   }
 
+  private boolean mayOpen(ServerState server, ServerPool<C> pool) {
+    return pool.open() < allowance.allowed(server.id()) && pool.mayOpen(clock.nowNanos());
+  }
+
   private static AlderyardException noLease(ServerState server) {
     return AlderyardException.notRun(
         ErrorCode.NO_ELIGIBLE_SERVER,
@@ -201,15 +203,10 @@
     List<CompletableFuture<C>> hopeless = List.of();
     synchronized (this) {
       pool = pool(server);
-      boolean mayOpen = pool.mayOpen(clock.nowNanos());
-      if (!mayOpen && pool.open() == 0) {
+      if (pool.isShut(clock.nowNanos())) {
         hopeless = pool.takeWaiters();
       }
-      if (!mayOpen || pool.open() >= allowance.allowed(server.id())) {
-        waiter = Optional.empty();
-      } else {
-        waiter = pool.nextWaiter();
-      }
+      waiter = mayOpen(server, pool) ? pool.nextWaiter() : Optional.empty();
       if (waiter.isPresent()) {
         pool.beginOpening();
       }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -82,6 +82,11 @@
     return refusedPauseNanos == 0 || nowNanos - closedUntilNanos >= 0;
   }
 
+  /** Returns whether there is no connection, and none may be asked for now. */
+  boolean isShut(long nowNanos) {
+    return open() == 0 && !mayOpen(nowNanos);
+  }
+
   void opened(C connection) {
     refusedPauseNanos = 0;
     opening--;
