End requests whose body does not come, and bound what they hold

Cause: the time for a request reached only the parser of headers. A client that sent its headers and half of a body kept its connection for the idle time, 5 minutes, with what it had sent in memory. Change: BodyIntake in front of every handler of an HTTP port. The time for a request runs on until the body is whole, and single bytes do not extend it; the bodies under way together hold an eighth of the heap or one largest body, and what is beyond is told to come back (503, NOT_RUN, Retry-After). The wire's port had both bounds already.

--- a/alderyard-common/src/main/java/org/alderyard/common/http/HttpPort.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/HttpPort.java
@@ -40,7 +40,7 @@
                 UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) limits.requestTimeout().toMillis())
             .setServerOption(
                 UndertowOptions.NO_REQUEST_TIMEOUT, (int) limits.idleTimeout().toMillis())
-            .setHandler(handler);
+            .setHandler(new BodyIntake(handler, limits));
     String host = address.getAddress().getHostAddress();
     if (tls.isPresent()) {
       builder.addHttpsListener(address.getPort(), host, tls.get());
