Soak systems with faults of networks beside those of processes

Cause: prove attacks processes one fault at a time; what is met on the platform, a host that starts again into a cut, a primary lost while connections go silent, was attacked nowhere without the kit.

--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/writes/BenchGroup.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/writes/BenchGroup.java
@@ -49,6 +49,7 @@
             GROUP,
             ZONE,
             new InetSocketAddress("127.0.0.1", 0),
+            Optional.empty(),
             SLOTS,
             MAX_QUEUED,
             number == 0,
--- a/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
@@ -13,6 +13,7 @@
 import org.alderyard.cli.operator.ShowCommand;
 import org.alderyard.cli.operator.TicketApplyCommand;
 import org.alderyard.cli.prove.ProveCommand;
+import org.alderyard.cli.prove.SoakCommand;
 
 /** The command line of {@code alderyard}. */
 public final class Main {
@@ -45,6 +46,7 @@
         new ExplainCommand(),
         new LoadCommand(),
         new DemoCommand(),
-        new ProveCommand());
+        new ProveCommand(),
+        new SoakCommand());
   }
 }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
@@ -38,7 +38,7 @@
               .addOption(valued("seconds", "N", "how long the load lasts, 4 to 600; default 20"))
               .addOption(valued("rate", "N", "actions a second of each workload; default 150"))
               .addOption(flag("keep", "keep the folder with settings and logs")));
-  private static final SystemPlan PLAN = new SystemPlan(5, 3, 3, 50);
+  private static final SystemPlan PLAN = new SystemPlan(5, 3, 3, false, 50);
   private static final int DEFAULT_SECONDS = 20;
   private static final int DEFAULT_RATE = 150;
   private static final int KEYS = 200;
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
@@ -24,6 +24,9 @@
   private final List<InetSocketAddress> callerPorts = new ArrayList<>();
   private final List<InetSocketAddress> innerPorts = new ArrayList<>();
   private final List<InetSocketAddress> operatorPorts = new ArrayList<>();
+  // Where other hosts reach each one: its inner port, or the link before it.
+  private final List<InetSocketAddress> reached = new ArrayList<>();
+  private final List<LoopbackLink> links = new ArrayList<>();
 
   LocalHosts(SystemPlan plan, Path folder, ProcessSet processes) {
     this.plan = plan;
@@ -33,6 +36,12 @@
       callerPorts.add(FreePorts.nextAddress());
       innerPorts.add(FreePorts.nextAddress());
       operatorPorts.add(FreePorts.nextAddress());
+      if (plan.linked()) {
+        links.add(new LoopbackLink(innerPorts.get(host)));
+        reached.add(links.get(host).address());
+      } else {
+        reached.add(innerPorts.get(host));
+      }
     }
   }
 
@@ -56,7 +65,7 @@
   private String settings(int host) {
     boolean control = host < plan.controlHosts();
     String hosts =
-        innerPorts.stream()
+        reached.stream()
             .limit(plan.controlHosts())
             .map(LocalHttp::text)
             .collect(Collectors.joining(","));
@@ -70,6 +79,7 @@
         [network]
         caller-address = %s
         inner-address = %s
+        inner-listen-address = %s
         operator-address = %s
         [control]
         hosts = %s
@@ -83,6 +93,7 @@
         ZONES.get(host % ZONES.size()),
         control ? "control,proxy" : "proxy",
         LocalHttp.text(callerPorts.get(host)),
+        LocalHttp.text(reached.get(host)),
         LocalHttp.text(innerPorts.get(host)),
         LocalHttp.text(operatorPorts.get(host)),
         hosts,
@@ -111,6 +122,11 @@
     return List.copyOf(callerPorts);
   }
 
+  /** Returns the links before the hosts' inner ports, by host; none without links. */
+  List<LoopbackLink> links() {
+    return List.copyOf(links);
+  }
+
   List<InetSocketAddress> operatorPorts() {
     return List.copyOf(operatorPorts);
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalServers.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalServers.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.alderyard.testkit.net.FreePorts;
 import org.alderyard.testkit.standin.StandInMain;
@@ -30,7 +31,11 @@
     for (String group : plan.groups()) {
       for (int number = 0; number < PER_GROUP; number++) {
         String name = group + "-" + (number + 1);
-        servers.put(name, new Server(group, number, FreePorts.nextAddress()));
+        Server server = new Server(group, number, FreePorts.nextAddress());
+        if (plan.linked()) {
+          server.link = Optional.of(new LoopbackLink(server.address));
+        }
+        servers.put(name, server);
       }
     }
   }
@@ -60,6 +65,8 @@
     arguments.addAll(List.of("--group", server.group));
     arguments.addAll(List.of("--zone", LocalHosts.ZONES.get(server.number)));
     arguments.addAll(List.of("--listen", LocalHttp.text(server.address)));
+    server.link.ifPresent(
+        link -> arguments.addAll(List.of("--announce", LocalHttp.text(link.address()))));
     arguments.addAll(List.of("--incarnation", Integer.toString(incarnation)));
     arguments.addAll(List.of("--data", folder.resolve(name + ".data").toString()));
     arguments.addAll(List.of("--apply-lag-millis", Integer.toString(plan.applyLagMillis())));
@@ -75,6 +82,13 @@
     return servers.get(name).address;
   }
 
+  /** Returns the links before the servers; none without links. */
+  Map<String, LoopbackLink> links() {
+    Map<String, LoopbackLink> links = new LinkedHashMap<>();
+    servers.forEach((name, server) -> server.link.ifPresent(link -> links.put(name, link)));
+    return links;
+  }
+
   List<String> names() {
     return List.copyOf(servers.keySet());
   }
@@ -84,6 +98,7 @@
     private final int number;
     private final InetSocketAddress address;
     private int incarnation = 1;
+    private Optional<LoopbackLink> link = Optional.empty();
 
     Server(String group, int number, InetSocketAddress address) {
       this.group = group;
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalSystem.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalSystem.java
@@ -169,6 +169,16 @@
     return servers.names();
   }
 
+  /** Returns the links before the hosts' inner ports, by host; none without links. */
+  public List<LoopbackLink> hostLinks() {
+    return hosts.links();
+  }
+
+  /** Returns the link before a server. */
+  public Optional<LoopbackLink> serverLink(String name) {
+    return Optional.ofNullable(servers.links().get(name));
+  }
+
   /** Ends a server at once. */
   public void killServer(String name) {
     processes.kill(name);
@@ -223,5 +233,7 @@
   @Override
   public void close() {
     processes.close();
+    hosts.links().forEach(LoopbackLink::close);
+    servers.links().values().forEach(LoopbackLink::close);
   }
 }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/Experiment.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/Experiment.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.alderyard.cli.load.LoadPlan;
 import org.alderyard.cli.load.LoadReport;
 import org.alderyard.cli.load.LoadRun;
@@ -30,6 +31,7 @@
   private final Duration duration;
   private final int ratePerSecond;
   private final long seed;
+  private final Supplier<Fault> schedule;
   private final Consumer<String> progress;
   private final MonotonicClock clock = MonotonicClock.system();
   private final Map<String, Integer> faults = new TreeMap<>();
@@ -39,11 +41,13 @@
       Duration duration,
       int ratePerSecond,
       long seed,
+      Supplier<Fault> schedule,
       Consumer<String> progress) {
     this.system = system;
     this.duration = duration;
     this.ratePerSecond = ratePerSecond;
     this.seed = seed;
+    this.schedule = schedule;
     this.progress = progress;
   }
 
@@ -73,10 +77,9 @@
   }
 
   private void injectFaults(FaultContext context) {
-    FaultSchedule schedule = new FaultSchedule(seed);
     long startMillis = clock.nowMillis();
     while (clock.nowMillis() - startMillis < duration.toMillis()) {
-      Fault fault = schedule.next();
+      Fault fault = schedule.get();
       progress.accept(
           String.format("%6.1f s  %s", (clock.nowMillis() - startMillis) / 1e3, fault.name()));
       fault.inject(system, context);
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/FaultContext.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/FaultContext.java
@@ -11,13 +11,30 @@
 final class FaultContext {
   private final RandomGenerator random;
   private final MonotonicClock clock;
-  final Tally leavingServer = new Tally();
-  final Tally gracefulShutdown = new Tally();
-  final Tally tickets = new Tally();
+  final Tally leavingServer;
+  final Tally gracefulShutdown;
+  final Tally tickets;
 
   FaultContext(RandomGenerator random, MonotonicClock clock) {
+    this(random, clock, new Tally(), new Tally(), new Tally());
+  }
+
+  private FaultContext(
+      RandomGenerator random,
+      MonotonicClock clock,
+      Tally leavingServer,
+      Tally gracefulShutdown,
+      Tally tickets) {
     this.random = random;
     this.clock = clock;
+    this.leavingServer = leavingServer;
+    this.gracefulShutdown = gracefulShutdown;
+    this.tickets = tickets;
+  }
+
+  /** Returns a context with a chance of its own, for a fault that comes beside another one. */
+  FaultContext beside(RandomGenerator ownRandom) {
+    return new FaultContext(ownRandom, clock, leavingServer, gracefulShutdown, tickets);
   }
 
   <T> T oneOf(List<T> choices) {
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/ProveCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/ProveCommand.java
@@ -54,14 +54,21 @@
     Duration duration = Duration.ofSeconds(invocation.number("seconds", 60, 5, 86_400));
     int rate = (int) invocation.number("rate", 60, 1, 10_000);
     long seed = invocation.number("seed", 1, 0, Integer.MAX_VALUE);
-    SystemPlan plan = new SystemPlan(hosts, CONTROL_HOSTS, GROUPS, APPLY_LAG_MILLIS);
+    SystemPlan plan = new SystemPlan(hosts, CONTROL_HOSTS, GROUPS, false, APPLY_LAG_MILLIS);
     try {
       Path folder = Files.createTempDirectory("alderyard-prove");
       invocation.err().println("settings, data and logs: " + folder);
       try (LocalSystem system = new LocalSystem(plan, folder)) {
         system.start();
         PromiseReport report =
-            new Experiment(system, duration, rate, seed, invocation.err()::println).run();
+            new Experiment(
+                    system,
+                    duration,
+                    rate,
+                    seed,
+                    new FaultSchedule(seed)::next,
+                    invocation.err()::println)
+                .run();
         invocation
             .out()
             .println(
--- /dev/null
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/local/LoopbackLinkTest.java
@@ -0,0 +1,115 @@
+package org.alderyard.cli.local;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A link shows its faults, and the end of those that end; else a soak would prove nothing. */
+class LoopbackLinkTest {
+  private static final int SHORT_MILLIS = 200;
+  private static final int LONG_MILLIS = 20_000;
+
+  private ServerSocket echo;
+  private LoopbackLink link;
+
+  @BeforeEach
+  void open() throws IOException {
+    echo = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    Thread thread = new Thread(this::echo);
+    thread.setDaemon(true);
+    thread.start();
+    link = new LoopbackLink((InetSocketAddress) echo.getLocalSocketAddress());
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    link.close();
+    echo.close();
+  }
+
+  private void echo() {
+    while (!echo.isClosed()) {
+      try {
+        Socket socket = echo.accept();
+        Thread thread = new Thread(() -> answer(socket));
+        thread.setDaemon(true);
+        thread.start();
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private static void answer(Socket socket) {
+    try (socket) {
+      socket.getInputStream().transferTo(socket.getOutputStream());
+    } catch (IOException broken) {
+      // The test breaks connections.
+    }
+  }
+
+  private Socket connect() throws IOException {
+    return new Socket(link.address().getAddress(), link.address().getPort());
+  }
+
+  private static int sendAndReceive(Socket socket, int timeoutMillis) throws IOException {
+    socket.getOutputStream().write('x');
+    socket.setSoTimeout(timeoutMillis);
+    return socket.getInputStream().read();
+  }
+
+  @Test
+  void passesOnBothWays() throws IOException {
+    try (Socket socket = connect()) {
+      assertThat(sendAndReceive(socket, LONG_MILLIS)).isEqualTo((int) 'x');
+    }
+  }
+
+  @Test
+  void cutHoldsBytesUntilItEnds() throws IOException {
+    try (Socket socket = connect()) {
+      assertThat(sendAndReceive(socket, LONG_MILLIS)).isEqualTo((int) 'x');
+      link.hold(false, true);
+      assertThrows(SocketTimeoutException.class, () -> sendAndReceive(socket, SHORT_MILLIS));
+      link.hold(false, false);
+      socket.setSoTimeout(LONG_MILLIS);
+      assertThat(socket.getInputStream().read()).isEqualTo((int) 'x');
+    }
+  }
+
+  @Test
+  void silentConnectionStaysSilentWhileNewOnesWork() throws IOException {
+    try (Socket old = connect()) {
+      assertThat(sendAndReceive(old, LONG_MILLIS)).isEqualTo((int) 'x');
+      link.silence();
+      assertThrows(SocketTimeoutException.class, () -> sendAndReceive(old, SHORT_MILLIS));
+      try (Socket fresh = connect()) {
+        assertThat(sendAndReceive(fresh, LONG_MILLIS)).isEqualTo((int) 'x');
+      }
+    }
+  }
+
+  @Test
+  void resetBreaksOpenConnections() throws IOException {
+    try (Socket socket = connect()) {
+      assertThat(sendAndReceive(socket, LONG_MILLIS)).isEqualTo((int) 'x');
+      link.reset();
+      assertThrows(
+          IOException.class,
+          () -> {
+            if (sendAndReceive(socket, LONG_MILLIS) < 0) {
+              throw new IOException("closed");
+            }
+          });
+    }
+  }
+}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -76,7 +76,11 @@
     discovery.serve(host.dispatcher);
     host.part(
         new InnerServer(
-            host.loops, settings.innerAddress(), host.protocol, host.dispatcher, host.workers));
+            host.loops,
+            settings.innerListenAddress().orElse(settings.innerAddress()),
+            host.protocol,
+            host.dispatcher,
+            host.workers));
     // Closed before the port: a leader hands over while the others still reach it.
     controlLog.ifPresent(host::part);
     host.part(host.viewClient);
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -29,6 +29,7 @@
  * @param roles what this process does
  * @param callerAddress where callers connect
  * @param innerAddress where other hosts connect
+ * @param innerListenAddress where the port for them is bound, if that is another address
  * @param operatorAddress where operators connect, if they may here
  * @param controlHosts inner addresses of the control hosts
  * @param open how the others are found where the control hosts are not listed
@@ -56,6 +57,7 @@
     Set<Role> roles,
     InetSocketAddress callerAddress,
     InetSocketAddress innerAddress,
+    Optional<InetSocketAddress> innerListenAddress,
     Optional<InetSocketAddress> operatorAddress,
     List<InetSocketAddress> controlHosts,
     Optional<OpenClusterOptions> open,
@@ -91,6 +93,7 @@
             settings.get(DaemonSpec.ROLES),
             settings.get(DaemonSpec.CALLER_ADDRESS),
             settings.get(DaemonSpec.INNER_ADDRESS),
+            settings.find(DaemonSpec.INNER_LISTEN_ADDRESS),
             settings.find(DaemonSpec.OPERATOR_ADDRESS),
             settings.find(DaemonSpec.CONTROL_HOSTS).orElse(List.of()),
             open(settings),
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -37,6 +37,12 @@
       Setting.required("network", "caller-address", address(), "where callers connect");
   static final Setting<InetSocketAddress> INNER_ADDRESS =
       Setting.required("network", "inner-address", address(), "where other hosts connect");
+  static final Setting<InetSocketAddress> INNER_LISTEN_ADDRESS =
+      Setting.optional(
+          "network",
+          "inner-listen-address",
+          address(),
+          "where the port for other hosts is bound, if they reach it at another address");
   static final Setting<InetSocketAddress> OPERATOR_ADDRESS =
       Setting.optional("network", "operator-address", address(), "where operators connect");
 
@@ -214,6 +220,7 @@
               ROLES,
               CALLER_ADDRESS,
               INNER_ADDRESS,
+              INNER_LISTEN_ADDRESS,
               OPERATOR_ADDRESS,
               CONTROL_HOSTS,
               SEEDS,
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/TestCluster.java
@@ -111,6 +111,7 @@
                   new GroupId(group),
                   new ZoneName("zone-a"),
                   address,
+                  Optional.empty(),
                   5,
                   64,
                   number == 1,
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInAnnouncer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInAnnouncer.java
@@ -58,13 +58,14 @@
 
   private ObjectNode announcement() {
     ServerReport report = state.report();
+    InetSocketAddress announced = options.announced().orElse(options.address());
     return BackendJson.object()
         .put("server", options.server().value())
         .put("incarnation", options.incarnation())
         .put("group", options.group().value())
         .put("zone", options.zone().value())
-        .put("address", options.address().getAddress().getHostAddress())
-        .put("port", options.address().getPort())
+        .put("address", announced.getAddress().getHostAddress())
+        .put("port", announced.getPort())
         .put("term", report.term())
         .put("primary", report.role() == ServerRole.PRIMARY)
         .put("leaving", leaving)
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInMain.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInMain.java
@@ -34,6 +34,7 @@
                 new GroupId(line.getOptionValue("group")),
                 new ZoneName(line.getOptionValue("zone")),
                 address(line.getOptionValue("listen")),
+                Optional.ofNullable(line.getOptionValue("announce")).map(StandInMain::address),
                 Integer.parseInt(line.getOptionValue("slots", DEFAULT_SLOTS)),
                 MAX_QUEUED,
                 line.hasOption("primary"),
@@ -55,6 +56,7 @@
     for (String valued :
         List.of(
             "incarnation",
+            "announce",
             "slots",
             "follow",
             "data",
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInOptions.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/standin/StandInOptions.java
@@ -16,6 +16,7 @@
  * @param group its group
  * @param zone its availability zone
  * @param address where it listens
+ * @param announced where others reach it, if that is another address
  * @param slots statements that run at once
  * @param maxQueued statements that wait for a slot; past it the answer is BUSY
  * @param primary whether it starts as the primary of term 1 when its log is empty
@@ -31,6 +32,7 @@
     GroupId group,
     ZoneName zone,
     InetSocketAddress address,
+    Optional<InetSocketAddress> announced,
     int slots,
     int maxQueued,
     boolean primary,
--- a/alderyard-testkit/src/test/java/org/alderyard/testkit/standin/AnswerFaultsTest.java
+++ b/alderyard-testkit/src/test/java/org/alderyard/testkit/standin/AnswerFaultsTest.java
@@ -52,6 +52,7 @@
                 new GroupId("g"),
                 new ZoneName("z"),
                 new InetSocketAddress("127.0.0.1", 0),
+                Optional.empty(),
                 5,
                 64,
                 true,
