--- a/alderyard-cli/src/test/java/org/alderyard/cli/local/LoopbackLinkTest.java
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/local/LoopbackLinkTest.java
@@ -103,13 +103,13 @@
     try (Socket socket = connect()) {
       assertThat(sendAndReceive(socket, LONG_MILLIS)).isEqualTo((int) 'x');
       link.reset();
-      assertThrows(
-          IOException.class,
-          () -> {
-            if (sendAndReceive(socket, LONG_MILLIS) < 0) {
-              throw new IOException("closed");
-            }
-          });
+      assertThrows(IOException.class, () -> receiveUntilBroken(socket));
+    }
+  }
+
+  private static void receiveUntilBroken(Socket socket) throws IOException {
+    if (sendAndReceive(socket, LONG_MILLIS) < 0) {
+      throw new IOException("closed");
     }
   }
 }
--- a/alderyard-cli/src/test/java/org/alderyard/cli/prove/OverlapScheduleTest.java
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/prove/OverlapScheduleTest.java
@@ -21,7 +21,7 @@
   }
 
   @Test
-  void everyFaultOfTheNetworkComesBesideOneOfAProcess() {
+  void everyNetworkFaultComesBesideOneOfProcesses() {
     List<String> names = names(7);
     for (Fault link : LinkFaults.all()) {
       assertThat(names.stream().anyMatch(name -> name.endsWith(" + " + link.name()))).isTrue();
