Refuse at once what a host cut off from control and primary can't run

Five hosts on the wrong side of a cut held each order for half of its time, refused it without a word on when to come back, and reported ready all the while, so that the balancer sent them more callers. The log line carries what decided. Measured: OutlookTest and OpeningsAfterStartTest tell the story; before the change a host in that state reported ready.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -7,6 +7,7 @@
 import org.alderyard.platform.CallerPort;
 import org.alderyard.platform.ControlPort;
 import org.alderyard.platform.WireSessionConnector;
+import org.alderyard.proxy.callersession.SessionLimits;
 import org.alderyard.proxy.callersession.SessionService;
 import org.alderyard.proxy.lease.LeaseClient;
 import org.alderyard.proxy.lease.LeaseTable;
@@ -69,9 +70,11 @@
             host.clock,
             host.wallClock,
             host.registry,
-            options.maxSessions(),
-            host.settings.roles().contains(Role.CONTROL) ? CONTROL_HEAD_START : Duration.ZERO,
-            host.settings.readOptions().routingLogSample());
+            host.viewClient::leaseValid,
+            new SessionLimits(
+                options.maxSessions(),
+                host.settings.roles().contains(Role.CONTROL) ? CONTROL_HEAD_START : Duration.ZERO,
+                host.settings.readOptions().routingLogSample()));
     new LeaseClient(host.control, host.self, host.views, leases, sessions.pools(), server -> 0)
         .start(host.workers, LEASE_INTERVAL);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -102,6 +103,21 @@
     return believedPrimary(group).map(tracks::get).map(t -> t.paused(nowNanos)).orElse(true);
   }
 
+  /**
+   * Returns for how long the server that is believed to lead has given no answer to what waits for
+   * one; the longest time where nobody is believed to lead, and empty where it answers.
+   */
+  synchronized OptionalLong primaryLostNanos(GroupState group, long nowNanos) {
+    Optional<ServerId> believed = believedPrimary(group);
+    if (believed.isEmpty()) {
+      return OptionalLong.of(Long.MAX_VALUE);
+    }
+    ServerTrack track = tracks.get(believed.get());
+    return track == null || !track.failing()
+        ? OptionalLong.empty()
+        : OptionalLong.of(track.silentNanos(nowNanos));
+  }
+
   /** Returns how long ago the newest sample was asked. */
   synchronized Optional<Long> newestSampleAgeNanos(long nowNanos) {
     return samples.newest().map(sample -> nowNanos - sample.askedNanos());
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionParts.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionParts.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionStatement.Rollback;
 import org.alderyard.backend.session.TransactionState;
@@ -26,6 +27,7 @@
  * @param clock for intervals
  * @param wallClock the time of day, to notice that this host was suspended
  * @param metrics what is counted
+ * @param viewConfirmed whether the control hosts have confirmed this host's view of late
  * @param routineLog of how many statements that went well one is logged
  */
 record SessionParts(
@@ -36,6 +38,7 @@
     MonotonicClock clock,
     InstantSource wallClock,
     SessionMetrics metrics,
+    BooleanSupplier viewConfirmed,
     SampledLog routineLog) {
   /** A rollback takes no slot; a server that does not answer it in this time is not waited for. */
   private static final Duration ROLLBACK_TIMEOUT = Duration.ofMillis(500);
@@ -49,6 +52,7 @@
     Objects.requireNonNull(clock);
     Objects.requireNonNull(wallClock);
     Objects.requireNonNull(metrics);
+    Objects.requireNonNull(viewConfirmed);
     Objects.requireNonNull(routineLog);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnector;
@@ -16,6 +17,7 @@
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ConfigurationState;
+import org.alderyard.common.view.View;
 import org.alderyard.protocol.control.ControlClient;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.PeerLinks;
@@ -47,10 +49,7 @@
    * Creates a service without a session.
    *
    * @param zone the availability zone of this host
-   * @param maxSessions the most sessions at a time, so that their descriptors and memory suffice
-   * @param afterFirstView how long callers wait after the first view of a host; it is for hosts
-   *     that have something to do then for which all other hosts wait
-   * @param routineLogSample of how many statements that went well one is logged
+   * @param viewConfirmed whether the control hosts have confirmed this host's view of late
    */
   public SessionService(
       ViewHolder views,
@@ -61,9 +60,8 @@
       MonotonicClock clock,
       InstantSource wallClock,
       PrometheusRegistry registry,
-      int maxSessions,
-      Duration afterFirstView,
-      int routineLogSample) {
+      BooleanSupplier viewConfirmed,
+      SessionLimits limits) {
     ConnectionPools<PooledSession> pools =
         new ConnectionPools<>(
             (server, timeout) -> connector.connect(server, timeout).thenApply(PooledSession::new),
@@ -80,7 +78,8 @@
             clock,
             wallClock,
             metrics,
-            new SampledLog(routineLogSample));
+            viewConfirmed,
+            new SampledLog(limits.routineLogSample()));
     metrics.gauge("alderyard_sessions_open", "Sessions of callers.", sessions::size);
     metrics.gauge(
         "alderyard_configuration_number",
@@ -92,12 +91,12 @@
         () -> views.current().version().version());
     refresher = new SampleRefresher(parts);
     floors = new ReadFloors(parts, refresher);
-    this.maxSessions = maxSessions;
+    maxSessions = limits.maxSessions();
     views.onChange(routings::follow);
     views.onChange(
         view -> {
           if (view.configuration().isPresent() && firstView.complete(null)) {
-            startServing(afterFirstView);
+            startServing(limits.afterFirstView());
           }
         });
   }
@@ -198,9 +197,28 @@
     draining = true;
   }
 
-  /** Returns whether this host has what it needs to serve. */
+  /**
+   * Returns whether this host has what it needs to serve.
+   *
+   * <p>Guards against a balancer that goes on sending callers to a host that is cut off from the
+   * control hosts and from a primary. When all hosts are, the balancer uses all of them.
+   */
   public boolean ready() {
-    return !draining && parts.views().current().configuration().isPresent();
+    View view = parts.views().current();
+    return !draining && view.configuration().isPresent() && !isolated(view);
+  }
+
+  private boolean isolated(View view) {
+    if (parts.viewConfirmed().getAsBoolean()) {
+      return false;
+    }
+    long now = parts.clock().nowNanos();
+    return view.groups().values().stream()
+        .anyMatch(
+            group ->
+                new Outlook(
+                        true, false, parts.routings().of(group.id()).primaryLostNanos(group, now))
+                    .hopeless());
   }
 
   /** Returns how many sessions are open. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -31,9 +32,6 @@
 final class StatementRun {
   private static final Logger log = LoggerFactory.getLogger(StatementRun.class);
 
-  /** What is spent of a statement's time on looking for a server; the rest is for its run. */
-  private static final double SEARCH_SHARE = 0.5;
-
   /** Long enough for a slot to become free, short against the smallest objective, 100 ms. */
   private static final long FIRST_PAUSE_MILLIS = 8;
 
@@ -107,8 +105,9 @@
       new StatementAttempt(this, choice.get()).start(now);
       return;
     }
-    if (now - startNanos >= (task.deadlineNanos() - startNanos) * SEARCH_SHARE) {
-      giveUp(now);
+    Outlook outlook = outlook(now);
+    if (outlook.searchOver(now - startNanos, task.deadlineNanos() - startNanos)) {
+      giveUp(now, outlook);
       return;
     }
     long pauseMillis;
@@ -141,14 +140,25 @@
     return parts.group(task.database().group()).flatMap(routing::believedPrimary);
   }
 
-  private void giveUp(long now) {
+  private Outlook outlook(long now) {
+    return new Outlook(
+        demand.needsLead(),
+        parts.viewConfirmed().getAsBoolean(),
+        parts
+            .group(task.database().group())
+            .map(group -> routing.primaryLostNanos(group, now))
+            .orElse(OptionalLong.empty()));
+  }
+
+  private void giveUp(long now, Outlook outlook) {
     String reason;
     synchronized (this) {
       reason = String.join(",", story);
     }
     log.warn(
         "event=statement-refused id={} database={} group={} kind={} needs-lead={} floor={}"
-            + " sample-age-millis={} view={} waited-millis={} tried=\"{}\" outcome=NOT_RUN",
+            + " sample-age-millis={} view={} view-confirmed={} primary-lost-millis={}"
+            + " waited-millis={} retry-after-millis={} tried=\"{}\" outcome=NOT_RUN",
         task.request().id().orElse("-"),
         task.database().name(),
         task.database().group(),
@@ -157,12 +167,14 @@
         demand.floor().map(floor -> floor.position().toString()).orElse("lead"),
         routing.newestSampleAgeNanos(now).map(TimeUnit.NANOSECONDS::toMillis).orElse(-1L),
         parts.views().current().version(),
+        outlook.viewConfirmed(),
+        TimeUnit.NANOSECONDS.toMillis(outlook.primaryLostNanos().orElse(0)),
         TimeUnit.NANOSECONDS.toMillis(now - startNanos),
+        outlook.retryAfterMillis(),
         reason);
     TransactionState state = demand.keep() ? TransactionState.FAILED : TransactionState.NONE;
     finish(
-        failedReply.orElseGet(
-            () -> SessionReply.refused(RefusalCode.BUSY, "no server could run it now", state)),
+        failedReply.orElseGet(() -> SessionReply.refused(RefusalCode.BUSY, outlook.text(), state)),
         Optional.empty());
   }
 
@@ -195,7 +207,7 @@
 
   /** Returns how much of the time for the search is left. */
   Duration searchLeft(long now) {
-    long nanos = (long) ((task.deadlineNanos() - startNanos) * SEARCH_SHARE) - (now - startNanos);
+    long nanos = Outlook.searchLeftNanos(now - startNanos, task.deadlineNanos() - startNanos);
     return Duration.ofNanos(Math.max(1, nanos));
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OpeningsAfterStartTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OpeningsAfterStartTest.java
@@ -44,4 +44,23 @@
       assertThat(host.service.admission(SessionFixture.NEWEST).join()).isEqualTo(Optional.empty());
     }
   }
+
+  @Test
+  void hostCutOffFromControlAndPrimaryIsNotReady() {
+    // A cut put a host on the side without the control hosts and without the primary. It reported
+    // ready, since it had a configuration, and the balancer went on sending it callers.
+    try (SessionFixture host = new SessionFixture("z0", group())) {
+      assertThat(host.service.ready()).isTrue();
+      host.group.server("s1").unreachable(true);
+      host.caller(SessionFixture.NEWEST).write("kit", "one");
+      host.advance(1_000);
+      assertThat(host.service.ready()).isTrue();
+      host.viewConfirmed = false;
+      assertThat(host.service.ready()).isFalse();
+      host.group.server("s1").unreachable(false);
+      host.advance(5_000);
+      host.caller(SessionFixture.NEWEST).write("kit", "one");
+      assertThat(host.service.ready()).isTrue();
+    }
+  }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -53,6 +53,7 @@
   private final AtomicLong advancedMillis = new AtomicLong();
   private final MonotonicClock clock =
       () -> System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(advancedMillis.get());
+  volatile boolean viewConfirmed = true;
   private long version;
   private int statements;
 
@@ -82,9 +83,8 @@
             clock,
             () -> Instant.ofEpochMilli(clock.nowMillis()),
             new PrometheusRegistry(),
-            100,
-            afterFirstView,
-            1);
+            () -> viewConfirmed,
+            new SessionLimits(100, afterFirstView, 1));
     publish("s1", group.states());
   }
 
