Keep control work of a cold host apart from callers' work

Besides, a proxy that is alone opens connections at the pace that is made for one of a dozen, 5 a second, and refuses with a lease of 30 in hand. Change: [network] announcement-address opens a port for announcements with a thread of its own; heartbeats, views, leases, the control log's callbacks and the inner port have two workers of their own on hosts without sessions; proxies share a pace of 60 openings a second. The processes of a command that is asked to end are ended with it.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/ProcessSet.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/ProcessSet.java
@@ -20,8 +20,16 @@
   private final Path folder;
   private final Map<String, Process> processes = new LinkedHashMap<>();
 
+  // A command that is asked to end leaves no process behind.
+  private final Thread atExit = new Thread(this::killAll, "end-processes");
+
   ProcessSet(Path folder) {
     this.folder = folder;
+    Runtime.getRuntime().addShutdownHook(atExit);
+  }
+
+  private synchronized void killAll() {
+    processes.values().forEach(Process::destroyForcibly);
   }
 
   synchronized void start(String name, String maxHeap, Class<?> main, List<String> arguments) {
@@ -103,5 +111,10 @@
   public synchronized void close() {
     processes.values().forEach(Process::destroy);
     processes.values().forEach(ProcessSet::awaitEnd);
+    try {
+      Runtime.getRuntime().removeShutdownHook(atExit);
+    } catch (IllegalStateException exiting) {
+      // The hook runs already, and finds processes that have ended.
+    }
   }
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -39,14 +39,14 @@
 
   /** Starts the services; returns the log, to be closed after the inner port. */
   ControlLog start() {
-    ViewFeed feed = new ViewFeed(host.workers);
+    ViewFeed feed = new ViewFeed(host.controlWorkers);
     FailoverTable failovers = new FailoverTable();
     ControlState state = new ControlState(feed::publish, failovers);
     ControlLog controlLog = host.part(controlLog(state));
     ControlService service =
         new ControlService(controlLog, state, feed, host.clock, host.wallClock);
     service.serve(host.dispatcher);
-    service.start(host.workers);
+    service.start(host.controlWorkers);
     new GrantService(controlLog, state::view, GrantOptions.DEFAULT, host.clock)
         .serve(host.dispatcher);
     if (host.settings.sessions().isPresent()) {
@@ -72,7 +72,7 @@
             .dataFolder(settings.dataFolder().get())
             .machine(state)
             .network(host.links, host.dispatcher)
-            .callbacks(host.workers)
+            .callbacks(host.controlWorkers)
             .clock(host.clock)
             .random(new SecureRandom())
             .listener(
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -70,7 +70,7 @@
         new ControlDiscovery(
             host.controlHosts,
             host.links,
-            host.workers,
+            host.controlWorkers,
             host.viewClient::leaseValid,
             () -> controlLog.map(ControlLog::memberAddresses).orElse(List.of()));
     discovery.serve(host.dispatcher);
@@ -80,7 +80,7 @@
             settings.innerListenAddress().orElse(settings.innerAddress()),
             host.protocol,
             host.dispatcher,
-            host.workers));
+            host.controlWorkers));
     // Closed before the port: a leader hands over while the others still reach it.
     controlLog.ifPresent(host::part);
     host.part(host.viewClient);
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -30,6 +30,7 @@
  * @param callerAddress where callers connect
  * @param innerAddress where other hosts connect
  * @param innerListenAddress where the port for them is bound, if that is another address
+ * @param announcementAddress where backend servers announce themselves, beside the callers' port
  * @param operatorAddress where operators connect, if they may here
  * @param controlHosts inner addresses of the control hosts
  * @param open how the others are found where the control hosts are not listed
@@ -58,6 +59,7 @@
     InetSocketAddress callerAddress,
     InetSocketAddress innerAddress,
     Optional<InetSocketAddress> innerListenAddress,
+    Optional<InetSocketAddress> announcementAddress,
     Optional<InetSocketAddress> operatorAddress,
     List<InetSocketAddress> controlHosts,
     Optional<OpenClusterOptions> open,
@@ -94,6 +96,7 @@
             settings.get(DaemonSpec.CALLER_ADDRESS),
             settings.get(DaemonSpec.INNER_ADDRESS),
             settings.find(DaemonSpec.INNER_LISTEN_ADDRESS),
+            settings.find(DaemonSpec.ANNOUNCEMENT_ADDRESS),
             settings.find(DaemonSpec.OPERATOR_ADDRESS),
             settings.find(DaemonSpec.CONTROL_HOSTS).orElse(List.of()),
             open(settings),
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -43,6 +43,12 @@
           "inner-listen-address",
           address(),
           "where the port for other hosts is bound, if they reach it at another address");
+  static final Setting<InetSocketAddress> ANNOUNCEMENT_ADDRESS =
+      Setting.optional(
+          "network",
+          "announcement-address",
+          address(),
+          "a port of their own for the announcements of backend servers");
   static final Setting<InetSocketAddress> OPERATOR_ADDRESS =
       Setting.optional("network", "operator-address", address(), "where operators connect");
 
@@ -221,6 +227,7 @@
               CALLER_ADDRESS,
               INNER_ADDRESS,
               INNER_LISTEN_ADDRESS,
+              ANNOUNCEMENT_ADDRESS,
               OPERATOR_ADDRESS,
               CONTROL_HOSTS,
               SEEDS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -42,6 +42,9 @@
 
   private static final int MAX_OUTSTANDING = 4_096;
 
+  /** One that works, and one when it waits for a lock or the disk. */
+  private static final int CONTROL_THREADS = 2;
+
   final DaemonSettings settings;
   final MonotonicClock clock = MonotonicClock.system();
   final InstantSource wallClock = InstantSource.system();
@@ -50,6 +53,15 @@
   final ViewHolder views = new ViewHolder();
   final CompletableFuture<AlderyardException> failure = new CompletableFuture<>();
   final WorkerPool workers;
+
+  /**
+   * Runs what the hosts do among themselves.
+   *
+   * <p>Guards against leases that run out under load: heartbeats and announcements waited behind
+   * the statements of callers, servers and hosts lost their leases, and there was no primary.
+   */
+  final WorkerPool controlWorkers;
+
   final EventLoops loops;
   final ProtocolOptions protocol;
   final PeerLinks links;
@@ -65,6 +77,10 @@
     this.settings = settings;
     LogOptions.countDropped(registry);
     workers = part(new WorkerPool("worker", settings.workerThreads()));
+    controlWorkers =
+        settings.sessions().isPresent()
+            ? workers
+            : part(new WorkerPool("control", CONTROL_THREADS));
     loops = part(new EventLoops(settings.innerThreads()));
     long incarnation = wallClock.millis();
     protocol =
@@ -79,7 +95,7 @@
     controlHosts =
         new ControlHosts(
             knownControlHosts(), settings.open().map(OpenClusterOptions::voters).orElse(0));
-    control = new ControlClient(links, controlHosts::addresses, workers);
+    control = new ControlClient(links, controlHosts::addresses, controlWorkers);
     self =
         new HostState(
             settings.host(),
@@ -90,7 +106,7 @@
             settings.roles().contains(Role.PROXY),
             settings.roles().contains(Role.CONTROL),
             false);
-    viewClient = new ViewClient(control, self, views, workers, clock);
+    viewClient = new ViewClient(control, self, views, controlWorkers, clock);
   }
 
   private List<InetSocketAddress> knownControlHosts() {
@@ -148,8 +164,21 @@
   /** Opens an HTTP port that speaks TLS if the settings say so for its kind. */
   HttpPort port(
       String name, InetSocketAddress address, Optional<SSLContext> tls, HttpHandler handler) {
-    HttpPort port =
-        part(new HttpPort(name, address, ioWorker(), settings.httpLimits(), tls, handler));
+    return open(name, address, ioWorker(), tls, handler);
+  }
+
+  /** Opens an HTTP port that has a thread of its own. */
+  HttpPort ownThreadPort(String name, InetSocketAddress address, HttpHandler handler) {
+    return open(name, address, newIoWorker(1), Optional.empty(), handler);
+  }
+
+  private HttpPort open(
+      String name,
+      InetSocketAddress address,
+      XnioWorker threads,
+      Optional<SSLContext> tls,
+      HttpHandler handler) {
+    HttpPort port = part(new HttpPort(name, address, threads, settings.httpLimits(), tls, handler));
     log.info("event=listening port={} address={} tls={}", name, port.address(), tls.isPresent());
     return port;
   }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -14,6 +14,7 @@
 import org.alderyard.backend.http.HttpServerAdmin;
 import org.alderyard.common.http.HttpPort;
 import org.alderyard.common.http.MetricsHandler;
+import org.alderyard.common.view.HostState;
 import org.alderyard.control.operator.OperatorApi;
 import org.alderyard.control.operator.RemoteControlGateway;
 import org.alderyard.proxy.api.AnnouncementHandler;
@@ -82,7 +83,7 @@
             connector,
             host.clock,
             host.workers,
-            PacedConnector.DEFAULT_PER_SECOND,
+            () -> PacedConnector.share(proxies(views)),
             PacedConnector.DEFAULT_BURST);
     ServerPools pools = host.part(new ServerPools(paced, leases));
     ReadStack reads =
@@ -98,7 +99,7 @@
             sharedRandom(),
             host.registry);
     new LeaseClient(host.control, host.self, views, leases, pools, reads.gates()::takePeakQueued)
-        .start(host.workers);
+        .start(host.controlWorkers);
     SessionTokens tokens = new SessionTokens(host.wallClock, settings.maxTokenAge());
     WriteStack writes =
         new WriteStack(
@@ -122,12 +123,17 @@
     held.start(host.workers);
     TransactionApi transactions =
         writes.serveTransactions(held, tokens, host.dispatcher, host.links, inFlight);
+    AnnouncementHandler announcements = new AnnouncementHandler(host.control);
+    settings
+        .announcementAddress()
+        .ifPresent(
+            address -> host.ownThreadPort("announcements", address, announcements.handler()));
     CallerApi api =
         new CallerApi(
             settings.host(),
             statements,
             transactions,
-            new AnnouncementHandler(host.control),
+            announcements,
             () -> host.viewClient.leaseValid() && !inFlight.draining() && !drained(views),
             inFlight,
             new MetricsHandler(host.registry));
@@ -135,6 +141,10 @@
     callerPort = Optional.of(port(TlsPort.CALLER, settings.callerAddress(), api.handler()));
   }
 
+  private static long proxies(ViewHolder views) {
+    return views.current().hosts().values().stream().filter(HostState::proxy).count();
+  }
+
   /** Operators drain a host by ticket, or take its role away. */
   private boolean drained(ViewHolder views) {
     return Optional.ofNullable(views.current().hosts().get(host.settings.host()))
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/AnnouncementHandler.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/AnnouncementHandler.java
@@ -1,7 +1,9 @@
 package org.alderyard.proxy.api;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -35,6 +37,11 @@
     this.control = control;
   }
 
+  /** Returns the handler of a port that takes announcements alone. */
+  public HttpHandler handler() {
+    return new RoutingHandler().post("/v1/announcements", this::receive);
+  }
+
   void receive(HttpServerExchange exchange) {
     JsonExchange.handle(exchange, body -> announce(Json.parseObject(body)));
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ConnectionPacer.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ConnectionPacer.java
@@ -1,7 +1,9 @@
 package org.alderyard.proxy.limit;
 
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 /**
  * Bounds the pace at which connections to one server are opened.
@@ -11,7 +13,7 @@
  * for several threads; the lock is a leaf.
  */
 public final class ConnectionPacer {
-  private final long intervalNanos;
+  private final IntSupplier perSecond;
   private final int burst;
   // Guarded by this. When the next connection may be opened if none had been saved up.
   private long nextNanos;
@@ -20,16 +22,17 @@
   /**
    * Creates a pacer.
    *
-   * @param perSecond the connections that are opened in a second, at most
+   * @param perSecond the connections that are opened in a second, at most; asked each time
    * @param burst the connections that may be opened at once after a quiet time
    */
-  public ConnectionPacer(int perSecond, int burst) {
-    this.intervalNanos = TimeUnit.SECONDS.toNanos(1) / Math.max(1, perSecond);
+  public ConnectionPacer(IntSupplier perSecond, int burst) {
+    this.perSecond = Objects.requireNonNull(perSecond);
     this.burst = Math.max(1, burst);
   }
 
   /** Takes a turn; returns how long to wait before trying again, or nothing if it is granted. */
   public synchronized OptionalLong tryOpen(long nowNanos) {
+    long intervalNanos = TimeUnit.SECONDS.toNanos(1) / Math.max(1, perSecond.getAsInt());
     long earliest = nowNanos - (burst - 1) * intervalNanos;
     if (!started || nextNanos - earliest < 0) {
       nextNanos = earliest;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/PacedConnector.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/PacedConnector.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
 import org.alderyard.backend.ServerConnection;
 import org.alderyard.backend.ServerConnector;
 import org.alderyard.common.concurrent.WorkerPool;
@@ -17,8 +18,8 @@
 
 /** Opens connections to each server at a bounded pace. */
 public final class PacedConnector implements ServerConnector {
-  /** Twelve proxies at this pace take up to a tenth of a server that opens one in 10 ms. */
-  public static final int DEFAULT_PER_SECOND = 5;
+  /** Of all proxies together: an eighth of a server of 5 slots that opens one in 10 ms. */
+  public static final int DEFAULT_PER_SECOND_OF_ALL = 60;
 
   /** What a proxy may open at once after a quiet time. */
   public static final int DEFAULT_BURST = 4;
@@ -26,21 +27,31 @@
   private final ServerConnector connector;
   private final MonotonicClock clock;
   private final WorkerPool workers;
-  private final int perSecond;
+  private final IntSupplier perSecond;
   private final int burst;
   private final Map<InetSocketAddress, ConnectionPacer> pacers = new ConcurrentHashMap<>();
 
+  /**
+   * Returns one proxy's part of the pace of all.
+   *
+   * <p>Guards against a start of minutes: a fixed pace for each, made for a dozen, kept a proxy
+   * that is alone from using the connections that it has a lease of.
+   */
+  public static int share(long proxies) {
+    return (int) Math.max(1, DEFAULT_PER_SECOND_OF_ALL / Math.max(1, proxies));
+  }
+
   /** Creates a connector in front of the given one. */
   public PacedConnector(
       ServerConnector connector,
       MonotonicClock clock,
       WorkerPool workers,
-      int perSecond,
+      IntSupplier perSecond,
       int burst) {
     this.connector = Objects.requireNonNull(connector);
     this.clock = Objects.requireNonNull(clock);
     this.workers = Objects.requireNonNull(workers);
-    this.perSecond = perSecond;
+    this.perSecond = Objects.requireNonNull(perSecond);
     this.burst = burst;
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/limit/ServerGateTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/limit/ServerGateTest.java
@@ -21,6 +21,7 @@
 import org.alderyard.common.id.PoolName;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.PausedClock;
+import org.alderyard.proxy.pool.PacedConnector;
 import org.junit.jupiter.api.Test;
 
 /** What a gate starts, keeps waiting and refuses. */
@@ -214,7 +215,7 @@
 
   @Test
   void connectionsOpenAtBoundedPace() {
-    ConnectionPacer pacer = new ConnectionPacer(50, 3);
+    ConnectionPacer pacer = new ConnectionPacer(() -> 50, 3);
     int opened = 0;
     for (long now = 0; now <= TimeUnit.SECONDS.toNanos(1); now += 1_000_000) {
       while (pacer.tryOpen(now).isEmpty()) {
@@ -226,4 +227,14 @@
     OptionalLong wait = pacer.tryOpen(TimeUnit.SECONDS.toNanos(1));
     assertThat(wait.getAsLong()).isAtMost(TimeUnit.MILLISECONDS.toNanos(20));
   }
+
+  @Test
+  void proxiesShareThePaceOfOpenings() {
+    // A proxy that was alone opened five connections a second, as one of a dozen may, and refused
+    // most of its first seconds' statements with a lease of thirty connections in its hands.
+    assertThat(PacedConnector.share(1)).isEqualTo(60);
+    assertThat(PacedConnector.share(12)).isEqualTo(5);
+    assertThat(PacedConnector.share(500)).isEqualTo(1);
+    assertThat(PacedConnector.share(0)).isEqualTo(60);
+  }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/ServerPoolsTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/ServerPoolsTest.java
@@ -130,7 +130,7 @@
     Server server = new Server(10);
     try (WorkerPool workers = new WorkerPool("test", 1)) {
       PacedConnector paced =
-          new PacedConnector((address, timeout) -> server.connect(), clock, workers, 5, 2);
+          new PacedConnector((address, timeout) -> server.connect(), clock, workers, () -> 5, 2);
       for (int i = 0; i < 2; i++) {
         assertThat(paced.connect(SERVER.address(), Duration.ofMillis(100)).join()).isNotNull();
       }
