Start hosts from one jar

Cause: the class path of a host was forty jars; the runtime checks each of them against the archive of classes, and each look for a resource or a class that the archive lacks opens them one after the other.

--- a/deploy/class-archive.sh
+++ b/deploy/class-archive.sh
@@ -15,7 +15,7 @@
 base="$(platform_free_ports)"
 export ALDERYARD_CLUSTER_KEY=only-for-the-archive-of-classes
 flags="-Xms8m -Xmn3m -Xmx96m -Xss256k -XX:-UsePerfData -Dio.netty.allocator.type=unpooled -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
-classes="alderyard-cli/target/alderyard-cli-0.1.0-SNAPSHOT.jar:alderyard-cli/target/lib/*"
+classes="alderyard-cli/target/host/alderyard-host.jar"
 start() { # starts host $1 with further flags; its id is in $started
   local number=$1
   shift
