--- a/deploy/class-archive.sh
+++ b/deploy/class-archive.sh
@@ -14,7 +14,7 @@
 hosts=3
 base="$(platform_free_ports)"
 export ALDERYARD_CLUSTER_KEY=only-for-the-archive-of-classes
-flags="-Xms8m -Xmn3m -Xmx96m -Xss256k -XX:-UsePerfData -Dio.netty.allocator.type=unpooled -XX:+UseSerialGC -XX:ActiveProcessorCount=1 -XX:TieredStopAtLevel=1"
+flags="-Xms8m -Xmn3m -Xmx96m -Xss256k -XX:-UsePerfData -Dio.netty.allocator.type=unpooled -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
 classes="alderyard-cli/target/host/alderyard-host.jar"
 start() { # starts host $1 with further flags; its id is in $started
   local number=$1
