Let a host be stopped in good order while its HTTP ports wait

Cause, found while reading the change: since the HTTP ports come up to 2.5 s after the callers' port, the start of a host ended that much later, and only then the process took a request to stop as one to drain: a host that was stopped in its first seconds cut the callers that it served already. Change: the start no longer waits; the ports open from a worker, a port that can't be bound ends the process as before, and a host that is stopping opens none. Daemon.operable() says when they are open; SessionHostTest waits for that, as a start no longer means it (before: connection refused in 3 of 4). The parts of a host are taken and closed under one lock. There is no test of a stop within the first seconds yet.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -16,6 +16,7 @@
   private static final Logger log = LoggerFactory.getLogger(Daemon.class);
 
   private final HostContext host;
+  private final CompletableFuture<Void> operable = new CompletableFuture<>();
   private Optional<Drainable> drainable = Optional.empty();
 
   /** Starts all parts; a part that can't start closes those before it. */
@@ -50,7 +51,8 @@
     if (sessions.isPresent()) {
       // After the parts that listen to views: they must see the first one.
       host.viewClient.start();
-      sessions.get().startHttp();
+      sessions.get().startHttpLater();
+      sessions.get().operable().thenRun(() -> operable.complete(null));
       return;
     }
     HttpStack http = new HttpStack(host);
@@ -58,6 +60,7 @@
     http.startProxyIfAsked();
     host.viewClient.start();
     http.startOperators();
+    operable.complete(null);
   }
 
   /** Starts what the hosts have among themselves: the control log and the inner port. */
@@ -103,6 +106,11 @@
     changed.open().ifPresent(open -> host.controlHosts.add(open.seeds()));
   }
 
+  /** Returns a future that is done when the ports of operators are open. */
+  public CompletableFuture<Void> operable() {
+    return operable;
+  }
+
   /** Returns a future that is completed when a part failed so that the process must end. */
   public CompletableFuture<AlderyardException> failure() {
     return host.failure;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -114,11 +114,15 @@
   }
 
   /** Takes a part that is closed before those that were taken earlier. */
-  <T extends AutoCloseable> T part(T part) {
+  synchronized <T extends AutoCloseable> T part(T part) {
     parts.push(part);
     return part;
   }
 
+  private synchronized Optional<AutoCloseable> nextPart() {
+    return Optional.ofNullable(parts.poll());
+  }
+
   /**
    * Returns the threads of the HTTP ports, which are started by the first call.
    *
@@ -154,7 +158,7 @@
                       .set(Options.TCP_NODELAY, true)
                       .set(Options.THREAD_DAEMON, true)
                       .getMap());
-      parts.push(worker::shutdownNow);
+      part(worker::shutdownNow);
       return worker;
     } catch (IOException impossible) {
       throw new UncheckedIOException(impossible);
@@ -185,9 +189,9 @@
 
   @Override
   public void close() {
-    while (!parts.isEmpty()) {
+    for (var part = nextPart(); part.isPresent(); part = nextPart()) {
       try {
-        parts.pop().close();
+        part.get().close();
       } catch (Exception failed) {
         log.warn("event=close-failed reason=\"{}\"", failed.toString());
       }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.http.MetricsHandler;
 import org.alderyard.platform.CallerPort;
 import org.alderyard.platform.ControlPort;
@@ -54,6 +56,7 @@
   private final SessionOptions options;
   private final SessionService sessions;
   private Optional<CallerPort> callers = Optional.empty();
+  private final CompletableFuture<Void> operable = new CompletableFuture<>();
   private volatile boolean stopping;
 
   SessionStack(HostContext host, SessionOptions options) {
@@ -106,11 +109,34 @@
    * Opens the ports of the balancer, of operators and of servers.
    *
    * <p>They come after the first view, or after a while on hosts that find no leader: their library
-   * takes a tenth of the processor time of a start, and callers' openings wait for the view.
+   * takes a tenth of the processor time of a start, and callers' openings wait for the view. The
+   * start does not wait for them, so that a host that is asked to stop meanwhile drains its
+   * callers.
    */
-  void startHttp() {
-    sessions.awaitFirstView(HTTP_WAIT);
-    pause(HTTP_AFTER_VIEW);
+  void startHttpLater() {
+    sessions
+        .firstView(HTTP_WAIT)
+        .thenRun(() -> host.workers.schedule(HTTP_AFTER_VIEW, this::startHttp));
+  }
+
+  /** Returns a future that is done when the ports of the balancer and of operators are open. */
+  CompletableFuture<Void> operable() {
+    return operable;
+  }
+
+  private void startHttp() {
+    if (stopping) {
+      return;
+    }
+    try {
+      openHttpPorts();
+      operable.complete(null);
+    } catch (AlderyardException taken) {
+      host.failure.complete(taken);
+    }
+  }
+
+  private void openHttpPorts() {
     host.port(
         "ready", options.readyAddress(), Optional.empty(), ControlPort.readiness(this::ready));
     host.settings
@@ -160,14 +186,6 @@
     log.info("event=drain-end sessions={}", sessions.sessionCount());
   }
 
-  private static void pause(Duration time) {
-    try {
-      TimeUnit.MILLISECONDS.sleep(time.toMillis());
-    } catch (InterruptedException stopped) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private void waitUntil(long startNanos, double share) throws InterruptedException {
     while (!over(startNanos, share) && sessions.sessionCount() > 0) {
       TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/SessionHostTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/SessionHostTest.java
@@ -38,12 +38,15 @@
   private Daemon daemon;
 
   @BeforeEach
-  void start() throws IOException {
+  void start() throws Exception {
     ports = IntStream.generate(FreePorts::next).limit(4).toArray();
     Files.createDirectory(folder.resolve("data"));
     Files.writeString(folder.resolve("cluster.key"), "0123456789abcdef0123456789abcdef");
     Files.writeString(folder.resolve("host.ini"), settings("info"));
     daemon = new Daemon(DaemonSettings.read(folder.resolve("host.ini")));
+    // Callers' port is open now; those of operators follow, so that a host can be stopped
+    // meanwhile.
+    daemon.operable().get(60, TimeUnit.SECONDS);
   }
 
   @AfterEach
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -138,9 +138,9 @@
     return parts.pools();
   }
 
-  /** Waits until sessions can be opened, or for the given time. */
-  public void awaitFirstView(Duration limit) {
-    firstView.copy().completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS).join();
+  /** Returns a future that is done with the first view, or when the time is over. */
+  public CompletableFuture<Void> firstView(Duration limit) {
+    return firstView.copy().completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /**
