--- a/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
@@ -40,7 +40,7 @@
   SETTINGS_INVALID(500, false),
   STORAGE_DAMAGED(500, false),
   STORAGE_FAILED(500, false),
-  PEER_REJECTED(403, false),
+  PEER_REJECTED(503, false),
   INTERNAL(500, false);
 
   private final int httpStatus;
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -94,7 +94,16 @@
   private static boolean worthAnother(AlderyardException failure) {
     return switch (failure.code()) {
       // A host that does not serve the method: the list may hold one that is no control host.
-      case NOT_FOUND, NOT_LEADER, NO_QUORUM, CONNECTION_LOST, DEADLINE_EXCEEDED, DRAINING -> true;
+      // One host's rejection, as of a process with other keys at a used address, speaks for it
+      // only.
+      case NOT_FOUND,
+          PEER_REJECTED,
+          NOT_LEADER,
+          NO_QUORUM,
+          CONNECTION_LOST,
+          DEADLINE_EXCEEDED,
+          DRAINING ->
+          true;
       default -> false;
     };
   }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
@@ -1,9 +1,10 @@
 package org.alderyard.protocol.wire;
 
 import com.google.protobuf.ByteString;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,9 @@
   private static final String CLIENT = "client";
   private static final String SERVER = "server";
 
+  /** The id in an error that answers no request. */
+  private static final long NO_REQUEST = 0;
+
   private final ProtocolOptions options;
   private final boolean client;
   private final CompletableFuture<PeerIdentity> done;
@@ -60,7 +64,7 @@
         .schedule(
             () -> {
               if (!done.isDone()) {
-                reject(ctx, "no handshake within the time limit");
+                lose(ctx, "no handshake within " + options.connectTimeout());
               }
             },
             options.connectTimeout().toMillis(),
@@ -75,6 +79,7 @@
     switch (frame.getFrameCase()) {
       case HELLO -> onHello(ctx, frame.getHello());
       case HELLO_PROOF -> onProof(ctx, frame.getHelloProof());
+      case ERROR -> rejectedByPeer(ctx, frame.getError().getMessage());
       default -> reject(ctx, "a " + frame.getFrameCase() + " frame before the handshake");
     }
   }
@@ -149,24 +154,48 @@
     return client ? peerHello : ownHello;
   }
 
+  /** Tells the peer why as well: a plain close would look like a lost connection to it. */
   private void reject(ChannelHandlerContext ctx, String reason) {
-    Channel channel = ctx.channel();
-    log.warn("event=peer-rejected peer={} reason=\"{}\"", channel.remoteAddress(), reason);
-    done.completeExceptionally(
-        AlderyardException.notRun(ErrorCode.PEER_REJECTED, "peer rejected: " + reason));
-    channel.close();
+    log.warn("event=peer-rejected peer={} reason=\"{}\"", ctx.channel().remoteAddress(), reason);
+    AlderyardException rejection =
+        AlderyardException.notRun(ErrorCode.PEER_REJECTED, "peer rejected: " + reason);
+    done.completeExceptionally(rejection);
+    ctx.writeAndFlush(Frames.error(NO_REQUEST, rejection)).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void rejectedByPeer(ChannelHandlerContext ctx, String reason) {
+    log.warn("event=rejected-by-peer peer={} reason=\"{}\"", ctx.channel().remoteAddress(), reason);
+    done.completeExceptionally(AlderyardException.notRun(ErrorCode.PEER_REJECTED, reason));
+    ctx.close();
+  }
+
+  /**
+   * Ends a handshake that the network or a stopped peer broke.
+   *
+   * <p>Guards against blame for it: a host that is frozen accepts connections and says nothing, and
+   * an operator whose change went through this host was told that it is not allowed, instead of
+   * being sent on.
+   */
+  private void lose(ChannelHandlerContext ctx, String reason) {
+    log.info("event=handshake-lost peer={} reason=\"{}\"", ctx.channel().remoteAddress(), reason);
+    done.completeExceptionally(AlderyardException.notRun(ErrorCode.CONNECTION_LOST, reason));
+    ctx.close();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     done.completeExceptionally(
         AlderyardException.notRun(
-            ErrorCode.PEER_REJECTED, "the peer closed the connection during the handshake"));
+            ErrorCode.CONNECTION_LOST, "the connection ended during the handshake"));
     ctx.fireChannelInactive();
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    reject(ctx, "a damaged frame: " + cause.getMessage());
+    if (cause instanceof IOException) {
+      lose(ctx, "the connection broke: " + cause.getMessage());
+    } else {
+      reject(ctx, "a damaged frame: " + cause.getMessage());
+    }
   }
 }
