--- a/alderyard-control/src/main/java/org/alderyard/control/grant/GrantLedger.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/grant/GrantLedger.java
@@ -95,7 +95,21 @@
   private SortedMap<ProxyId, Integer> shares(int budget, boolean primary) {
     Map<ProxyId, Integer> wanted = new TreeMap<>();
     entries.forEach((proxy, entry) -> wanted.put(proxy, entry.wanted));
-    return GrantAllocation.share(options.grantable(budget, primary), options.floor(), wanted);
+    return GrantAllocation.share(available(budget, primary), options.floor(), wanted);
+  }
+
+  private int available(int budget, boolean primary) {
+    int grantable = options.grantable(budget, primary);
+    return options.binding() ? grantable : ReturnRoom.available(budget, grantable, wantedByAll());
+  }
+
+  private int wantedByAll() {
+    return entries.values().stream().mapToInt(entry -> entry.wanted).sum();
+  }
+
+  /** Returns how many more are granted by now than leave room for a return of all hosts. */
+  public int beyondReturnRoom(int budget, long nowNanos) {
+    return options.binding() ? 0 : Math.max(0, counted(nowNanos) - ReturnRoom.calm(budget));
   }
 
   private int countedWithout(ProxyId proxy) {
--- a/alderyard-control/src/main/java/org/alderyard/control/grant/GrantService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/grant/GrantService.java
@@ -59,6 +59,28 @@
     dispatcher.serve(GrantMethods.RENEW_GRANTS, (peer, request) -> renew(request));
   }
 
+  /**
+   * Returns how many connections more than leave room for a return of all hosts are granted, of all
+   * servers together; 0 on a host that does not lead.
+   */
+  public synchronized int beyondReturnRoom() {
+    if (!controlLog.leading()) {
+      return 0;
+    }
+    long now = clock.nowNanos();
+    View view = views.get();
+    return ledgers.entrySet().stream()
+        .mapToInt(entry -> entry.getValue().beyondReturnRoom(accepted(view, entry.getKey()), now))
+        .sum();
+  }
+
+  private static int accepted(View view, ServerId server) {
+    return view.server(server)
+        .flatMap(state -> view.group(state.group()))
+        .map(GroupState::connectionsPerServer)
+        .orElse(0);
+  }
+
   /** Renews the grants of one proxy. */
   public CompletableFuture<RenewGrantsReply> renew(RenewGrantsRequest request) {
     long term = controlLog.term();
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -1,5 +1,6 @@
 package org.alderyard.daemon;
 
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import java.security.SecureRandom;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
@@ -47,8 +48,7 @@
         new ControlService(controlLog, state, feed, host.clock, host.wallClock);
     service.serve(host.dispatcher);
     service.start(host.controlWorkers);
-    new GrantService(controlLog, state::view, GrantOptions.DEFAULT, host.clock)
-        .serve(host.dispatcher);
+    startGrants(controlLog, state);
     if (host.settings.sessions().isPresent()) {
       startPromotion(controlLog, state);
     } else {
@@ -57,6 +57,19 @@
     return controlLog;
   }
 
+  /** Servers of sessions refuse connections beyond their limit themselves. */
+  private void startGrants(ControlLog controlLog, ControlState state) {
+    GrantOptions options =
+        host.settings.sessions().isPresent() ? GrantOptions.ADVISORY : GrantOptions.DEFAULT;
+    GrantService grants = new GrantService(controlLog, state::view, options, host.clock);
+    grants.serve(host.dispatcher);
+    GaugeWithCallback.builder()
+        .name("alderyard_connections_beyond_return_room")
+        .help("Granted connections that leave less room for a return of all hosts at once.")
+        .callback(callback -> callback.call(grants.beyondReturnRoom()))
+        .register(host.registry);
+  }
+
   /** Without a data folder the state of a single control host lasts as long as its process. */
   private ControlLog controlLog(ControlState state) {
     DaemonSettings settings = host.settings;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -23,6 +23,7 @@
 import org.alderyard.proxy.drain.RequestsInFlight;
 import org.alderyard.proxy.lease.LeaseClient;
 import org.alderyard.proxy.lease.LeaseTable;
+import org.alderyard.proxy.lease.PeakWish;
 import org.alderyard.proxy.limit.PoolLimits;
 import org.alderyard.proxy.monitor.GroupMonitor;
 import org.alderyard.proxy.pool.PacedConnector;
@@ -98,7 +99,13 @@
             host.clock,
             sharedRandom(),
             host.registry);
-    new LeaseClient(host.control, host.self, views, leases, pools, reads.gates()::takePeakQueued)
+    new LeaseClient(
+            host.control,
+            host.self,
+            views,
+            leases,
+            pools,
+            new PeakWish(reads.gates()::takePeakQueued))
         .start(host.controlWorkers);
     SessionTokens tokens = new SessionTokens(host.wallClock, settings.maxTokenAge());
     WriteStack writes =
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -13,6 +13,7 @@
 import org.alderyard.proxy.callersession.SessionService;
 import org.alderyard.proxy.lease.LeaseClient;
 import org.alderyard.proxy.lease.LeaseTable;
+import org.alderyard.proxy.lease.SteadyWish;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,8 +21,11 @@
 final class SessionStack implements Drainable {
   private static final Logger log = LoggerFactory.getLogger(SessionStack.class);
 
-  /** The connections to a server before the first lease: one that works, and one for a burst. */
-  private static final int CONNECTIONS_WITHOUT_LEASE = 2;
+  /**
+   * The connections to a server before the first lease. After a loss of power on all hosts this is
+   * what they ask servers for that still count the dead ones.
+   */
+  private static final int CONNECTIONS_WITHOUT_LEASE = 1;
 
   /** Leases change with the load, which moves over seconds. */
   private static final Duration LEASE_INTERVAL = Duration.ofSeconds(1);
@@ -78,7 +82,13 @@
                 options.maxSessions(),
                 host.settings.roles().contains(Role.CONTROL) ? CONTROL_HEAD_START : Duration.ZERO,
                 host.settings.readOptions().routingLogSample()));
-    new LeaseClient(host.control, host.self, host.views, leases, sessions.pools(), server -> 0)
+    new LeaseClient(
+            host.control,
+            host.self,
+            host.views,
+            leases,
+            sessions.pools(),
+            new SteadyWish(sessions.pools()::takeMeanDemand))
         .start(host.workers, LEASE_INTERVAL);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.ToIntFunction;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.id.ServerId;
@@ -33,22 +32,19 @@
 
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
 
-  /** What a proxy asks for beyond its use of late, so that a rise finds a connection. */
-  private static final int HEADROOM = 2;
-
   private final ControlClient control;
   private final HostState self;
   private final ViewHolder views;
   private final LeaseTable leases;
   private final ConnectionPools<?> pools;
-  private final ToIntFunction<ServerId> queued;
+  private final ConnectionWish wish;
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicBoolean underWay = new AtomicBoolean();
 
   /**
    * Creates a client that does nothing until {@link #start(WorkerPool)}.
    *
-   * @param queued the most statements that waited before a server since the last call
+   * @param wish what this proxy asks for
    */
   public LeaseClient(
       ControlClient control,
@@ -56,13 +52,13 @@
       ViewHolder views,
       LeaseTable leases,
       ConnectionPools<?> pools,
-      ToIntFunction<ServerId> queued) {
+      ConnectionWish wish) {
     this.control = Objects.requireNonNull(control);
     this.self = Objects.requireNonNull(self);
     this.views = Objects.requireNonNull(views);
     this.leases = Objects.requireNonNull(leases);
     this.pools = Objects.requireNonNull(pools);
-    this.queued = Objects.requireNonNull(queued);
+    this.wish = Objects.requireNonNull(wish);
   }
 
   /** Starts to renew. */
@@ -79,6 +75,7 @@
   private void renew() {
     View view = views.current();
     leases.retain(view.servers().keySet());
+    wish.retain(view.servers().keySet());
     pools.keepToAllowances(view.servers().values());
     // A second request would make the reply to the first one void.
     if (view.servers().isEmpty() || !underWay.compareAndSet(false, true)) {
@@ -106,20 +103,13 @@
             });
   }
 
-  /**
-   * Returns what this proxy asks for.
-   *
-   * <p>Guards against a demand that its own limit hides: the lease sets how many statements may run
-   * at once, and what runs at once was the demand, so a proxy with sixty waiting statements asked
-   * for three connections and ran one statement at a time. What waits before the gate counts too.
-   */
   private ConnectionDemand demand(ServerState server, long number) {
     PoolUse use = pools.readUse(server.id());
     int held = leases.request(server.id(), number, use.open());
     return ConnectionDemand.newBuilder()
         .setServer(server.id().value())
         .setHeld(held)
-        .setWanted(use.peakInUse() + use.waiting() + queued.applyAsInt(server.id()) + HEADROOM)
+        .setWanted(wish.wanted(server.id(), use))
         .build();
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -247,12 +247,21 @@
     return pool == null ? PoolUse.NONE : pool.readUse();
   }
 
+  /**
+   * Returns how many connections to a server were in use or waited for, on average since the last
+   * call.
+   */
+  public synchronized double takeMeanDemand(ServerId server) {
+    ServerPool<C> pool = pools.get(server);
+    return pool == null ? 0 : pool.takeMeanDemand();
+  }
+
   private ServerPool<C> pool(ServerState server) {
     ServerPool<C> pool = pools.get(server.id());
     if (pool != null && pool.incarnation() >= server.incarnation()) {
       return pool;
     }
-    ServerPool<C> fresh = new ServerPool<>(server.incarnation());
+    ServerPool<C> fresh = new ServerPool<>(server.incarnation(), clock);
     if (pool != null) {
       retired.addAll(pool.retireTo(fresh));
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.PooledConnection;
+import org.alderyard.common.time.MonotonicClock;
 
 /** The connections to one start of one server. Not safe for several threads. */
 final class ServerPool<C extends PooledConnection> {
@@ -29,9 +30,11 @@
   private int peakInUse;
   private long refusedPauseNanos;
   private long closedUntilNanos;
+  private final BusyMeter busy;
 
-  ServerPool(long incarnation) {
+  ServerPool(long incarnation, MonotonicClock clock) {
     this.incarnation = incarnation;
+    this.busy = new BusyMeter(clock);
   }
 
   long incarnation() {
@@ -57,16 +60,19 @@
 
   private void use(C connection) {
     inUse.add(connection);
+    busy.changed(demand());
     peakInUse = Math.max(peakInUse, inUse.size() + opening);
   }
 
   void beginOpening() {
     opening++;
+    busy.changed(demand());
     peakInUse = Math.max(peakInUse, inUse.size() + opening);
   }
 
   void openingFailed() {
     opening--;
+    busy.changed(demand());
   }
 
   /** The server takes no more connections; none is opened for a while. */
@@ -95,7 +101,9 @@
 
   /** Returns whether the connection was in use here. */
   boolean giveBack(C connection) {
-    return inUse.remove(connection);
+    boolean ours = inUse.remove(connection);
+    busy.changed(demand());
+    return ours;
   }
 
   void keep(C connection) {
@@ -109,20 +117,38 @@
       place--;
     }
     waiting.add(place, new Waiter<>(waiter, priority));
+    busy.changed(demand());
   }
 
   void stopWaiting(CompletableFuture<C> waiter) {
     waiting.removeIf(entry -> entry.connection() == waiter);
+    busy.changed(demand());
   }
 
   Optional<CompletableFuture<C>> nextWaiter() {
-    return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.remove(0).connection());
+    if (waiting.isEmpty()) {
+      return Optional.empty();
+    }
+    CompletableFuture<C> next = waiting.remove(0).connection();
+    busy.changed(demand());
+    return Optional.of(next);
+  }
+
+  /** The connections in use, and those that somebody waits for. */
+  private int demand() {
+    return inUse.size() + opening + waiting.size();
+  }
+
+  /** Returns how many connections had work on average since the last call. */
+  double takeMeanDemand() {
+    return busy.takeMean();
   }
 
   /** Returns those that wait, and forgets them. */
   List<CompletableFuture<C>> takeWaiters() {
     List<CompletableFuture<C>> all = waiting.stream().map(Waiter::connection).toList();
     waiting.clear();
+    busy.changed(demand());
     return all;
   }
 
