--- a/alderyard-common/src/main/java/org/alderyard/common/id/CallerId.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/CallerId.java
@@ -17,6 +17,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof CallerId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/alderyard-common/src/main/java/org/alderyard/common/id/GroupId.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/GroupId.java
@@ -17,6 +17,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof GroupId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/alderyard-common/src/main/java/org/alderyard/common/id/HostId.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/HostId.java
@@ -17,6 +17,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof HostId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/alderyard-common/src/main/java/org/alderyard/common/id/PoolName.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/PoolName.java
@@ -17,6 +17,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof PoolName that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/alderyard-common/src/main/java/org/alderyard/common/id/Position.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/Position.java
@@ -20,6 +20,16 @@
     return ORDER.compare(this, other);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Position that && term == that.term && index == that.index;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(term) + Long.hashCode(index);
+  }
+
   @Override
   public String toString() {
     return term + "/" + index;
--- a/alderyard-common/src/main/java/org/alderyard/common/id/RequestId.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/RequestId.java
@@ -17,6 +17,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof RequestId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/alderyard-common/src/main/java/org/alderyard/common/id/ServerId.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/ServerId.java
@@ -17,6 +17,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ServerId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/alderyard-common/src/main/java/org/alderyard/common/id/ZoneName.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/ZoneName.java
@@ -17,6 +17,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ZoneName that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/alderyard-common/src/main/java/org/alderyard/common/view/ServerState.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ServerState.java
@@ -32,4 +32,23 @@
     Objects.requireNonNull(address);
     Objects.requireNonNull(status);
   }
+
+  /**
+   * Written out as in {@link org.alderyard.common.id}: announcements are compared from the start.
+   */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ServerState that
+        && id.equals(that.id)
+        && incarnation == that.incarnation
+        && group.equals(that.group)
+        && zone.equals(that.zone)
+        && address.equals(that.address)
+        && status == that.status;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(incarnation);
+  }
 }
--- a/alderyard-common/src/main/java/org/alderyard/common/view/ViewVersion.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ViewVersion.java
@@ -20,6 +20,16 @@
     return ORDER.compare(this, other);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ViewVersion that && epoch == that.epoch && version == that.version;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(epoch) + Long.hashCode(version);
+  }
+
   @Override
   public String toString() {
     return epoch + "." + version;
--- a/alderyard-control/src/main/java/org/alderyard/control/grant/ProxyId.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/grant/ProxyId.java
@@ -21,4 +21,17 @@
     int byHost = host.compareTo(other.host);
     return byHost != 0 ? byHost : Long.compare(incarnation, other.incarnation);
   }
+
+  /** Written out as in {@link org.alderyard.common.id}. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ProxyId that
+        && host.equals(that.host)
+        && incarnation == that.incarnation;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + Long.hashCode(incarnation);
+  }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ControlLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ControlLog.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -34,6 +35,14 @@
   /** Returns the host that is believed to lead. */
   Optional<HostId> leader();
 
+  /**
+   * Returns a future that is done when somebody is known to lead and, if that is this host, holds
+   * all that was committed before; or when the time is over.
+   */
+  default CompletableFuture<Void> leaderKnown(Duration limit) {
+    return CompletableFuture.completedFuture(null);
+  }
+
   /** Returns the term of the log, which only grows. */
   long term();
 
--- a/alderyard-control/src/main/java/org/alderyard/control/log/LogStatus.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/LogStatus.java
@@ -27,6 +27,11 @@
   static final LogStatus NONE =
       new LogStatus(0, false, false, Optional.empty(), 0, 0, Membership.EMPTY);
 
+  /** Returns whether requests for the leader find one: this host, or another one that is known. */
+  boolean leaderKnown() {
+    return leading || !elected && leader.isPresent();
+  }
+
   /** Returns whether a leadership that was seen in the earlier status has ended. */
   boolean endsLeadershipOf(LogStatus earlier) {
     return earlier.elected && !(elected && term == earlier.term);
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -54,6 +54,7 @@
   private final SerialLoop loop;
   private final PendingProposals pending;
   private final ReplicaHost replica;
+  private final LeaderWaits leaderWaits = new LeaderWaits();
   // On the loop only.
   private long nextReadId;
   private boolean closed;
@@ -94,6 +95,7 @@
     LogStatus before = status;
     LogStatus now = replica.status();
     status = now;
+    leaderWaits.update(now.leaderKnown());
     if (now.endsLeadershipOf(before)) {
       pending.fail(lostLeadership(), notLeader());
     }
@@ -250,6 +252,11 @@
     return status.leader();
   }
 
+  @Override
+  public CompletableFuture<Void> leaderKnown(Duration limit) {
+    return leaderWaits.await(limit);
+  }
+
   @Override
   public long term() {
     return status.term();
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/SightingTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SightingTable.java
@@ -24,27 +24,24 @@
    */
   static final int SILENT_MILLIS = 600;
 
-  private record Key(GroupId group, HostId host) {}
-
   private record Sighting(ServerId server, int silentMillis, long atNanos) {}
 
-  private final Map<Key, Sighting> sightings = new HashMap<>();
+  private final Map<GroupId, Map<HostId, Sighting>> sightings = new HashMap<>();
 
   /** Takes a host's word. */
   void report(HostId host, GroupId group, ServerId server, int silentMillis, long nowNanos) {
-    sightings.put(new Key(group, host), new Sighting(server, silentMillis, nowNanos));
+    sightings
+        .computeIfAbsent(group, id -> new HashMap<>())
+        .put(host, new Sighting(server, silentMillis, nowNanos));
   }
 
   /** Returns whether more hosts miss this primary than have answers from it. */
   boolean lost(GroupId group, ServerId primary, long nowNanos) {
     int missing = 0;
     int answered = 0;
-    for (Map.Entry<Key, Sighting> entry : sightings.entrySet()) {
-      Sighting sighting = entry.getValue();
+    for (Sighting sighting : sightings.getOrDefault(group, Map.of()).values()) {
       boolean counts =
-          entry.getKey().group().equals(group)
-              && sighting.server().equals(primary)
-              && nowNanos - sighting.atNanos() <= FRESH_NANOS;
+          sighting.server().equals(primary) && nowNanos - sighting.atNanos() <= FRESH_NANOS;
       if (!counts) {
         continue;
       }
@@ -59,6 +56,9 @@
 
   /** Forgets words that no longer count. */
   void prune(long nowNanos) {
-    sightings.values().removeIf(sighting -> nowNanos - sighting.atNanos() > FRESH_NANOS);
+    sightings
+        .values()
+        .forEach(words -> words.values().removeIf(word -> nowNanos - word.atNanos() > FRESH_NANOS));
+    sightings.values().removeIf(Map::isEmpty);
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
@@ -28,7 +28,7 @@
   /** About the largest answer, in bytes; a host that lags takes several. */
   static final int ANSWER_BYTES = 1 << 20;
 
-  private static final Duration MIN_PAUSE = Duration.ofMillis(2);
+  private static final Duration MIN_PAUSE = Duration.ofMillis(20);
   private static final Duration PAUSE_PER_HOST = Duration.ofNanos(200_000);
 
   private final WorkerPool workers;
@@ -91,7 +91,9 @@
    * <p>Guards against a storm: 1,000 hosts join, each joining is a change for all others, and a
    * million answers keep the leader from the heartbeats, so that hosts lose their leases, which are
    * changes again. The pause grows with the number of hosts, so the pace of answers is bounded, and
-   * changes in a pause go out together.
+   * changes in a pause go out together. A change after a quiet time goes out at once. The least
+   * pause serves the return of a dozen hosts: each registers anew, and their views and heartbeats
+   * took the core that callers of the leader waited for.
    */
   private void answerUnlessPausing() {
     List<Waiter> ready = new ArrayList<>();
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
@@ -22,6 +22,12 @@
   /** The longest wait of one request. */
   static final Duration MAX_WAIT = Duration.ofSeconds(10);
 
+  /**
+   * The longest wait for a leader. An election after a start takes less; on a control host that is
+   * cut off from the others, a host that wants a view must turn elsewhere soon.
+   */
+  static final Duration LEADER_WAIT = Duration.ofMillis(300);
+
   private final ControlLog controlLog;
   private final ControlState state;
   private final ViewFeed feed;
@@ -40,13 +46,22 @@
         .thenCompose(
             news ->
                 news.needsSnapshot()
-                    ? snapshot(interest)
+                    ? snapshot(interest, wait)
                     : CompletableFuture.completedFuture(deltas(news.deltas(), interest)));
   }
 
-  private CompletableFuture<FetchViewReply> snapshot(Set<String> interest) {
+  /**
+   * Returns the whole view, once a leader is there to confirm it.
+   *
+   * <p>Guards against a storm at the worst moment: after a loss of power all hosts want a view, and
+   * while the control hosts elected a leader on cold code, each host asked each of them ten times a
+   * second, over connections of its own.
+   */
+  private CompletableFuture<FetchViewReply> snapshot(Set<String> interest, Duration wait) {
+    Duration leaderWait = wait.compareTo(LEADER_WAIT) > 0 ? LEADER_WAIT : wait;
     return controlLog
-        .readBarrier()
+        .leaderKnown(leaderWait)
+        .thenCompose(done -> controlLog.readBarrier())
         .thenApply(
             done -> {
               ViewChange current = state.current();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -32,6 +32,10 @@
 public final class ViewClient implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(ViewClient.class);
   private static final Duration WAIT = Duration.ofMillis(1_000);
+
+  /** What a control host may wait for a leader when a host looks for one; it asks all of them. */
+  private static final Duration LEADER_WAIT = Duration.ofMillis(200);
+
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(2_000);
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
   private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(750);
@@ -75,10 +79,14 @@
     this.source = new AtomicInteger(Math.floorMod(self.id().hashCode(), control.hostCount()));
   }
 
-  /** Starts to follow. */
+  /**
+   * Starts to follow.
+   *
+   * <p>The first heartbeat goes out with the first view, or an interval later: before a leader is
+   * there it finds nobody, and keeps the control hosts from electing one.
+   */
   public void start() {
     workers.execute(this::fetch);
-    workers.execute(this::heartbeat);
     workers.scheduleRepeatedly(HEARTBEAT_INTERVAL, this::heartbeat);
   }
 
@@ -113,7 +121,7 @@
         FetchViewRequest.newBuilder()
             .setRunning(StateCodec.versionMessage(before.view().version()))
             .setChainHash(before.chainHash())
-            .setWaitMillis(needsLeader ? 0 : (int) WAIT.toMillis())
+            .setWaitMillis((int) (needsLeader ? LEADER_WAIT : WAIT).toMillis())
             .build();
     int place = source.get();
     CompletableFuture<FetchViewReply> fetched =
