--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -1,6 +1,5 @@
 package org.alderyard.daemon;
 
-import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -22,19 +21,10 @@
 
   /** Starts all parts; a part that can't start closes those before it. */
   public Daemon(DaemonSettings settings) {
-    this(settings, Optional.empty());
-  }
-
-  /**
-   * Starts all parts; a part that can't start closes those before it.
-   *
-   * @param callersPort the port of callers' sessions if it is open already
-   */
-  Daemon(DaemonSettings settings, Optional<ServerSocketChannel> callersPort) {
     log.info("event=starting host={} roles={}", settings.host(), settings.roles());
     host = new HostContext(settings);
     try {
-      start(settings, callersPort);
+      start(settings);
       log.info(
           "event=started host={} incarnation={} roles={}",
           settings.host(),
@@ -46,9 +36,9 @@
     }
   }
 
-  private void start(DaemonSettings settings, Optional<ServerSocketChannel> callersPort) {
+  private void start(DaemonSettings settings) {
     Optional<SessionStack> sessions =
-        settings.sessions().map(options -> new SessionStack(host, options, callersPort));
+        settings.sessions().map(options -> new SessionStack(host, options));
     drainable = sessions.map(stack -> stack);
     if (settings.roles().contains(Role.CONTROL)) {
       // All hosts wait for the control hosts' first leader.
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -2,7 +2,6 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.alderyard.common.concurrent.Futures;
@@ -16,29 +15,25 @@
 
 /** The command line of {@code alderyardd}. */
 public final class DaemonMain {
-  private static final String USAGE =
-      "usage: alderyardd --settings FILE [--listen IP:PORT] [--check]";
+  private static final String USAGE = "usage: alderyardd --settings FILE [--check]";
   private static final Options OPTIONS =
       new Options()
           .addOption(Option.builder().longOpt("settings").hasArg().required().get())
-          .addOption(Option.builder().longOpt(EarlyPort.OPTION).hasArg().get())
           .addOption(Option.builder().longOpt("check").get());
 
   private DaemonMain() {}
 
   /** Runs the daemon until the process is asked to end. */
   public static void main(String[] args) throws InterruptedException {
-    Optional<EarlyPort> port = EarlyPort.open(args);
     LogProvider.install();
     NoManagementBeans.install();
-    ExitCode code = run(args, port, System.out, System.err);
+    ExitCode code = run(args, System.out, System.err);
     if (code != ExitCode.OK) {
       System.exit(code.number());
     }
   }
 
-  private static ExitCode run(
-      String[] args, Optional<EarlyPort> port, PrintStream out, PrintStream err)
+  private static ExitCode run(String[] args, PrintStream out, PrintStream err)
       throws InterruptedException {
     CommandLine line;
     try {
@@ -54,8 +49,7 @@
         out.println("settings are valid: " + line.getOptionValue("settings"));
         return ExitCode.OK;
       }
-      port.ifPresent(early -> early.check(settings));
-      runUntilAsked(settings, port, Path.of(line.getOptionValue("settings")));
+      runUntilAsked(settings, Path.of(line.getOptionValue("settings")));
       return ExitCode.OK;
     } catch (AlderyardException failure) {
       err.println(failure.code() + ": " + failure.getMessage());
@@ -64,10 +58,10 @@
   }
 
   /** Ends when the process is asked to, or throws what made the daemon give up. */
-  private static void runUntilAsked(DaemonSettings settings, Optional<EarlyPort> port, Path file)
+  private static void runUntilAsked(DaemonSettings settings, Path file)
       throws InterruptedException {
     settings.log().apply();
-    Daemon daemon = new Daemon(settings, port.map(EarlyPort::channel));
+    Daemon daemon = new Daemon(settings);
     daemon.watch(file);
     CompletableFuture<Void> ended = new CompletableFuture<>();
     daemon.failure().thenAccept(ended::completeExceptionally);
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -1,6 +1,5 @@
 package org.alderyard.daemon;
 
-import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -60,21 +59,14 @@
 
   private final HostContext host;
   private final SessionOptions options;
-  private final Optional<ServerSocketChannel> openPort;
   private final SessionService sessions;
   private Optional<CallerPort> callers = Optional.empty();
   private final CompletableFuture<Void> operable = new CompletableFuture<>();
   private volatile boolean stopping;
 
-  /**
-   * Creates the parts; none of them runs yet.
-   *
-   * @param openPort the port of callers if it is open already
-   */
-  SessionStack(HostContext host, SessionOptions options, Optional<ServerSocketChannel> openPort) {
+  SessionStack(HostContext host, SessionOptions options) {
     this.host = host;
     this.options = options;
-    this.openPort = openPort;
     LeaseTable leases = new LeaseTable(host.clock, CONNECTIONS_WITHOUT_LEASE);
     sessions =
         new SessionService(
@@ -116,7 +108,6 @@
                 new CallerPort(
                     host.loops,
                     host.settings.callerAddress(),
-                    openPort,
                     sessions,
                     host.workers,
                     host.clock)));
