--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseTable.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseTable.java
@@ -10,6 +10,9 @@
 
 /** The leases of all servers. Lock: the object itself, a leaf. */
 public final class LeaseTable implements ConnectionAllowance {
+  /** Beside one that hangs and one that rests in a transaction there is a third. */
+  private static final int SPARE = 2;
+
   private final MonotonicClock clock;
   private final int withoutLease;
   // Guarded by this.
@@ -42,6 +45,11 @@
     return lease == null ? withoutLease : Math.max(withoutLease, lease.lastAllowed());
   }
 
+  @Override
+  public int spare(ServerId server) {
+    return withoutLease == 0 ? 0 : SPARE;
+  }
+
   /** Begins a request for one server; returns the most connections until its reply. */
   synchronized int request(ServerId server, long sequence, int open) {
     return leases
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -30,6 +30,12 @@
   private static final long RETRY_AFTER_MILLIS = 100;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
+  /**
+   * A connection that is in use for longer does not count while others wait: most statements take
+   * less, and what takes longer is a transaction that rests or an answer that does not come.
+   */
+  private static final Duration HELD_LONG = Duration.ofMillis(100);
+
   private final ConnectionSource<C> source;
   private final ConnectionAllowance allowance;
   private final MonotonicClock clock;
@@ -87,6 +93,7 @@
       }
       if (!mayOpen(server, pool)) {
         pool.await(waiter, priority);
+        lookAgain(server);
         return limited(server, waiter, timeout);
       }
       pool.beginOpening();
@@ -94,8 +101,32 @@
     return open(server, pool, timeout);
   }
 
+  /**
+   * Returns whether another connection may be opened.
+   *
+   * <p>Guards against statements that wait behind one whose answer was lost: a host with a single
+   * connection to a server ran nothing there for the rest of that statement's time, though the
+   * server was idle.
+   */
   private boolean mayOpen(ServerState server, ServerPool<C> pool) {
-    return pool.open() < allowance.allowed(server.id()) && pool.mayOpen(clock.nowNanos());
+    if (!pool.mayOpen(clock.nowNanos())) {
+      return false;
+    }
+    int allowed = allowance.allowed(server.id());
+    if (pool.open() < allowed) {
+      return true;
+    }
+    int spare = Math.min(allowance.spare(server.id()), pool.heldFor(HELD_LONG.toNanos()));
+    return pool.open() < allowed + spare;
+  }
+
+  /** Sees whether one that waits may have a connection once those in use are held for long. */
+  private void lookAgain(ServerState server) {
+    if (allowance.spare(server.id()) > 0) {
+      new CompletableFuture<Void>()
+          .completeOnTimeout(null, HELD_LONG.toMillis() + 1, TimeUnit.MILLISECONDS)
+          .thenRun(() -> serveWaiter(server));
+    }
   }
 
   private static AlderyardException noLease(ServerState server) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -3,10 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.PooledConnection;
@@ -24,16 +24,19 @@
 
   private final long incarnation;
   private final Deque<C> idle = new ArrayDeque<>();
-  private final Set<C> inUse = new HashSet<>();
+  // By the time since when each is in use.
+  private final Map<C, Long> inUse = new HashMap<>();
   private final List<Waiter<C>> waiting = new ArrayList<>();
   private int opening;
   private int peakInUse;
   private long refusedPauseNanos;
   private long closedUntilNanos;
+  private final MonotonicClock clock;
   private final BusyMeter busy;
 
   ServerPool(long incarnation, MonotonicClock clock) {
     this.incarnation = incarnation;
+    this.clock = clock;
     this.busy = new BusyMeter(clock);
   }
 
@@ -45,6 +48,12 @@
     return idle.size() + inUse.size() + opening;
   }
 
+  /** Returns how many connections have been in use for this long. */
+  int heldFor(long nanos) {
+    long now = clock.nowNanos();
+    return (int) inUse.values().stream().filter(since -> now - since >= nanos).count();
+  }
+
   /** Takes the connection that was used last, so that those beyond the need stay idle. */
   Optional<C> takeIdle() {
     while (!idle.isEmpty()) {
@@ -59,7 +68,7 @@
   }
 
   private void use(C connection) {
-    inUse.add(connection);
+    inUse.put(connection, clock.nowNanos());
     busy.changed(demand());
     peakInUse = Math.max(peakInUse, inUse.size() + opening);
   }
@@ -101,7 +110,7 @@
 
   /** Returns whether the connection was in use here. */
   boolean giveBack(C connection) {
-    boolean ours = inUse.remove(connection);
+    boolean ours = inUse.remove(connection) != null;
     busy.changed(demand());
     return ours;
   }
@@ -161,7 +170,7 @@
       excess.add(idle.removeFirst());
     }
     if (allowed == 0) {
-      excess.addAll(inUse);
+      excess.addAll(inUse.keySet());
     }
     return excess;
   }
--- /dev/null
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/HeldConnectionTest.java
@@ -0,0 +1,77 @@
+package org.alderyard.proxy.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.session.SessionConnection;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.testkit.session.ModelGroup;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: an answer is lost on the only connection. While all is well a host has a single
+ * connection to a server, so that all hosts find room on it when they return at once. The answer to
+ * one statement does not come, and all others of this host wait behind it for most of a second,
+ * though the server is idle.
+ */
+class HeldConnectionTest {
+  private static final Duration LONG = Duration.ofMinutes(5);
+
+  private final ModelGroup group = new ModelGroup("g1", "s1");
+  private final ServerState server = group.states().get(0);
+
+  private ConnectionPools<SessionConnection> pools(int spare) {
+    ConnectionAllowance allowance =
+        new ConnectionAllowance() {
+          @Override
+          public int allowed(ServerId id) {
+            return 1;
+          }
+
+          @Override
+          public int spare(ServerId id) {
+            return spare;
+          }
+        };
+    return new ConnectionPools<>(group::connect, allowance, MonotonicClock.system());
+  }
+
+  @Test
+  void statementBehindOneThatHangsGetsAnotherConnection() throws Exception {
+    ConnectionPools<SessionConnection> pools = pools(2);
+    SessionConnection hangs = pools.take(server, LONG).join();
+
+    SessionConnection other = pools.take(server, LONG).get(20, TimeUnit.SECONDS);
+
+    assertThat(other).isNotSameInstanceAs(hangs);
+  }
+
+  @Test
+  void allowanceThatBindsIsNotExceeded() throws Exception {
+    ConnectionPools<SessionConnection> pools = pools(0);
+    final SessionConnection only = pools.take(server, LONG).join();
+    CompletableFuture<SessionConnection> waiting = pools.take(server, LONG);
+    TimeUnit.MILLISECONDS.sleep(250);
+    assertThat(waiting.isDone()).isFalse();
+
+    pools.release(server, only);
+
+    assertThat(waiting.join()).isSameInstanceAs(only);
+  }
+
+  @Test
+  void spareConnectionIsClosedWhenItIsGivenBack() throws Exception {
+    ConnectionPools<SessionConnection> pools = pools(2);
+    SessionConnection hangs = pools.take(server, LONG).join();
+    SessionConnection spare = pools.take(server, LONG).get(20, TimeUnit.SECONDS);
+
+    pools.release(server, spare);
+
+    assertThat(spare.usable()).isFalse();
+    assertThat(hangs.usable()).isTrue();
+  }
+}
