--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Rehearsal.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Rehearsal.java
@@ -55,6 +55,9 @@
   /** Most methods on the way of a statement have been compiled by then. */
   private static final int ROUNDS = 400;
 
+  /** The statements of nobody are no lines for operators. */
+  private static final int NO_LOG = 0;
+
   private static final int TIMEOUT_MILLIS = 1_000;
   private static final int CONNECTIONS = 4;
   private static final String ITEM = "item";
@@ -92,7 +95,7 @@
                   wallClock,
                   new PrometheusRegistry(),
                   () -> true,
-                  new SessionLimits(CONNECTIONS, Duration.ZERO, Integer.MAX_VALUE));
+                  new SessionLimits(CONNECTIONS, Duration.ZERO, NO_LOG));
           views.offer(view());
           new Rehearsal(service, workers, over).round();
         });
