--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.alderyard.common.view.View;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.control.state.ControlState;
 import org.alderyard.control.state.ViewChange;
@@ -14,6 +13,7 @@
 import org.alderyard.protocol.generated.state.ObjectState;
 import org.alderyard.protocol.generated.state.ViewDelta;
 import org.alderyard.protocol.generated.state.ViewDeltas;
+import org.alderyard.protocol.generated.state.ViewSnapshot;
 import org.alderyard.protocol.view.StateCodec;
 import org.alderyard.protocol.view.ViewCodec;
 
@@ -31,9 +31,6 @@
   private final ControlLog controlLog;
   private final ControlState state;
   private final ViewFeed feed;
-  // Guarded by this; null before the first snapshot.
-  private View lastView;
-  private FetchViewReply lastSnapshot;
 
   ViewService(ControlLog controlLog, ControlState state, ViewFeed feed) {
     this.controlLog = controlLog;
@@ -67,39 +64,20 @@
         .thenCompose(done -> controlLog.readBarrier())
         .thenApply(
             done -> {
-              FetchViewReply all = snapshotOf(state.current());
-              return interest.isEmpty() ? all : only(all, interest);
+              ViewChange current = state.current();
+              ViewSnapshot all = ViewCodec.snapshot(current.view());
+              ViewSnapshot wanted =
+                  all.toBuilder()
+                      .clearObjects()
+                      .addAllObjects(filter(all.getObjectsList(), interest))
+                      .build();
+              return FetchViewReply.newBuilder()
+                  .setSnapshot(wanted)
+                  .setChainHash(current.chainHash())
+                  .build();
             });
   }
 
-  /**
-   * Returns the message with the whole view, made once for each view.
-   *
-   * <p>Guards against views that come late when all hosts start at once: the leader made the same
-   * message for each of them, and with some hundred databases on cold code the last host waited
-   * half a second longer than the first.
-   */
-  private synchronized FetchViewReply snapshotOf(ViewChange change) {
-    if (lastView != change.view()) {
-      lastSnapshot =
-          FetchViewReply.newBuilder()
-              .setSnapshot(ViewCodec.snapshot(change.view()))
-              .setChainHash(change.chainHash())
-              .build();
-      lastView = change.view();
-    }
-    return lastSnapshot;
-  }
-
-  private static FetchViewReply only(FetchViewReply all, Set<String> interest) {
-    FetchViewReply.Builder wanted = all.toBuilder();
-    wanted
-        .getSnapshotBuilder()
-        .clearObjects()
-        .addAllObjects(filter(all.getSnapshot().getObjectsList(), interest));
-    return wanted.build();
-  }
-
   private static FetchViewReply deltas(List<ViewDelta> deltas, Set<String> interest) {
     ViewDeltas.Builder wanted = ViewDeltas.newBuilder().setFiltered(!interest.isEmpty());
     for (ViewDelta delta : deltas) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
@@ -40,10 +39,6 @@
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(2_000);
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
   private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(750);
-
-  /** Views that follow each other are told of together; in force means within seconds. */
-  private static final Duration HEARTBEAT_AFTER_VIEW = Duration.ofMillis(100);
-
   private static final Duration HEARTBEAT_TIMEOUT = Duration.ofMillis(1_000);
   private static final long LEAVE_TIMEOUT_MILLIS = 300;
   private static final long BEHIND_LIMIT_MILLIS = 500;
@@ -66,7 +61,6 @@
   private final DependencyLog fetches = new DependencyLog(log, "view-fetch");
   private final DependencyLog heartbeats = new DependencyLog(log, "heartbeat");
   private final List<Runnable> lapseListeners = new CopyOnWriteArrayList<>();
-  private final AtomicBoolean heartbeatPlanned = new AtomicBoolean();
   private volatile boolean closed;
 
   /** Creates a client that does nothing until {@link #start()}. */
@@ -170,7 +164,7 @@
       tellOfLapse();
       lease.runs(holder.current().version());
       log.info("event=view-changed version={}", holder.current().version());
-      heartbeatSoon();
+      workers.execute(this::heartbeat);
     }
     switch (result.reason()) {
       case ADVANCED -> {
@@ -198,25 +192,6 @@
     return behind.isPresent() && behind.getAsLong() > BEHIND_LIMIT_MILLIS;
   }
 
-  /**
-   * Tells the leader of a new view, at once for the first one and soon for each later one.
-   *
-   * <p>Guards against a leader that hears of each of a dozen views from each of a dozen hosts while
-   * all of them start, and keeps those that have no view yet waiting meanwhile.
-   */
-  private void heartbeatSoon() {
-    if (!leaseValid()) {
-      workers.execute(this::heartbeat);
-    } else if (heartbeatPlanned.compareAndSet(false, true)) {
-      workers.schedule(
-          HEARTBEAT_AFTER_VIEW,
-          () -> {
-            heartbeatPlanned.set(false);
-            heartbeat();
-          });
-    }
-  }
-
   /**
    * Sends a heartbeat, or one after that which is on its way.
    *
