--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -51,7 +51,6 @@
     if (sessions.isPresent()) {
       // After the parts that listen to views: they must see the first one.
       host.viewClient.start();
-      sessions.get().rehearse();
       sessions.get().startHttpLater();
       sessions.get().operable().thenRun(() -> operable.complete(null));
       return;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -9,7 +9,6 @@
 import org.alderyard.platform.CallerPort;
 import org.alderyard.platform.ControlPort;
 import org.alderyard.platform.WireSessionConnector;
-import org.alderyard.proxy.callersession.Rehearsal;
 import org.alderyard.proxy.callersession.SessionLimits;
 import org.alderyard.proxy.callersession.SessionService;
 import org.alderyard.proxy.lease.LeaseClient;
@@ -116,13 +115,6 @@
     sessions.shareSamples(host.dispatcher, host.links, host.settings.host());
   }
 
-  /** Makes ready for callers until the first view comes, unless other hosts wait for this one. */
-  void rehearse() {
-    if (!host.settings.roles().contains(Role.CONTROL)) {
-      Rehearsal.start(host.workers, host.clock, host.wallClock, sessions::hasView);
-    }
-  }
-
   /**
    * Opens the ports of the balancer, of operators and of servers.
    *
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
@@ -10,7 +10,7 @@
  * @param openingWait how long an opening waits for the first view of a host
  * @param afterFirstView how long callers wait after the first view of a host; it is for hosts that
  *     have something to do then for which all other hosts wait
- * @param routineLogSample of how many statements that went well one is logged; 0 for none
+ * @param routineLogSample of how many statements that went well one is logged
  */
 public record SessionLimits(
     int maxSessions, Duration openingWait, Duration afterFirstView, int routineLogSample) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -138,11 +138,6 @@
     return parts.pools();
   }
 
-  /** Returns whether the first view has come. */
-  public boolean hasView() {
-    return firstView.isDone();
-  }
-
   /** Returns a future that is done with the first view, or when the time is over. */
   public CompletableFuture<Void> firstView(Duration limit) {
     return firstView.copy().completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS);
