--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
@@ -24,7 +25,7 @@
   private static final Duration PATIENCE = Duration.ofSeconds(60);
 
   final List<String> applied = new ArrayList<>();
-  final List<String> leadership = new ArrayList<>();
+  final List<String> leadership = new CopyOnWriteArrayList<>();
   volatile AlderyardException failure;
   private final WorkerPool workers = new WorkerPool("host", 2);
   private final EventLoops loops = new EventLoops(1);
--- a/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
@@ -226,7 +226,12 @@
     AlderyardException error = failure(log.propose(ByteString.copyFromUtf8("no majority")));
     assertThat(error.code()).isEqualTo(ErrorCode.NOT_LEADER);
     LogHost.await("the leader steps down", () -> !log.leading());
-    assertThat(hosts.get(leader).leadership).hasSize(2);
+    // The listener is told after the status has changed.
+    List<String> told = hosts.get(leader).leadership;
+    LogHost.await("the listener is told", () -> told.size() >= 2);
+    assertThat(told).hasSize(2);
+    assertThat(told.get(0)).endsWith("leads");
+    assertThat(told.get(1)).endsWith("ends");
   }
 
   /** An operator stops the leader's process: it hands over, and says so, before it ends. */
