--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
@@ -79,7 +79,7 @@
     switch (frame.getFrameCase()) {
       case HELLO -> onHello(ctx, frame.getHello());
       case HELLO_PROOF -> onProof(ctx, frame.getHelloProof());
-      case ERROR -> rejectedByPeer(ctx, frame.getError().getMessage());
+      case ERROR -> rejectedByPeer(ctx);
       default -> reject(ctx, "a " + frame.getFrameCase() + " frame before the handshake");
     }
   }
@@ -163,9 +163,11 @@
     ctx.writeAndFlush(Frames.error(NO_REQUEST, rejection)).addListener(ChannelFutureListener.CLOSE);
   }
 
-  private void rejectedByPeer(ChannelHandlerContext ctx, String reason) {
-    log.warn("event=rejected-by-peer peer={} reason=\"{}\"", ctx.channel().remoteAddress(), reason);
-    done.completeExceptionally(AlderyardException.notRun(ErrorCode.PEER_REJECTED, reason));
+  /** The peer's words go into no line: it has proved nothing yet. Its own log has the reason. */
+  private void rejectedByPeer(ChannelHandlerContext ctx) {
+    log.warn("event=rejected-by-peer peer={}", ctx.channel().remoteAddress());
+    done.completeExceptionally(
+        AlderyardException.notRun(ErrorCode.PEER_REJECTED, "the peer rejected this host"));
     ctx.close();
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/SteadyWish.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/SteadyWish.java
@@ -14,6 +14,8 @@
  * <p>Peaks of a dozen hosts do not fall together, so the sum of their peaks is far more than they
  * need, and leaves no room on a server for hosts that come back. A wish that fell as fast as it
  * rises would close connections and open them again in the next wave; a new one is dear.
+ *
+ * <p>Lock: the object itself; the demand is read while it is held.
  */
 public final class SteadyWish implements ConnectionWish {
   /** The part of the level that is kept from one call to the next while there is less work. */
@@ -26,6 +28,7 @@
   private static final double IDLE_LEVEL = 0.005;
 
   private final ToDoubleFunction<ServerId> meanDemand;
+  // Guarded by this.
   private final Map<ServerId, Double> levels = new HashMap<>();
 
   /**
@@ -38,7 +41,7 @@
   }
 
   @Override
-  public int wanted(ServerId server, PoolUse use) {
+  public synchronized int wanted(ServerId server, PoolUse use) {
     double mean = meanDemand.applyAsDouble(server);
     double level = Math.max(mean, levels.getOrDefault(server, 0.0) * DECAY);
     levels.put(server, level);
@@ -46,7 +49,7 @@
   }
 
   @Override
-  public void retain(Set<ServerId> servers) {
+  public synchronized void retain(Set<ServerId> servers) {
     levels.keySet().retainAll(servers);
   }
 }
