--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -30,12 +30,6 @@
   private static final long RETRY_AFTER_MILLIS = 100;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
-  /**
-   * A connection that is in use for longer does not count while others wait: most statements take
-   * less, and what takes longer is a transaction that rests or an answer that does not come.
-   */
-  private static final Duration HELD_LONG = Duration.ofMillis(100);
-
   private final ConnectionSource<C> source;
   private final ConnectionAllowance allowance;
   private final MonotonicClock clock;
@@ -93,7 +87,7 @@
       }
       if (!mayOpen(server, pool)) {
         pool.await(waiter, priority);
-        lookAgain(server);
+        lookAgain(server, pool.heldUpNanos());
         return limited(server, waiter, timeout);
       }
       pool.beginOpening();
@@ -106,7 +100,7 @@
    *
    * <p>Guards against statements that wait behind one whose answer was lost: a host with a single
    * connection to a server ran nothing there for the rest of that statement's time, though the
-   * server was idle.
+   * server was idle. A connection that is held up does not count, for a few of them.
    */
   private boolean mayOpen(ServerState server, ServerPool<C> pool) {
     if (!pool.mayOpen(clock.nowNanos())) {
@@ -116,15 +110,14 @@
     if (pool.open() < allowed) {
       return true;
     }
-    int spare = Math.min(allowance.spare(server.id()), pool.heldFor(HELD_LONG.toNanos()));
-    return pool.open() < allowed + spare;
+    return pool.open() < allowed + Math.min(allowance.spare(server.id()), pool.heldUp());
   }
 
-  /** Sees whether one that waits may have a connection once those in use are held for long. */
-  private void lookAgain(ServerState server) {
+  /** Sees whether one that waits may have a connection once those in use are held up. */
+  private void lookAgain(ServerState server, long laterNanos) {
     if (allowance.spare(server.id()) > 0) {
       new CompletableFuture<Void>()
-          .completeOnTimeout(null, HELD_LONG.toMillis() + 1, TimeUnit.MILLISECONDS)
+          .completeOnTimeout(null, laterNanos, TimeUnit.NANOSECONDS)
           .thenRun(() -> serveWaiter(server));
     }
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -22,6 +22,18 @@
 
   private static final long MAX_REFUSED_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+  /**
+   * A connection that is used for so many usual times is held up: by a transaction that rests, or
+   * by an answer that does not come.
+   */
+  private static final double HELD_UP_USES = 4;
+
+  /** And not before this, so that common statements, which differ in their work, are not. */
+  private static final long MIN_HELD_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** The weight of a new use in the average: about the last ten count. */
+  private static final double USE_WEIGHT = 0.1;
+
   private final long incarnation;
   private final Deque<C> idle = new ArrayDeque<>();
   // By the time since when each is in use.
@@ -29,6 +41,7 @@
   private final List<Waiter<C>> waiting = new ArrayList<>();
   private int opening;
   private int peakInUse;
+  private double meanUseNanos;
   private long refusedPauseNanos;
   private long closedUntilNanos;
   private final MonotonicClock clock;
@@ -48,10 +61,16 @@
     return idle.size() + inUse.size() + opening;
   }
 
-  /** Returns how many connections have been in use for this long. */
-  int heldFor(long nanos) {
+  /** Returns after which time a connection counts as held up, by how long they are used usually. */
+  long heldUpNanos() {
+    return Math.max(MIN_HELD_UP_NANOS, (long) (HELD_UP_USES * meanUseNanos));
+  }
+
+  /** Returns how many connections have been in use for far longer than usual. */
+  int heldUp() {
     long now = clock.nowNanos();
-    return (int) inUse.values().stream().filter(since -> now - since >= nanos).count();
+    long limit = heldUpNanos();
+    return (int) inUse.values().stream().filter(since -> now - since >= limit).count();
   }
 
   /** Takes the connection that was used last, so that those beyond the need stay idle. */
@@ -110,9 +129,13 @@
 
   /** Returns whether the connection was in use here. */
   boolean giveBack(C connection) {
-    boolean ours = inUse.remove(connection) != null;
+    Long since = inUse.remove(connection);
+    if (since == null) {
+      return false;
+    }
+    meanUseNanos += USE_WEIGHT * (clock.nowNanos() - since - meanUseNanos);
     busy.changed(demand());
-    return ours;
+    return true;
   }
 
   void keep(C connection) {
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/HeldConnectionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/HeldConnectionTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.alderyard.backend.session.SessionConnection;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
@@ -63,6 +64,31 @@
     assertThat(waiting.join()).isSameInstanceAs(only);
   }
 
+  /**
+   * Statements of 200 ms are usual here. A bound of 100 ms took each of them for held up: hosts
+   * opened and closed connections all the time, and each cost the server some of its work.
+   */
+  @Test
+  void longUseIsNotHeldUpWhereItIsUsual() {
+    AtomicLong nowMillis = new AtomicLong(1_000);
+    ServerPool<SessionConnection> pool =
+        new ServerPool<>(1, () -> TimeUnit.MILLISECONDS.toNanos(nowMillis.get()));
+    for (int statement = 0; statement < 30; statement++) {
+      SessionConnection connection = group.connect(server, LONG).join();
+      pool.beginOpening();
+      pool.opened(connection);
+      nowMillis.addAndGet(200);
+      pool.giveBack(connection);
+    }
+    pool.beginOpening();
+    pool.opened(group.connect(server, LONG).join());
+
+    nowMillis.addAndGet(300);
+    assertThat(pool.heldUp()).isEqualTo(0);
+    nowMillis.addAndGet(600);
+    assertThat(pool.heldUp()).isEqualTo(1);
+  }
+
   @Test
   void spareConnectionIsClosedWhenItIsGivenBack() throws Exception {
     ConnectionPools<SessionConnection> pools = pools(2);
