--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
@@ -156,11 +156,16 @@
 
   /** Tells the peer why as well: a plain close would look like a lost connection to it. */
   private void reject(ChannelHandlerContext ctx, String reason) {
+    ctx.writeAndFlush(Frames.error(NO_REQUEST, rejection(ctx, reason)))
+        .addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private AlderyardException rejection(ChannelHandlerContext ctx, String reason) {
     log.warn("event=peer-rejected peer={} reason=\"{}\"", ctx.channel().remoteAddress(), reason);
     AlderyardException rejection =
         AlderyardException.notRun(ErrorCode.PEER_REJECTED, "peer rejected: " + reason);
     done.completeExceptionally(rejection);
-    ctx.writeAndFlush(Frames.error(NO_REQUEST, rejection)).addListener(ChannelFutureListener.CLOSE);
+    return rejection;
   }
 
   /** The peer's words go into no line: it has proved nothing yet. Its own log has the reason. */
@@ -197,7 +202,9 @@
     if (cause instanceof IOException) {
       lose(ctx, "the connection broke: " + cause.getMessage());
     } else {
-      reject(ctx, "a damaged frame: " + cause.getMessage());
+      // Who sends no frames reads none.
+      rejection(ctx, "a damaged frame: " + cause.getMessage());
+      ctx.close();
     }
   }
 }
