--- a/alderyard-common/src/main/java/org/alderyard/common/error/AlderyardException.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/AlderyardException.java
@@ -46,6 +46,11 @@
     return new AlderyardException(code, Outcome.OUTCOME_UNKNOWN, message, cause);
   }
 
+  /** Returns this error with what its receiver adds; the hint of when to come back stays. */
+  public AlderyardException restated(ErrorCode newCode, Outcome newOutcome, String message) {
+    return new AlderyardException(newCode, newOutcome, message, this, retryAfterMillis);
+  }
+
   /** Returns the code. */
   public ErrorCode code() {
     return code;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -157,7 +157,8 @@
                     "control",
                     address,
                     Optional.empty(),
-                    new ControlPort(host.control, host.workers).handler()));
+                    new ControlPort(host.control, host.workers, host.clock, host.registry)
+                        .handler()));
     options
         .metricsAddress()
         .ifPresent(
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -55,9 +55,12 @@
   /** Sends a request to one host, by its place in the list. */
   public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callHost(
       int place, Method<Q, R> method, Q request, Duration timeout) {
+    return links.to(address(place)).call(method, request, timeout);
+  }
+
+  private InetSocketAddress address(int place) {
     List<InetSocketAddress> addresses = controlHosts.get();
-    int index = Math.floorMod(place, addresses.size());
-    return links.to(addresses.get(index)).call(method, request, timeout);
+    return addresses.get(Math.floorMod(place, addresses.size()));
   }
 
   /** Sends an idempotent request to one host after another until one serves it. */
@@ -115,6 +118,7 @@
     private final Duration timeout;
     private final Duration pause;
     private final CompletableFuture<R> result = new CompletableFuture<>();
+    private final TriedHosts tried = new TriedHosts();
     private int triesLeft;
     // Whether any try may have been served without an answer.
     private boolean doubt;
@@ -141,13 +145,18 @@
     private void next() {
       triesLeft--;
       int place = preferred.get();
-      callHost(place, method, request, timeout)
+      InetSocketAddress host = address(place);
+      links
+          .to(host)
+          .call(method, request, timeout)
           .whenComplete(
               (reply, failure) -> {
                 if (failure == null) {
                   result.complete(reply);
                 } else {
-                  failed(place, Futures.typed(failure));
+                  AlderyardException typed = Futures.typed(failure);
+                  tried.add(host, typed);
+                  failed(place, typed);
                 }
               });
     }
@@ -155,17 +164,12 @@
     private void failed(int place, AlderyardException failure) {
       doubt |= failure.outcome() != Outcome.NOT_RUN;
       if (!worthAnother(failure)) {
-        result.completeExceptionally(failure);
+        end(failure.code(), failure.outcome(), failure);
         return;
       }
       preferred.compareAndSet(place, Math.floorMod(place + 1, hostCount()));
       if (triesLeft == 0 || stopped) {
-        result.completeExceptionally(
-            new AlderyardException(
-                ErrorCode.NO_QUORUM,
-                doubt ? Outcome.OUTCOME_UNKNOWN : Outcome.NOT_RUN,
-                "no control host served " + method.name() + "; the last one: " + failure,
-                failure));
+        end(ErrorCode.NO_QUORUM, doubt ? Outcome.OUTCOME_UNKNOWN : Outcome.NOT_RUN, failure);
         return;
       }
       boolean roundOver = triesLeft % hostCount() == 0;
@@ -175,5 +179,14 @@
         next();
       }
     }
+
+    private void end(ErrorCode code, Outcome outcome, AlderyardException last) {
+      result.completeExceptionally(
+          last.restated(
+              code,
+              outcome,
+              "no control host served %s; the last one: %s; tried %s"
+                  .formatted(method.name(), last.getMessage(), tried)));
+    }
   }
 }
