Reproduce the refusal of a change that is sent again, on the whole path

Change: ResentChangeTest starts three control hosts and one entry host as processes, lets a change be taken, loses its answer, stops control hosts (SIGSTOP) and sends the same again every 100 ms for 5 s.

It needs that the search for a leader comes round to the stopped host while a connection to it waits for its handshake.

--- /dev/null
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/local/ResentChangeTest.java
@@ -0,0 +1,233 @@
+package org.alderyard.cli.local;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.alderyard.daemon.DaemonMain;
+import org.alderyard.testkit.net.FreePorts;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards against a refusal of a change that was taken before: its confirmation is lost, a control
+ * host stands still, and the operator sends the same again through a host without a disk.
+ *
+ * <p>Real processes: three control hosts and one that only passes on what operators send.
+ */
+class ResentChangeTest {
+  private static final int CONTROL_HOSTS = 3;
+  private static final int PORTS = 4;
+  private static final int CALLER = 0;
+  private static final int INNER = 1;
+  private static final int OPERATOR = 2;
+  private static final int READY = 3;
+  private static final Duration ANSWER_TIME = Duration.ofMillis(1_000);
+  private static final Duration RESEND_PAUSE = Duration.ofMillis(100);
+  private static final Duration STAND_STILL = Duration.ofSeconds(5);
+  private static final Duration FORMING = Duration.ofSeconds(60);
+
+  @TempDir Path folder;
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final int[][] ports = new int[CONTROL_HOSTS + 1][];
+  private ProcessSet processes;
+
+  @BeforeEach
+  void start() throws Exception {
+    for (int host = 0; host < ports.length; host++) {
+      ports[host] = IntStream.generate(FreePorts::next).limit(PORTS).toArray();
+    }
+    Files.writeString(folder.resolve("cluster.key"), "0123456789abcdef0123456789abcdef");
+    processes = new ProcessSet(folder);
+    for (int host = 0; host < ports.length; host++) {
+      Path file = folder.resolve(name(host) + ".ini");
+      Files.writeString(file, settings(host));
+      processes.start(name(host), "96m", DaemonMain.class, List.of("--settings", file.toString()));
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    IntStream.range(0, CONTROL_HOSTS).forEach(host -> processes.resume(name(host)));
+    processes.close();
+  }
+
+  private static String name(int host) {
+    return host < CONTROL_HOSTS ? "control-" + host : "entry";
+  }
+
+  private String settings(int host) throws IOException {
+    boolean control = host < CONTROL_HOSTS;
+    Files.createDirectories(folder.resolve("data-" + host));
+    String[] lines = {
+      "[host]",
+      "id = " + name(host),
+      "zone = z",
+      "cluster-id = c",
+      "roles = proxy" + (control ? ", control" : ""),
+      "[network]",
+      "caller-address = 127.0.0.1:" + ports[host][CALLER],
+      "inner-address = 127.0.0.1:" + ports[host][INNER],
+      "operator-address = 127.0.0.1:" + ports[host][OPERATOR],
+      "[sessions]",
+      "ready-address = 127.0.0.1:" + ports[host][READY],
+      "grace = 1s",
+      "[control]",
+      "hosts =" + String.join(",", controlAddresses()),
+      control ? "data-folder = data-" + host : "",
+      "[proxy]",
+      "worker-threads = 2",
+      "io-threads = 1",
+      "inner-threads = 1",
+      "[keys]",
+      "cluster-key-file = cluster.key",
+      ""
+    };
+    return String.join("\n", lines);
+  }
+
+  private List<String> controlAddresses() {
+    List<String> addresses = new ArrayList<>();
+    for (int host = 0; host < CONTROL_HOSTS; host++) {
+      addresses.add(" 127.0.0.1:" + ports[host][INNER]);
+    }
+    return addresses;
+  }
+
+  private static String change(int number) {
+    return ("{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"orders\",\"path_prefix\":\"/\","
+            + "\"route_type\":\"primary\",\"timeout_ms\":%d,\"service\":\"g1\"}],"
+            + "\"services\":[{\"name\":\"g1\",\"max_connections\":4}],\"limits\":{}}")
+        .formatted(number, 400 + number);
+  }
+
+  private CompletableFuture<Integer> send(int host, String change) {
+    HttpRequest request =
+        HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + ports[host][OPERATOR] + "/api/Config.Replace"))
+            .timeout(ANSWER_TIME)
+            .POST(HttpRequest.BodyPublishers.ofString(change))
+            .build();
+    return http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+        .thenApply(HttpResponse::statusCode);
+  }
+
+  /** Returns the status, or empty if no answer came: operators turn to another host then. */
+  private static Optional<Integer> status(CompletableFuture<Integer> answer) throws Exception {
+    try {
+      return Optional.of(answer.get());
+    } catch (java.util.concurrent.ExecutionException noAnswer) {
+      return Optional.empty();
+    }
+  }
+
+  private void takeOnceFormed(int host, String change) throws Exception {
+    long end = System.nanoTime() + FORMING.toNanos();
+    while (System.nanoTime() < end) {
+      if (status(send(host, change)).equals(Optional.of(200))) {
+        return;
+      }
+      TimeUnit.NANOSECONDS.sleep(RESEND_PAUSE.toNanos());
+    }
+    throw new AssertionError("the hosts did not take a first change; see " + folder);
+  }
+
+  /** Sends a change and closes the connection before the answer, as a lost confirmation does. */
+  private void sendAndLoseTheAnswer(int host, String change) throws Exception {
+    byte[] body = change.getBytes(StandardCharsets.UTF_8);
+    String head =
+        "POST /api/Config.Replace HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"
+            + "Content-Length: "
+            + body.length
+            + "\r\n\r\n";
+    try (Socket socket = new Socket("127.0.0.1", ports[host][OPERATOR])) {
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().write(body);
+      // The answer is there, so the change was taken; nobody reads it.
+      socket.setSoTimeout((int) ANSWER_TIME.toMillis());
+      assertThat(socket.getInputStream().read()).isEqualTo('H');
+    }
+  }
+
+  /** Sends the same again and again, several at once as after time-outs; returns all statuses. */
+  private List<Optional<Integer>> resendFor(Duration time, int host, String change)
+      throws Exception {
+    List<CompletableFuture<Integer>> sent = new ArrayList<>();
+    long end = System.nanoTime() + time.toNanos();
+    while (System.nanoTime() < end) {
+      sent.add(send(host, change));
+      TimeUnit.NANOSECONDS.sleep(RESEND_PAUSE.toNanos());
+    }
+    List<Optional<Integer>> statuses = new ArrayList<>();
+    for (CompletableFuture<Integer> answer : sent) {
+      statuses.add(status(answer));
+    }
+    return statuses;
+  }
+
+  private static List<Integer> refusals(List<Optional<Integer>> statuses) {
+    return statuses.stream()
+        .flatMap(Optional::stream)
+        .filter(status -> status >= 400 && status < 500)
+        .toList();
+  }
+
+  @Test
+  @Timeout(value = 180, unit = TimeUnit.SECONDS)
+  void changeSentAgainWhileOneControlHostStandsStillIsConfirmed() throws Exception {
+    int entry = CONTROL_HOSTS;
+    takeOnceFormed(entry, change(1));
+    for (int still = 0; still < CONTROL_HOSTS; still++) {
+      String change = change(2 + still);
+      sendAndLoseTheAnswer(entry, change);
+      processes.pause(name(still));
+
+      List<Optional<Integer>> statuses = resendFor(STAND_STILL, entry, change);
+      processes.resume(name(still));
+
+      assertWithMessage("while %s stands still: %s", name(still), statuses)
+          .that(refusals(statuses))
+          .isEmpty();
+      assertWithMessage("while %s stands still", name(still))
+          .that(statuses)
+          .contains(Optional.of(200));
+      takeOnceFormed(entry, change);
+    }
+  }
+
+  @Test
+  @Timeout(value = 180, unit = TimeUnit.SECONDS)
+  void changeSentAgainWhileMostControlHostsStandStillStaysUnclear() throws Exception {
+    int entry = CONTROL_HOSTS;
+    takeOnceFormed(entry, change(1));
+    String change = change(2);
+    sendAndLoseTheAnswer(entry, change);
+    processes.pause(name(0));
+    processes.pause(name(1));
+
+    List<Optional<Integer>> statuses = resendFor(STAND_STILL, entry, change);
+    processes.resume(name(0));
+    processes.resume(name(1));
+
+    assertWithMessage("answers: %s", statuses).that(refusals(statuses)).isEmpty();
+    takeOnceFormed(entry, change);
+  }
+}
