Keep the doubt of an earlier try when a later host refuses

What callers saw: nothing was reported; found while looking for the class of the refused configuration. A change whose first try got no answer could be carried out by that host, while the answer of the next one, a refusal, was passed on as NOT_RUN with its 4xx status: a refusal of what was taken.

Cause: ControlClient kept the doubt of its tries only for the end of its rounds, not for a refusal that ends them at once.

Change: with a doubtful try before it, a refusal ends the search as NO_QUORUM, OUTCOME_UNKNOWN: the sender sends again and is told the truth.

Before: refusalAfterTryWithoutAnswerStaysUnclear fails (outcome NOT_RUN). After: ControlClientTest passes, with the earlier test unchanged in what it asserts; two more pin what must stay (a first host's refusal as it is, an overloaded leader's hint).

--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -164,7 +164,7 @@
     private void failed(int place, AlderyardException failure) {
       doubt |= failure.outcome() != Outcome.NOT_RUN;
       if (!worthAnother(failure)) {
-        end(failure.code(), failure.outcome(), failure);
+        refuse(failure);
         return;
       }
       preferred.compareAndSet(place, Math.floorMod(place + 1, hostCount()));
@@ -180,6 +180,15 @@
       }
     }
 
+    /** One host's refusal says nothing of a try before that another host may have carried out. */
+    private void refuse(AlderyardException refusal) {
+      if (doubt) {
+        end(ErrorCode.NO_QUORUM, Outcome.OUTCOME_UNKNOWN, refusal);
+      } else {
+        end(refusal.code(), refusal.outcome(), refusal);
+      }
+    }
+
     private void end(ErrorCode code, Outcome outcome, AlderyardException last) {
       result.completeExceptionally(
           last.restated(
