Do not blame the sender for what goes wrong between two hosts

Three faults between hosts had codes with a status that blames who sent the request: a method that the asked host does not serve (NOT_FOUND, 404), a message that can't be read (BAD_REQUEST, 400), and a ticket whose content hash differs on arrival ("damaged on its way", BAD_REQUEST, 400). An operator, an announcing server or a caller of a forwarded statement was told that it was at fault, and 400 ends an operator's call.

Change: codes of their own, METHOD_NOT_SERVED (503) and MESSAGE_DAMAGED (502), both may be repeated; ControlClient goes on to the next host for them. ErrorCode.blamesRequest names what a 4xx means.

Before: DispatcherTest (two) and the new test of ControlServiceTest fail (NOT_FOUND, BAD_REQUEST), each seen with the old lines put back. After: they pass, and InnerProtocolTest and ControlClientTest as they were.

--- a/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
@@ -41,8 +41,13 @@
   STORAGE_DAMAGED(500, false),
   STORAGE_FAILED(500, false),
   PEER_REJECTED(503, false),
+  METHOD_NOT_SERVED(503, true),
+  MESSAGE_DAMAGED(502, true),
   INTERNAL(500, false);
 
+  private static final int FIRST_STATUS_FOR_REQUEST = 400;
+  private static final int FIRST_STATUS_FOR_SERVICE = 500;
+
   private final int httpStatus;
   private final boolean retryable;
 
@@ -56,6 +61,11 @@
     return httpStatus;
   }
 
+  /** Returns whether the status blames the request itself: it is refused wherever it is sent. */
+  public boolean blamesRequest() {
+    return httpStatus >= FIRST_STATUS_FOR_REQUEST && httpStatus < FIRST_STATUS_FOR_SERVICE;
+  }
+
   /** Returns whether the same request may succeed later without a change. */
   public boolean retryable() {
     return retryable;
--- a/alderyard-control/src/main/java/org/alderyard/control/service/TicketService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/TicketService.java
@@ -49,7 +49,7 @@
     Ticket rebuilt = TicketObjects.ticket(ticket.getNumber(), ticket.getObjectsList());
     if (!rebuilt.getContentHash().equals(ticket.getContentHash())) {
       throw AlderyardException.notRun(
-          ErrorCode.BAD_REQUEST,
+          ErrorCode.MESSAGE_DAMAGED,
           "ticket " + ticket.getNumber() + " was damaged on its way: its content hash differs");
     }
     return proposer
--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
@@ -4,15 +4,21 @@
 import static org.alderyard.control.service.ControlHost.announcement;
 import static org.alderyard.control.service.ControlHost.failure;
 import static org.alderyard.control.service.ControlHost.group;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.List;
 import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.PausedClock;
 import org.alderyard.common.view.ServerStatus;
+import org.alderyard.control.state.TicketObjects;
+import org.alderyard.protocol.generated.control.SubmitTicketRequest;
+import org.alderyard.protocol.generated.control.Ticket;
 import org.alderyard.protocol.generated.control.TicketStatusRequest;
 import org.alderyard.protocol.generated.control.TicketVerdict;
 import org.alderyard.protocol.view.ViewFollower;
@@ -74,6 +80,20 @@
     assertThat(second.state.view().version().version()).isEqualTo(1);
   }
 
+  /** Guards against a 400 for an operator whose ticket was damaged between two hosts. */
+  @Test
+  void ticketThatWasDamagedOnItsWayDoesNotBlameTheOperator() {
+    Ticket ticket = TicketObjects.ticket(1, List.of(group("g1", 2)));
+    SubmitTicketRequest damaged =
+        SubmitTicketRequest.newBuilder().setTicket(ticket.toBuilder().setNumber(2)).build();
+
+    AlderyardException failure =
+        assertThrows(AlderyardException.class, () -> first.service.submit(damaged));
+
+    assertThat(failure.code()).isEqualTo(ErrorCode.MESSAGE_DAMAGED);
+    assertThat(failure.code().blamesRequest()).isFalse();
+  }
+
   /**
    * A control host sat behind a partition while 300 tickets passed. It returns with its old view
    * and a ticket that an operator gave it long ago. A proxy that just started asks it, a running
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -96,10 +96,11 @@
 
   private static boolean worthAnother(AlderyardException failure) {
     return switch (failure.code()) {
-      // A host that does not serve the method: the list may hold one that is no control host.
+      // The list may hold a host that is no control host.
       // One host's rejection, as of a process with other keys at a used address, speaks for it
       // only.
-      case NOT_FOUND,
+      case METHOD_NOT_SERVED,
+          MESSAGE_DAMAGED,
           PEER_REJECTED,
           NOT_LEADER,
           NO_QUORUM,
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
@@ -30,7 +30,7 @@
     if (handler == null) {
       return CompletableFuture.failedFuture(
           AlderyardException.notRun(
-              ErrorCode.NOT_FOUND, "method " + method + " is not served by this host"));
+              ErrorCode.METHOD_NOT_SERVED, "method " + method + " is not served by this host"));
     }
     try {
       return handler.handle(peer, payload);
@@ -44,7 +44,7 @@
       return method.requestParser().parseFrom(payload);
     } catch (InvalidProtocolBufferException damaged) {
       throw AlderyardException.notRun(
-          ErrorCode.BAD_REQUEST, "request of " + method.name() + " can't be read");
+          ErrorCode.MESSAGE_DAMAGED, "request of " + method.name() + " can't be read");
     }
   }
 
--- /dev/null
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/DispatcherTest.java
@@ -0,0 +1,56 @@
+package org.alderyard.protocol.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.protobuf.ByteString;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.Outcome;
+import org.alderyard.common.id.HostId;
+import org.alderyard.protocol.control.ControlMethods;
+import org.alderyard.protocol.generated.control.AnnounceReply;
+import org.junit.jupiter.api.Test;
+
+/** Guards against faults between hosts that are passed on as faults of who sent the request. */
+class DispatcherTest {
+  private static final PeerIdentity PEER = new PeerIdentity(new HostId("h2"), 1);
+  private static final int UNSERVED = ControlMethods.HEARTBEAT.number();
+
+  /** A field of 127 bytes that does not come. */
+  private static final ByteString CUT_SHORT = ByteString.copyFrom(new byte[] {0x0a, 0x7f});
+
+  private final Dispatcher dispatcher =
+      new Dispatcher()
+          .serve(
+              ControlMethods.ANNOUNCE,
+              (peer, request) ->
+                  CompletableFuture.completedFuture(AnnounceReply.getDefaultInstance()));
+
+  private AlderyardException failure(int method, ByteString payload) {
+    return Futures.typed(
+        assertThrows(
+            CompletionException.class, () -> dispatcher.dispatch(PEER, method, payload).join()));
+  }
+
+  @Test
+  void hostThatDoesNotServeMethodDoesNotBlameTheRequest() {
+    AlderyardException failure = failure(UNSERVED, ByteString.EMPTY);
+
+    assertThat(failure.code()).isEqualTo(ErrorCode.METHOD_NOT_SERVED);
+    assertThat(failure.code().blamesRequest()).isFalse();
+    assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
+  @Test
+  void messageThatWasCutOnItsWayDoesNotBlameTheRequest() {
+    AlderyardException failure = failure(ControlMethods.ANNOUNCE.number(), CUT_SHORT);
+
+    assertThat(failure.code()).isEqualTo(ErrorCode.MESSAGE_DAMAGED);
+    assertThat(failure.code().blamesRequest()).isFalse();
+    assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+}
