Go on to the next control host after one host's own fault

What callers saw: nothing was reported; found beside the refused configuration, in the same fall-through of ControlClient. A control host whose disk failed, or that met a fault of its own, ended the search with 500 although others served; every host that preferred it got the same until the process had ended.

Cause: the codes that send a request on were listed one by one, and what was forgotten in the list counted as a verdict.

Change: turned round. Only what blames the request (4xx) is a verdict, and the overload of the leader, which others would only be sent on to.

Before: faultOfOneHostSendsTheRequestToTheNext fails for STORAGE_FAILED, STORAGE_DAMAGED and INTERNAL (seen before the change). After: it passes; ControlClientTest and the control tests pass.

--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -94,22 +94,12 @@
     return search.run();
   }
 
-  private static boolean worthAnother(AlderyardException failure) {
-    return switch (failure.code()) {
-      // The list may hold a host that is no control host.
-      // One host's rejection, as of a process with other keys at a used address, speaks for it
-      // only.
-      case METHOD_NOT_SERVED,
-          MESSAGE_DAMAGED,
-          PEER_REJECTED,
-          NOT_LEADER,
-          NO_QUORUM,
-          CONNECTION_LOST,
-          DEADLINE_EXCEEDED,
-          DRAINING ->
-          true;
-      default -> false;
-    };
+  /**
+   * What blames the request, another host would refuse as well; any other failure speaks for the
+   * host that was asked. A leader that has too much to do is reached through others just the same.
+   */
+  private static boolean worthAnother(ErrorCode code) {
+    return !code.blamesRequest() && code != ErrorCode.OVERLOADED;
   }
 
   /** One request on its way from host to host. */
@@ -164,7 +154,7 @@
 
     private void failed(int place, AlderyardException failure) {
       doubt |= failure.outcome() != Outcome.NOT_RUN;
-      if (!worthAnother(failure)) {
+      if (!worthAnother(failure.code())) {
         refuse(failure);
         return;
       }
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
@@ -32,6 +32,8 @@
 import org.alderyard.protocol.wire.ProtocolOptions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Where a request goes next, and what is known in the end, by what control hosts answer. */
 class ControlClientTest {
@@ -119,6 +121,16 @@
     assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
   }
 
+  /** Guards against one host's broken disk or fault that ends the search for one that serves. */
+  @ParameterizedTest
+  @EnumSource(names = {"STORAGE_FAILED", "STORAGE_DAMAGED", "INTERNAL", "PEER_REJECTED"})
+  void faultOfOneHostSendsTheRequestToTheNext(ErrorCode fault) {
+    hostThatFails(AlderyardException.notRun(fault, "my own fault"));
+    hostThatServes();
+
+    assertThat(announce(TIMEOUT).join()).isEqualTo(AnnounceReply.getDefaultInstance());
+  }
+
   /** A leader that is overloaded says when to come back; other hosts would only send to it. */
   @Test
   void overloadedLeaderIsNotAskedAgainThroughOthers() {
