Ask again for a body that broke off, instead of refusing it

A connection that ended before the body was whole got 400: on the operators' port of a platform that ends the operator's call, although only the way was at fault. The same 400 was given for a body over the limit, which is the sender's fault.

A 4xx that may be repeated does not blame the request.

--- a/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/ErrorCode.java
@@ -5,6 +5,7 @@
   BAD_REQUEST(400, false),
   MALFORMED_JSON(400, false),
   REQUEST_TOO_LARGE(413, false),
+  REQUEST_BROKEN_OFF(408, true),
   UNAUTHORIZED(401, false),
   TOKEN_DAMAGED(400, false),
   TOKEN_FORGED(400, false),
@@ -63,7 +64,9 @@
 
   /** Returns whether the status blames the request itself: it is refused wherever it is sent. */
   public boolean blamesRequest() {
-    return httpStatus >= FIRST_STATUS_FOR_REQUEST && httpStatus < FIRST_STATUS_FOR_SERVICE;
+    return !retryable
+        && httpStatus >= FIRST_STATUS_FOR_REQUEST
+        && httpStatus < FIRST_STATUS_FOR_SERVICE;
   }
 
   /** Returns whether the same request may succeed later without a change. */
--- a/alderyard-common/src/main/java/org/alderyard/common/http/JsonExchange.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/JsonExchange.java
@@ -6,6 +6,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -27,14 +28,19 @@
         .getRequestReceiver()
         .receiveFullBytes(
             (ex, body) -> ex.dispatch(SameThreadExecutor.INSTANCE, () -> answer(ex, body, handler)),
-            (ex, broken) -> sendError(ex, tooLargeOrBroken(broken)));
+            (ex, broken) -> sendError(ex, bodyFault(broken)));
   }
 
-  private static AlderyardException tooLargeOrBroken(java.io.IOException broken) {
+  /**
+   * Returns the error of a body that did not come whole: its sender's if it is too large, else the
+   * way's, so that it is sent again.
+   */
+  public static AlderyardException bodyFault(IOException broken) {
     if (broken instanceof RequestTooBigException) {
       return AlderyardException.notRun(ErrorCode.REQUEST_TOO_LARGE, "the body is too large");
     }
-    return AlderyardException.notRun(ErrorCode.BAD_REQUEST, "the body can't be read");
+    return AlderyardException.notRun(
+        ErrorCode.REQUEST_BROKEN_OFF, "the body did not arrive whole: " + broken.getMessage());
   }
 
   private static void answer(
