--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLogOptions.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLogOptions.java
@@ -24,7 +24,8 @@
     long keepEntries,
     int maxPending,
     int maxCommandBytes) {
-  private static final int DEFAULT_MAX_COMMAND_BYTES = 4 * 1024 * 1024;
+  /** The largest command of a log with the usual options. */
+  public static final int DEFAULT_MAX_COMMAND_BYTES = 4 * 1024 * 1024;
 
   /** Returns the defaults. */
   public static ReplicatedLogOptions defaults() {
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationRules.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationRules.java
@@ -7,6 +7,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.FieldFault;
+import org.alderyard.control.log.ReplicatedLogOptions;
 import org.alderyard.protocol.generated.state.Configuration;
 import org.alderyard.protocol.generated.state.Database;
 import org.alderyard.protocol.generated.state.GroupLimits;
@@ -14,14 +15,28 @@
 /** What a configuration of sessions must keep to, whatever was in force before it. */
 public final class ConfigurationRules {
 
+  /** What else a command of the log holds: its kind and the time at which it was proposed. */
+  private static final int COMMAND_OVERHEAD_BYTES = 1_024;
+
+  /** The largest configuration that the log takes, with the text that it was read from. */
+  static final int MAX_BYTES =
+      ReplicatedLogOptions.DEFAULT_MAX_COMMAND_BYTES - COMMAND_OVERHEAD_BYTES;
+
   private ConfigurationRules() {}
 
   /**
    * Checks a configuration.
    *
-   * @throws AlderyardException with {@code CONFIGURATION_INVALID} and all faults
+   * @throws AlderyardException with {@code CONFIGURATION_INVALID} and all faults, or with {@code
+   *     REQUEST_TOO_LARGE}
    */
   public static void check(Configuration configuration) {
+    if (configuration.getSerializedSize() > MAX_BYTES) {
+      throw AlderyardException.notRun(
+          ErrorCode.REQUEST_TOO_LARGE,
+          "configuration %d has %d bytes with its text; accepted are up to %d"
+              .formatted(configuration.getNumber(), configuration.getSerializedSize(), MAX_BYTES));
+    }
     List<FieldFault> faults = faults(configuration);
     if (!faults.isEmpty()) {
       throw AlderyardException.notRun(
