Do not blame callers for a database that only this host does not know

What callers saw: nothing was reported; the class of the refused configuration on the callers' port. A host that is cut off from the control hosts told callers of a database that was added meanwhile that there is none (UNKNOWN_DATABASE), where another host serves it.

Change: without a confirmation of its view of late a host answers BUSY for a name that it does not know: a promise that nothing ran, and a reason to ask elsewhere. With a confirmed view the answer is as before.

Before: hostThatLostTouchSendsTheCallerToAnother fails (UNKNOWN_DATABASE). After: UnknownDatabaseTest, CallerSessionTest, OpeningsAfterStartTest pass.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.StatementKind;
+import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionRequest;
@@ -152,6 +153,11 @@
     return done(state);
   }
 
+  private CompletableFuture<SessionReply> unknownDatabase() {
+    Refusal unknown = parts.unknown(databaseName);
+    return refuse(unknown.code(), unknown.text(), TransactionState.NONE);
+  }
+
   private CompletableFuture<SessionReply> prepare(Prepare prepare) {
     if (prepared.size() >= MAX_VALUES && !prepared.containsKey(prepare.name())) {
       return refuse(RefusalCode.TOO_LARGE, "at most " + MAX_VALUES + " statements", failed());
@@ -166,7 +172,7 @@
     }
     Optional<DatabaseState> database = database();
     if (database.isEmpty()) {
-      return refuse(RefusalCode.UNKNOWN_DATABASE, databaseName, TransactionState.NONE);
+      return unknownDatabase();
     }
     transaction =
         Optional.of(
@@ -258,7 +264,7 @@
     }
     Optional<DatabaseState> database = database();
     if (database.isEmpty()) {
-      return refuse(RefusalCode.UNKNOWN_DATABASE, databaseName, TransactionState.NONE);
+      return unknownDatabase();
     }
     return single(task(request, kind, false, shape, database.get()));
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionParts.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionParts.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.alderyard.backend.session.Refusal;
+import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionStatement.Rollback;
 import org.alderyard.backend.session.TransactionState;
@@ -95,4 +97,18 @@
     session.close();
     release(server, session);
   }
+
+  /**
+   * Returns the refusal of a database that this host's view does not name.
+   *
+   * <p>Without a confirmation of late the database may have come since: the caller is not to blame
+   * and asks another host.
+   */
+  Refusal unknown(String database) {
+    return viewConfirmed.getAsBoolean()
+        ? new Refusal(RefusalCode.UNKNOWN_DATABASE, database)
+        : new Refusal(
+            RefusalCode.BUSY,
+            "this host has lost touch with the control hosts and does not know " + database);
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -187,7 +187,7 @@
     }
     return configuration.get().database(database).isPresent()
         ? Optional.empty()
-        : Optional.of(new Refusal(RefusalCode.UNKNOWN_DATABASE, database));
+        : Optional.of(parts.unknown(database));
   }
 
   /** Opens a session. */
