Answer 503, not 404, for a pool that only this proxy does not know

A proxy without a view, after its start or cut off from the control hosts, told callers of an existing pool that there is none (POOL_UNKNOWN, 404). The same look-up stood twice.

Change: KnownPools, one look-up for statements and transactions: without a confirmed view VIEW_LEASE_EXPIRED (503, NOT_RUN), with one as before.

Before: both places threw POOL_UNKNOWN whatever the state of the view; the class is new, so its test was not run on the old lines. After: KnownPoolsTest passes, TransactionTest and WholePathTest as before.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -32,6 +32,7 @@
 import org.alderyard.proxy.session.SessionTokens;
 import org.alderyard.proxy.statement.StatementService;
 import org.alderyard.proxy.transaction.TransactionService;
+import org.alderyard.proxy.view.KnownPools;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.watch.WatchOptions;
 import org.alderyard.proxy.watch.WatcherService;
@@ -123,13 +124,14 @@
             host.links);
     writes.feed(watchers);
     writes.serveLedger(host.dispatcher, inFlight);
+    KnownPools known = new KnownPools(host.viewClient::leaseValid);
     StatementService statements =
         new StatementService(
-            views, tokens, new PoolLimits(), reads.path(), writes.ledgered(), monitor);
+            views, known, tokens, new PoolLimits(), reads.path(), writes.ledgered(), monitor);
     TransactionService held = host.part(writes.transactions());
     held.start(host.workers);
     TransactionApi transactions =
-        writes.serveTransactions(held, tokens, host.dispatcher, host.links, inFlight);
+        writes.serveTransactions(held, known, tokens, host.dispatcher, host.links, inFlight);
     AnnouncementHandler announcements = new AnnouncementHandler(host.control);
     settings
         .announcementAddress()
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/WriteStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/WriteStack.java
@@ -22,6 +22,7 @@
 import org.alderyard.proxy.session.SessionTokens;
 import org.alderyard.proxy.transaction.TransactionLimits;
 import org.alderyard.proxy.transaction.TransactionService;
+import org.alderyard.proxy.view.KnownPools;
 import org.alderyard.proxy.view.ViewClient;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.watch.WatcherService;
@@ -113,6 +114,7 @@
   /** Serves the transactions of a holder, for callers and for other proxies. */
   TransactionApi serveTransactions(
       TransactionService held,
+      KnownPools known,
       SessionTokens tokens,
       Dispatcher dispatcher,
       PeerLinks links,
@@ -121,6 +123,7 @@
         new TransactionApi(
             self.id(),
             views,
+            known,
             held,
             tokens,
             (holder, request, timeout) ->
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/TransactionApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/TransactionApi.java
@@ -28,6 +28,7 @@
 import org.alderyard.proxy.statement.StatementRequest;
 import org.alderyard.proxy.transaction.TransactionId;
 import org.alderyard.proxy.transaction.TransactionService;
+import org.alderyard.proxy.view.KnownPools;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.write.WriteAnswer;
 
@@ -37,6 +38,7 @@
 
   private final HostId host;
   private final ViewHolder views;
+  private final KnownPools pools;
   private final TransactionService transactions;
   private final SessionTokens tokens;
   private final HolderLink link;
@@ -46,12 +48,14 @@
   public TransactionApi(
       HostId host,
       ViewHolder views,
+      KnownPools pools,
       TransactionService transactions,
       SessionTokens tokens,
       HolderLink link,
       RequestsInFlight inFlight) {
     this.host = host;
     this.views = views;
+    this.pools = pools;
     this.transactions = transactions;
     this.tokens = tokens;
     this.link = link;
@@ -83,13 +87,7 @@
   }
 
   private PoolState pool(PoolName name) {
-    return views
-        .current()
-        .pool(name)
-        .orElseThrow(
-            () ->
-                AlderyardException.notRun(
-                    ErrorCode.POOL_UNKNOWN, "no pool '" + name + "' is known"));
+    return pools.require(views.current(), name);
   }
 
   /** Serves a request of an open transaction, or passes it on to its holder. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
@@ -24,6 +24,7 @@
 import org.alderyard.proxy.session.Requirement;
 import org.alderyard.proxy.session.SessionState;
 import org.alderyard.proxy.session.SessionTokens;
+import org.alderyard.proxy.view.KnownPools;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.write.WriteRequest;
 
@@ -32,6 +33,7 @@
   private static final long POOL_LIMIT_RETRY_MILLIS = 50;
 
   private final ViewHolder views;
+  private final KnownPools pools;
   private final SessionTokens tokens;
   private final PoolLimits poolLimits;
   private final ReadPath reads;
@@ -41,12 +43,14 @@
   /** Creates the service. */
   public StatementService(
       ViewHolder views,
+      KnownPools pools,
       SessionTokens tokens,
       PoolLimits poolLimits,
       ReadPath reads,
       LedgeredWrites writes,
       GroupMonitor monitor) {
     this.views = views;
+    this.pools = pools;
     this.tokens = tokens;
     this.poolLimits = poolLimits;
     this.reads = reads;
@@ -57,12 +61,7 @@
   /** Runs a statement; a failure is a typed error that tells the outcome. */
   public CompletableFuture<StatementAnswer> run(StatementRequest request) {
     View view = views.current();
-    PoolState pool =
-        view.pool(request.pool())
-            .orElseThrow(
-                () ->
-                    AlderyardException.notRun(
-                        ErrorCode.POOL_UNKNOWN, "no pool '" + request.pool() + "' is known"));
+    PoolState pool = pools.require(view, request.pool());
     GroupState group =
         view.group(GroupOfKey.of(pool, request.key()))
             .orElseThrow(
