Tell operators the outcome that the host told

What callers saw: nothing was reported; found while looking for the class of the refused configuration. The command line said NOT_RUN for every error body, also where the host had said that the ticket may have run (NO_QUORUM, OUTCOME_UNKNOWN): an operator may send another change instead of the same again.

Change: the outcome comes from the body; a word that this build does not know is in doubt.

Before: with the old line put back both tests of OperatorClientTest fail (NOT_RUN). After: they pass; ResentChangeTest passes.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/operator/OperatorClient.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/operator/OperatorClient.java
@@ -90,13 +90,16 @@
     }
   }
 
-  private static AlderyardException error(JsonNode error) {
+  /** Returns the error of an answer; what this build does not know of it is in doubt. */
+  static AlderyardException error(JsonNode error) {
     StringBuilder message = new StringBuilder(error.path("message").asText());
     error
         .path("faults")
         .forEach(fault -> message.append(System.lineSeparator()).append("  ").append(fault));
     return new AlderyardException(
-        code(error.path("code").asText()), Outcome.NOT_RUN, message.toString());
+        code(error.path("code").asText()),
+        outcome(error.path("outcome").asText()),
+        message.toString());
   }
 
   private static ErrorCode code(String name) {
@@ -106,4 +109,12 @@
       return ErrorCode.INTERNAL;
     }
   }
+
+  private static Outcome outcome(String name) {
+    try {
+      return Outcome.valueOf(name);
+    } catch (IllegalArgumentException newerHost) {
+      return Outcome.OUTCOME_UNKNOWN;
+    }
+  }
 }
