Do not deny a ticket that may have been accepted long ago

A ticket that is sent again after its number was forgotten was answered TICKET_FORGOTTEN with NOT_RUN, although it may be one that was accepted and is in force.

Change: the outcome is OUTCOME_UNKNOWN, and the text says where to look. The status stays 410: the number is never applied again, so sending it again can't help.

--- a/alderyard-control/src/main/java/org/alderyard/control/operator/TicketJson.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/operator/TicketJson.java
@@ -47,14 +47,16 @@
     };
   }
 
+  /** It may be an accepted one that is sent again: nothing that it says may deny that. */
   private static AlderyardException forgotten(TicketAnswer answer) {
-    return AlderyardException.notRun(
+    return AlderyardException.unknown(
         ErrorCode.TICKET_FORGOTTEN,
         "ticket "
             + answer.getNumber()
-            + " is not applied: whether it was accepted is no longer remembered;"
-            + " accepted are numbers above "
-            + answer.getFloor());
+            + " is not applied now; whether it was accepted before is no longer remembered:"
+            + " look at the state of its objects; accepted are numbers above "
+            + answer.getFloor(),
+        null);
   }
 
   private static List<FieldFault> faults(List<TicketFault> faults) {
