Keep a commit in doubt whatever broke its way to the holder

A commit that is sent again and does not get through to the holder may be one whose first sending did. Only CONNECTION_LOST was taken for that; a rejected connection, a method that is not served, a damaged message and a full connection gave NOT_RUN.

Change: ForwardFailures, a function without network, keeps the commit in doubt for all of them; what the holder itself says stays as it is.

Before: commitThatDidNotGetThroughIsInDoubt fails for four of five codes. After: ForwardFailuresTest and TransactionTest pass.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/TransactionApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/TransactionApi.java
@@ -125,7 +125,7 @@
         .handle(
             (reply, failure) -> {
               if (failure != null) {
-                throw forwardFailed(request.getAction(), Futures.typed(failure));
+                throw ForwardFailures.told(request.getAction(), Futures.typed(failure));
               }
               return new Reply(
                   Json.parseObject(reply.getBody().toByteArray()),
@@ -133,14 +133,6 @@
             });
   }
 
-  /** A commit that did not get through may be one that is sent again after the first one did. */
-  private static AlderyardException forwardFailed(Action action, AlderyardException failure) {
-    boolean linkFailed = failure.code() == ErrorCode.CONNECTION_LOST;
-    return action == Action.COMMIT && linkFailed
-        ? AlderyardException.unknown(failure.code(), failure.getMessage(), failure)
-        : failure;
-  }
-
   /** Serves a request that another proxy passed on. */
   public CompletableFuture<ForwardReply> serve(ForwardRequest request) {
     return request(request)
