--- /dev/null
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/prove/SoakReportTest.java
@@ -0,0 +1,42 @@
+package org.alderyard.cli.prove;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What a soak of several seeds tells. */
+class SoakReportTest {
+  private static PromiseReport seed(long attempts, long violations, Map<String, Integer> faults) {
+    return new PromiseReport(
+        List.of(new PromiseRow("no write is lost", "kills", attempts, violations)),
+        faults,
+        List.of());
+  }
+
+  @Test
+  void seedsAreAddedUpAndJoinedFaultsCountForEach() {
+    SoakReport soak = new SoakReport();
+    soak.add(seed(100, 0, Map.of("kill", 2, "kill + delay", 3)));
+    soak.add(seed(50, 1, Map.of("delay", 1)));
+
+    String text = soak.toText(7, 2);
+
+    assertThat(text).contains("seeds 7 to 8");
+    assertThat(text).containsMatch("no write is lost +150 checks +1 broken");
+    assertThat(text).containsMatch("kill +5");
+    assertThat(text).containsMatch("delay +4");
+    assertThat(soak.unbroken()).isTrue();
+  }
+
+  @Test
+  void seedThatFailedIsTold() {
+    SoakReport soak = new SoakReport();
+    soak.addFailure(9, "the folder with its logs");
+
+    assertThat(soak.unbroken()).isFalse();
+    assertThat(soak.toText(9, 1)).contains("failed seeds: 1");
+    assertThat(soak.toText(9, 1)).contains("seed 9: the folder with its logs");
+  }
+}
