Give the tests of the inner protocol one set of options

Change: TestPeers, test code only; each test keeps its own time to connect. Assertions and behaviour are unchanged.

--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
@@ -6,7 +6,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,16 +19,14 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
-import org.alderyard.common.id.HostId;
+import org.alderyard.protocol.TestPeers;
 import org.alderyard.protocol.generated.control.AnnounceReply;
 import org.alderyard.protocol.generated.control.AnnounceRequest;
-import org.alderyard.protocol.wire.ClusterKey;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.EventLoops;
 import org.alderyard.protocol.wire.InnerServer;
 import org.alderyard.protocol.wire.MethodHandler;
 import org.alderyard.protocol.wire.PeerLinks;
-import org.alderyard.protocol.wire.ProtocolOptions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,12 +34,13 @@
 
 /** Where a request goes next, and what is known in the end, by what control hosts answer. */
 class ControlClientTest {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final Duration SHORT_TIMEOUT = Duration.ofMillis(200);
 
   private final EventLoops loops = new EventLoops(1);
   private final WorkerPool workers = new WorkerPool("test", 1);
-  private final PeerLinks links = new PeerLinks(loops, options("entry"));
+  private final PeerLinks links = new PeerLinks(loops, TestPeers.options("entry", CONNECT_TIMEOUT));
   private final List<InnerServer> hosts = new ArrayList<>();
 
   @AfterEach
@@ -53,23 +51,13 @@
     loops.close();
   }
 
-  private static ProtocolOptions options(String host) {
-    return new ProtocolOptions(
-        "c",
-        new HostId(host),
-        1,
-        new ClusterKey("0123456789abcdef0123".getBytes(StandardCharsets.UTF_8)),
-        Duration.ofSeconds(1),
-        16);
-  }
-
   /** Starts a control host that answers announcements so. */
   private void host(MethodHandler<AnnounceRequest, AnnounceReply> handler) {
     hosts.add(
         new InnerServer(
             loops,
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            options("control-" + hosts.size()),
+            TestPeers.options("control-" + hosts.size(), CONNECT_TIMEOUT),
             new Dispatcher().serve(ControlMethods.ANNOUNCE, handler),
             workers));
   }
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/LostHandshakeTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/LostHandshakeTest.java
@@ -7,7 +7,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -17,7 +16,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
-import org.alderyard.common.id.HostId;
+import org.alderyard.protocol.TestPeers;
 import org.alderyard.protocol.control.ControlClient;
 import org.alderyard.protocol.control.ControlMethods;
 import org.alderyard.protocol.generated.control.ReplaceConfigurationReply;
@@ -31,6 +30,7 @@
  * nobody shakes hands. The lost handshake was taken for a rejection, which is the sender's fault.
  */
 class LostHandshakeTest {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
   private final EventLoops loops = new EventLoops(1);
   private final WorkerPool workers = new WorkerPool("test", 1);
 
@@ -43,7 +43,7 @@
   @Test
   void frozenHostIsLostConnection() throws IOException {
     try (ServerSocket frozen = listener();
-        PeerLinks links = new PeerLinks(loops, options("h2"))) {
+        PeerLinks links = new PeerLinks(loops, TestPeers.options("h2", CONNECT_TIMEOUT))) {
       AlderyardException failure = failure(replace(links.to(address(frozen))));
 
       assertThat(failure.code()).isEqualTo(ErrorCode.CONNECTION_LOST);
@@ -54,7 +54,7 @@
   @Test
   void hostThatEndsDuringTheHandshakeIsLostConnection() throws IOException {
     try (ServerSocket dying = listener();
-        PeerLinks links = new PeerLinks(loops, options("h2"))) {
+        PeerLinks links = new PeerLinks(loops, TestPeers.options("h2", CONNECT_TIMEOUT))) {
       workers.execute(() -> acceptAndClose(dying));
 
       assertThat(failure(replace(links.to(address(dying)))).code())
@@ -75,10 +75,10 @@
             new InnerServer(
                 loops,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                options("h1"),
+                TestPeers.options("h1", CONNECT_TIMEOUT),
                 dispatcher,
                 workers);
-        PeerLinks links = new PeerLinks(loops, options("h2"))) {
+        PeerLinks links = new PeerLinks(loops, TestPeers.options("h2", CONNECT_TIMEOUT))) {
       ControlClient control =
           new ControlClient(links, List.of(address(frozen), live.address()), workers);
 
@@ -125,14 +125,4 @@
       throw new IllegalStateException(closed);
     }
   }
-
-  private static ProtocolOptions options(String host) {
-    return new ProtocolOptions(
-        "c",
-        new HostId(host),
-        1,
-        new ClusterKey("0123456789abcdef0123".getBytes(StandardCharsets.UTF_8)),
-        Duration.ofMillis(300),
-        16);
-  }
 }
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/SilentConnectionTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/SilentConnectionTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -13,23 +12,14 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.common.concurrent.WorkerPool;
-import org.alderyard.common.id.HostId;
+import org.alderyard.protocol.TestPeers;
 import org.alderyard.protocol.control.ControlMethods;
 import org.alderyard.protocol.generated.control.FindControlHostsReply;
 import org.alderyard.protocol.generated.control.FindControlHostsRequest;
 import org.junit.jupiter.api.Test;
 
 class SilentConnectionTest {
-
-  private static ProtocolOptions options(String host) {
-    return new ProtocolOptions(
-        "c",
-        new HostId(host),
-        1,
-        new ClusterKey("0123456789abcdef0123".getBytes(StandardCharsets.UTF_8)),
-        Duration.ofSeconds(2),
-        16);
-  }
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
   @Test
   void requestAfterOneThatGotNoAnswerGoesOverNewConnection() throws Exception {
@@ -49,8 +39,12 @@
         WorkerPool workers = new WorkerPool("test", 1);
         InnerServer server =
             new InnerServer(
-                loops, new InetSocketAddress("127.0.0.1", 0), options("h1"), dispatcher, workers);
-        PeerLinks links = new PeerLinks(loops, options("h2"))) {
+                loops,
+                new InetSocketAddress("127.0.0.1", 0),
+                TestPeers.options("h1", CONNECT_TIMEOUT),
+                dispatcher,
+                workers);
+        PeerLinks links = new PeerLinks(loops, TestPeers.options("h2", CONNECT_TIMEOUT))) {
       PeerLink link = links.to(server.address());
       assertThrows(ExecutionException.class, () -> ask(link, Duration.ofMillis(800)));
       ask(link, Duration.ofSeconds(5));
