Go on when a host of an earlier build does not serve a method

Cause: found while reading the diff. A host of an earlier build says NOT_FOUND of a method that it does not serve. Since METHOD_NOT_SERVED has that meaning, NOT_FOUND counted as a verdict: a host of this build that asked an earlier one, while builds are mixed, would have stopped there and kept it as the preferred one.

Before: faultOfOneHostSendsTheRequestToTheNext has the case now; it was not run on the line before. After: ControlClientTest passes.

--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -99,7 +99,12 @@
    * host that was asked. A leader that has too much to do is reached through others just the same.
    */
   private static boolean worthAnother(ErrorCode code) {
-    return !code.blamesRequest() && code != ErrorCode.OVERLOADED;
+    return switch (code) {
+      // What a host of an earlier build says of a method that it does not serve.
+      case NOT_FOUND -> true;
+      case OVERLOADED -> false;
+      default -> !code.blamesRequest();
+    };
   }
 
   /** One request on its way from host to host. */
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
@@ -111,7 +111,8 @@
 
   /** Guards against one host's broken disk or fault that ends the search for one that serves. */
   @ParameterizedTest
-  @EnumSource(names = {"STORAGE_FAILED", "STORAGE_DAMAGED", "INTERNAL", "PEER_REJECTED"})
+  @EnumSource(
+      names = {"STORAGE_FAILED", "STORAGE_DAMAGED", "INTERNAL", "PEER_REJECTED", "NOT_FOUND"})
   void faultOfOneHostSendsTheRequestToTheNext(ErrorCode fault) {
     hostThatFails(AlderyardException.notRun(fault, "my own fault"));
     hostThatServes();
