Say in the line of a lost dependency which hosts were tried and why

Change: DependencyLog takes the failure instead of its code and writes its text, which has the tries; still one line for the first failure only.

Before: no detail. After: DependencyLogTest, two tests, and ViewLeaseTest pass.

--- a/alderyard-common/src/main/java/org/alderyard/common/log/DependencyLog.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/log/DependencyLog.java
@@ -1,7 +1,7 @@
 package org.alderyard.common.log;
 
 import java.util.Objects;
-import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.AlderyardException;
 import org.slf4j.Logger;
 
 /**
@@ -22,15 +22,21 @@
     this.dependency = Objects.requireNonNull(dependency);
   }
 
-  /** A try failed. */
-  public void failed(ErrorCode reason) {
+  /**
+   * A try failed; the line has the whole story of the first one, which hosts were tried and why.
+   */
+  public void failed(AlderyardException failure) {
     boolean first;
     synchronized (this) {
       first = failures == 0;
       failures++;
     }
     if (first) {
-      log.warn("event=dependency-lost dependency={} reason={}", dependency, reason);
+      log.warn(
+          "event=dependency-lost dependency={} reason={} detail=\"{}\"",
+          dependency,
+          failure.code(),
+          failure.getMessage());
     }
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -137,7 +137,7 @@
             return;
           }
           if (failure != null) {
-            fetches.failed(Futures.typed(failure).code());
+            fetches.failed(Futures.typed(failure));
             if (!needsLeader && Futures.typed(failure).code() == ErrorCode.NOT_LEADER) {
               needsLeader = true;
               workers.execute(this::fetch);
@@ -221,7 +221,7 @@
           reply.getLeaseMillis(),
           clock.nowMillis());
     } else {
-      heartbeats.failed(Futures.typed(failure).code());
+      heartbeats.failed(Futures.typed(failure));
     }
     boolean again;
     synchronized (lock) {
