Put broken ways to the control hosts into the story of a request

Cause: alderyard explain left out the lines that were needed in this incident: lost handshakes, silent connections, rejections, and what operators were answered.

Change: they belong to what the hosts of a request went through. Command line only.

storyTellsOfBrokenWaysToTheControlHosts is new and passes with the three tests before it; without the change it lacks two lines by construction.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/explain/Story.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/explain/Story.java
@@ -15,6 +15,11 @@
       Set.of(
           "dependency-lost",
           "dependency-regained",
+          "connection-silent",
+          "handshake-lost",
+          "peer-rejected",
+          "rejected-by-peer",
+          "control-answer",
           "failover-begin",
           "failover-candidate",
           "failover-attempt-failed",
--- a/alderyard-cli/src/test/java/org/alderyard/cli/explain/ExplainCommandTest.java
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/explain/ExplainCommandTest.java
@@ -39,6 +39,19 @@
     assertThat(new Story(lines).around("q9", 1_000)).isEmpty();
   }
 
+  @Test
+  void storyTellsOfBrokenWaysToTheControlHosts() {
+    List<LogLine> lines = new ArrayList<>();
+    lines.add(line("h1", 1_000, "event=statement-refused id=q7 database=orders"));
+    lines.add(line("h1", 400, "event=handshake-lost peer=/10.0.0.1:7440 reason=\"none in PT1S\""));
+    lines.add(line("h1", 500, "event=control-answer call=replace number=7 status=503"));
+    lines.add(line("h2", 500, "event=handshake-lost peer=/10.0.0.1:7440 reason=\"none in PT1S\""));
+
+    assertThat(new Story(lines).around("q7", 1_000).stream().map(LogLine::timeMillis))
+        .containsExactly(400L, 500L, 1_000L)
+        .inOrder();
+  }
+
   @Test
   void fieldsAreReadWithAndWithoutQuotes() {
     LogLine line = line("h1", 1, "event=statement-refused id=q1 tried=\"s1:BUSY, s2\" x=y");
