Keep what a server refused as the host's knowledge

Change: refusals are kept for each server (ServerRefusals) and the lead for each group (LeadBelief); after one, a single statement at a time asks again, when the answer is expected to have changed. The others wait in one order (WaitingStatements) and are woken one by one. One paced question of the host looks for a primary. Refused answers no longer count as fast work.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -17,11 +17,13 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
+import org.alderyard.proxy.callersession.WaitingStatements.Need;
 
 /**
  * Where the statements of one group go, by what its servers have shown this host.
  *
- * <p>Pure but for its tables. Lock: the object itself, a leaf.
+ * <p>Pure but for its tables. Lock: the object itself, a leaf; those that wait are woken after it
+ * is released.
  */
 final class GroupRouting {
   /** What a hop to another availability zone counts as: its way there and back, and its price. */
@@ -45,6 +47,9 @@
    */
   private static final long LEAVING_PRIMARY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+  /** How many of those that wait for a primary look again once one is known. */
+  private static final int WOKEN_BY_NEWS = 4;
+
   /** An answer of the primary this long ago still speaks for it. */
   private static final long SIGHT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -53,10 +58,8 @@
   private final Map<ServerId, ServerTrack> tracks = new HashMap<>();
   private final PositionSamples samples = new PositionSamples();
   private final Set<CompletableFuture<Void>> sampleWaiters = new LinkedHashSet<>();
-  private long termOfBelief = -1;
-  // A server that proved that it leads, or one that was refused as primary, since the view's term.
-  private Optional<ServerId> proved = Optional.empty();
-  private Optional<ServerId> disproved = Optional.empty();
+  private final WaitingStatements waiting = new WaitingStatements();
+  private final LeadBelief lead = new LeadBelief();
   private final Map<ServerId, Long> leavingSinceNanos = new HashMap<>();
 
   GroupRouting(ZoneName zone) {
@@ -199,7 +202,6 @@
    */
   synchronized List<ServerState> primaryOrder(
       List<ServerState> servers, GroupState group, long nowNanos) {
-    followTerm(group);
     Optional<ServerId> believed = believedPrimary(group);
     return servers.stream()
         .filter(server -> server.status() != ServerStatus.GONE && !track(server).gone())
@@ -222,7 +224,7 @@
     if (believed.filter(server.id()::equals).isPresent()) {
       return 0;
     }
-    if (disproved.filter(server.id()::equals).isPresent()) {
+    if (lead.disproved(server.id())) {
       return 3;
     }
     return track(server).paused(nowNanos) ? 2 : 1;
@@ -230,44 +232,71 @@
 
   /** Returns the server that is believed to lead. */
   synchronized Optional<ServerId> believedPrimary(GroupState group) {
-    followTerm(group);
-    return proved.or(() -> group.primary().filter(id -> !disproved.equals(Optional.of(id))));
+    return lead.believed(group);
   }
 
-  private void followTerm(GroupState group) {
-    if (group.term() != termOfBelief) {
-      termOfBelief = group.term();
-      proved = Optional.empty();
-      disproved = Optional.empty();
-    }
+  /**
+   * Returns the server that a statement for the primary goes to.
+   *
+   * @return empty if nobody is believed to lead, or the one that is can't be asked now
+   */
+  synchronized Optional<ServerState> leadToAsk(
+      List<ServerState> servers, GroupState group, long nowNanos) {
+    return primaryOrder(servers, group, nowNanos).stream()
+        .filter(server -> lead.believed(group).filter(server.id()::equals).isPresent())
+        .filter(server -> !track(server).paused(nowNanos))
+        .findFirst();
+  }
+
+  /** Returns whether a server is known to refuse a statement now, so that it is not asked. */
+  synchronized boolean knownToRefuse(
+      ServerState server, Optional<Floor> floor, boolean leads, long nowNanos) {
+    ServerRefusals refusals = track(server).refusals();
+    return refusals.busyNow(nowNanos)
+        || !leads && floor.filter(f -> refusals.lacks(f.position(), nowNanos)).isPresent();
   }
 
   /** A server took a statement that only a primary takes. */
-  synchronized void leads(ServerState server) {
-    proved = Optional.of(server.id());
-    if (disproved.equals(proved)) {
-      disproved = Optional.empty();
+  void leads(ServerState server) {
+    boolean news;
+    synchronized (this) {
+      news = lead.leads(server.id());
+    }
+    if (news) {
+      waiting.wake(Need.LEAD, WOKEN_BY_NEWS);
     }
   }
 
   /** A server answered that it does not lead; returns whether it was believed to. */
   synchronized boolean doesNotLead(ServerState server, GroupState group) {
-    boolean believed = believedPrimary(group).filter(server.id()::equals).isPresent();
-    if (believed) {
-      disproved = Optional.of(server.id());
-      proved = Optional.empty();
-    }
-    return believed;
+    return lead.doesNotLead(server.id(), group);
+  }
+
+  /** Returns the statements that wait for something of this group. */
+  WaitingStatements waiting() {
+    return waiting;
   }
 
-  synchronized void started(ServerState server) {
+  synchronized void started(ServerState server, long nowNanos) {
     track(server).started();
+    track(server).refusals().asked(nowNanos);
   }
 
-  synchronized void ended(ServerState server) {
-    track(server).ended();
+  /** A statement has ended at a server, so that one that waits may find room or an answer. */
+  void ended(ServerState server) {
+    synchronized (this) {
+      track(server).ended();
+    }
+    waiting.wake(Need.LEAD, 1);
+    waiting.wake(Need.READ, 1);
   }
 
+  /**
+   * A server answered.
+   *
+   * @param ran whether it gave the statement a slot, so that its time tells how fast it works
+   * @param shown up to where its reads show the log
+   */
   synchronized void answered(
       ServerState server, long nowNanos, long tookNanos, boolean ran, Optional<Position> shown) {
     ServerTrack track = track(server);
@@ -275,8 +304,14 @@
     shown.ifPresent(track::shows);
   }
 
-  synchronized void lacked(ServerState server, long ageNanos) {
-    track(server).lacked(ageNanos);
+  /** A server had no slot for a statement. */
+  synchronized void busy(ServerState server, long nowNanos) {
+    track(server).refusals().busy(nowNanos);
+  }
+
+  /** A server lacked the position that a read needs. */
+  synchronized void lacked(ServerState server, Floor floor, long nowNanos) {
+    track(server).lacked(floor, nowNanos);
   }
 
   synchronized void failed(ServerState server, long nowNanos) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SampleRefresher.java
@@ -52,7 +52,7 @@
     if (!due || group.isEmpty()) {
       return;
     }
-    ask(group.get(), nowNanos, server -> !routing.paused(server, nowNanos));
+    searchLead(group.get());
     if (routing.primaryOutOfReach(group.get(), nowNanos)) {
       peers.ifPresent(others -> others.ask(database.group(), nowNanos));
     }
@@ -72,6 +72,13 @@
     ask(group, nowNanos, server -> true);
   }
 
+  /** Looks for the primary: nobody is believed to lead, or the one that is gives no answers. */
+  void searchLead(GroupState group) {
+    long now = parts.clock().nowNanos();
+    GroupRouting routing = parts.routings().of(group.id());
+    ask(group, now, server -> !routing.paused(server, now));
+  }
+
   private void ask(GroupState group, long nowNanos, Predicate<ServerState> usable) {
     Long notBefore = notBeforeNanos.get(group.id());
     if (notBefore != null && nowNanos - notBefore < 0) {
@@ -82,9 +89,9 @@
   }
 
   /**
-   * Asks the server that leads most likely, and the next one if it says that it does not.
+   * Asks the server that leads most likely, and the next one if it does not lead or answer.
    *
-   * @param asked the servers that said so
+   * @param asked the servers that were asked already
    */
   private void askNext(
       GroupState group, long nowNanos, Predicate<ServerState> usable, Set<ServerId> asked) {
@@ -116,6 +123,7 @@
                 question(routing, group, server, session, elsewhere);
               } else if (!StatementRun.ownLimit(Futures.unwrap(failure))) {
                 routing.failed(server, parts.clock().nowNanos());
+                elsewhere.run();
               }
             });
   }
@@ -134,6 +142,7 @@
               if (failure != null) {
                 routing.failed(server, parts.clock().nowNanos());
                 parts.discard(server, session);
+                elsewhere.run();
                 return;
               }
               SessionReply reply = replies.get(0);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTrack.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTrack.java
@@ -35,6 +35,7 @@
   private long lastAnswerNanos;
   private boolean answered;
   private boolean gone;
+  private final ServerRefusals refusals = new ServerRefusals();
 
   ServerTrack(long incarnation) {
     this.incarnation = incarnation;
@@ -54,6 +55,7 @@
     answered = true;
     lastAnswerNanos = nowNanos;
     if (ran) {
+      refusals.tookWork();
       double millis = tookNanos / (double) TimeUnit.MILLISECONDS.toNanos(1);
       latencyMillis += LATENCY_WEIGHT * (millis - latencyMillis);
     }
@@ -112,13 +114,24 @@
     if (shown.compareTo(position) > 0) {
       position = shown;
     }
+    refusals.shows(shown);
     lagMillis *= LAG_DECAY;
   }
 
-  /** It lacked a position that had been the primary's for this long. */
-  void lacked(long ageNanos) {
-    double millis = ageNanos / (double) TimeUnit.MILLISECONDS.toNanos(1);
+  /** It lacked a position that the primary had. */
+  void lacked(GroupRouting.Floor floor, long nowNanos) {
+    double millis = (nowNanos - floor.sinceNanos()) / (double) TimeUnit.MILLISECONDS.toNanos(1);
     lagMillis = Math.min(MAX_LAG_MILLIS, Math.max(lagMillis, millis) * LAG_GROWTH);
+    refusals.lacked(floor.position(), nowNanos, floor.sinceNanos() + lagNanos());
+  }
+
+  private long lagNanos() {
+    return (long) (lagMillis * TimeUnit.MILLISECONDS.toNanos(1));
+  }
+
+  /** Returns what it refused of late. */
+  ServerRefusals refusals() {
+    return refusals;
   }
 
   /**
@@ -128,9 +141,7 @@
    * reads of a host that has just started would turn to the primary otherwise.
    */
   boolean likelyHolds(Position wanted, long ageNanos) {
-    return !answered
-        || position.compareTo(wanted) >= 0
-        || ageNanos >= lagMillis * TimeUnit.MILLISECONDS.toNanos(1);
+    return !answered || position.compareTo(wanted) >= 0 || ageNanos >= lagNanos();
   }
 
   /** Returns how long a statement is expected to take here. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.alderyard.backend.session.Refusal;
+import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.common.view.SessionReads;
 
@@ -27,6 +28,7 @@
 
   private final Counter statements;
   private final Counter notRun;
+  private final Histogram tries;
   private final Counter repeated;
   private final Counter lost;
   private final Map<SessionReads, DistributionDataPoint> durations =
@@ -43,7 +45,19 @@
             .help("Statements of sessions by what reads must see and by their outcome.")
             .labelNames("reads", "outcome")
             .register(registry);
-    notRun = counter("alderyard_session_attempts_not_run", "Attempts that a server refused.");
+    notRun =
+        Counter.builder()
+            .name("alderyard_session_attempts_not_run")
+            .help("Attempts that a server refused, by its reason.")
+            .labelNames("reason")
+            .register(registry);
+    tries =
+        Histogram.builder()
+            .name("alderyard_session_tries")
+            .help("Servers that one statement was sent to, also those that refused.")
+            .classicUpperBounds(1, 2, 3, 5, 8, 13)
+            .classicOnly()
+            .register(registry);
     repeated = counter("alderyard_session_reads_sent_twice", "Reads sent to a second server.");
     lost = counter("alderyard_session_answers_lost", "Answers of servers that did not arrive.");
     Histogram total =
@@ -94,8 +108,12 @@
     waitedForConnection.observe(seconds(tookNanos));
   }
 
-  void refusedByServer() {
-    notRun.inc();
+  void refusedByServer(RefusalCode code) {
+    notRun.labelValues(lower(code)).inc();
+  }
+
+  void ended(int triedServers) {
+    tries.observe(triedServers);
   }
 
   void sentTwice() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -85,8 +86,15 @@
         "alderyard_view_version",
         "Version of the view that this host acts on.",
         () -> views.current().version().version());
+    for (WaitingStatements.Need need : WaitingStatements.Need.values()) {
+      metrics.gauge(
+          "alderyard_session_waiting_" + need.name().toLowerCase(Locale.ROOT),
+          "Statements that wait for a server of this kind.",
+          () -> routings.waiting(need));
+    }
     refresher = new SampleRefresher(parts);
     floors = new ReadFloors(parts, refresher);
+    routings.searchLeadBy(refresher::searchLead);
     maxSessions = limits.maxSessions();
     openingWaitMillis = limits.openingWait().toMillis();
     othersWait = !limits.afterFirstView().isZero();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -53,7 +53,7 @@
   }
 
   void start(long now) {
-    routing.started(server);
+    routing.started(server, now);
     parts
         .pools()
         .take(server, task.database().priority(), run.searchLeft(now))
@@ -158,18 +158,18 @@
     again();
   }
 
-  /** Takes in why a server refused; a busy primary is not made good by asking the others. */
+  /** Takes in why a server refused. */
   private void learn(SessionReply refused) {
-    parts.metrics().refusedByServer();
     RefusalCode code = refused.refusal().orElseThrow().code();
+    parts.metrics().refusedByServer(code);
     run.note(server, code);
+    long now = parts.clock().nowNanos();
     if (code == RefusalCode.NOT_PRIMARY) {
       parts.group(task.database().group()).ifPresent(group -> routing.doesNotLead(server, group));
     } else if (code == RefusalCode.BEHIND) {
-      long now = parts.clock().nowNanos();
-      demand.floor().ifPresent(floor -> routing.lacked(server, now - floor.sinceNanos()));
-    } else if (code == RefusalCode.BUSY && demand.needsLead()) {
-      run.endRound();
+      demand.floor().ifPresent(floor -> routing.lacked(server, floor, now));
+    } else if (code == RefusalCode.BUSY) {
+      routing.busy(server, now);
     }
   }
 
@@ -266,7 +266,7 @@
 
   private void answered(PooledSession session, SessionReply reply) {
     long now = parts.clock().nowNanos();
-    routing.answered(server, now, now - sentNanos, true, reply.position());
+    routing.answered(server, now, now - sentNanos, !notRun(reply), reply.position());
     parts.metrics().ranAtServer(now - sentNanos);
     if (reply.succeeded()) {
       logRoutine(now);
@@ -282,11 +282,9 @@
       again();
       return;
     }
-    boolean nothingRan =
-        code == RefusalCode.BUSY || code == RefusalCode.NOT_PRIMARY || code == RefusalCode.BEHIND;
     boolean elsewhere = code == RefusalCode.FAILED && repeatable() && !demand.keep();
     putBack(session, reply);
-    if (nothingRan && !(task.ending() && code == RefusalCode.NOT_PRIMARY)) {
+    if (notRun(reply) && !(task.ending() && code == RefusalCode.NOT_PRIMARY)) {
       again();
     } else if (elsewhere && run.keepFailure(reply.inState(TransactionState.NONE))) {
       again();
@@ -296,6 +294,13 @@
     }
   }
 
+  /** Returns whether the server refused before it gave the statement a slot. */
+  static boolean notRun(SessionReply reply) {
+    return reply.refusedWith(RefusalCode.BUSY)
+        || reply.refusedWith(RefusalCode.NOT_PRIMARY)
+        || reply.refusedWith(RefusalCode.BEHIND);
+  }
+
   private void logRoutine(long now) {
     if (!parts.routineLog().due()) {
       return;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -1,14 +1,16 @@
 package org.alderyard.proxy.callersession;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.TransactionState;
@@ -37,6 +39,9 @@
 
   private static final long MAX_PAUSE_MILLIS = 64;
 
+  /** The most pairs of a server and a reason that the log line of a refusal has. */
+  private static final int MAX_CAUSES = 12;
+
   /** A statement that can only begin in its last moments would be sent and be in doubt. */
   private static final long MIN_RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
@@ -51,11 +56,11 @@
   private final CompletableFuture<Result> result = new CompletableFuture<>();
   // Guarded by this.
   private final Set<ServerId> tried = new HashSet<>();
-  private final List<String> story = new ArrayList<>();
+  private final Map<String, Integer> story = new LinkedHashMap<>();
+  private int attempts;
   private int active;
   private int round;
   private boolean sentTwice;
-  private boolean roundOver;
   private int preparedAgain;
   private Optional<SessionReply> failedReply = Optional.empty();
 
@@ -92,10 +97,11 @@
     Optional<ServerState> choice;
     synchronized (this) {
       boolean tooLate = task.deadlineNanos() - now < MIN_RUN_NANOS;
-      choice = roundOver || tooLate ? Optional.empty() : choose(now);
+      choice = tooLate ? Optional.empty() : choose(now);
       if (choice.isPresent()) {
         tried.add(choice.get().id());
         active++;
+        attempts++;
       } else if (active > 0) {
         // Another sending is still under way, and its end comes back here.
         return;
@@ -110,30 +116,65 @@
       giveUp(now, outlook);
       return;
     }
+    waitForNews();
+  }
+
+  /** Looks again when something has changed, or after a pause. */
+  private void waitForNews() {
     long pauseMillis;
     synchronized (this) {
       pauseMillis = Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(round, 3));
       round++;
       tried.clear();
-      roundOver = false;
     }
-    parts.workers().schedule(Duration.ofMillis(pauseMillis), this::next);
+    WaitingStatements waiting = routing.waiting();
+    WaitingStatements.Waiter waiter =
+        waiting.add(
+            demand.needsLead() ? WaitingStatements.Need.LEAD : WaitingStatements.Need.READ,
+            task.database().priority(),
+            task.deadlineNanos(),
+            () -> parts.workers().execute(this::next));
+    parts
+        .workers()
+        .schedule(
+            Duration.ofMillis(pauseMillis),
+            () -> {
+              if (waiting.remove(waiter)) {
+                next();
+              }
+            });
   }
 
   private Optional<ServerState> choose(long now) {
-    List<ServerState> servers = parts.servers(task.database().group());
-    if (!demand.needsLead()) {
-      return routing.readOrder(servers, primary(), demand.floor().orElseThrow(), now).stream()
-          .filter(server -> !tried.contains(server.id()))
-          .findFirst();
-    }
+    return demand.needsLead() ? chooseLead(now) : chooseForRead(now);
+  }
+
+  private Optional<ServerState> chooseForRead(long now) {
+    Optional<ServerId> primary = primary();
+    return routing
+        .readOrder(
+            parts.servers(task.database().group()), primary, demand.floor().orElseThrow(), now)
+        .stream()
+        .filter(server -> mayAsk(server, primary.filter(server.id()::equals).isPresent(), now))
+        .findFirst();
+  }
+
+  private Optional<ServerState> chooseLead(long now) {
     Optional<GroupState> group = parts.group(task.database().group());
     if (group.isEmpty()) {
       return Optional.empty();
     }
-    return routing.primaryOrder(servers, group.get(), now).stream()
-        .filter(server -> !tried.contains(server.id()) && !routing.paused(server, now))
-        .findFirst();
+    List<ServerState> servers = parts.servers(task.database().group());
+    Optional<ServerState> lead = routing.leadToAsk(servers, group.get(), now);
+    if (lead.isEmpty()) {
+      parts.routings().searchLead(group.get());
+    }
+    return lead.filter(server -> mayAsk(server, true, now));
+  }
+
+  private boolean mayAsk(ServerState server, boolean leads, long now) {
+    return !tried.contains(server.id())
+        && !routing.knownToRefuse(server, demand.floor(), leads, now);
   }
 
   private Optional<ServerId> primary() {
@@ -153,7 +194,10 @@
   private void giveUp(long now, Outlook outlook) {
     String reason;
     synchronized (this) {
-      reason = String.join(",", story);
+      reason =
+          story.entrySet().stream()
+              .map(entry -> entry.getKey() + "*" + entry.getValue())
+              .collect(Collectors.joining(","));
     }
     log.warn(
         "event=statement-refused id={} database={} group={} kind={} needs-lead={} floor={}"
@@ -179,7 +223,11 @@
   }
 
   boolean finish(SessionReply reply, Optional<Pinned> pinned) {
-    return result.complete(new Result(reply, pinned));
+    boolean first = result.complete(new Result(reply, pinned));
+    if (first) {
+      parts.metrics().ended(triedCount());
+    }
+    return first;
   }
 
   /** Returns whether this host's own limits, or those of the server, refused a connection. */
@@ -195,9 +243,11 @@
     return Duration.ofNanos(Math.max(1, capped));
   }
 
+  /** Keeps why a server was of no use, for the log; bounded, as each pair is kept once. */
   synchronized void note(ServerState server, Object why) {
-    if (story.size() < 12) {
-      story.add(server.id() + ":" + why);
+    String cause = server.id() + ":" + why;
+    if (story.containsKey(cause) || story.size() < MAX_CAUSES) {
+      story.merge(cause, 1, Integer::sum);
     }
   }
 
@@ -219,11 +269,6 @@
     active--;
   }
 
-  /** The rest of the servers need not be asked in this round. */
-  synchronized void endRound() {
-    roundOver = true;
-  }
-
   /** Returns whether a second sending may begin; it may only once. */
   synchronized boolean maySendTwice() {
     boolean may = !result.isDone() && !sentTwice;
@@ -248,8 +293,9 @@
     return first;
   }
 
+  /** Returns how often it was sent to a server, or tried to be. */
   synchronized int triedCount() {
-    return tried.size();
+    return attempts;
   }
 
   SessionParts parts() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/TransactionStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/TransactionStatement.java
@@ -77,7 +77,7 @@
     requests.add(task.request());
     long sent = parts.clock().nowNanos();
     Duration timeout = Duration.ofNanos(Math.max(1, task.deadlineNanos() - sent));
-    routing.started(pinned.server());
+    routing.started(pinned.server(), sent);
     return connection
         .run(requests, timeout)
         .handle(
@@ -121,7 +121,8 @@
     long now = parts.clock().nowNanos();
     SessionReply reply = replies.get(replies.size() - 1);
     GroupRouting routing = parts.routings().of(open.database().group());
-    routing.answered(pinned.server(), now, now - sent, true, reply.position());
+    boolean ran = !StatementAttempt.notRun(reply);
+    routing.answered(pinned.server(), now, now - sent, ran, reply.position());
     if (reply.succeeded()) {
       if (task.ending()) {
         committed(pinned, reply, sent);
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
@@ -89,6 +89,7 @@
       refusal = perform(request, rows);
       proof = request.id().map(id -> "proof-" + server.state().id() + "-" + id);
     }
+    refusal.ifPresent(refused -> server.noteRefusal(refused.code()));
     if (refusal.isPresent() && state != TransactionState.NONE) {
       state = TransactionState.FAILED;
     }
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
@@ -1,11 +1,13 @@
 package org.alderyard.testkit.session;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionStatement;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.view.ServerState;
@@ -35,6 +37,7 @@
   final ServerState state;
   final List<Entry> entries = new ArrayList<>();
   final List<Ran> ran = new ArrayList<>();
+  private final Map<RefusalCode, Integer> refusals = new EnumMap<>(RefusalCode.class);
   private int applied;
   private boolean unreachable;
   private boolean silent;
@@ -91,6 +94,11 @@
     return List.copyOf(ran);
   }
 
+  /** Returns how many statements it refused for this reason. */
+  public synchronized int refusals(RefusalCode code) {
+    return refusals.getOrDefault(code, 0);
+  }
+
   /** Returns the server as the registry knows it. */
   public ServerState state() {
     return state;
@@ -121,6 +129,10 @@
     return failures > 0 && failures-- > 0;
   }
 
+  synchronized void noteRefusal(RefusalCode code) {
+    refusals.merge(code, 1, Integer::sum);
+  }
+
   synchronized void note(Ran statement) {
     ran.add(statement);
   }
