Let few hosts hold the connections of a large fleet, and forward to them

Change: a few hosts of each availability zone hold the connections to a group (HolderAssignment, from the view alone); the others pass statements on, one hop, with values, prepared statements, positions and what is left of their time (ForwardedStatement, HeldStatements); a transaction stays at the holder of its first statement. Single statements and transactions run by the same code on both sides (LocalStatements, TransactionStatement, TransactionPlace). A host asks the leader only for connections that it uses. AnswerTrack and RendezvousScores are moved out of what had them, and serve both uses. Outcomes: not run only where the holder surely did not take it; a single write or a commit without an answer is in doubt; a transaction without an answer keeps nothing, as no commit was sent.

--- a/alderyard-common/src/main/java/org/alderyard/common/watch/WatcherAssignment.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/watch/WatcherAssignment.java
@@ -1,7 +1,5 @@
 package org.alderyard.common.watch;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -9,12 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.RendezvousScores;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.view.HostState;
-import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
  * Chooses the watchers of a group by rendezvous hash: the proxies with the highest scores, in
@@ -32,17 +29,17 @@
           .reversed()
           .thenComparing(scored -> scored.host().id());
 
-  private final Map<HostId, Long> hostHashes = new ConcurrentHashMap<>();
+  private final RendezvousScores scores = new RendezvousScores();
 
   private record Scored(HostState host, long score) {}
 
   /** Returns the watchers of a group, best score first; fewer than three if there are fewer. */
   public List<HostId> watchers(GroupId group, Collection<HostState> hosts) {
-    long groupHash = hash(group.value().getBytes(StandardCharsets.UTF_8));
+    long groupHash = RendezvousScores.groupHash(group);
     List<Scored> scored =
         hosts.stream()
             .filter(host -> host.proxy() && !host.draining())
-            .map(host -> new Scored(host, score(groupHash, host.id())))
+            .map(host -> new Scored(host, scores.score(groupHash, host.id())))
             .sorted(BEST_FIRST)
             .toList();
     List<HostId> chosen = new ArrayList<>();
@@ -71,14 +68,14 @@
     if (self == null || !self.proxy() || self.draining()) {
       return false;
     }
-    long groupHash = hash(group.value().getBytes(StandardCharsets.UTF_8));
-    long own = score(groupHash, host);
+    long groupHash = RendezvousScores.groupHash(group);
+    long own = scores.score(groupHash, host);
     for (HostState other : hosts.values()) {
       boolean better =
           other.zone().equals(self.zone())
               && other.proxy()
               && !other.draining()
-              && score(groupHash, other.id()) > own;
+              && scores.score(groupHash, other.id()) > own;
       if (better) {
         return zones(hosts) < WATCHERS && watchers(group, hosts.values()).contains(host);
       }
@@ -89,14 +86,4 @@
   private static long zones(Map<HostId, HostState> hosts) {
     return hosts.values().stream().map(HostState::zone).distinct().limit(WATCHERS).count();
   }
-
-  private long score(long groupHash, HostId host) {
-    long hostHash =
-        hostHashes.computeIfAbsent(host, id -> hash(id.value().getBytes(StandardCharsets.UTF_8)));
-    return hash(ByteBuffer.allocate(2 * Long.BYTES).putLong(groupHash).putLong(hostHash).array());
-  }
-
-  private static long hash(byte[] bytes) {
-    return MurmurHash3.hash128x64(bytes)[0];
-  }
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.http.MetricsHandler;
+import org.alderyard.common.id.ServerId;
 import org.alderyard.platform.CallerPort;
 import org.alderyard.platform.ControlPort;
 import org.alderyard.platform.WireSessionConnector;
@@ -21,12 +22,6 @@
 final class SessionStack implements Drainable {
   private static final Logger log = LoggerFactory.getLogger(SessionStack.class);
 
-  /**
-   * The connections to a server before the first lease. After a loss of power on all hosts this is
-   * what they ask servers for that still count the dead ones.
-   */
-  private static final int CONNECTIONS_WITHOUT_LEASE = 1;
-
   /** Leases change with the load, which moves over seconds. */
   private static final Duration LEASE_INTERVAL = Duration.ofSeconds(1);
 
@@ -66,7 +61,7 @@
   SessionStack(HostContext host, SessionOptions options) {
     this.host = host;
     this.options = options;
-    LeaseTable leases = new LeaseTable(host.clock, CONNECTIONS_WITHOUT_LEASE);
+    LeaseTable leases = new LeaseTable(host.clock, this::firstConnections);
     sessions =
         new SessionService(
             host.views,
@@ -92,6 +87,10 @@
         .start(host.workers, LEASE_INTERVAL);
   }
 
+  private int firstConnections(ServerId server) {
+    return sessions.firstConnections(server);
+  }
+
   /**
    * Takes callers.
    *
@@ -112,7 +111,7 @@
                     host.clock)));
     log.info("event=listening port=callers address={}", host.settings.callerAddress());
     sessions.startReports(host.control, host.settings.host());
-    sessions.shareSamples(host.dispatcher, host.links, host.settings.host());
+    sessions.joinHosts(host.dispatcher, host.links, host.self);
   }
 
   /**
@@ -184,12 +183,17 @@
       return;
     }
     long startNanos = host.clock.nowNanos();
-    log.info("event=drain-begin sessions={}", sessions.sessionCount());
+    log.info(
+        "event=drain-begin sessions={} held-transactions={}",
+        sessions.sessionCount(),
+        sessions.heldTransactions());
+    sessions.stopHolding();
     try {
       waitUntil(startNanos, BALANCER_SHARE);
       sessions.drain();
       closeIdleUntil(startNanos, TRANSACTION_SHARE);
       callers.get().abortTransactions();
+      sessions.abortHeld();
       closeIdleUntil(startNanos, END_SHARE);
     } catch (InterruptedException stopped) {
       Thread.currentThread().interrupt();
@@ -197,14 +201,18 @@
     log.info("event=drain-end sessions={}", sessions.sessionCount());
   }
 
+  private boolean inUse() {
+    return sessions.sessionCount() > 0 || sessions.heldTransactions() > 0;
+  }
+
   private void waitUntil(long startNanos, double share) throws InterruptedException {
-    while (!over(startNanos, share) && sessions.sessionCount() > 0) {
+    while (!over(startNanos, share) && inUse()) {
       TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
     }
   }
 
   private void closeIdleUntil(long startNanos, double share) throws InterruptedException {
-    while (!over(startNanos, share) && sessions.sessionCount() > 0) {
+    while (!over(startNanos, share) && inUse()) {
       callers.get().closeIdle();
       TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
     }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
@@ -6,6 +6,10 @@
 import org.alderyard.protocol.generated.forward.ForwardRequest;
 import org.alderyard.protocol.generated.ledger.OwnedWriteReply;
 import org.alderyard.protocol.generated.ledger.OwnedWriteRequest;
+import org.alderyard.protocol.generated.statement.EndHeldTransactionReply;
+import org.alderyard.protocol.generated.statement.EndHeldTransactionRequest;
+import org.alderyard.protocol.generated.statement.HeldStatementReply;
+import org.alderyard.protocol.generated.statement.HeldStatementRequest;
 import org.alderyard.protocol.wire.Method;
 
 /** The methods that proxies serve for one another. */
@@ -23,5 +27,19 @@
       new Method<>(
           202, "position-sample", PositionSampleRequest.parser(), PositionSampleReply.parser());
 
+  /** Runs a caller's statement, at a host that holds connections to its group. */
+  public static final Method<HeldStatementRequest, HeldStatementReply> RUN_HELD_STATEMENT =
+      new Method<>(
+          203, "run-held-statement", HeldStatementRequest.parser(), HeldStatementReply.parser());
+
+  /** Ends a caller's transaction without keeping anything, at the host that holds it. */
+  public static final Method<EndHeldTransactionRequest, EndHeldTransactionReply>
+      END_HELD_TRANSACTION =
+          new Method<>(
+              204,
+              "end-held-transaction",
+              EndHeldTransactionRequest.parser(),
+              EndHeldTransactionReply.parser());
+
   private DataMethods() {}
 }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -201,7 +201,7 @@
             .setSessionIdleMillis(configuration.sessionIdleMillis())
             .setSource(ByteString.copyFrom(configuration.source().toArray()))
             .setContentHash(ByteString.copyFrom(configuration.contentHash().toArray()));
-    configuration.databases().forEach(database -> message.addDatabases(message(database)));
+    configuration.databases().forEach(database -> message.addDatabases(databaseMessage(database)));
     configuration
         .connectionsPerServer()
         .forEach(
@@ -213,7 +213,8 @@
     return message.build();
   }
 
-  private static Database message(DatabaseState database) {
+  /** Returns the message of a database. */
+  public static Database databaseMessage(DatabaseState database) {
     return Database.newBuilder()
         .setName(database.name())
         .setScope(database.scope())
@@ -245,7 +246,8 @@
         Bytes.of(message.getContentHash().toByteArray()));
   }
 
-  private static DatabaseState database(Database database) {
+  /** Returns the database of a message. */
+  public static DatabaseState database(Database database) {
     return new DatabaseState(
         database.getName(),
         database.getScope(),
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -15,7 +15,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
@@ -67,6 +69,23 @@
         .thenApply(payload -> parse(method, payload));
   }
 
+  /**
+   * Returns a future that is done when there is a connection, and fails with {@code NOT_RUN} when
+   * there is none within the time; connecting goes on for later requests.
+   */
+  public CompletableFuture<Void> connected(Duration limit) {
+    CompletableFuture<Void> open = connection().thenApply(connection -> null);
+    return open.isDone()
+        ? open
+        : open.orTimeout(limit.toNanos(), TimeUnit.NANOSECONDS)
+            .exceptionallyCompose(
+                failure ->
+                    CompletableFuture.failedFuture(
+                        AlderyardException.notRun(
+                            ErrorCode.CONNECTION_LOST,
+                            "no connection to " + address + ": " + Futures.typed(failure).code())));
+  }
+
   private static <R extends MessageLite> R parse(Method<?, R> method, ByteString payload) {
     try {
       return method.replyParser().parseFrom(payload);
@@ -207,7 +226,7 @@
                     }
                   },
                   timeout.toNanos(),
-                  java.util.concurrent.TimeUnit.NANOSECONDS);
+                  TimeUnit.NANOSECONDS);
       answer.whenComplete((reply, failure) -> timer.cancel(false));
       return answer;
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -43,7 +43,8 @@
   private static final int MAX_VALUES = 1_000;
 
   private final SessionParts parts;
-  private final ReadFloors floors;
+  private final LocalStatements here;
+  private final Forwarding forwarding;
   private final String databaseName;
   private final Map<String, String> values = new LinkedHashMap<>();
   private final Map<String, Prepare> prepared = new HashMap<>();
@@ -53,9 +54,10 @@
   private volatile boolean busy;
   private volatile boolean closed;
 
-  CallerSession(SessionParts parts, ReadFloors floors, String databaseName) {
-    this.parts = parts;
-    this.floors = floors;
+  CallerSession(LocalStatements here, Forwarding forwarding, String databaseName) {
+    this.parts = here.parts();
+    this.here = here;
+    this.forwarding = forwarding;
     this.databaseName = databaseName;
   }
 
@@ -196,24 +198,37 @@
     return done(TransactionState.NONE);
   }
 
-  SessionParts parts() {
-    return parts;
-  }
+  /** What its transaction asks of the session. */
+  private final class Owner implements TransactionOwner {
+    @Override
+    public CompletableFuture<Optional<GroupRouting.Floor>> floor(DatabaseState database) {
+      return here.floors().floor(database, written(database));
+    }
 
-  /** The transaction has ended, and its connection was given back. */
-  void transactionEnded() {
-    transaction = Optional.empty();
+    @Override
+    public void remember(DatabaseState database, SessionReply reply) {
+      CallerSession.this.remember(database, reply);
+    }
+
+    @Override
+    public void rollBack() {
+      CallerSession.this.rollBack();
+    }
+
+    @Override
+    public void transactionEnded() {
+      transaction = Optional.empty();
+    }
   }
 
-  /** Ends the transaction without keeping anything. */
-  void rollBack() {
+  private void rollBack() {
     Optional<OpenTransaction> open = transaction;
     transaction = Optional.empty();
-    open.ifPresent(this::rollBack);
+    open.ifPresent(CallerSession::rollBack);
   }
 
-  private void rollBack(OpenTransaction open) {
-    open.end().ifPresent(pinned -> parts.rollBackAndRelease(pinned.server(), pinned.session()));
+  private static void rollBack(OpenTransaction open) {
+    open.end().ifPresent(TransactionPlace::rollBack);
   }
 
   private CompletableFuture<SessionReply> commit(String id) {
@@ -232,7 +247,7 @@
             true,
             Optional.empty(),
             open.get().database());
-    return new TransactionStatement(this, open.get(), task).run();
+    return run(open.get(), task);
   }
 
   private CompletableFuture<SessionReply> onServer(String id, SessionStatement statement) {
@@ -281,29 +296,33 @@
   }
 
   private CompletableFuture<SessionReply> single(StatementTask task) {
-    CompletableFuture<ServerDemand> demand =
-        task.kind() == StatementKind.WRITE
-            ? CompletableFuture.completedFuture(ServerDemand.lead())
-            : floor(task.database())
-                .thenApply(
-                    floor -> floor.map(ServerDemand::holding).orElseGet(ServerDemand::provedLead));
-    return demand
-        .thenCompose(known -> new StatementRun(parts, task, known).run())
+    Optional<GroupRouting.Floor> own = written(task.database());
+    return forwarding
+        .single(task, own)
+        .thenCompose(
+            elsewhere ->
+                elsewhere
+                    .map(CompletableFuture::completedFuture)
+                    .orElseGet(() -> here.single(task, own)))
         .thenApply(
-            result -> {
-              if (task.kind() == StatementKind.WRITE && result.reply().succeeded()) {
-                remember(task.database(), result.reply());
+            reply -> {
+              if (task.kind() == StatementKind.WRITE && reply.succeeded()) {
+                remember(task.database(), reply);
               }
-              return result.reply();
+              return reply;
             });
   }
 
-  /** Returns what a server must hold for a read; empty if it must be the primary. */
-  CompletableFuture<Optional<GroupRouting.Floor>> floor(DatabaseState database) {
-    return floors.floor(database, Optional.ofNullable(written.get(database.group())));
+  private CompletableFuture<SessionReply> run(OpenTransaction open, StatementTask task) {
+    return new TransactionStatement(parts, new Owner(), open, task)
+        .run(forwarding, written(open.database()));
+  }
+
+  private Optional<GroupRouting.Floor> written(DatabaseState database) {
+    return Optional.ofNullable(written.get(database.group()));
   }
 
-  void remember(DatabaseState database, SessionReply reply) {
+  private void remember(DatabaseState database, SessionReply reply) {
     long now = parts.clock().nowNanos();
     reply
         .position()
@@ -322,7 +341,7 @@
       return refuse(RefusalCode.NOT_PRIMARY, "the transaction only reads", TransactionState.FAILED);
     }
     StatementTask task = task(request, kind, false, shape, open.get().database());
-    return new TransactionStatement(this, open.get(), task).run();
+    return run(open.get(), task);
   }
 
   /** Ends the transaction if it has been idle for this long; its next statement is told so. */
@@ -347,7 +366,7 @@
 
   /** Ends an open transaction although its caller has not asked for it: this host shuts down. */
   public void abort() {
-    transaction.ifPresent(this::rollBack);
+    transaction.ifPresent(CallerSession::rollBack);
   }
 
   /** Returns whether the session has no transaction and no statement runs. */
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
@@ -0,0 +1,168 @@
+package org.alderyard.proxy.callersession;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.StatementKind;
+import org.alderyard.backend.session.Refusal;
+import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionRequest;
+import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.backend.session.SessionStatement.Commit;
+import org.alderyard.backend.session.SessionStatement.Execute;
+import org.alderyard.backend.session.SessionStatement.Prepare;
+import org.alderyard.backend.session.SessionStatement.Read;
+import org.alderyard.backend.session.SessionStatement.Write;
+import org.alderyard.backend.session.TransactionState;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.id.Position;
+import org.alderyard.protocol.generated.state.LogPosition;
+import org.alderyard.protocol.generated.statement.HeldStatementReply;
+import org.alderyard.protocol.generated.statement.HeldStatementRequest;
+import org.alderyard.protocol.generated.statement.State;
+import org.alderyard.protocol.generated.statement.Work;
+import org.alderyard.protocol.view.StateCodec;
+
+/** Statements and answers as they pass between the host that has a caller and a holder. */
+final class HeldStatementCodec {
+
+  private HeldStatementCodec() {}
+
+  /** Returns the message of a statement; the one who sends it adds who it is from. */
+  static HeldStatementRequest.Builder message(
+      StatementTask task, Optional<GroupRouting.Floor> written, long nowNanos) {
+    long remainingNanos = Math.max(0, task.deadlineNanos() - nowNanos);
+    HeldStatementRequest.Builder message =
+        HeldStatementRequest.newBuilder()
+            .setDatabase(StateCodec.databaseMessage(task.database()))
+            .setRemainingMillis((int) TimeUnit.NANOSECONDS.toMillis(remainingNanos))
+            .setId(task.request().id().orElseThrow())
+            .setWork(work(task))
+            .putAllValues(task.values());
+    written.ifPresent(
+        floor ->
+            message
+                .setWritten(position(floor.position()))
+                .setWrittenAgeMicros(
+                    TimeUnit.NANOSECONDS.toMicros(Math.max(0, nowNanos - floor.sinceNanos()))));
+    return message;
+  }
+
+  private static Work work(StatementTask task) {
+    Work.Builder work = Work.newBuilder();
+    SessionStatement statement = task.request().statement();
+    if (statement instanceof Commit) {
+      return work.setKind(Work.Kind.COMMIT).build();
+    }
+    work.setKind(task.kind() == StatementKind.WRITE ? Work.Kind.WRITE : Work.Kind.READ);
+    if (statement instanceof Read read) {
+      work.setItem(read.item());
+    } else if (statement instanceof Write write) {
+      work.setItem(write.item()).setData(write.data());
+    } else if (statement instanceof Execute execute) {
+      work.setItem(execute.item()).setShape(task.prepared().orElseThrow().shape());
+      execute.data().ifPresent(work::setData);
+    } else {
+      throw new IllegalArgumentException("not for servers: " + statement);
+    }
+    return work.build();
+  }
+
+  /** Returns the statement of a message, whose time begins to run now. */
+  static StatementTask task(HeldStatementRequest message, long nowNanos) {
+    Work work = message.getWork();
+    StatementKind kind =
+        work.getKind() == Work.Kind.WRITE ? StatementKind.WRITE : StatementKind.READ;
+    Optional<Prepare> prepared =
+        work.hasShape() ? Optional.of(new Prepare("", kind, work.getShape())) : Optional.empty();
+    return new StatementTask(
+        SessionRequest.of(message.getId(), statement(work, prepared)),
+        kind,
+        work.getKind() == Work.Kind.COMMIT,
+        prepared,
+        StateCodec.database(message.getDatabase()),
+        message.getValuesMap(),
+        nowNanos + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMillis()));
+  }
+
+  private static SessionStatement statement(Work work, Optional<Prepare> prepared) {
+    Optional<String> data = work.hasData() ? Optional.of(work.getData()) : Optional.empty();
+    if (prepared.isPresent()) {
+      return new Execute(PooledSession.serverName(prepared.get()), work.getItem(), data);
+    }
+    return switch (work.getKind()) {
+      case COMMIT -> new Commit();
+      case READ -> new Read(work.getItem());
+      case WRITE -> new Write(work.getItem(), data.orElseThrow(HeldStatementCodec::damaged));
+      // Nothing may run in its place.
+      default -> throw damaged();
+    };
+  }
+
+  private static AlderyardException damaged() {
+    return AlderyardException.notRun(ErrorCode.MESSAGE_DAMAGED, "the statement can't be read");
+  }
+
+  /** Returns the position of the session's own last write that a message holds. */
+  static Optional<GroupRouting.Floor> written(HeldStatementRequest message, long nowNanos) {
+    if (!message.hasWritten()) {
+      return Optional.empty();
+    }
+    long sinceNanos = nowNanos - TimeUnit.MICROSECONDS.toNanos(message.getWrittenAgeMicros());
+    return Optional.of(new GroupRouting.Floor(position(message.getWritten()), sinceNanos));
+  }
+
+  /** Returns the message of an answer. */
+  static HeldStatementReply message(SessionReply reply) {
+    HeldStatementReply.Builder message =
+        HeldStatementReply.newBuilder()
+            .addAllRows(reply.rows())
+            .setState(State.forNumber(reply.state().ordinal()));
+    reply.proof().ifPresent(message::setProof);
+    reply
+        .refusal()
+        .ifPresent(
+            refusal -> message.setRefusal(refusal.code().name()).setRefusalText(refusal.text()));
+    reply.position().ifPresent(position -> message.setPosition(position(position)));
+    return message.build();
+  }
+
+  /** Returns the answer of a message. */
+  static SessionReply reply(HeldStatementReply message) {
+    return new SessionReply(
+        message.getRowsList(),
+        message.hasProof() ? Optional.of(message.getProof()) : Optional.empty(),
+        message.getRefusal().isEmpty()
+            ? Optional.empty()
+            : Optional.of(new Refusal(code(message.getRefusal()), message.getRefusalText())),
+        state(message.getState()),
+        message.hasPosition() ? Optional.of(position(message.getPosition())) : Optional.empty());
+  }
+
+  /** A code that a newer peer added promises nothing here. */
+  private static RefusalCode code(String name) {
+    for (RefusalCode code : RefusalCode.values()) {
+      if (code.name().equals(name)) {
+        return code;
+      }
+    }
+    return RefusalCode.IN_DOUBT;
+  }
+
+  private static TransactionState state(State state) {
+    return switch (state) {
+      case NONE -> TransactionState.NONE;
+      case OPEN -> TransactionState.OPEN;
+      default -> TransactionState.FAILED;
+    };
+  }
+
+  private static LogPosition position(Position position) {
+    return LogPosition.newBuilder().setTerm(position.term()).setIndex(position.index()).build();
+  }
+
+  private static Position position(LogPosition message) {
+    return new Position(message.getTerm(), message.getIndex());
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
@@ -0,0 +1,78 @@
+package org.alderyard.proxy.callersession;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.common.view.HostState;
+import org.alderyard.protocol.generated.statement.EndHeldTransactionRequest;
+import org.alderyard.protocol.generated.statement.HeldStatementRequest;
+
+/**
+ * Passes statements on to the holders of their group.
+ *
+ * @param parts what all sessions share
+ * @param holders who holds, and how they have answered
+ * @param calls the way to them
+ * @param self this host
+ * @param transactions numbers the transactions that this host begins at holders
+ */
+record HolderForwarding(
+    SessionParts parts, Holders holders, HolderCalls calls, HostState self, AtomicLong transactions)
+    implements Forwarding {
+
+  HolderForwarding(SessionParts parts, Holders holders, HolderCalls calls, HostState self) {
+    this(parts, holders, calls, self, new AtomicLong());
+  }
+
+  @Override
+  public CompletableFuture<Optional<SessionReply>> single(
+      StatementTask task, Optional<GroupRouting.Floor> written) {
+    return holdersOf(task)
+        .map(
+            candidates ->
+                new ForwardedStatement(this, task, candidates, written, Optional.empty())
+                    .run()
+                    .thenApply(result -> result.map(Started::reply)))
+        .orElseGet(() -> Forwarding.NONE.single(task, written));
+  }
+
+  @Override
+  public CompletableFuture<Optional<Started>> first(
+      StatementTask task, boolean readOnly, Optional<GroupRouting.Floor> written) {
+    return holdersOf(task)
+        .map(
+            candidates ->
+                new ForwardedStatement(this, task, candidates, written, Optional.of(readOnly))
+                    .run())
+        .orElseGet(() -> Forwarding.NONE.first(task, readOnly, written));
+  }
+
+  private Optional<List<HostState>> holdersOf(StatementTask task) {
+    return holders.others(parts.views().current(), task.database().group());
+  }
+
+  long nextTransaction() {
+    return transactions.incrementAndGet();
+  }
+
+  /** Returns the message of a statement of this host. */
+  HeldStatementRequest.Builder message(
+      StatementTask task, Optional<GroupRouting.Floor> written, long nowNanos) {
+    return HeldStatementCodec.message(task, written, nowNanos)
+        .setHost(self.id().value())
+        .setIncarnation(self.incarnation());
+  }
+
+  /** Ends a transaction at a holder without keeping anything. */
+  void end(HostState holder, long transaction) {
+    calls.end(
+        holder,
+        EndHeldTransactionRequest.newBuilder()
+            .setHost(self.id().value())
+            .setIncarnation(self.incarnation())
+            .setTransaction(transaction)
+            .build());
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Holders.java
@@ -0,0 +1,135 @@
+package org.alderyard.proxy.callersession;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.View;
+
+/**
+ * The holders of all groups, and how they have answered this host.
+ *
+ * <p>Lock: the object itself, a leaf.
+ */
+final class Holders {
+  /** Until an answer came; near the work of common statements and a way there and back. */
+  private static final double FIRST_LATENCY_MILLIS = 20;
+
+  /** What a hop to another availability zone counts as: its way there and back, and its price. */
+  private static final double OTHER_ZONE_MILLIS = 30;
+
+  private static final double PAUSED_MILLIS = 100_000;
+
+  private final HostId self;
+  private final ZoneName zone;
+  private final HolderAssignment assignment = new HolderAssignment();
+  // Guarded by this.
+  private Map<HostId, HostState> hostsOfCache = Map.of();
+  private int groupsOfCache;
+  private final Map<GroupId, Optional<List<HostState>>> cache = new HashMap<>();
+  private final Map<HostId, HolderTrack> tracks = new HashMap<>();
+
+  private static final class HolderTrack extends AnswerTrack {
+    final long incarnation;
+
+    HolderTrack(long incarnation) {
+      super(FIRST_LATENCY_MILLIS);
+      this.incarnation = incarnation;
+    }
+  }
+
+  Holders(HostId self, ZoneName zone) {
+    this.self = self;
+    this.zone = zone;
+  }
+
+  /** Returns the other hosts that most likely know something of a group. */
+  synchronized List<HostState> wellInformed(View view, GroupId group) {
+    return holders(view, group)
+        .orElseGet(() -> view.hosts().values().stream().filter(HostState::proxy).toList())
+        .stream()
+        .filter(host -> !host.id().equals(self))
+        .toList();
+  }
+
+  /**
+   * Returns the holders of a group.
+   *
+   * @return empty if this host is one of them, or all hosts are
+   */
+  synchronized Optional<List<HostState>> others(View view, GroupId group) {
+    return holders(view, group)
+        .filter(all -> all.stream().noneMatch(holder -> holder.id().equals(self)));
+  }
+
+  /** Returns how many connections to each server of a group this host may open before a lease. */
+  synchronized int firstConnections(View view, GroupId group) {
+    return assignment.firstConnections(view, group, self);
+  }
+
+  private Optional<List<HostState>> holders(View view, GroupId group) {
+    boolean same = view.hosts() == hostsOfCache && view.groups().size() == groupsOfCache;
+    if (!same) {
+      hostsOfCache = view.hosts();
+      groupsOfCache = view.groups().size();
+      cache.clear();
+      tracks.keySet().retainAll(hostsOfCache.keySet());
+    }
+    return cache.computeIfAbsent(group, id -> assignment.holders(view, id));
+  }
+
+  /** Returns the holder that most likely answers soonest, and was not tried yet. */
+  synchronized Optional<HostState> best(List<HostState> holders, Set<HostId> tried, long nowNanos) {
+    return holders.stream()
+        .filter(holder -> !tried.contains(holder.id()))
+        .min(Comparator.comparingDouble(holder -> expectedMillis(holder, nowNanos)));
+  }
+
+  private double expectedMillis(HostState holder, long nowNanos) {
+    HolderTrack track = track(holder);
+    return track.expectedMillis()
+        + (holder.zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS)
+        + (track.paused(nowNanos) ? PAUSED_MILLIS : 0);
+  }
+
+  synchronized void started(HostState holder) {
+    track(holder).started();
+  }
+
+  synchronized void ended(HostState holder) {
+    track(holder).ended();
+  }
+
+  synchronized void answered(HostState holder, long nowNanos, long tookNanos) {
+    track(holder).answered(nowNanos, tookNanos, true);
+  }
+
+  /** A holder can't be reached, refused to work for others, or is silent. */
+  synchronized void failed(HostState holder, long nowNanos) {
+    track(holder).failed(nowNanos);
+  }
+
+  /** Returns whether an answer came since a time. */
+  synchronized boolean answeredSince(HostState holder, long sinceNanos, long nowNanos) {
+    return track(holder).answeredWithin(nowNanos, nowNanos - sinceNanos);
+  }
+
+  synchronized double latencyMillis(HostState holder) {
+    return track(holder).latencyMillis();
+  }
+
+  private HolderTrack track(HostState holder) {
+    HolderTrack track = tracks.get(holder.id());
+    if (track == null || track.incarnation != holder.incarnation()) {
+      track = new HolderTrack(holder.incarnation());
+      tracks.put(holder.id(), track);
+    }
+    return track;
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OpenTransaction.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OpenTransaction.java
@@ -4,8 +4,8 @@
 import org.alderyard.common.view.DatabaseState;
 
 /**
- * A caller's transaction. It gets a connection with its first statement, so that none is held while
- * the caller has not begun to work.
+ * A caller's transaction. It gets a place, and a connection there, with its first statement, so
+ * that none is held while the caller has not begun to work.
  *
  * <p>Lock: the object itself, a leaf.
  */
@@ -13,7 +13,7 @@
   private final DatabaseState database;
   private final boolean readOnly;
   // Guarded by this.
-  private Optional<StatementRun.Pinned> pinned = Optional.empty();
+  private Optional<TransactionPlace> place = Optional.empty();
   private boolean wrote;
   private boolean ended;
   private long quietSinceNanos;
@@ -33,16 +33,17 @@
     return readOnly;
   }
 
-  synchronized Optional<StatementRun.Pinned> pinned() {
-    return pinned;
+  /** Returns where it runs, once its first statement has found a place. */
+  synchronized Optional<TransactionPlace> place() {
+    return place;
   }
 
-  /** Takes the connection; returns false when the transaction has ended meanwhile. */
-  synchronized boolean pin(StatementRun.Pinned connection) {
+  /** Takes its place; returns false when the transaction has ended meanwhile. */
+  synchronized boolean runAt(TransactionPlace found) {
     if (ended) {
       return false;
     }
-    pinned = Optional.of(connection);
+    place = Optional.of(found);
     return true;
   }
 
@@ -72,11 +73,11 @@
     return !ended && !running && nowNanos - quietSinceNanos >= nanos;
   }
 
-  /** Ends it; returns the connection to give back, once. */
-  synchronized Optional<StatementRun.Pinned> end() {
+  /** Ends it; returns where it is to be rolled back, once. */
+  synchronized Optional<TransactionPlace> end() {
     ended = true;
-    Optional<StatementRun.Pinned> connection = pinned;
-    pinned = Optional.empty();
-    return connection;
+    Optional<TransactionPlace> last = place;
+    place = Optional.empty();
+    return last;
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PeerSamples.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PeerSamples.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.alderyard.common.id.GroupId;
-import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.view.HostState;
 import org.alderyard.protocol.data.DataMethods;
@@ -36,14 +35,14 @@
   private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final PeerLinks links;
-  private final HostId self;
+  private final Holders holders;
   private final SessionParts parts;
   private final AtomicInteger next = new AtomicInteger();
   private final Map<GroupId, Long> notBeforeNanos = new ConcurrentHashMap<>();
 
-  PeerSamples(PeerLinks links, HostId self, SessionParts parts) {
+  PeerSamples(PeerLinks links, Holders holders, SessionParts parts) {
     this.links = links;
-    this.self = self;
+    this.holders = holders;
     this.parts = parts;
   }
 
@@ -80,10 +79,7 @@
       return;
     }
     notBeforeNanos.put(group, nowNanos + PAUSE_NANOS);
-    List<HostState> peers =
-        parts.views().current().hosts().values().stream()
-            .filter(host -> host.proxy() && !host.id().equals(self))
-            .toList();
+    List<HostState> peers = holders.wellInformed(parts.views().current(), group);
     PositionSampleRequest request =
         PositionSampleRequest.newBuilder().setGroup(group.value()).build();
     for (int i = 0; i < Math.min(PEERS, peers.size()); i++) {
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedConnection.java
@@ -0,0 +1,27 @@
+package org.alderyard.proxy.callersession;
+
+import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.common.view.ServerState;
+
+/**
+ * A connection of this host with an open transaction.
+ *
+ * @param parts what all sessions share
+ * @param server the server
+ * @param session the connection
+ */
+record PinnedConnection(SessionParts parts, ServerState server, PooledSession session)
+    implements TransactionPlace {
+
+  @Override
+  public CompletableFuture<SessionReply> run(
+      TransactionOwner owner, OpenTransaction open, StatementTask task) {
+    return new PinnedStatement(parts, this, owner, open, task).run();
+  }
+
+  @Override
+  public void rollBack() {
+    parts.rollBackAndRelease(server, session);
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedStatement.java
@@ -0,0 +1,151 @@
+package org.alderyard.proxy.callersession;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionRequest;
+import org.alderyard.backend.session.TransactionState;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.view.ServerState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A statement of a transaction on the connection of this host that holds it.
+ *
+ * <p>A transaction that loses its connection before its commit was sent keeps nothing, as its
+ * server rolls it back; only a commit that may have arrived leaves a doubt.
+ */
+final class PinnedStatement {
+  private static final Logger log = LoggerFactory.getLogger(PinnedStatement.class);
+
+  /** A busy server is asked again this often within a transaction, at this pause. */
+  private static final int BUSY_REPEATS = 8;
+
+  private static final Duration BUSY_PAUSE = Duration.ofMillis(12);
+
+  private final SessionParts parts;
+  private final ServerState server;
+  private final PooledSession connection;
+  private final TransactionOwner owner;
+  private final OpenTransaction open;
+  private final StatementTask task;
+
+  PinnedStatement(
+      SessionParts parts,
+      PinnedConnection pinned,
+      TransactionOwner owner,
+      OpenTransaction open,
+      StatementTask task) {
+    this.parts = parts;
+    this.server = pinned.server();
+    this.connection = pinned.session();
+    this.owner = owner;
+    this.open = open;
+    this.task = task;
+  }
+
+  /** Runs it; the future never fails. */
+  CompletableFuture<SessionReply> run() {
+    return run(0);
+  }
+
+  private CompletableFuture<SessionReply> run(int repeats) {
+    GroupRouting routing = parts.routings().of(open.database().group());
+    List<SessionRequest> requests = connection.adopt(task.values(), task.prepared(), false);
+    requests.add(task.request());
+    long sent = parts.clock().nowNanos();
+    Duration timeout = Duration.ofNanos(Math.max(1, task.deadlineNanos() - sent));
+    routing.started(server, sent);
+    return connection
+        .run(requests, timeout)
+        .handle(
+            (replies, failure) -> {
+              routing.ended(server);
+              if (failure != null) {
+                return lost(Futures.typed(failure));
+              }
+              return answered(replies, sent, repeats);
+            })
+        .thenCompose(reply -> reply);
+  }
+
+  private CompletableFuture<SessionReply> lost(AlderyardException failure) {
+    parts.routings().of(open.database().group()).doubted(server, parts.clock().nowNanos());
+    open.end();
+    parts.discard(server, connection);
+    owner.transactionEnded();
+    boolean inDoubt = task.ending() && open.hasWritten();
+    log.warn(
+        "event=transaction-lost id={} database={} server={} incarnation={} commit={} wrote={}"
+            + " reason={} outcome={}",
+        task.request().id().orElse("-"),
+        open.database().name(),
+        server.id(),
+        server.incarnation(),
+        task.ending(),
+        open.hasWritten(),
+        failure.code(),
+        inDoubt ? "OUTCOME_UNKNOWN" : "NOT_KEPT");
+    return CompletableFuture.completedFuture(
+        SessionReply.refused(
+            inDoubt ? RefusalCode.IN_DOUBT : RefusalCode.ABORTED,
+            "the connection to the server was lost",
+            task.ending() ? TransactionState.NONE : TransactionState.FAILED));
+  }
+
+  private CompletableFuture<SessionReply> answered(
+      List<SessionReply> replies, long sent, int repeats) {
+    long now = parts.clock().nowNanos();
+    SessionReply reply = replies.get(replies.size() - 1);
+    GroupRouting routing = parts.routings().of(open.database().group());
+    boolean ran = !StatementAttempt.notRun(reply);
+    routing.answered(server, now, now - sent, ran, reply.position());
+    if (reply.succeeded()) {
+      if (task.ending()) {
+        committed(reply, sent);
+        return CompletableFuture.completedFuture(reply.inState(TransactionState.NONE));
+      }
+      return CompletableFuture.completedFuture(reply.inState(TransactionState.OPEN));
+    }
+    boolean stillOpen = reply.state() == TransactionState.OPEN;
+    if (reply.refusedWith(RefusalCode.BUSY) && stillOpen && repeats < BUSY_REPEATS) {
+      CompletableFuture<Void> pause = new CompletableFuture<>();
+      parts.workers().schedule(BUSY_PAUSE, () -> pause.complete(null));
+      return pause.thenCompose(waited -> run(repeats + 1));
+    }
+    if (reply.refusedWith(RefusalCode.NOT_PRIMARY)) {
+      parts.group(open.database().group()).ifPresent(group -> routing.doesNotLead(server, group));
+    }
+    log.info(
+        "event=transaction-refused id={} database={} server={} commit={} code={}",
+        task.request().id().orElse("-"),
+        open.database().name(),
+        server.id(),
+        task.ending(),
+        reply.refusal().orElseThrow().code());
+    owner.rollBack();
+    return CompletableFuture.completedFuture(
+        reply.inState(task.ending() ? TransactionState.NONE : TransactionState.FAILED));
+  }
+
+  private void committed(SessionReply reply, long sent) {
+    open.end();
+    owner.transactionEnded();
+    if (open.hasWritten()) {
+      owner.remember(open.database(), reply);
+      reply
+          .position()
+          .ifPresent(
+              position -> parts.routings().of(open.database().group()).sampled(sent, position));
+    }
+    if (reply.state() == TransactionState.NONE) {
+      parts.release(server, connection);
+    } else {
+      parts.rollBackAndRelease(server, connection);
+    }
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
@@ -29,6 +29,7 @@
   private final Counter statements;
   private final Counter notRun;
   private final Histogram tries;
+  private final Counter forwarded;
   private final Counter repeated;
   private final Counter lost;
   private final Map<SessionReads, DistributionDataPoint> durations =
@@ -58,6 +59,12 @@
             .classicUpperBounds(1, 2, 3, 5, 8, 13)
             .classicOnly()
             .register(registry);
+    forwarded =
+        Counter.builder()
+            .name("alderyard_session_forwarded")
+            .help("Statements passed on to a host that holds connections, by what came back.")
+            .labelNames("outcome")
+            .register(registry);
     repeated = counter("alderyard_session_reads_sent_twice", "Reads sent to a second server.");
     lost = counter("alderyard_session_answers_lost", "Answers of servers that did not arrive.");
     Histogram total =
@@ -116,6 +123,10 @@
     tries.observe(triedServers);
   }
 
+  void forwarded(String outcome) {
+    forwarded.labelValues(outcome).inc();
+  }
+
   void sentTwice() {
     repeated.inc();
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -15,9 +15,11 @@
 import org.alderyard.backend.session.SessionConnector;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ConfigurationState;
+import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.View;
 import org.alderyard.protocol.control.ControlClient;
 import org.alderyard.protocol.wire.Dispatcher;
@@ -33,13 +35,16 @@
 
   private final SessionParts parts;
   private final SampleRefresher refresher;
-  private final ReadFloors floors;
+  private final LocalStatements here;
+  private final HeldStatements held;
   private final int maxSessions;
   private final long openingWaitMillis;
   private final boolean othersWait;
   private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> firstView = new CompletableFuture<>();
   private final CompletableFuture<Void> serving = new CompletableFuture<>();
+  private volatile Forwarding forwarding = Forwarding.NONE;
+  private volatile Optional<Holders> holders = Optional.empty();
   private volatile boolean draining;
 
   /**
@@ -93,7 +98,12 @@
           () -> routings.waiting(need));
     }
     refresher = new SampleRefresher(parts);
-    floors = new ReadFloors(parts, refresher);
+    here = new LocalStatements(parts, new ReadFloors(parts, refresher));
+    held = new HeldStatements(here);
+    metrics.gauge(
+        "alderyard_session_transactions_held",
+        "Open transactions of other hosts' callers on this host's connections.",
+        held::openTransactions);
     routings.searchLeadBy(refresher::searchLead);
     maxSessions = limits.maxSessions();
     openingWaitMillis = limits.openingWait().toMillis();
@@ -123,6 +133,7 @@
   private void sweep() {
     long now = parts.clock().nowNanos();
     sessions.forEach(session -> session.endIdleTransaction(now));
+    held.sweep(now);
   }
 
   /** Starts to tell the control leader what this host sees of the primaries. */
@@ -130,11 +141,34 @@
     new PrimaryReporter(control, self, parts, refresher).start();
   }
 
-  /** Gives samples of primaries to other hosts, and takes theirs when a primary is out of reach. */
-  public void shareSamples(Dispatcher dispatcher, PeerLinks links, HostId self) {
-    PeerSamples peers = new PeerSamples(links, self, parts);
+  /**
+   * Works with the other hosts: gives and takes samples of primaries, runs statements over this
+   * host's connections for the others, and passes on those whose group others hold.
+   */
+  public void joinHosts(Dispatcher dispatcher, PeerLinks links, HostState self) {
+    Holders all = new Holders(self.id(), self.zone());
+    PeerSamples peers = new PeerSamples(links, all, parts);
     peers.serve(dispatcher);
     refresher.askPeers(peers);
+    held.serve(dispatcher);
+    joinHosts(all, new LinkedHolders(links), self);
+  }
+
+  void joinHosts(Holders all, HolderCalls calls, HostState self) {
+    holders = Optional.of(all);
+    forwarding = new HolderForwarding(parts, all, calls, self);
+  }
+
+  HeldStatements held() {
+    return held;
+  }
+
+  /** Returns how many connections to a server this host may open before it has a lease. */
+  public int firstConnections(ServerId server) {
+    View view = parts.views().current();
+    return view.server(server)
+        .flatMap(state -> holders.map(all -> all.firstConnections(view, state.group())))
+        .orElse(1);
   }
 
   SessionParts parts() {
@@ -200,7 +234,7 @@
 
   /** Opens a session. */
   public CallerSession open(String database) {
-    CallerSession session = new CallerSession(parts, floors, database);
+    CallerSession session = new CallerSession(here, forwarding, database);
     sessions.add(session);
     return session;
   }
@@ -211,6 +245,21 @@
     session.close();
   }
 
+  /** Begins no new work for other hosts any more; what is open goes on. */
+  public void stopHolding() {
+    held.stop();
+  }
+
+  /** Ends the open transactions of other hosts' callers. */
+  public void abortHeld() {
+    held.abort();
+  }
+
+  /** Returns how many transactions of other hosts' callers are open. */
+  public int heldTransactions() {
+    return held.openTransactions();
+  }
+
   /** Takes no new sessions any more. */
   public void drain() {
     draining = true;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -338,7 +338,7 @@
     }
     end();
     if (demand.keep() && !task.ending()) {
-      StatementRun.Pinned pinned = new StatementRun.Pinned(server, session);
+      PinnedConnection pinned = new PinnedConnection(parts, server, session);
       if (!run.finish(reply.inState(TransactionState.OPEN), Optional.of(pinned))) {
         parts.rollBackAndRelease(server, session);
       }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -78,10 +78,7 @@
    * @param reply the answer for the caller
    * @param pinned the connection that holds the transaction, where it stays open
    */
-  record Result(SessionReply reply, Optional<Pinned> pinned) {}
-
-  /** A connection with an open transaction. */
-  record Pinned(ServerState server, PooledSession session) {}
+  record Result(SessionReply reply, Optional<PinnedConnection> pinned) {}
 
   /** Starts; the future never fails. */
   CompletableFuture<Result> run() {
@@ -222,7 +219,7 @@
         Optional.empty());
   }
 
-  boolean finish(SessionReply reply, Optional<Pinned> pinned) {
+  boolean finish(SessionReply reply, Optional<PinnedConnection> pinned) {
     boolean first = result.complete(new Result(reply, pinned));
     if (first) {
       parts.metrics().ended(triedCount());
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -88,7 +89,11 @@
             .setIncarnation(self.incarnation())
             .setSequence(number);
     for (ServerState server : view.servers().values()) {
-      request.addDemands(demand(server, number));
+      demand(server, number).ifPresent(request::addDemands);
+    }
+    if (request.getDemandsCount() == 0) {
+      underWay.set(false);
+      return;
     }
     control
         .callIdempotent(GrantMethods.RENEW_GRANTS, request.build(), CALL_TIMEOUT)
@@ -103,14 +108,19 @@
             });
   }
 
-  private ConnectionDemand demand(ServerState server, long number) {
+  /** Returns what is asked for; nothing of a server that this host has no business with. */
+  private Optional<ConnectionDemand> demand(ServerState server, long number) {
     PoolUse use = pools.readUse(server.id());
-    int held = leases.request(server.id(), number, use.open());
-    return ConnectionDemand.newBuilder()
-        .setServer(server.id().value())
-        .setHeld(held)
-        .setWanted(wish.wanted(server.id(), use))
-        .build();
+    int wanted = wish.wanted(server.id(), use);
+    if (wanted == 0 && use.open() == 0 && leases.unleased(server.id())) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        ConnectionDemand.newBuilder()
+            .setServer(server.id().value())
+            .setHeld(leases.request(server.id(), number, use.open()))
+            .setWanted(wanted)
+            .build());
   }
 
   private void accept(RenewGrantsReply reply) {
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -29,6 +29,7 @@
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.DatabaseState;
 import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.SessionReads;
 import org.alderyard.common.view.View;
@@ -56,6 +57,8 @@
   volatile boolean viewConfirmed = true;
   private long version;
   private int statements;
+  private List<HostState> hosts = List.of();
+  private int connectionsPerServer = 40;
 
   SessionFixture() {
     this("z0");
@@ -88,6 +91,13 @@
     publish("s1", group.states());
   }
 
+  /** Makes this host one of several before servers that accept so many connections. */
+  void join(List<HostState> all, int connections) {
+    hosts = all;
+    connectionsPerServer = connections;
+    publish("s1", group.states());
+  }
+
   /** Makes a view with this primary, as of the next term. */
   void publish(String primary, List<ServerState> servers) {
     version++;
@@ -95,7 +105,16 @@
     GroupId id = group.id();
     editor
         .groups()
-        .put(id, new GroupState(id, version, Optional.of(new ServerId(primary)), List.of(), 2, 40));
+        .put(
+            id,
+            new GroupState(
+                id,
+                version,
+                Optional.of(new ServerId(primary)),
+                List.of(),
+                2,
+                connectionsPerServer));
+    hosts.forEach(host -> editor.hosts().put(host.id(), host));
     servers.forEach(editor::put);
     editor.configuration(
         new ConfigurationState(
