--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
@@ -30,7 +30,7 @@
   private HeldStatementCodec() {}
 
   /** Returns the message of a statement; the one who sends it adds who it is from. */
-  static HeldStatementRequest.Builder message(
+  static HeldStatementRequest.Builder requestMessage(
       StatementTask task, Optional<GroupRouting.Floor> written, long nowNanos) {
     long remainingNanos = Math.max(0, task.deadlineNanos() - nowNanos);
     HeldStatementRequest.Builder message =
@@ -114,7 +114,7 @@
   }
 
   /** Returns the message of an answer. */
-  static HeldStatementReply message(SessionReply reply) {
+  static HeldStatementReply replyMessage(SessionReply reply) {
     HeldStatementReply.Builder message =
         HeldStatementReply.newBuilder()
             .addAllRows(reply.rows())
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -59,17 +59,17 @@
     Key key =
         new Key(new HostId(request.getHost()), request.getIncarnation(), request.getTransaction());
     if (request.getTransaction() != 0 && !request.getFirst()) {
-      return further(key, task).thenApply(HeldStatementCodec::message);
+      return further(key, task).thenApply(HeldStatementCodec::replyMessage);
     }
     checkServes(task.database().group());
     if (request.getTransaction() == 0) {
-      return here.single(task, written).thenApply(HeldStatementCodec::message);
+      return here.single(task, written).thenApply(HeldStatementCodec::replyMessage);
     }
     OpenTransaction open = new OpenTransaction(task.database(), request.getReadOnly(), now);
     HeldTransaction transaction =
         new HeldTransaction(here, open, written, () -> transactions.remove(key));
     transactions.put(key, transaction);
-    return transaction.run(task).thenApply(HeldStatementCodec::message);
+    return transaction.run(task).thenApply(HeldStatementCodec::replyMessage);
   }
 
   private void checkServes(GroupId group) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
@@ -27,6 +27,12 @@
  * <p>Pure but for a cache of scores.
  */
 final class HolderAssignment {
+  /**
+   * Connections that a server accepts for each host if all hosts hold some: one for each, and room
+   * for statements that come in bunches.
+   */
+  private static final double CONNECTIONS_OF_HOST = 1.5;
+
   /** So many let a holder run a transaction and other statements side by side. */
   private static final int CONNECTIONS_OF_HOLDER = 4;
 
@@ -55,7 +61,7 @@
     List<HostState> hosts =
         view.hosts().values().stream().filter(host -> host.proxy() && !host.draining()).toList();
     int calm = accepted / CALM_DIVISOR;
-    if (accepted == 0 || hosts.size() <= calm) {
+    if (accepted == 0 || hosts.size() * CONNECTIONS_OF_HOST <= accepted) {
       return Optional.empty();
     }
     Map<ZoneName, List<Scored>> zones = new TreeMap<>();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
@@ -60,7 +60,7 @@
   /** Returns the message of a statement of this host. */
   HeldStatementRequest.Builder message(
       StatementTask task, Optional<GroupRouting.Floor> written, long nowNanos) {
-    return HeldStatementCodec.message(task, written, nowNanos)
+    return HeldStatementCodec.requestMessage(task, written, nowNanos)
         .setHost(self.id().value())
         .setIncarnation(self.incarnation());
   }
--- /dev/null
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/HolderAssignmentTest.java
@@ -0,0 +1,123 @@
+package org.alderyard.proxy.callersession;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.View;
+import org.alderyard.common.view.ViewVersion;
+import org.junit.jupiter.api.Test;
+
+class HolderAssignmentTest {
+  private static final int ZONES = 5;
+  private static final int GROUPS = 14;
+  private static final int CONNECTIONS = 75;
+
+  private final HolderAssignment assignment = new HolderAssignment();
+
+  @Test
+  void everybodyHoldsWhereConnectionsSuffice() {
+    assertThat(assignment.holders(view(CONNECTIONS * 2 / 3, 1), group(0))).isEmpty();
+  }
+
+  @Test
+  void fleetHasHoldersInEachZone() {
+    List<HostState> holders = assignment.holders(view(100, 5), group(0)).orElseThrow();
+
+    assertThat(holders.stream().map(HostState::zone).collect(Collectors.toSet())).hasSize(ZONES);
+    assertThat(holders.size()).isAtMost(2 * ZONES);
+  }
+
+  @Test
+  void workIsSpreadOverTheFleet() {
+    // A host that held connections to most groups would be slow, and its loss dear.
+    View view = view(100, 5);
+    Set<HostId> all = new HashSet<>();
+    for (int i = 0; i < GROUPS; i++) {
+      assignment.holders(view, group(i)).orElseThrow().forEach(holder -> all.add(holder.id()));
+    }
+
+    assertThat(all.size()).isAtLeast(60);
+  }
+
+  @Test
+  void controlHostsAreLeftToTheirOwnWork() {
+    View view = view(100, 5);
+    for (int i = 0; i < GROUPS; i++) {
+      assertThat(
+              assignment.holders(view, group(i)).orElseThrow().stream().noneMatch(h -> h.control()))
+          .isTrue();
+    }
+  }
+
+  @Test
+  void hostThatLeavesMovesOnlyItsOwnPlace() {
+    View before = view(100, 5);
+    List<HostState> holders = assignment.holders(before, group(3)).orElseThrow();
+    View.Editor editor = before.edit();
+    editor.hosts().remove(holders.get(0).id());
+    List<HostState> after =
+        assignment.holders(editor.at(new ViewVersion(1, 2)), group(3)).orElseThrow();
+
+    Set<HostState> kept = new HashSet<>(holders);
+    kept.retainAll(after);
+    assertThat(kept).hasSize(holders.size() - 1);
+  }
+
+  @Test
+  void drainingHostHoldsNothing() {
+    View before = view(100, 5);
+    HostState leaving = assignment.holders(before, group(3)).orElseThrow().get(0);
+    View.Editor editor = before.edit();
+    editor.hosts().put(leaving.id(), host(leaving.id().value(), leaving.zone(), false, true));
+
+    assertThat(
+            assignment.holders(editor.at(new ViewVersion(1, 2)), group(3)).orElseThrow().stream()
+                .noneMatch(holder -> holder.id().equals(leaving.id())))
+        .isTrue();
+  }
+
+  @Test
+  void holdersTogetherLeaveRoomForThoseThatTakeOver() {
+    View view = view(100, 5);
+    int together =
+        view.hosts().keySet().stream()
+            .filter(host -> assignment.firstConnections(view, group(0), host) > 1)
+            .mapToInt(host -> assignment.firstConnections(view, group(0), host))
+            .sum();
+
+    assertThat(together).isAtMost(CONNECTIONS / 2);
+  }
+
+  private static GroupId group(int number) {
+    return new GroupId("g" + number);
+  }
+
+  private static View view(int hosts, int control) {
+    View.Editor editor = View.EMPTY.edit();
+    for (int i = 0; i < GROUPS; i++) {
+      editor
+          .groups()
+          .put(group(i), new GroupState(group(i), 1, Optional.empty(), List.of(), 5, CONNECTIONS));
+    }
+    for (int i = 0; i < hosts; i++) {
+      HostState host = host("h" + i, new ZoneName("z" + i % ZONES), i < control, false);
+      editor.hosts().put(host.id(), host);
+    }
+    return editor.at(new ViewVersion(1, 1));
+  }
+
+  private static HostState host(String id, ZoneName zone, boolean control, boolean draining) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", 7_000);
+    return new HostState(new HostId(id), 1, zone, address, address, true, control, draining);
+  }
+}
--- a/bin/platform-hosts.sh
+++ b/bin/platform-hosts.sh
@@ -35,7 +35,7 @@
   cat > "$folder/host-$number.ini" <<INI
 [host]
 id = host-$number
-zone = z$number
+zone = z$((number % 2))
 cluster-id = loopback
 roles = proxy, control
 [network]
