Wait for a slot no longer than the objective allows

Change: Outlook bounds the search by the objective while the primary answers. A lost primary is waited for as before.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Outlook.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Outlook.java
@@ -16,6 +16,9 @@
   /** What is spent of a statement's time on looking for a server; the rest is for its run. */
   private static final double SEARCH_SHARE = 0.5;
 
+  /** What is spent of a statement's objective on waiting for a slot; the rest is for its run. */
+  private static final double OBJECTIVE_SHARE = 0.5;
+
   /** Twice the first pause after a failure: a single broken connection is over by then. */
   private static final long SURELY_LOST_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -46,13 +49,27 @@
   }
 
   /** Returns whether the search for a server ends now. */
-  boolean searchOver(long elapsedNanos, long timeNanos) {
-    return hopeless() || elapsedNanos >= timeNanos * SEARCH_SHARE;
+  boolean searchOver(long elapsedNanos, long timeNanos, long objectiveNanos) {
+    return hopeless() || elapsedNanos >= searchNanos(timeNanos, objectiveNanos);
   }
 
-  /** Returns how much of the time for the search is left, if it goes on. */
-  static long searchLeftNanos(long elapsedNanos, long timeNanos) {
-    return (long) (timeNanos * SEARCH_SHARE) - elapsedNanos;
+  /**
+   * Returns how long a statement looks for a server.
+   *
+   * <p>Guards against servers that have more work than they can do, and do all of it late: if
+   * statements wait for slots as long as they live, each one that gets a slot has waited for nearly
+   * that long. Half of the objective leaves the other half for the run. A primary that is lost is
+   * waited for longer, since its successor serves all who wait.
+   *
+   * @param timeNanos the whole time of the statement
+   * @param objectiveNanos within which its operation should end; 0 where there is none
+   */
+  long searchNanos(long timeNanos, long objectiveNanos) {
+    long most = (long) (timeNanos * SEARCH_SHARE);
+    boolean primaryAwaited = needsLead && primaryLostNanos.isPresent();
+    return primaryAwaited || objectiveNanos == 0
+        ? most
+        : Math.min(most, (long) (objectiveNanos * OBJECTIVE_SHARE));
   }
 
   /** Returns when the caller of a statement that was refused should come back. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -109,7 +109,7 @@
       return;
     }
     Outlook outlook = outlook(now);
-    if (outlook.searchOver(now - startNanos, task.deadlineNanos() - startNanos)) {
+    if (outlook.searchOver(now - startNanos, timeNanos(), objectiveNanos())) {
       giveUp(now, outlook);
       return;
     }
@@ -254,10 +254,18 @@
 
   /** Returns how much of the time for the search is left. */
   Duration searchLeft(long now) {
-    long nanos = Outlook.searchLeftNanos(now - startNanos, task.deadlineNanos() - startNanos);
+    long nanos = outlook(now).searchNanos(timeNanos(), objectiveNanos()) - (now - startNanos);
     return Duration.ofNanos(Math.max(1, nanos));
   }
 
+  private long timeNanos() {
+    return task.deadlineNanos() - startNanos;
+  }
+
+  private long objectiveNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(task.database().latencyObjectiveMillis());
+  }
+
   boolean isDone() {
     return result.isDone();
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OutlookTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OutlookTest.java
@@ -9,6 +9,8 @@
 class OutlookTest {
   private static final long TIME = TimeUnit.MILLISECONDS.toNanos(800);
 
+  private static final long OBJECTIVE = TimeUnit.MILLISECONDS.toNanos(200);
+
   private static OptionalLong lostMillis(long millis) {
     return OptionalLong.of(TimeUnit.MILLISECONDS.toNanos(millis));
   }
@@ -19,15 +21,15 @@
     // callers' orders were held for half of their time each and then refused, although the hosts on
     // the other side could have run them at once.
     Outlook outlook = new Outlook(true, false, lostMillis(450));
-    assertThat(outlook.searchOver(0, TIME)).isTrue();
+    assertThat(outlook.searchOver(0, TIME, OBJECTIVE)).isTrue();
     assertThat(outlook.text()).contains("another one may serve it; retry after 1000 ms");
   }
 
   @Test
   void lostPrimaryIsWaitedForWhileItsSuccessorMayCome() {
     Outlook outlook = new Outlook(true, true, lostMillis(2_000));
-    assertThat(outlook.searchOver(TIME / 4, TIME)).isFalse();
-    assertThat(outlook.searchOver(TIME / 2, TIME)).isTrue();
+    assertThat(outlook.searchOver(TIME / 4, TIME, OBJECTIVE)).isFalse();
+    assertThat(outlook.searchOver(TIME / 2, TIME, OBJECTIVE)).isTrue();
     assertThat(outlook.retryAfterMillis()).isEqualTo(400);
     assertThat(new Outlook(true, true, lostMillis(5_000)).retryAfterMillis()).isEqualTo(100);
   }
@@ -35,7 +37,7 @@
   @Test
   void brokenConnectionIsNoLostPrimary() {
     Outlook outlook = new Outlook(true, false, lostMillis(50));
-    assertThat(outlook.searchOver(0, TIME)).isFalse();
+    assertThat(outlook.searchOver(0, TIME, OBJECTIVE)).isFalse();
     assertThat(outlook.retryAfterMillis()).isEqualTo(50);
   }
 
@@ -43,6 +45,22 @@
   void readsOfReplicasGoOnOnHostThatIsCutOff() {
     Outlook outlook = new Outlook(false, false, lostMillis(5_000));
     assertThat(outlook.hopeless()).isFalse();
-    assertThat(outlook.searchOver(0, TIME)).isFalse();
+    assertThat(outlook.searchOver(0, TIME, OBJECTIVE)).isFalse();
+  }
+
+  @Test
+  void statementWaitsForSlotNoLongerThanItsObjectiveAllows() {
+    // Pattern: replicas lag, and all work falls on a primary with two slots. Statements waited for
+    // half of their time, so that those that were served at last were late as well.
+    Outlook outlook = new Outlook(true, true, OptionalLong.empty());
+    assertThat(outlook.searchOver(OBJECTIVE / 2 - 1, TIME, OBJECTIVE)).isFalse();
+    assertThat(outlook.searchOver(OBJECTIVE / 2, TIME, OBJECTIVE)).isTrue();
+  }
+
+  @Test
+  void statementWithoutObjectiveWaitsForHalfOfItsTime() {
+    Outlook outlook = new Outlook(false, true, OptionalLong.empty());
+    assertThat(outlook.searchOver(TIME / 2 - 1, TIME, 0)).isFalse();
+    assertThat(outlook.searchOver(TIME / 2, TIME, 0)).isTrue();
   }
 }
