Bound what a forwarded statement sets going

Cause: after a loss of all hosts statements walked from one slow holder to the next, six each (546 lines a second on ten hosts), and a second sending came with every read: the fleet worked on what nobody waited for. Change: two holders a statement at the most, second sendings by a RetryBudget, linked holders first; a host opens connections of its own only when all holders have been silent for a second. Statements that servers fail have a line (statement-failed-at-server).

--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -86,6 +86,13 @@
                             "no connection to " + address + ": " + Futures.typed(failure).code())));
   }
 
+  /** Returns whether there is a connection now. */
+  public boolean isConnected() {
+    synchronized (lock) {
+      return current != null && current.isDone() && !current.isCompletedExceptionally();
+    }
+  }
+
   private static <R extends MessageLite> R parse(Method<?, R> method, ByteString payload) {
     try {
       return method.replyParser().parseFrom(payload);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -40,6 +40,9 @@
   /** A holder answers at the deadline by itself; its answer has this long to arrive. */
   private static final long ANSWER_MILLIS = 50;
 
+  /** A statement that two holders could not take is refused, and its caller asks another host. */
+  private static final int MAX_HOLDERS = 2;
+
   private final HolderForwarding forwarding;
   private final SessionParts parts;
   private final Holders holders;
@@ -77,6 +80,7 @@
 
   /** Sends it; the future never fails, and is empty if the statement ran nowhere. */
   CompletableFuture<Optional<Forwarding.Started>> run() {
+    forwarding.resends().firstTry();
     next();
     return result;
   }
@@ -85,8 +89,8 @@
     long now = parts.clock().nowNanos();
     Optional<HostState> holder;
     synchronized (this) {
-      boolean late = task.deadlineNanos() - now <= 0;
-      holder = late ? Optional.empty() : holders.best(candidates, tried, now);
+      boolean over = task.deadlineNanos() - now <= 0 || tried.size() >= MAX_HOLDERS;
+      holder = over ? Optional.empty() : holders.best(candidates, tried, now);
       if (holder.isPresent()) {
         tried.add(holder.get().id());
         active++;
@@ -97,8 +101,10 @@
     }
     if (holder.isPresent()) {
       send(holder.get(), now);
-    } else {
+    } else if (refused().isPresent() || holders.silent(candidates, now)) {
       result.complete(refused());
+    } else {
+      refuse(RefusalCode.BUSY, "no host that holds connections took it; retry after 200 ms");
     }
   }
 
@@ -161,14 +167,28 @@
     if (!holders.answeredSince(holder, sentNanos, now)) {
       holders.failed(holder, now);
     }
+    if (maySendAgain()) {
+      next();
+    }
+  }
+
+  /**
+   * Returns whether a second holder may work on it; counted, so that a slow fleet is not doubled.
+   */
+  private boolean maySendAgain() {
     synchronized (this) {
       if (!repeatable() || sentTwice) {
-        return;
+        return false;
       }
+    }
+    if (!forwarding.resends().tryResend()) {
+      return false;
+    }
+    synchronized (this) {
       sentTwice = true;
     }
     parts.metrics().sentTwice();
-    next();
+    return true;
   }
 
   private void answered(
@@ -196,29 +216,19 @@
   private void lost(HostState holder, long transaction, AlderyardException failure) {
     long now = parts.clock().nowNanos();
     holders.failed(holder, now);
-    parts.metrics().forwarded("lost");
     boolean notRun = failure.outcome() == Outcome.NOT_RUN;
     if (!notRun && transaction != 0) {
       forwarding.end(holder, transaction);
     }
-    log.info(
-        "event=statement-not-forwarded id={} database={} holder={} kind={} transaction={} reason={}"
-            + " outcome={}",
-        task.request().id().orElse("-"),
-        task.database().name(),
-        holder.id(),
-        task.kind(),
-        transaction != 0,
-        failure.code(),
-        failure.outcome());
-    if (notRun || repeatable() && task.deadlineNanos() - now > 0) {
+    parts.metrics().forwarded("lost");
+    if (notRun || task.deadlineNanos() - now > 0 && maySendAgain()) {
       next();
     } else {
-      finishLost();
+      finishLost(holder, failure);
     }
   }
 
-  private void finishLost() {
+  private void finishLost(HostState holder, AlderyardException failure) {
     synchronized (this) {
       if (active > 0) {
         return;
@@ -234,12 +244,24 @@
         transaction
             ? RefusalCode.ABORTED
             : task.kind() == StatementKind.READ ? RefusalCode.TIMED_OUT : RefusalCode.IN_DOUBT;
-    TransactionState state = transaction ? TransactionState.FAILED : TransactionState.NONE;
+    log.info(
+        "event=statement-not-forwarded id={} database={} holder={} kind={} transaction={} reason={}"
+            + " outcome={}",
+        task.request().id().orElse("-"),
+        task.database().name(),
+        holder.id(),
+        task.kind(),
+        transaction,
+        failure.code(),
+        code);
+    refuse(code, "the host that holds the connection gave no answer");
+  }
+
+  private void refuse(RefusalCode code, String text) {
+    TransactionState state =
+        readOnlyTransaction.isPresent() ? TransactionState.FAILED : TransactionState.NONE;
     result.complete(
         Optional.of(
-            new Forwarding.Started(
-                SessionReply.refused(
-                    code, "the host that holds the connection gave no answer", state),
-                Optional.empty())));
+            new Forwarding.Started(SessionReply.refused(code, text, state), Optional.empty())));
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
@@ -8,6 +8,7 @@
 import org.alderyard.common.view.HostState;
 import org.alderyard.protocol.generated.statement.EndHeldTransactionRequest;
 import org.alderyard.protocol.generated.statement.HeldStatementRequest;
+import org.alderyard.proxy.limit.RetryBudget;
 
 /**
  * Passes statements on to the holders of their group.
@@ -17,13 +18,25 @@
  * @param calls the way to them
  * @param self this host
  * @param transactions numbers the transactions that this host begins at holders
+ * @param resends bounds what is sent to a second holder
  */
 record HolderForwarding(
-    SessionParts parts, Holders holders, HolderCalls calls, HostState self, AtomicLong transactions)
+    SessionParts parts,
+    Holders holders,
+    HolderCalls calls,
+    HostState self,
+    AtomicLong transactions,
+    RetryBudget resends)
     implements Forwarding {
 
   HolderForwarding(SessionParts parts, Holders holders, HolderCalls calls, HostState self) {
-    this(parts, holders, calls, self, new AtomicLong());
+    this(
+        parts,
+        holders,
+        calls,
+        self,
+        new AtomicLong(),
+        new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED));
   }
 
   @Override
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Holders.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Holders.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ZoneName;
@@ -26,8 +28,18 @@
 
   private static final double PAUSED_MILLIS = 100_000;
 
+  /** A link that is not there yet takes a handshake first. */
+  private static final double UNLINKED_MILLIS = 50;
+
+  /**
+   * Guards against a fleet whose hosts all open connections of their own when their holders are
+   * slow for a moment, as after a start: servers accept fewer than there are hosts.
+   */
+  private static final long SERVE_ITSELF_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final HostId self;
   private final ZoneName zone;
+  private final Predicate<HostState> linked;
   private final HolderAssignment assignment = new HolderAssignment();
   // Guarded by this.
   private Map<HostId, HostState> hostsOfCache = Map.of();
@@ -44,9 +56,15 @@
     }
   }
 
-  Holders(HostId self, ZoneName zone) {
+  /**
+   * Creates holders that have not been asked yet.
+   *
+   * @param linked whether there is a connection to a host
+   */
+  Holders(HostId self, ZoneName zone, Predicate<HostState> linked) {
     this.self = self;
     this.zone = zone;
+    this.linked = linked;
   }
 
   /** Returns the other hosts that most likely know something of a group. */
@@ -95,9 +113,16 @@
     HolderTrack track = track(holder);
     return track.expectedMillis()
         + (holder.zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS)
+        + (linked.test(holder) ? 0 : UNLINKED_MILLIS)
         + (track.paused(nowNanos) ? PAUSED_MILLIS : 0);
   }
 
+  /** Returns whether none of the holders has answered for so long that this host serves itself. */
+  synchronized boolean silent(List<HostState> holders, long nowNanos) {
+    return holders.stream()
+        .allMatch(holder -> track(holder).silentNanos(nowNanos) >= SERVE_ITSELF_NANOS);
+  }
+
   synchronized void started(HostState holder) {
     track(holder).started();
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LinkedHolders.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LinkedHolders.java
@@ -13,7 +13,7 @@
 /** The way to holders over the links between hosts. */
 final class LinkedHolders implements HolderCalls {
   /** A host that takes no connection in this time is passed over: others hold connections too. */
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(200);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
   private static final Duration END_TIMEOUT = Duration.ofMillis(500);
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -146,7 +146,8 @@
    * host's connections for the others, and passes on those whose group others hold.
    */
   public void joinHosts(Dispatcher dispatcher, PeerLinks links, HostState self) {
-    Holders all = new Holders(self.id(), self.zone());
+    Holders all =
+        new Holders(self.id(), self.zone(), host -> links.to(host.innerAddress()).isConnected());
     PeerSamples peers = new PeerSamples(links, all, parts);
     peers.serve(dispatcher);
     refresher.askPeers(peers);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -290,10 +290,26 @@
       again();
     } else {
       end();
+      logFailed(code, now);
       run.finish(reply.inState(stateAfterRefusal()), Optional.empty());
     }
   }
 
+  /** A server ran a statement and says that it failed, or refused what nobody else can run. */
+  private void logFailed(RefusalCode code, long now) {
+    log.info(
+        "event=statement-failed-at-server id={} database={} server={} incarnation={} kind={}"
+            + " code={} at-server-millis={} attempts={}",
+        task.request().id().orElse("-"),
+        task.database().name(),
+        server.id(),
+        server.incarnation(),
+        task.kind(),
+        code,
+        TimeUnit.NANOSECONDS.toMillis(now - sentNanos),
+        run.triedCount());
+  }
+
   /** Returns whether the server refused before it gave the statement a slot. */
   static boolean notRun(SessionReply reply) {
     return reply.refusedWith(RefusalCode.BUSY)
