Tell callers at once when the next primary comes after their time

Cause: at the beginning of a failover statements were held for half of their time though no primary could come before their end. Change: Outlook compares what is left of a failover with what is left of the statement. Test: callerIsToldAtOnceWhenTheNextPrimaryComesAfterTheStatementsTime.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Outlook.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Outlook.java
@@ -50,7 +50,26 @@
 
   /** Returns whether the search for a server ends now. */
   boolean searchOver(long elapsedNanos, long timeNanos, long objectiveNanos) {
-    return hopeless() || elapsedNanos >= searchNanos(timeNanos, objectiveNanos);
+    return hopeless()
+        || successorComesTooLate(timeNanos - elapsedNanos)
+        || elapsedNanos >= searchNanos(timeNanos, objectiveNanos);
+  }
+
+  /**
+   * Returns whether a primary is lost and the next one is expected after a statement's time.
+   *
+   * <p>Guards against callers who are held for nothing at the beginning of a failover: told at once
+   * when to come back, they still have time then.
+   */
+  private boolean successorComesTooLate(long leftNanos) {
+    return needsLead
+        && primaryLost()
+        && TimeUnit.MILLISECONDS.toNanos(failoverLeftMillis()) > leftNanos;
+  }
+
+  private long failoverLeftMillis() {
+    long lostMillis = TimeUnit.NANOSECONDS.toMillis(primaryLostNanos.getAsLong());
+    return Math.max(0, FAILOVER_MILLIS - lostMillis);
   }
 
   /**
@@ -78,8 +97,7 @@
       return ISOLATED_RETRY_MILLIS;
     }
     if (needsLead && primaryLost()) {
-      long lostMillis = TimeUnit.NANOSECONDS.toMillis(primaryLostNanos.getAsLong());
-      return Math.max(MIN_FAILOVER_RETRY_MILLIS, FAILOVER_MILLIS - lostMillis);
+      return Math.max(MIN_FAILOVER_RETRY_MILLIS, failoverLeftMillis());
     }
     return BUSY_RETRY_MILLIS;
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OutlookTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OutlookTest.java
@@ -63,4 +63,15 @@
     assertThat(outlook.searchOver(TIME / 2 - 1, TIME, 0)).isFalse();
     assertThat(outlook.searchOver(TIME / 2, TIME, 0)).isTrue();
   }
+
+  @Test
+  void callerIsToldAtOnceWhenTheNextPrimaryComesAfterTheStatementsTime() {
+    // Pattern: a primary is dark. Each statement was held for half of its time, although the next
+    // primary could not be there before the statement's end.
+    Outlook outlook = new Outlook(true, true, lostMillis(500));
+    assertThat(outlook.searchOver(0, TIME, OBJECTIVE)).isTrue();
+    assertThat(outlook.retryAfterMillis()).isEqualTo(1_900);
+    long longTime = TimeUnit.MILLISECONDS.toNanos(3_000);
+    assertThat(outlook.searchOver(0, longTime, OBJECTIVE)).isFalse();
+  }
 }
