--- a/deploy/class-archive.sh
+++ b/deploy/class-archive.sh
@@ -4,7 +4,9 @@
 # A class or a call site that the archive lacks costs a host that has just started about half a
 # millisecond. So the host that is recorded is one of three, which elect a leader, before servers and
 # callers that work for some seconds, a primary that is lost and a control host that ends; it starts
-# once more than the others, from a log that is there. Without the archive everything runs as well.
+# once more than the others, from a log that is there. One group's connections are held by some hosts for all, so
+# that both sides of that are recorded, and on a busy machine it works for longer. Without the archive everything
+# runs as well.
 set -u
 cd "$(dirname "$0")/.."
 folder=alderyard-cli/target/class-archive
@@ -31,7 +33,7 @@
 other=$started
 start 2
 last=$started
-java -XX:TieredStopAtLevel=1 -cp "$classes" org.alderyard.platform.StandInPlatformMain --seconds 5 \
+java -XX:TieredStopAtLevel=1 -cp "$classes" org.alderyard.platform.StandInPlatformMain --seconds 5 --answers 8000 \
   --control "$(platform_addresses $((base + 2)) $hosts)" --callers "$(platform_addresses "$base" $hosts)" \
   --appointer "127.0.0.1:$((base + 5))" > "$folder/callers.log" 2>&1 &
 callers=$!
