Give statements links of their own that bear slow hosts

Cause: after a loss of all hosts 20 to 60 handshakes a second broke off after one second and were begun again, and links were closed when a cold holder had left one statement without an answer. Change: statements have links of their own with 3 s to connect; a link is closed for silence after 3 s without a frame.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -81,7 +81,7 @@
         new InnerServer(
             host.loops,
             settings.innerListenAddress().orElse(settings.innerAddress()),
-            host.protocol,
+            host.patientProtocol,
             host.dispatcher,
             host.controlWorkers));
     // Closed before the port: a leader hands over while the others still reach it.
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -40,6 +40,12 @@
   /** As long as a request waits: a host that does not take a connection must not cost more. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
+  /**
+   * How long a connection for statements may take, and one that another host opens. Guards against
+   * handshakes that are begun again and again while all hosts have just started and are slow.
+   */
+  private static final Duration PATIENT_CONNECT_TIMEOUT = Duration.ofSeconds(3);
+
   private static final int MAX_OUTSTANDING = 4_096;
 
   /** One that works, and one when it waits for a lock or the disk. */
@@ -64,7 +70,12 @@
 
   final EventLoops loops;
   final ProtocolOptions protocol;
+  final ProtocolOptions patientProtocol;
   final PeerLinks links;
+
+  /** For the statements of callers, so that what hosts do among themselves waits for none. */
+  final PeerLinks statementLinks;
+
   final ControlHosts controlHosts;
   final ControlClient control;
   final HostState self;
@@ -91,7 +102,9 @@
             settings.clusterKey(),
             CONNECT_TIMEOUT,
             MAX_OUTSTANDING);
+    patientProtocol = protocol.connectingWithin(PATIENT_CONNECT_TIMEOUT);
     links = part(new PeerLinks(loops, protocol));
+    statementLinks = part(new PeerLinks(loops, patientProtocol));
     controlHosts =
         new ControlHosts(
             knownControlHosts(), settings.open().map(OpenClusterOptions::voters).orElse(0));
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -111,7 +111,7 @@
                     host.clock)));
     log.info("event=listening port=callers address={}", host.settings.callerAddress());
     sessions.startReports(host.control, host.settings.host());
-    sessions.joinHosts(host.dispatcher, host.links, host.self);
+    sessions.joinHosts(host.dispatcher, host.links, host.statementLinks, host.self);
   }
 
   /**
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -21,6 +21,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
+import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.protocol.generated.envelope.Envelope;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +43,7 @@
   private final ProtocolOptions options;
   private final AtomicLong nextCorrelationId = new AtomicLong(1);
   private final Object lock = new Object();
+  private final MonotonicClock clock = MonotonicClock.system();
 
   // Guarded by lock; null before the first use and after a failure.
   private CompletableFuture<Connection> current;
@@ -62,10 +64,22 @@
   /** Sends a request; the future has the reply, or fails with a typed error. */
   public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> call(
       Method<Q, R> method, Q request, Duration timeout) {
+    return call(method, request, timeout, MIN_SILENCE);
+  }
+
+  /**
+   * Sends a request, of which a peer under load may leave some without a reply in time.
+   *
+   * @param silence for how long nothing must have come for the connection to be given up
+   * @return the reply, or a typed error
+   */
+  public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> call(
+      Method<Q, R> method, Q request, Duration timeout, Duration silence) {
     return connection()
         .thenCompose(
             connection ->
-                connection.send(method.number(), method.name(), request.toByteString(), timeout))
+                connection.send(
+                    method.number(), method.name(), request.toByteString(), timeout, silence))
         .thenApply(payload -> parse(method, payload));
   }
 
@@ -183,6 +197,7 @@
     private final Map<Long, CompletableFuture<ByteString>> waiting = new ConcurrentHashMap<>();
     private volatile boolean broken;
     private volatile long framesRead;
+    private volatile long lastReadNanos = clock.nowNanos();
 
     Connection(Channel channel, CompletableFuture<Connection> self) {
       super(Envelope.class);
@@ -191,7 +206,7 @@
     }
 
     CompletableFuture<ByteString> send(
-        int method, String name, ByteString payload, Duration timeout) {
+        int method, String name, ByteString payload, Duration timeout, Duration silence) {
       if (waiting.size() >= options.maxOutstanding()) {
         return CompletableFuture.failedFuture(
             AlderyardException.notRun(
@@ -224,7 +239,7 @@
                     CompletableFuture<ByteString> late = waiting.remove(id);
                     if (late != null) {
                       // First: who gets the failure may ask again at once.
-                      closeIfSilent(readBefore, timeout);
+                      closeIfSilent(readBefore, timeout, silence);
                       late.completeExceptionally(
                           new AlderyardException(
                               ErrorCode.DEADLINE_EXCEEDED,
@@ -245,8 +260,13 @@
      * what a partition swallowed: the partition is over, new connections work, and yet this host
      * would stay without a view. The next request connects anew.
      */
-    private void closeIfSilent(long readBefore, Duration waited) {
-      if (framesRead == readBefore && waited.compareTo(MIN_SILENCE) >= 0) {
+    private void closeIfSilent(long readBefore, Duration waited, Duration silence) {
+      long quietNanos = clock.nowNanos() - lastReadNanos;
+      boolean silent =
+          framesRead == readBefore
+              && waited.compareTo(MIN_SILENCE) >= 0
+              && quietNanos >= silence.toNanos();
+      if (silent) {
         log.info("event=connection-silent peer={} waited={}", address, waited);
         forget(self);
         channel.close();
@@ -256,6 +276,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Envelope frame) {
       framesRead++;
+      lastReadNanos = clock.nowNanos();
       switch (frame.getFrameCase()) {
         case REPLY -> {
           var answer = waiting.remove(frame.getReply().getCorrelationId());
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/ProtocolOptions.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/ProtocolOptions.java
@@ -40,4 +40,9 @@
     Objects.requireNonNull(clusterKey);
     Objects.requireNonNull(connectTimeout);
   }
+
+  /** Returns the same options with another time for a connection and its handshake. */
+  public ProtocolOptions connectingWithin(Duration timeout) {
+    return new ProtocolOptions(clusterId, host, incarnation, clusterKey, timeout, maxOutstanding);
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -144,15 +144,20 @@
   /**
    * Works with the other hosts: gives and takes samples of primaries, runs statements over this
    * host's connections for the others, and passes on those whose group others hold.
+   *
+   * @param links for questions between hosts
+   * @param statementLinks for callers' statements
    */
-  public void joinHosts(Dispatcher dispatcher, PeerLinks links, HostState self) {
+  public void joinHosts(
+      Dispatcher dispatcher, PeerLinks links, PeerLinks statementLinks, HostState self) {
     Holders all =
-        new Holders(self.id(), self.zone(), host -> links.to(host.innerAddress()).isConnected());
+        new Holders(
+            self.id(), self.zone(), host -> statementLinks.to(host.innerAddress()).isConnected());
     PeerSamples peers = new PeerSamples(links, all, parts);
     peers.serve(dispatcher);
     refresher.askPeers(peers);
     held.serve(dispatcher);
-    joinHosts(all, new LinkedHolders(links), self);
+    joinHosts(all, new LinkedHolders(statementLinks), self);
   }
 
   void joinHosts(Holders all, HolderCalls calls, HostState self) {
