--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Holders.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Holders.java
@@ -23,8 +23,12 @@
   /** Until an answer came; near the work of common statements and a way there and back. */
   private static final double FIRST_LATENCY_MILLIS = 20;
 
-  /** What a hop to another availability zone counts as: its way there and back, and its price. */
-  private static final double OTHER_ZONE_MILLIS = 30;
+  /**
+   * What leaving the availability zone counts as. How long a statement takes says more of its
+   * server than of its holder, so only a holder that is far slower is passed over for one in
+   * another zone, with all the bytes that then cross between them.
+   */
+  private static final double OTHER_ZONE_MILLIS = 400;
 
   private static final double PAUSED_MILLIS = 100_000;
 
