Bound what a host sends to one holder at a time

Cause: a holder that is slow works on statements that are older than their callers' patience. Change: HolderTrack, a window that grows with answers and is halved by failures; what does not fit is refused at once or goes to another holder.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/AnswerTrack.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/AnswerTrack.java
@@ -98,6 +98,10 @@
     return answered;
   }
 
+  int inFlight() {
+    return inFlight;
+  }
+
   /** Returns how long a statement is expected to take here. */
   double expectedMillis() {
     return latencyMillis * (1 + inFlight);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -104,7 +104,8 @@
     } else if (refused().isPresent() || holders.silent(candidates, now)) {
       result.complete(refused());
     } else {
-      refuse(RefusalCode.BUSY, "no host that holds connections took it; retry after 200 ms");
+      refuse(
+          RefusalCode.BUSY, "no host that holds connections can take it now; retry after 200 ms");
     }
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Holders.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Holders.java
@@ -20,9 +20,6 @@
  * <p>Lock: the object itself, a leaf.
  */
 final class Holders {
-  /** Until an answer came; near the work of common statements and a way there and back. */
-  private static final double FIRST_LATENCY_MILLIS = 20;
-
   /**
    * What leaving the availability zone counts as. How long a statement takes says more of its
    * server than of its holder, so only a holder that is far slower is passed over for one in
@@ -51,15 +48,6 @@
   private final Map<GroupId, Optional<List<HostState>>> cache = new HashMap<>();
   private final Map<HostId, HolderTrack> tracks = new HashMap<>();
 
-  private static final class HolderTrack extends AnswerTrack {
-    final long incarnation;
-
-    HolderTrack(long incarnation) {
-      super(FIRST_LATENCY_MILLIS);
-      this.incarnation = incarnation;
-    }
-  }
-
   /**
    * Creates holders that have not been asked yet.
    *
@@ -106,10 +94,12 @@
     return cache.computeIfAbsent(group, id -> assignment.holders(view, id));
   }
 
-  /** Returns the holder that most likely answers soonest, and was not tried yet. */
+  /**
+   * Returns the holder that most likely answers soonest, was not tried yet and may get more work.
+   */
   synchronized Optional<HostState> best(List<HostState> holders, Set<HostId> tried, long nowNanos) {
     return holders.stream()
-        .filter(holder -> !tried.contains(holder.id()))
+        .filter(holder -> !tried.contains(holder.id()) && !track(holder).full())
         .min(Comparator.comparingDouble(holder -> expectedMillis(holder, nowNanos)));
   }
 
@@ -155,7 +145,7 @@
 
   private HolderTrack track(HostState holder) {
     HolderTrack track = tracks.get(holder.id());
-    if (track == null || track.incarnation != holder.incarnation()) {
+    if (track == null || track.incarnation() != holder.incarnation()) {
       track = new HolderTrack(holder.incarnation());
       tracks.put(holder.id(), track);
     }
