Let the archive's hosts wait for one another, and wait for slots as long as the objective

Change: the script waits for views; the whole objective; one and a quarter connections for each host suffice for all to hold some.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
@@ -27,10 +27,10 @@
  */
 final class HolderAssignment {
   /**
-   * Connections that a server accepts for each host if all hosts hold some: one for each, and room
-   * for statements that come in bunches.
+   * Connections that a server accepts for each host if all hosts hold some: one for each, and a
+   * second one where statements come in bunches.
    */
-  private static final double CONNECTIONS_OF_HOST = 1.5;
+  private static final double CONNECTIONS_OF_HOST = 1.25;
 
   /** So many let a holder run a transaction and other statements side by side. */
   private static final int CONNECTIONS_OF_HOLDER = 4;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Outlook.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/Outlook.java
@@ -16,8 +16,8 @@
   /** What is spent of a statement's time on looking for a server; the rest is for its run. */
   private static final double SEARCH_SHARE = 0.5;
 
-  /** What is spent of a statement's objective on waiting for a slot; the rest is for its run. */
-  private static final double OBJECTIVE_SHARE = 0.5;
+  /** What is spent of a statement's objective on waiting for a slot. */
+  private static final double OBJECTIVE_SHARE = 1;
 
   /** Twice the first pause after a failure: a single broken connection is over by then. */
   private static final long SURELY_LOST_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
@@ -77,8 +77,8 @@
    *
    * <p>Guards against servers that have more work than they can do, and do all of it late: if
    * statements wait for slots as long as they live, each one that gets a slot has waited for nearly
-   * that long. Half of the objective leaves the other half for the run. A primary that is lost is
-   * waited for longer, since its successor serves all who wait.
+   * that long. A primary that is lost is waited for longer, since its successor serves all who
+   * wait.
    *
    * @param timeNanos the whole time of the statement
    * @param objectiveNanos within which its operation should end; 0 where there is none
--- a/deploy/class-archive.sh
+++ b/deploy/class-archive.sh
@@ -26,6 +26,13 @@
     >> "$folder/host-$number.log" 2>&1 &
   started=$!
 }
+# Waits until host 0 has acted on a view since line $1 of its log; a busy machine takes its time.
+await_view() {
+  for _ in $(seq 300); do
+    tail -n "+$1" "$folder/host-0.log" 2> /dev/null | grep -q event=view-changed && return
+    sleep 0.1
+  done
+}
 for host in $(seq 0 $((hosts - 1))); do platform_settings "$host" "$hosts" "$base"; done
 start 0 -Xshare:auto
 first=$started
@@ -37,10 +44,13 @@
   --control "$(platform_addresses $((base + 2)) $hosts)" --callers "$(platform_addresses "$base" $hosts)" \
   --appointer "127.0.0.1:$((base + 5))" > "$folder/callers.log" 2>&1 &
 callers=$!
-sleep 1.5
+await_view 1
+sleep 1
 kill -TERM "$first" && wait "$first" 2> /dev/null
+lines=$(($(wc -l < "$folder/host-0.log") + 1))
 start 0 "-XX:ArchiveClassesAtExit=$folder/alderyard.jsa"
 first=$started
+await_view "$lines"
 sleep 1.5
 kill -KILL "$other"
 wait "$callers"
