--- a/deploy/class-archive.sh
+++ b/deploy/class-archive.sh
@@ -40,7 +40,7 @@
 other=$started
 start 2
 last=$started
-java -XX:TieredStopAtLevel=1 -cp "$classes" org.alderyard.platform.StandInPlatformMain --seconds 5 --answers 8000 \
+java -XX:TieredStopAtLevel=1 -cp "$classes" org.alderyard.platform.StandInPlatformMain --seconds 9 --answers 12000 \
   --control "$(platform_addresses $((base + 2)) $hosts)" --callers "$(platform_addresses "$base" $hosts)" \
   --appointer "127.0.0.1:$((base + 5))" > "$folder/callers.log" 2>&1 &
 callers=$!
@@ -51,7 +51,7 @@
 start 0 "-XX:ArchiveClassesAtExit=$folder/alderyard.jsa"
 first=$started
 await_view "$lines"
-sleep 1.5
+sleep 3
 kill -KILL "$other"
 wait "$callers"
 kill -TERM "$first" "$last" 2> /dev/null
