--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -37,9 +37,6 @@
   /** And not before this, so that a load that makes all hosts slow is not doubled. */
   private static final long MIN_SILENT_MILLIS = 200;
 
-  /** A holder answers at the deadline by itself; its answer has this long to arrive. */
-  private static final long ANSWER_MILLIS = 50;
-
   /** A statement that two holders could not take is refused, and its caller asks another host. */
   private static final int MAX_HOLDERS = 2;
 
@@ -117,7 +114,6 @@
     long transaction = readOnlyTransaction.isPresent() ? forwarding.nextTransaction() : 0;
     holders.started(holder);
     watchSilence(holder, sentNanos);
-    long remainingNanos = task.deadlineNanos() - sentNanos;
     forwarding
         .calls()
         .run(
@@ -128,7 +124,7 @@
                 .setFirst(readOnlyTransaction.isPresent())
                 .setReadOnly(readOnlyTransaction.orElse(false))
                 .build(),
-            Duration.ofNanos(remainingNanos).plusMillis(ANSWER_MILLIS))
+            HolderForwarding.timeout(task, sentNanos))
         .whenComplete(
             (reply, failure) -> {
               holders.ended(holder);
@@ -240,11 +236,7 @@
       result.complete(known);
       return;
     }
-    boolean transaction = readOnlyTransaction.isPresent();
-    RefusalCode code =
-        transaction
-            ? RefusalCode.ABORTED
-            : task.kind() == StatementKind.READ ? RefusalCode.TIMED_OUT : RefusalCode.IN_DOUBT;
+    RefusalCode code = codeOfLost();
     log.info(
         "event=statement-not-forwarded id={} database={} holder={} kind={} transaction={} reason={}"
             + " outcome={}",
@@ -252,12 +244,20 @@
         task.database().name(),
         holder.id(),
         task.kind(),
-        transaction,
+        readOnlyTransaction.isPresent(),
         failure.code(),
         code);
     refuse(code, "the host that holds the connection gave no answer");
   }
 
+  /** Returns what may be said of a statement whose holder gave no answer. */
+  private RefusalCode codeOfLost() {
+    if (readOnlyTransaction.isPresent()) {
+      return RefusalCode.ABORTED;
+    }
+    return task.kind() == StatementKind.READ ? RefusalCode.TIMED_OUT : RefusalCode.IN_DOUBT;
+  }
+
   private void refuse(RefusalCode code, String text) {
     TransactionState state =
         readOnlyTransaction.isPresent() ? TransactionState.FAILED : TransactionState.NONE;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldElsewhere.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldElsewhere.java
@@ -1,6 +1,5 @@
 package org.alderyard.proxy.callersession;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.session.RefusalCode;
@@ -27,21 +26,16 @@
     implements TransactionPlace {
   private static final Logger log = LoggerFactory.getLogger(HeldElsewhere.class);
 
-  /** A holder answers at the deadline by itself; its answer has this long to arrive. */
-  private static final long ANSWER_MILLIS = 50;
-
   @Override
   public CompletableFuture<SessionReply> run(
       TransactionOwner owner, OpenTransaction open, StatementTask task) {
     long sent = forwarding.parts().clock().nowNanos();
-    Duration timeout =
-        Duration.ofNanos(Math.max(0, task.deadlineNanos() - sent)).plusMillis(ANSWER_MILLIS);
     return forwarding
         .calls()
         .run(
             holder,
             forwarding.message(task, Optional.empty(), sent).setTransaction(transaction).build(),
-            timeout)
+            HolderForwarding.timeout(task, sent))
         .handle(
             (message, failure) -> {
               if (failure != null) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
@@ -1,5 +1,6 @@
 package org.alderyard.proxy.callersession;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +30,9 @@
     RetryBudget resends)
     implements Forwarding {
 
+  /** A holder answers at the deadline by itself; its answer has this long to arrive. */
+  private static final long ANSWER_MILLIS = 50;
+
   HolderForwarding(SessionParts parts, Holders holders, HolderCalls calls, HostState self) {
     this(
         parts,
@@ -66,6 +70,12 @@
     return holders.others(parts.views().current(), task.database().group());
   }
 
+  /** Returns how long the answer of a holder is waited for. */
+  static Duration timeout(StatementTask task, long sentNanos) {
+    long leftNanos = Math.max(0, task.deadlineNanos() - sentNanos);
+    return Duration.ofNanos(leftNanos).plusMillis(ANSWER_MILLIS);
+  }
+
   long nextTransaction() {
     return transactions.incrementAndGet();
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -82,39 +82,43 @@
             metrics,
             viewConfirmed,
             new SampledLog(limits.routineLogSample()));
+    refresher = new SampleRefresher(parts);
+    here = new LocalStatements(parts, new ReadFloors(parts, refresher));
+    held = new HeldStatements(here);
+    routings.searchLeadBy(refresher::searchLead);
+    registerGauges(metrics);
+    maxSessions = limits.maxSessions();
+    openingWaitMillis = limits.openingWait().toMillis();
+    othersWait = !limits.afterFirstView().isZero();
+    views.onChange(routings::follow);
+    views.onChange(
+        view -> {
+          if (view.configuration().isPresent() && firstView.complete(null)) {
+            startServing(limits.afterFirstView());
+          }
+        });
+  }
+
+  private void registerGauges(SessionMetrics metrics) {
     metrics.gauge("alderyard_sessions_open", "Sessions of callers.", sessions::size);
     metrics.gauge(
         "alderyard_configuration_number",
         "Number of the configuration that this host acts on.",
-        () -> views.current().configuration().map(ConfigurationState::number).orElse(0L));
+        () -> parts.views().current().configuration().map(ConfigurationState::number).orElse(0L));
     metrics.gauge(
         "alderyard_view_version",
         "Version of the view that this host acts on.",
-        () -> views.current().version().version());
+        () -> parts.views().current().version().version());
     for (WaitingStatements.Need need : WaitingStatements.Need.values()) {
       metrics.gauge(
           "alderyard_session_waiting_" + need.name().toLowerCase(Locale.ROOT),
           "Statements that wait for a server of this kind.",
-          () -> routings.waiting(need));
+          () -> parts.routings().waiting(need));
     }
-    refresher = new SampleRefresher(parts);
-    here = new LocalStatements(parts, new ReadFloors(parts, refresher));
-    held = new HeldStatements(here);
     metrics.gauge(
         "alderyard_session_transactions_held",
         "Open transactions of other hosts' callers on this host's connections.",
         held::openTransactions);
-    routings.searchLeadBy(refresher::searchLead);
-    maxSessions = limits.maxSessions();
-    openingWaitMillis = limits.openingWait().toMillis();
-    othersWait = !limits.afterFirstView().isZero();
-    views.onChange(routings::follow);
-    views.onChange(
-        view -> {
-          if (view.configuration().isPresent() && firstView.complete(null)) {
-            startServing(limits.afterFirstView());
-          }
-        });
   }
 
   private void startServing(Duration later) {
