Use what the project had in place of writing it again

Cause: the whole change was read once more. The conversion of positions to messages stood three times, the test of a host that may be given work three times, the key of a held transaction was put together twice; a link made its own clock; a service was a record with state in it; the decision on a second sending took its lock twice, so that two threads could both take from the budget. Change: StateCodec.positionMessage and position, HostState.takesWork, Key.of; PeerLink gets its clock; HolderForwarding is a class; maySendAgain decides under one lock; leadToAsk asks for the belief once. Looked at and left: WaitingStatements beside FairQueue and ArrivalWaits (waits for one of several things, woken by events, not shared out between callers), HolderTrack's window beside AimdLimit (which needs a server's slots and latency).

--- a/alderyard-common/src/main/java/org/alderyard/common/view/HostState.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/HostState.java
@@ -34,4 +34,9 @@
     Objects.requireNonNull(innerAddress);
     Objects.requireNonNull(callerAddress);
   }
+
+  /** Returns whether it is a proxy that new work may be given to. */
+  public boolean takesWork() {
+    return proxy && !draining;
+  }
 }
--- a/alderyard-common/src/main/java/org/alderyard/common/watch/WatcherAssignment.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/watch/WatcherAssignment.java
@@ -38,7 +38,7 @@
     long groupHash = RendezvousScores.groupHash(group);
     List<Scored> scored =
         hosts.stream()
-            .filter(host -> host.proxy() && !host.draining())
+            .filter(HostState::takesWork)
             .map(host -> new Scored(host, scores.score(groupHash, host.id())))
             .sorted(BEST_FIRST)
             .toList();
@@ -65,7 +65,7 @@
    */
   public boolean watches(HostId host, GroupId group, Map<HostId, HostState> hosts) {
     HostState self = hosts.get(host);
-    if (self == null || !self.proxy() || self.draining()) {
+    if (self == null || !self.takesWork()) {
       return false;
     }
     long groupHash = RendezvousScores.groupHash(group);
@@ -73,8 +73,7 @@
     for (HostState other : hosts.values()) {
       boolean better =
           other.zone().equals(self.zone())
-              && other.proxy()
-              && !other.draining()
+              && other.takesWork()
               && scores.score(groupHash, other.id()) > own;
       if (better) {
         return zones(hosts) < WATCHERS && watchers(group, hosts.values()).contains(host);
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -9,6 +9,7 @@
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.PoolName;
+import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.view.Bytes;
@@ -32,6 +33,7 @@
 import org.alderyard.protocol.generated.state.Host;
 import org.alderyard.protocol.generated.state.Key;
 import org.alderyard.protocol.generated.state.KeyRing;
+import org.alderyard.protocol.generated.state.LogPosition;
 import org.alderyard.protocol.generated.state.Pool;
 import org.alderyard.protocol.generated.state.Server;
 import org.alderyard.protocol.generated.state.Status;
@@ -264,6 +266,16 @@
         database.getMaxStalenessMillis());
   }
 
+  /** Returns the message of a position in a log. */
+  public static LogPosition positionMessage(Position position) {
+    return LogPosition.newBuilder().setTerm(position.term()).setIndex(position.index()).build();
+  }
+
+  /** Returns the position of a message. */
+  public static Position position(LogPosition position) {
+    return new Position(position.getTerm(), position.getIndex());
+  }
+
   /** Returns the message of an address; its IP number is used, no name is looked up. */
   public static Endpoint endpointMessage(InetSocketAddress address) {
     return Endpoint.newBuilder()
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -43,17 +43,19 @@
   private final ProtocolOptions options;
   private final AtomicLong nextCorrelationId = new AtomicLong(1);
   private final Object lock = new Object();
-  private final MonotonicClock clock = MonotonicClock.system();
+  private final MonotonicClock clock;
 
   // Guarded by lock; null before the first use and after a failure.
   private CompletableFuture<Connection> current;
   private boolean closed;
 
   /** Creates a link that is not connected yet. */
-  public PeerLink(EventLoops loops, InetSocketAddress address, ProtocolOptions options) {
+  public PeerLink(
+      EventLoops loops, InetSocketAddress address, ProtocolOptions options, MonotonicClock clock) {
     this.loops = loops;
     this.address = address;
     this.options = options;
+    this.clock = clock;
   }
 
   /** Returns where the peer listens. */
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLinks.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLinks.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.alderyard.common.time.MonotonicClock;
 
 /** The links of one process, one for each address it talks to. */
 public final class PeerLinks implements AutoCloseable {
@@ -18,7 +19,8 @@
 
   /** Returns the link to this address. */
   public PeerLink to(InetSocketAddress address) {
-    return links.computeIfAbsent(address, key -> new PeerLink(loops, key, options));
+    return links.computeIfAbsent(
+        address, key -> new PeerLink(loops, key, options, MonotonicClock.system()));
   }
 
   @Override
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/InnerProtocolTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/InnerProtocolTest.java
@@ -16,6 +16,7 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.common.id.HostId;
+import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.protocol.generated.state.LogPosition;
 import org.alderyard.protocol.generated.state.Version;
 import org.alderyard.protocol.wire.ClusterKey;
@@ -122,7 +123,7 @@
   }
 
   private PeerLink link(String cluster, String key) {
-    return new PeerLink(loops, server.address(), options(cluster, key));
+    return new PeerLink(loops, server.address(), options(cluster, key), MonotonicClock.system());
   }
 
   private static ProtocolOptions options(String cluster, String key) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -26,7 +26,8 @@
  * surely did not run it, and, for reads and for transactions, which keep nothing before their
  * commit, after one that gives no answer. Everything else after the sending of a write is in doubt.
  *
- * <p>Lock: the object itself, before {@link Holders}; holders are called after it is released.
+ * <p>Lock: the object itself, before {@link Holders} and the budget of resends; holders are called
+ * after it is released.
  */
 final class ForwardedStatement {
   private static final Logger log = LoggerFactory.getLogger(ForwardedStatement.class);
@@ -172,18 +173,11 @@
   /**
    * Returns whether a second holder may work on it; counted, so that a slow fleet is not doubled.
    */
-  private boolean maySendAgain() {
-    synchronized (this) {
-      if (!repeatable() || sentTwice) {
-        return false;
-      }
-    }
-    if (!forwarding.resends().tryResend()) {
+  private synchronized boolean maySendAgain() {
+    if (!repeatable() || sentTwice || !forwarding.resends().tryResend()) {
       return false;
     }
-    synchronized (this) {
-      sentTwice = true;
-    }
+    sentTwice = true;
     parts.metrics().sentTwice();
     return true;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -242,10 +242,11 @@
    */
   synchronized Optional<ServerState> leadToAsk(
       List<ServerState> servers, GroupState group, long nowNanos) {
+    Optional<ServerId> believed = believedPrimary(group);
     return primaryOrder(servers, group, nowNanos).stream()
-        .filter(server -> lead.believed(group).filter(server.id()::equals).isPresent())
-        .filter(server -> !track(server).paused(nowNanos))
-        .findFirst();
+        .findFirst()
+        .filter(server -> believed.filter(server.id()::equals).isPresent())
+        .filter(server -> !track(server).paused(nowNanos));
   }
 
   /** Returns whether a server is known to refuse a statement now, so that it is not asked. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
@@ -16,8 +16,6 @@
 import org.alderyard.backend.session.TransactionState;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
-import org.alderyard.common.id.Position;
-import org.alderyard.protocol.generated.state.LogPosition;
 import org.alderyard.protocol.generated.statement.HeldStatementReply;
 import org.alderyard.protocol.generated.statement.HeldStatementRequest;
 import org.alderyard.protocol.generated.statement.State;
@@ -43,7 +41,7 @@
     written.ifPresent(
         floor ->
             message
-                .setWritten(position(floor.position()))
+                .setWritten(StateCodec.positionMessage(floor.position()))
                 .setWrittenAgeMicros(
                     TimeUnit.NANOSECONDS.toMicros(Math.max(0, nowNanos - floor.sinceNanos()))));
     return message;
@@ -110,7 +108,8 @@
       return Optional.empty();
     }
     long sinceNanos = nowNanos - TimeUnit.MICROSECONDS.toNanos(message.getWrittenAgeMicros());
-    return Optional.of(new GroupRouting.Floor(position(message.getWritten()), sinceNanos));
+    return Optional.of(
+        new GroupRouting.Floor(StateCodec.position(message.getWritten()), sinceNanos));
   }
 
   /** Returns the message of an answer. */
@@ -124,7 +123,9 @@
         .refusal()
         .ifPresent(
             refusal -> message.setRefusal(refusal.code().name()).setRefusalText(refusal.text()));
-    reply.position().ifPresent(position -> message.setPosition(position(position)));
+    reply
+        .position()
+        .ifPresent(position -> message.setPosition(StateCodec.positionMessage(position)));
     return message.build();
   }
 
@@ -137,7 +138,9 @@
             ? Optional.empty()
             : Optional.of(new Refusal(code(message.getRefusal()), message.getRefusalText())),
         state(message.getState()),
-        message.hasPosition() ? Optional.of(position(message.getPosition())) : Optional.empty());
+        message.hasPosition()
+            ? Optional.of(StateCodec.position(message.getPosition()))
+            : Optional.empty());
   }
 
   /** A code that a newer peer added promises nothing here. */
@@ -157,12 +160,4 @@
       default -> TransactionState.FAILED;
     };
   }
-
-  private static LogPosition position(Position position) {
-    return LogPosition.newBuilder().setTerm(position.term()).setIndex(position.index()).build();
-  }
-
-  private static Position position(LogPosition message) {
-    return new Position(message.getTerm(), message.getIndex());
-  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -39,7 +39,11 @@
   private volatile boolean stopping;
 
   /** A transaction by the host that has its caller. */
-  private record Key(HostId host, long incarnation, long transaction) {}
+  private record Key(HostId host, long incarnation, long transaction) {
+    static Key of(String host, long incarnation, long transaction) {
+      return new Key(new HostId(host), incarnation, transaction);
+    }
+  }
 
   HeldStatements(LocalStatements here) {
     this.here = here;
@@ -56,8 +60,7 @@
     long now = parts.clock().nowNanos();
     StatementTask task = HeldStatementCodec.task(request, now);
     Optional<GroupRouting.Floor> written = HeldStatementCodec.written(request, now);
-    Key key =
-        new Key(new HostId(request.getHost()), request.getIncarnation(), request.getTransaction());
+    Key key = Key.of(request.getHost(), request.getIncarnation(), request.getTransaction());
     if (request.getTransaction() != 0 && !request.getFirst()) {
       return further(key, task).thenApply(HeldStatementCodec::replyMessage);
     }
@@ -96,8 +99,7 @@
   }
 
   CompletableFuture<EndHeldTransactionReply> end(EndHeldTransactionRequest request) {
-    Key key =
-        new Key(new HostId(request.getHost()), request.getIncarnation(), request.getTransaction());
+    Key key = Key.of(request.getHost(), request.getIncarnation(), request.getTransaction());
     Optional.ofNullable(transactions.get(key)).ifPresent(HeldTransaction::rollBack);
     return CompletableFuture.completedFuture(EndHeldTransactionReply.getDefaultInstance());
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
@@ -57,8 +57,7 @@
    */
   Optional<List<HostState>> holders(View view, GroupId group) {
     int accepted = view.group(group).map(GroupState::connectionsPerServer).orElse(0);
-    List<HostState> hosts =
-        view.hosts().values().stream().filter(host -> host.proxy() && !host.draining()).toList();
+    List<HostState> hosts = view.hosts().values().stream().filter(HostState::takesWork).toList();
     int calm = accepted / CALM_DIVISOR;
     if (accepted == 0 || hosts.size() * CONNECTIONS_OF_HOST <= accepted) {
       return Optional.empty();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarding.java
@@ -11,36 +11,48 @@
 import org.alderyard.protocol.generated.statement.HeldStatementRequest;
 import org.alderyard.proxy.limit.RetryBudget;
 
-/**
- * Passes statements on to the holders of their group.
- *
- * @param parts what all sessions share
- * @param holders who holds, and how they have answered
- * @param calls the way to them
- * @param self this host
- * @param transactions numbers the transactions that this host begins at holders
- * @param resends bounds what is sent to a second holder
- */
-record HolderForwarding(
-    SessionParts parts,
-    Holders holders,
-    HolderCalls calls,
-    HostState self,
-    AtomicLong transactions,
-    RetryBudget resends)
-    implements Forwarding {
-
+/** Passes statements on to the holders of their group. */
+final class HolderForwarding implements Forwarding {
   /** A holder answers at the deadline by itself; its answer has this long to arrive. */
   private static final long ANSWER_MILLIS = 50;
 
+  private final SessionParts parts;
+  private final Holders holders;
+  private final HolderCalls calls;
+  private final HostState self;
+  private final AtomicLong transactions = new AtomicLong();
+  private final RetryBudget resends =
+      new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED);
+
+  /**
+   * Creates forwarding that has not begun a transaction.
+   *
+   * @param holders who holds, and how they have answered
+   * @param calls the way to them
+   * @param self this host
+   */
   HolderForwarding(SessionParts parts, Holders holders, HolderCalls calls, HostState self) {
-    this(
-        parts,
-        holders,
-        calls,
-        self,
-        new AtomicLong(),
-        new RetryBudget(RetryBudget.DEFAULT_SHARE, RetryBudget.DEFAULT_SAVED));
+    this.parts = parts;
+    this.holders = holders;
+    this.calls = calls;
+    this.self = self;
+  }
+
+  SessionParts parts() {
+    return parts;
+  }
+
+  Holders holders() {
+    return holders;
+  }
+
+  HolderCalls calls() {
+    return calls;
+  }
+
+  /** Returns what bounds the statements that are sent to a second holder. */
+  RetryBudget resends() {
+    return resends;
   }
 
   @Override
@@ -76,6 +88,7 @@
     return Duration.ofNanos(leftNanos).plusMillis(ANSWER_MILLIS);
   }
 
+  /** Returns a number for a transaction that this host begins at a holder. */
   long nextTransaction() {
     return transactions.incrementAndGet();
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PeerSamples.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PeerSamples.java
@@ -14,7 +14,7 @@
 import org.alderyard.protocol.data.DataMethods;
 import org.alderyard.protocol.generated.control.PositionSampleReply;
 import org.alderyard.protocol.generated.control.PositionSampleRequest;
-import org.alderyard.protocol.generated.state.LogPosition;
+import org.alderyard.protocol.view.StateCodec;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.PeerLinks;
 
@@ -59,10 +59,7 @@
         .ifPresent(
             sample ->
                 reply
-                    .setPosition(
-                        LogPosition.newBuilder()
-                            .setTerm(sample.position().term())
-                            .setIndex(sample.position().index()))
+                    .setPosition(StateCodec.positionMessage(sample.position()))
                     .setAgeMicros(micros(now - sample.askedNanos())));
     return CompletableFuture.completedFuture(reply.build());
   }
@@ -97,7 +94,7 @@
     if (!reply.hasPosition()) {
       return Optional.empty();
     }
-    Position position = new Position(reply.getPosition().getTerm(), reply.getPosition().getIndex());
+    Position position = StateCodec.position(reply.getPosition());
     long askedNanos = sentNanos - TimeUnit.MICROSECONDS.toNanos(reply.getAgeMicros());
     return Optional.of(new PositionSamples.Sample(askedNanos, position));
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/ledger/RequestOwners.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/ledger/RequestOwners.java
@@ -83,7 +83,7 @@
   private static SortedSet<HostId> liveProxies(View view) {
     SortedSet<HostId> proxies = new TreeSet<>();
     for (HostState host : view.hosts().values()) {
-      if (host.proxy() && !host.draining()) {
+      if (host.takesWork()) {
         proxies.add(host.id());
       }
     }
