--- a/alderyard-backend/src/main/java/org/alderyard/backend/session/RefusalCode.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/session/RefusalCode.java
@@ -14,6 +14,8 @@
   WRONG_SERVER(true),
   /** The server's connection limit is reached; nothing ran. */
   CONNECTION_LIMIT(true),
+  /** The organisation of the caller has reached its limit; nothing ran. */
+  OVER_QUOTA(true),
   /** The statement ran and failed. */
   FAILED(false),
   /** No statement is prepared under the name; nothing ran. */
--- a/alderyard-common/src/main/java/org/alderyard/common/id/RendezvousScores.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/RendezvousScores.java
@@ -15,7 +15,12 @@
 
   /** Returns the hash of a group, for {@link #score}. */
   public static long groupHash(GroupId group) {
-    return hash(group.value().getBytes(StandardCharsets.UTF_8));
+    return nameHash(group.value());
+  }
+
+  /** Returns the hash of any name that hosts are assigned to, for {@link #score}. */
+  public static long nameHash(String name) {
+    return hash(name.getBytes(StandardCharsets.UTF_8));
   }
 
   /**
--- a/alderyard-common/src/main/java/org/alderyard/common/settings/SettingTypes.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/settings/SettingTypes.java
@@ -50,6 +50,21 @@
     }
   }
 
+  /** Returns a type of decimal numbers from {@code min} to {@code max}, both inclusive. */
+  public static SettingType<Double> decimal(double min, double max) {
+    return new SettingType<>(
+        "a number from " + min + " to " + max,
+        text -> decimalNumber(text).filter(n -> n >= min && n <= max));
+  }
+
+  private static Optional<Double> decimalNumber(String text) {
+    try {
+      return Optional.of(Double.parseDouble(text));
+    } catch (NumberFormatException invalidNumber) {
+      return Optional.empty();
+    }
+  }
+
   /** Returns the type of a boolean, written as {@code true} or {@code false}. */
   public static SettingType<Boolean> flag() {
     return new SettingType<>(
--- a/alderyard-common/src/main/java/org/alderyard/common/view/ConfigurationState.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ConfigurationState.java
@@ -18,7 +18,9 @@
  * @param connectionsPerServer the connections that each server of a group accepts
  * @param transactionIdleMillis the time after which an idle transaction may be ended
  * @param sessionIdleMillis the time after which an idle session may be closed
+ * @param organisations the organisations whose callers use the databases
  * @param source the configuration as sent by the operator
+ * @param sourceSealed whether the source is encrypted under the cluster key
  * @param contentHash a hash that is equal for sources with the same meaning
  */
 public record ConfigurationState(
@@ -27,7 +29,9 @@
     SortedMap<GroupId, Integer> connectionsPerServer,
     int transactionIdleMillis,
     int sessionIdleMillis,
+    Organisations organisations,
     Bytes source,
+    boolean sourceSealed,
     Bytes contentHash) {
 
   /**
@@ -39,6 +43,27 @@
     connectionsPerServer = Collections.unmodifiableSortedMap(new TreeMap<>(connectionsPerServer));
   }
 
+  /** Creates a configuration without organisations, whose source is not encrypted. */
+  public ConfigurationState(
+      long number,
+      List<DatabaseState> databases,
+      SortedMap<GroupId, Integer> connectionsPerServer,
+      int transactionIdleMillis,
+      int sessionIdleMillis,
+      Bytes source,
+      Bytes contentHash) {
+    this(
+        number,
+        databases,
+        connectionsPerServer,
+        transactionIdleMillis,
+        sessionIdleMillis,
+        Organisations.NONE,
+        source,
+        false,
+        contentHash);
+  }
+
   /** Returns the databases by name; of several entries with one name, the first one. */
   public Map<String, DatabaseState> byName() {
     Map<String, DatabaseState> index = new HashMap<>();
--- a/alderyard-common/src/main/java/org/alderyard/common/view/DatabaseState.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/DatabaseState.java
@@ -14,6 +14,7 @@
  * @param latencyObjectiveMillis the time in which an operation should complete
  * @param priority the priority; 0 is served first
  * @param maxStalenessMillis the age that reads accept, unless they must see all acknowledged writes
+ * @param publicAccess whether callers need no key, even if others do
  */
 public record DatabaseState(
     String name,
@@ -23,7 +24,8 @@
     int statementTimeoutMillis,
     int latencyObjectiveMillis,
     int priority,
-    int maxStalenessMillis) {
+    int maxStalenessMillis,
+    boolean publicAccess) {
 
   /** Checks that no component is null. */
   public DatabaseState {
@@ -32,4 +34,26 @@
     Objects.requireNonNull(group);
     Objects.requireNonNull(reads);
   }
+
+  /** Creates a database without public access. */
+  public DatabaseState(
+      String name,
+      String scope,
+      GroupId group,
+      SessionReads reads,
+      int statementTimeoutMillis,
+      int latencyObjectiveMillis,
+      int priority,
+      int maxStalenessMillis) {
+    this(
+        name,
+        scope,
+        group,
+        reads,
+        statementTimeoutMillis,
+        latencyObjectiveMillis,
+        priority,
+        maxStalenessMillis,
+        false);
+  }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/grant/GrantLedger.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/grant/GrantLedger.java
@@ -41,6 +41,8 @@
    * @param held the maximum number of connections that the proxy holds or may open before it
    *     receives the reply
    * @param wanted the connections that the proxy has demand for
+   * @param useful the further connections that save the proxy from opening new ones; granted only
+   *     from what nobody has demand for, within the steady-state limit
    * @param nowNanos the current time of the monotonic clock
    * @return the connections that the proxy may hold for one lease from the time of its request; 0
    *     if the request is ignored
@@ -52,6 +54,7 @@
       long sequence,
       int held,
       int wanted,
+      int useful,
       long nowNanos) {
     entries.values().removeIf(entry -> entry.expiresAtNanos - nowNanos <= 0);
     Entry entry = entries.get(proxy);
@@ -61,7 +64,13 @@
     }
     boolean quarantine = quarantineEndNanos - nowNanos > 0;
     int presumedHeld = presumedHeld(entry, held, quarantine);
-    Entry renewed = new Entry(sequence, presumedHeld, Math.max(0, wanted), nowNanos + leaseNanos());
+    Entry renewed =
+        new Entry(
+            sequence,
+            presumedHeld,
+            Math.max(0, wanted),
+            Math.max(0, useful),
+            nowNanos + leaseNanos());
     entries.put(proxy, renewed);
     int target = shares(budget, primary).getOrDefault(proxy, 0);
     int free = options.grantable(budget, primary) - maxInUseByOthers(proxy);
@@ -101,7 +110,25 @@
   private SortedMap<ProxyId, Integer> shares(int budget, boolean primary) {
     Map<ProxyId, Integer> wanted = new TreeMap<>();
     entries.forEach((proxy, entry) -> wanted.put(proxy, entry.wanted));
-    return GrantAllocation.allocate(available(budget, primary), options.floor(), wanted);
+    SortedMap<ProxyId, Integer> shares =
+        GrantAllocation.allocate(available(budget, primary), options.floor(), wanted);
+    addUseful(budget, shares);
+    return shares;
+  }
+
+  /** Adds connections that nobody has demand for, up to the steady-state limit. */
+  private void addUseful(int budget, SortedMap<ProxyId, Integer> shares) {
+    if (options.hardLimit()) {
+      return;
+    }
+    int allocated = shares.values().stream().mapToInt(Integer::intValue).sum();
+    int unused = ReconnectHeadroom.steadyStateLimit(budget) - allocated;
+    Map<ProxyId, Integer> useful = new TreeMap<>();
+    entries.forEach((proxy, entry) -> useful.put(proxy, entry.useful));
+    if (unused > 0) {
+      GrantAllocation.allocate(unused, options.floor(), useful)
+          .forEach((proxy, added) -> shares.merge(proxy, added, Integer::sum));
+    }
   }
 
   private int available(int budget, boolean primary) {
@@ -139,11 +166,13 @@
   private static final class Entry {
     final long sequence;
     final int wanted;
+    final int useful;
     final long expiresAtNanos;
     int maxInUse;
 
-    Entry(long sequence, int maxInUse, int wanted, long expiresAtNanos) {
+    Entry(long sequence, int maxInUse, int wanted, int useful, long expiresAtNanos) {
       this.sequence = sequence;
+      this.useful = useful;
       this.maxInUse = maxInUse;
       this.wanted = wanted;
       this.expiresAtNanos = expiresAtNanos;
--- a/alderyard-control/src/main/java/org/alderyard/control/grant/GrantService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/grant/GrantService.java
@@ -139,14 +139,17 @@
                 sequence,
                 demand.getHeld(),
                 active ? demand.getWanted() : 0,
+                active ? demand.getUseful() : 0,
                 now);
     if (granted != demand.getHeld()) {
       log.info(
-          "event=grant server={} proxy={} held={} wanted={} granted={} budget={} primary={}",
+          "event=grant server={} proxy={} held={} wanted={} useful={} granted={} budget={}"
+              + " primary={}",
           id,
           proxy.host(),
           demand.getHeld(),
           demand.getWanted(),
+          demand.getUseful(),
           granted,
           budget,
           primary);
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationValidator.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationValidator.java
@@ -69,6 +69,7 @@
     for (Database database : configuration.getDatabasesList()) {
       checkDatabase(database, groups, namesWithScope, faults);
     }
+    faults.addAll(OrganisationValidator.faults(configuration.getOrganisationsList()));
     return faults;
   }
 
--- a/alderyard-control/src/test/java/org/alderyard/control/grant/GrantLedgerTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/grant/GrantLedgerTest.java
@@ -63,7 +63,7 @@
   }
 
   private int renew(int number, long sequence, int held, int wanted, long now) {
-    return ledger.renew(BUDGET, false, proxy(number), sequence, held, wanted, now);
+    return ledger.renew(BUDGET, false, proxy(number), sequence, held, wanted, 0, now);
   }
 
   /**
@@ -115,7 +115,7 @@
   void reserveIsGrantedWhenTheReplicaBecomesPrimary() {
     long now = AFTER_QUARANTINE;
     assertThat(renew(1, 1, 0, 31, now)).isEqualTo(31);
-    assertThat(ledger.renew(BUDGET, true, proxy(2), 1, 0, 31, now)).isEqualTo(4);
+    assertThat(ledger.renew(BUDGET, true, proxy(2), 1, 0, 31, 0, now)).isEqualTo(4);
     assertThat(ledger.maxInUse(now)).isEqualTo(BUDGET);
   }
 
--- a/alderyard-control/src/test/java/org/alderyard/control/grant/ReconnectHeadroomTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/grant/ReconnectHeadroomTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.alderyard.common.id.HostId;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +47,7 @@
                 round,
                 held.get(number),
                 wanted,
+                0,
                 fromNanos + round * SECOND);
         held.set(number, heldWithGrant(granted));
       }
@@ -71,7 +73,7 @@
   void newLeaderGrantsImmediatelyIfServersRefuseExcessConnections() {
     GrantLedger ledger = new GrantLedger(GrantOptions.ADVISORY, 0);
 
-    assertThat(ledger.renew(ACCEPTED, true, proxy(1, 2), 1, 1, 4, SECOND)).isEqualTo(4);
+    assertThat(ledger.renew(ACCEPTED, true, proxy(1, 2), 1, 1, 4, 0, SECOND)).isEqualTo(4);
   }
 
   @Test
@@ -91,6 +93,36 @@
     assertThat(sum(held)).isAtMost(ACCEPTED);
   }
 
+  /** Connections that only spare the opening of others must not use up the room for a return. */
+  @Test
+  void usefulConnectionsStayWithinSteadyStateLimit() {
+    GrantLedger ledger = new GrantLedger(GrantOptions.ADVISORY, 0);
+    int[] held = new int[6];
+    for (int round = 1; round <= 3; round++) {
+      for (int number = 0; number < held.length; number++) {
+        held[number] =
+            ledger.renew(
+                ACCEPTED, false, proxy(number, 1), round, held[number], 1, 20, round * SECOND);
+      }
+    }
+    int granted = IntStream.of(held).sum();
+
+    assertThat(granted).isAtMost(ReconnectHeadroom.steadyStateLimit(ACCEPTED));
+    assertThat(granted).isAtLeast(ReconnectHeadroom.steadyStateLimit(ACCEPTED) - 1);
+  }
+
+  @Test
+  void usefulConnectionsGiveWayToDemand() {
+    GrantLedger ledger = new GrantLedger(GrantOptions.ADVISORY, 0);
+    int useful = ledger.renew(ACCEPTED, false, proxy(1, 1), 1, 0, 1, 50, SECOND);
+    assertThat(useful).isEqualTo(ReconnectHeadroom.steadyStateLimit(ACCEPTED));
+
+    ledger.renew(ACCEPTED, false, proxy(2, 1), 1, 0, 5, 0, SECOND);
+
+    assertThat(ledger.renew(ACCEPTED, false, proxy(1, 1), 2, useful, 1, 50, 2 * SECOND))
+        .isEqualTo(useful - 5);
+  }
+
   @Test
   void steadyStateLimitLeavesSameCountPlusOne() {
     assertThat(ReconnectHeadroom.steadyStateLimit(25)).isEqualTo(12);
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -18,6 +18,7 @@
 import org.alderyard.common.settings.SettingsException;
 import org.alderyard.common.settings.SettingsReader;
 import org.alderyard.protocol.wire.ClusterKey;
+import org.alderyard.proxy.quota.QuotaTolerance;
 import org.alderyard.proxy.read.ReadOptions;
 
 /**
@@ -205,7 +206,15 @@
                     settings.find(DaemonSpec.METRICS_ADDRESS),
                     settings.find(DaemonSpec.APPOINTER_ADDRESS),
                     settings.get(DaemonSpec.GRACE),
-                    settings.get(DaemonSpec.MAX_SESSIONS)));
+                    settings.get(DaemonSpec.MAX_SESSIONS),
+                    quotaTolerance(settings)));
+  }
+
+  private static QuotaTolerance quotaTolerance(Settings settings) {
+    return new QuotaTolerance(
+        settings.get(DaemonSpec.QUOTA_WINDOW).toMillis() / 1_000.0,
+        settings.get(DaemonSpec.QUOTA_OVERRUN),
+        settings.get(DaemonSpec.QUOTA_SLACK));
   }
 
   private static ClusterKey clusterKey(Settings settings) {
@@ -216,7 +225,15 @@
           DaemonSpec.CLUSTER_KEY_FILE,
           "the secret has " + secret.length + " bytes; accepted: at least " + ClusterKey.MIN_BYTES);
     }
-    return new ClusterKey(secret);
+    return new ClusterKey(secret, acceptedClusterSecrets(settings));
+  }
+
+  private static List<byte[]> acceptedClusterSecrets(Settings settings) {
+    if (settings.find(DaemonSpec.ACCEPTED_CLUSTER_KEY_FILE).isEmpty()) {
+      return List.of();
+    }
+    String secret = readSecret(settings, DaemonSpec.ACCEPTED_CLUSTER_KEY_FILE);
+    return List.of(secret.getBytes(StandardCharsets.UTF_8));
   }
 
   private static String readClusterSecret(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -2,6 +2,7 @@
 
 import static org.alderyard.common.settings.SettingTypes.address;
 import static org.alderyard.common.settings.SettingTypes.bytes;
+import static org.alderyard.common.settings.SettingTypes.decimal;
 import static org.alderyard.common.settings.SettingTypes.duration;
 import static org.alderyard.common.settings.SettingTypes.flag;
 import static org.alderyard.common.settings.SettingTypes.integer;
@@ -86,6 +87,12 @@
           "cluster-key-variable",
           name(text -> new HostId(text).value()),
           "replaces the file: name of the environment variable with the secret");
+  static final Setting<Path> ACCEPTED_CLUSTER_KEY_FILE =
+      Setting.optional(
+          "keys",
+          "accepted-cluster-key-file",
+          path(),
+          "second secret that other hosts may use while the cluster key is replaced");
   static final Setting<Path> OPERATOR_KEY_FILE =
       Setting.optional("keys", "operator-key-file", path(), "secret that operators send");
 
@@ -186,6 +193,27 @@
           "3000",
           "maximum number of concurrent sessions");
 
+  static final Setting<Duration> QUOTA_WINDOW =
+      Setting.preset(
+          "limits",
+          "quota-window",
+          duration(Duration.ofMillis(100), Duration.ofHours(1)),
+          "5s",
+          "window in which the operations of an organisation may exceed its limit");
+  static final Setting<Double> QUOTA_OVERRUN =
+      Setting.preset(
+          "limits",
+          "quota-overrun",
+          decimal(0, 1),
+          "0.1",
+          "fraction of an organisation's limit in a window by which it may be exceeded");
+  static final Setting<Double> QUOTA_SLACK =
+      Setting.preset(
+          "limits",
+          "quota-slack",
+          decimal(0, 1_000_000),
+          "20",
+          "operations of an organisation in a window that may exceed its limit in addition");
   static final Setting<Long> MAX_HEADER_BYTES =
       Setting.preset(
           "limits",
@@ -249,6 +277,7 @@
               DATA_FOLDER,
               CLUSTER_KEY_FILE,
               CLUSTER_KEY_VARIABLE,
+              ACCEPTED_CLUSTER_KEY_FILE,
               OPERATOR_KEY_FILE,
               MONITOR_INTERVAL,
               MONITOR_IDLE_INTERVAL,
@@ -266,6 +295,9 @@
               APPOINTER_ADDRESS,
               GRACE,
               MAX_SESSIONS,
+              QUOTA_WINDOW,
+              QUOTA_OVERRUN,
+              QUOTA_SLACK,
               MAX_HEADER_BYTES,
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import org.alderyard.proxy.quota.QuotaTolerance;
 
 /**
  * Settings of a host whose callers open sessions.
@@ -12,10 +13,12 @@
  * @param appointerAddress address of the service that appoints primaries
  * @param grace time between the request to stop the process and its forced termination
  * @param maxSessions maximum number of concurrent sessions
+ * @param quotaTolerance how far an organisation may exceed its limit in a window
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
     Optional<InetSocketAddress> metricsAddress,
     Optional<InetSocketAddress> appointerAddress,
     Duration grace,
-    int maxSessions) {}
+    int maxSessions,
+    QuotaTolerance quotaTolerance) {}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -15,6 +15,7 @@
 import org.alderyard.proxy.lease.LeaseClient;
 import org.alderyard.proxy.lease.LeaseTable;
 import org.alderyard.proxy.lease.SmoothedConnectionTarget;
+import org.alderyard.proxy.quota.QuotaService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -66,6 +67,7 @@
   private final HostContext host;
   private final SessionOptions options;
   private final SessionService sessions;
+  private final QuotaService quota;
   private Optional<CallerPort> callerPort = Optional.empty();
   private final CompletableFuture<Void> whenOperatorPortsOpen = new CompletableFuture<>();
   private volatile boolean stopping;
@@ -91,6 +93,17 @@
                     ? CONTROL_HOST_SERVING_DELAY
                     : Duration.ZERO,
                 host.settings.readOptions().routingLogSample()));
+    quota =
+        new QuotaService(
+            host.self,
+            sessions::meetingHosts,
+            host.views::current,
+            host.links,
+            host.clock,
+            host.viewClient::leaseValid,
+            options.quotaTolerance(),
+            host.registry);
+    host.views.onChange(quota::onViewChange);
     new LeaseClient(
             host.control,
             host.self,
@@ -124,6 +137,8 @@
                     host.workers,
                     host.clock)));
     log.info("event=listening port=callers address={}", host.settings.callerAddress());
+    quota.serve(host.dispatcher);
+    sessions.limitOperations(quota);
     sessions.startPrimaryReports(host.control, host.settings.host());
     sessions.connectToHosts(host.dispatcher, host.links, host.statementLinks, host.self);
   }
@@ -170,7 +185,12 @@
                     "control",
                     address,
                     Optional.empty(),
-                    new ControlPort(host.control, host.workers, host.clock, host.registry)
+                    new ControlPort(
+                            host.control,
+                            host.settings.clusterKey()::documentSeal,
+                            host.workers,
+                            host.clock,
+                            host.registry)
                         .handler()));
     options
         .metricsAddress()
@@ -202,6 +222,7 @@
         "event=drain-begin sessions={} held-transactions={}",
         sessions.sessionCount(),
         sessions.heldTransactionCount());
+    quota.stopCounting();
     sessions.stopAcceptingForwarded();
     try {
       awaitUnused(startNanos, ACCEPT_SHARE);
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/ConnectionLeaseSafetyTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/ConnectionLeaseSafetyTest.java
@@ -110,6 +110,7 @@
               message.sequence,
               message.amount,
               message.wanted,
+              random.nextInt(4),
               now);
       send(new Message(message.proxy, true, message.sequence, granted, 0));
     }
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/SimultaneousReconnectTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/SimultaneousReconnectTest.java
@@ -30,7 +30,7 @@
   private static final int MAX_CONNECTIONS = 25;
   private static final int HOSTS = 11;
   private static final double MEAN_DEMAND = 0.4;
-  private static final PoolUse PEAK = new PoolUse(2, 2, 0);
+  private static final PoolUse PEAK = new PoolUse(2, 2, 0, 0);
   private static final ServerId SERVER = new ServerId("s1");
   private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final int RENEWALS = 20;
@@ -53,7 +53,7 @@
         long now = renewal * SECOND_NANOS;
         int granted =
             ledger.renew(
-                MAX_CONNECTIONS, true, proxy, renewal, held.get(host), targetConnections, now);
+                MAX_CONNECTIONS, true, proxy, renewal, held.get(host), targetConnections, 0, now);
         held.set(host, Math.max(withoutGrant, granted));
       }
     }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/data/DataMethods.java
@@ -6,6 +6,8 @@
 import org.alderyard.protocol.generated.forward.ForwardRequest;
 import org.alderyard.protocol.generated.ledger.OwnedWriteReply;
 import org.alderyard.protocol.generated.ledger.OwnedWriteRequest;
+import org.alderyard.protocol.generated.quota.TakeQuotaReply;
+import org.alderyard.protocol.generated.quota.TakeQuotaRequest;
 import org.alderyard.protocol.generated.statement.EndHeldTransactionReply;
 import org.alderyard.protocol.generated.statement.EndHeldTransactionRequest;
 import org.alderyard.protocol.generated.statement.HeldStatementReply;
@@ -41,5 +43,9 @@
               EndHeldTransactionRequest.parser(),
               EndHeldTransactionReply.parser());
 
+  /** Requests the right to begin operations of an organisation from a host that counts them. */
+  public static final Method<TakeQuotaRequest, TakeQuotaReply> TAKE_QUOTA =
+      new Method<>(205, "take-quota", TakeQuotaRequest.parser(), TakeQuotaReply.parser());
+
   private DataMethods() {}
 }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -206,7 +206,9 @@
             .setTransactionIdleMillis(configuration.transactionIdleMillis())
             .setSessionIdleMillis(configuration.sessionIdleMillis())
             .setSource(ByteString.copyFrom(configuration.source().toArray()))
+            .setSourceSealed(configuration.sourceSealed())
             .setContentHash(ByteString.copyFrom(configuration.contentHash().toArray()));
+    OrganisationCodec.encode(configuration.organisations(), message);
     configuration.databases().forEach(database -> message.addDatabases(databaseMessage(database)));
     configuration
         .connectionsPerServer()
@@ -232,6 +234,7 @@
         .setLatencyObjectiveMillis(database.latencyObjectiveMillis())
         .setPriority(database.priority())
         .setMaxStalenessMillis(database.maxStalenessMillis())
+        .setPublicAccess(database.publicAccess())
         .build();
   }
 
@@ -248,7 +251,9 @@
         connections,
         message.getTransactionIdleMillis(),
         message.getSessionIdleMillis(),
+        OrganisationCodec.decode(message),
         Bytes.of(message.getSource().toByteArray()),
+        message.getSourceSealed(),
         Bytes.of(message.getContentHash().toByteArray()));
   }
 
@@ -267,7 +272,8 @@
         database.getStatementTimeoutMillis(),
         database.getLatencyObjectiveMillis(),
         database.getPriority(),
-        database.getMaxStalenessMillis());
+        database.getMaxStalenessMillis(),
+        database.getPublicAccess());
   }
 
   /** Converts a log position to its message. */
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/ClusterKey.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/ClusterKey.java
@@ -3,10 +3,14 @@
 import com.google.protobuf.ByteString;
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.seal.DocumentSeal;
 import org.alderyard.protocol.generated.envelope.Hello;
 
 /**
@@ -19,7 +23,8 @@
 
   private static final String ALGORITHM = "HmacSHA256";
 
-  private final SecretKeySpec key;
+  private final List<byte[]> secrets;
+  private Optional<DocumentSeal> documentSeal = Optional.empty();
 
   /**
    * Validates and copies the secret.
@@ -27,12 +32,36 @@
    * @throws AlderyardException with {@code SETTINGS_INVALID} if the secret is too short
    */
   public ClusterKey(byte[] secret) {
+    this(secret, List.of());
+  }
+
+  /**
+   * Validates and copies the secrets.
+   *
+   * @param secret the secret that this host uses
+   * @param alsoAccepted secrets that other hosts may use while the secret is replaced
+   * @throws AlderyardException with {@code SETTINGS_INVALID} if a secret is too short
+   */
+  public ClusterKey(byte[] secret, List<byte[]> alsoAccepted) {
+    secrets =
+        Stream.concat(Stream.of(secret), alsoAccepted.stream()).map(ClusterKey::copy).toList();
+  }
+
+  private static byte[] copy(byte[] secret) {
     if (secret.length < MIN_BYTES) {
       throw AlderyardException.notRun(
           ErrorCode.SETTINGS_INVALID,
           "the cluster key has " + secret.length + " bytes; accepted are at least " + MIN_BYTES);
     }
-    key = new SecretKeySpec(secret, ALGORITHM);
+    return secret.clone();
+  }
+
+  /** Returns the seal of documents that hosts store and exchange. */
+  public synchronized DocumentSeal documentSeal() {
+    if (documentSeal.isEmpty()) {
+      documentSeal = Optional.of(new DocumentSeal(secrets));
+    }
+    return documentSeal.get();
   }
 
   /**
@@ -40,9 +69,13 @@
    * side.
    */
   byte[] computeProof(String side, Hello client, Hello server) {
+    return computeProof(secrets.get(0), side, client, server);
+  }
+
+  private static byte[] computeProof(byte[] secret, String side, Hello client, Hello server) {
     try {
       Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(key);
+      mac.init(new SecretKeySpec(secret, ALGORITHM));
       mac.update(side.getBytes(java.nio.charset.StandardCharsets.UTF_8));
       mac.update(client.toByteArray());
       mac.update(server.toByteArray());
@@ -54,7 +87,10 @@
   }
 
   boolean verify(ByteString proof, String side, Hello client, Hello server) {
-    return MessageDigest.isEqual(proof.toByteArray(), computeProof(side, client, server));
+    byte[] received = proof.toByteArray();
+    return secrets.stream()
+        .anyMatch(
+            secret -> MessageDigest.isEqual(received, computeProof(secret, side, client, server)));
   }
 
   @Override
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
@@ -49,7 +50,7 @@
   private final SessionContext context;
   private final LocalStatements local;
   private final StatementForwarder forwarder;
-  private final String databaseName;
+  private final SessionAccess access;
   private final Map<String, String> values = new LinkedHashMap<>();
   private final Map<String, Prepare> prepared = new HashMap<>();
   private final Map<GroupId, GroupRouting.Floor> lastWrites = new HashMap<>();
@@ -58,11 +59,11 @@
   private volatile boolean busy;
   private volatile boolean closed;
 
-  CallerSession(LocalStatements local, StatementForwarder forwarder, String databaseName) {
+  CallerSession(LocalStatements local, StatementForwarder forwarder, SessionAccess access) {
     this.context = local.context();
     this.local = local;
     this.forwarder = forwarder;
-    this.databaseName = databaseName;
+    this.access = access;
   }
 
   /**
@@ -87,7 +88,8 @@
               state = reply.state();
               long now = context.clock().nowNanos();
               transaction.ifPresent(open -> open.endStatement(now));
-              database()
+              access
+                  .database()
                   .ifPresent(
                       database ->
                           context.metrics().recordStatement(database.reads(), reply, now - start));
@@ -164,9 +166,10 @@
     return succeed(state);
   }
 
-  private CompletableFuture<SessionReply> unknownDatabase() {
-    Refusal unknown = context.unknownDatabase(databaseName);
-    return refuse(unknown.code(), unknown.text(), TransactionState.NONE);
+  /** Refuses an operation that this session has no right to begin. */
+  private CompletableFuture<SessionReply> refuseOperation() {
+    Refusal refusal = access.refusal().orElseGet(access::unauthorized);
+    return refuse(refusal.code(), refusal.text(), TransactionState.NONE);
   }
 
   private CompletableFuture<SessionReply> prepare(Prepare prepare) {
@@ -184,24 +187,20 @@
     if (state != TransactionState.NONE) {
       return refuse(RefusalCode.MALFORMED, "a transaction is already open", failedState());
     }
-    Optional<DatabaseState> database = database();
-    if (database.isEmpty()) {
-      return unknownDatabase();
+    Optional<SessionAccess.Right> right = access.right();
+    if (right.isEmpty()) {
+      return refuseOperation();
     }
     transaction =
         Optional.of(
-            new OpenTransaction(database.get(), begin.readOnly(), context.clock().nowNanos()));
+            new OpenTransaction(
+                right.get().database(),
+                right.get().owner(),
+                begin.readOnly(),
+                context.clock().nowNanos()));
     return succeed(TransactionState.OPEN);
   }
 
-  private Optional<DatabaseState> database() {
-    return context
-        .views()
-        .current()
-        .configuration()
-        .flatMap(configuration -> configuration.database(databaseName));
-  }
-
   private CompletableFuture<SessionReply> rollBackByCaller() {
     if (state == TransactionState.NONE) {
       return refuse(RefusalCode.MALFORMED, "no transaction is open", TransactionState.NONE);
@@ -252,13 +251,18 @@
       rollBack();
       return refuse(RefusalCode.ABORTED, "the transaction was rolled back", TransactionState.NONE);
     }
+    if (!access.allows(open.get().database(), open.get().owner())) {
+      rollBack();
+      return refuse(RefusalCode.ABORTED, "the caller's key was removed", TransactionState.NONE);
+    }
     StatementTask task =
         task(
             SessionRequest.of(id, new Commit()),
             StatementKind.READ,
             true,
             Optional.empty(),
-            open.get().database());
+            open.get().database(),
+            open.get().owner());
     return run(open.get(), task);
   }
 
@@ -296,11 +300,18 @@
     if (state == TransactionState.OPEN) {
       return runInOpenTransaction(request, kind, preparedStatement);
     }
-    Optional<DatabaseState> database = database();
-    if (database.isEmpty()) {
-      return unknownDatabase();
+    return beginSingle(request, kind, preparedStatement);
+  }
+
+  /** Begins an operation that consists of one statement. */
+  private CompletableFuture<SessionReply> beginSingle(
+      SessionRequest request, StatementKind kind, Optional<Prepare> preparedStatement) {
+    Optional<SessionAccess.Right> right = access.right();
+    if (right.isEmpty()) {
+      return refuseOperation();
     }
-    return runOutsideTransaction(task(request, kind, false, preparedStatement, database.get()));
+    return runOutsideTransaction(
+        task(request, kind, false, preparedStatement, right.get().database(), right.get().owner()));
   }
 
   private StatementTask task(
@@ -308,9 +319,11 @@
       StatementKind kind,
       boolean endsTransaction,
       Optional<Prepare> preparedStatement,
-      DatabaseState database) {
+      DatabaseState database,
+      ConnectionOwner owner) {
     long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(database.statementTimeoutMillis());
     return new StatementTask(
+        owner,
         request,
         kind,
         endsTransaction,
@@ -339,7 +352,7 @@
   }
 
   private CompletableFuture<SessionReply> run(OpenTransaction open, StatementTask task) {
-    return new TransactionStatement(context, new SessionTransactionOwner(), open, task)
+    return new TransactionStatement(local, new SessionTransactionOwner(), open, task)
         .run(forwarder, lastWrite(open.database()));
   }
 
@@ -364,11 +377,16 @@
           "the transaction was rolled back because it was idle for too long",
           TransactionState.FAILED);
     }
+    if (!access.allows(open.get().database(), open.get().owner())) {
+      return refuse(
+          RefusalCode.UNAUTHORIZED, "the caller's key was removed", TransactionState.FAILED);
+    }
     if (open.get().readOnly() && kind == StatementKind.WRITE) {
       return refuse(
           RefusalCode.NOT_PRIMARY, "the transaction is read-only", TransactionState.FAILED);
     }
-    StatementTask task = task(request, kind, false, preparedStatement, open.get().database());
+    StatementTask task =
+        task(request, kind, false, preparedStatement, open.get().database(), open.get().owner());
     return run(open.get(), task);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -103,7 +103,11 @@
     Optional<HostState> holder;
     synchronized (this) {
       boolean exhausted = task.deadlineNanos() - now <= 0 || triedHolders.size() >= MAX_HOLDERS;
-      holder = exhausted ? Optional.empty() : selector.selectBest(candidates, triedHolders, now);
+      holder =
+          exhausted
+              ? Optional.empty()
+              : selector.selectBest(
+                  task.database().group(), task.owner(), candidates, triedHolders, now);
       if (holder.isPresent()) {
         triedHolders.add(holder.get().id());
         inFlight++;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
@@ -33,6 +34,7 @@
     long remainingNanos = Math.max(0, task.deadlineNanos() - nowNanos);
     HeldStatementRequest.Builder message =
         HeldStatementRequest.newBuilder()
+            .setOrganisation(task.owner().organisation())
             .setDatabase(StateCodec.databaseMessage(task.database()))
             .setRemainingMillis((int) TimeUnit.NANOSECONDS.toMillis(remainingNanos))
             .setId(task.request().id().orElseThrow())
@@ -78,6 +80,7 @@
     Optional<Prepare> prepared =
         work.hasShape() ? Optional.of(new Prepare("", kind, work.getShape())) : Optional.empty();
     return new StatementTask(
+        new ConnectionOwner(message.getOrganisation()),
         SessionRequest.of(message.getId(), statement(work, prepared)),
         kind,
         work.getKind() == Work.Kind.COMMIT,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -76,7 +76,8 @@
     if (request.getTransaction() == 0) {
       return local.single(task, lastWrite).thenApply(HeldStatementCodec::replyMessage);
     }
-    OpenTransaction open = new OpenTransaction(task.database(), request.getReadOnly(), now);
+    OpenTransaction open =
+        new OpenTransaction(task.database(), task.owner(), request.getReadOnly(), now);
     HeldTransaction transaction =
         new HeldTransaction(local, open, lastWrite, () -> transactions.remove(key));
     transactions.put(key, transaction);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldTransaction.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldTransaction.java
@@ -31,12 +31,15 @@
     this.onEnd = onEnd;
   }
 
-  /** Runs the next statement. The future never fails. */
+  /** Runs the next statement; refuses one of another organisation. The future never fails. */
   CompletableFuture<SessionReply> run(StatementTask task) {
+    if (!open.owner().equals(task.owner())) {
+      return CompletableFuture.completedFuture(abortedReply(task));
+    }
     if (!open.beginStatement()) {
       return CompletableFuture.completedFuture(abortedReply(task));
     }
-    return new TransactionStatement(local.context(), this, open, task)
+    return new TransactionStatement(local, this, open, task)
         .run(StatementForwarder.NONE, lastWrite)
         .whenComplete(
             (reply, failure) -> {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderSelector.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderSelector.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ZoneName;
@@ -28,6 +29,12 @@
    */
   private static final double OTHER_ZONE_PENALTY_MILLIS = 400;
 
+  /**
+   * Latency that is added for a holder that is not the preferred one of the organisation and may
+   * have to open a connection, which delays the statements of others as well.
+   */
+  private static final double OTHER_HOLDER_PENALTY_MILLIS = 200;
+
   private static final double BACKOFF_PENALTY_MILLIS = 100_000;
 
   /**
@@ -47,9 +54,11 @@
   private final ZoneName zone;
   private final Predicate<HostState> isConnected;
   private final HolderAssignment assignment = new HolderAssignment();
+  private final HolderAffinity affinity = new HolderAffinity();
   // Guarded by this.
   private Map<HostId, HostState> cachedHosts = Map.of();
   private Map<GroupId, GroupState> cachedGroups = Map.of();
+  private int cachedOwnerCount;
   private final Map<GroupId, GroupHolders> cache = new HashMap<>();
   private final Map<HostId, HolderTracker> trackers = new HashMap<>();
 
@@ -106,8 +115,12 @@
   }
 
   private GroupHolders groupHolders(View view, GroupId group) {
-    if (view.hosts() != cachedHosts || view.groups() != cachedGroups) {
+    int ownerCount = HolderAssignment.ownerCount(view);
+    if (view.hosts() != cachedHosts
+        || view.groups() != cachedGroups
+        || ownerCount != cachedOwnerCount) {
       cachedHosts = view.hosts();
+      cachedOwnerCount = ownerCount;
       cachedGroups = view.groups();
       cache.clear();
       trackers.keySet().retainAll(cachedHosts.keySet());
@@ -129,19 +142,28 @@
 
   /**
    * Returns the holder with the lowest expected latency that has not been tried and is below its
-   * in-flight limit.
+   * in-flight limit; the preferred holder of the organisation if it replies.
    */
   synchronized Optional<HostState> selectBest(
-      List<HostState> holders, Set<HostId> tried, long nowNanos) {
+      GroupId group,
+      ConnectionOwner owner,
+      List<HostState> holders,
+      Set<HostId> tried,
+      long nowNanos) {
+    Optional<HostId> preferred = affinity.preferred(group, owner, holders).map(HostState::id);
     return holders.stream()
         .filter(holder -> !tried.contains(holder.id()) && !tracker(holder).atInFlightLimit())
-        .min(Comparator.comparingDouble(holder -> expectedMillis(holder, nowNanos)));
+        .min(
+            Comparator.comparingDouble(
+                holder ->
+                    expectedMillis(holder, preferred.equals(Optional.of(holder.id())), nowNanos)));
   }
 
-  private double expectedMillis(HostState holder, long nowNanos) {
+  private double expectedMillis(HostState holder, boolean preferred, long nowNanos) {
     HolderTracker tracker = tracker(holder);
     return tracker.expectedMillis()
-        + (holder.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY_MILLIS)
+        + (preferred || holder.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY_MILLIS)
+        + (preferred ? 0 : OTHER_HOLDER_PENALTY_MILLIS)
         + (isConnected.test(holder) ? 0 : UNCONNECTED_PENALTY_MILLIS)
         + (tracker.inBackoff(nowNanos) ? BACKOFF_PENALTY_MILLIS : 0);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LocalStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LocalStatements.java
@@ -3,16 +3,20 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.StatementKind;
+import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.TransactionState;
 
 /** Runs statements over this host's own connections. */
 final class LocalStatements {
   private final SessionContext context;
   private final ReadFloors floors;
+  private final OperationLimiter limiter;
 
-  LocalStatements(SessionContext context, ReadFloors floors) {
+  LocalStatements(SessionContext context, ReadFloors floors, OperationLimiter limiter) {
     this.context = context;
     this.floors = floors;
+    this.limiter = limiter;
   }
 
   SessionContext context() {
@@ -30,6 +34,39 @@
    * @return a future that never completes exceptionally
    */
   CompletableFuture<SessionReply> single(StatementTask task, Optional<GroupRouting.Floor> written) {
+    return limiter
+        .begin(task.owner())
+        .thenCompose(
+            refusal ->
+                refusal
+                    .map(refused -> refusedReply(refused, TransactionState.NONE))
+                    .map(CompletableFuture::completedFuture)
+                    .orElseGet(() -> run(task, written)));
+  }
+
+  private static SessionReply refusedReply(Refusal refusal, TransactionState state) {
+    return SessionReply.refused(refusal.code(), refusal.text(), state);
+  }
+
+  /**
+   * Begins a transaction on this host with its first statement.
+   *
+   * @return a future that never completes exceptionally
+   */
+  CompletableFuture<StatementRun.Result> first(StatementTask task, ServerRequirement requirement) {
+    return limiter
+        .begin(task.owner())
+        .thenCompose(
+            refusal ->
+                refusal
+                    .map(refused -> refusedReply(refused, TransactionState.FAILED))
+                    .map(reply -> new StatementRun.Result(reply, Optional.empty()))
+                    .map(CompletableFuture::completedFuture)
+                    .orElseGet(() -> new StatementRun(context, task, requirement).run()));
+  }
+
+  private CompletableFuture<SessionReply> run(
+      StatementTask task, Optional<GroupRouting.Floor> written) {
     CompletableFuture<ServerRequirement> futureRequirement =
         task.kind() == StatementKind.WRITE
             ? CompletableFuture.completedFuture(ServerRequirement.primary())
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OpenTransaction.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OpenTransaction.java
@@ -1,6 +1,7 @@
 package org.alderyard.proxy.callersession;
 
 import java.util.Optional;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.common.view.DatabaseState;
 
 /**
@@ -11,6 +12,7 @@
  */
 final class OpenTransaction {
   private final DatabaseState database;
+  private final ConnectionOwner owner;
   private final boolean readOnly;
   // Guarded by this.
   private Optional<TransactionLocation> location = Optional.empty();
@@ -19,8 +21,9 @@
   private long idleSinceNanos;
   private boolean running;
 
-  OpenTransaction(DatabaseState database, boolean readOnly, long nowNanos) {
+  OpenTransaction(DatabaseState database, ConnectionOwner owner, boolean readOnly, long nowNanos) {
     this.database = database;
+    this.owner = owner;
     this.readOnly = readOnly;
     this.idleSinceNanos = nowNanos;
   }
@@ -29,6 +32,11 @@
     return database;
   }
 
+  /** Returns the owner of the connection that runs the transaction. */
+  ConnectionOwner owner() {
+    return owner;
+  }
+
   boolean readOnly() {
     return readOnly;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PooledSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PooledSession.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.PooledConnection;
 import org.alderyard.backend.session.SessionConnection;
 import org.alderyard.backend.session.SessionReply;
@@ -39,11 +40,13 @@
   private static final int NAME_BYTES = 8;
 
   private final SessionConnection connection;
+  private final ConnectionOwner owner;
   private final Map<String, String> values = new HashMap<>();
   private final Set<String> prepared = new HashSet<>();
 
-  PooledSession(SessionConnection connection) {
+  PooledSession(SessionConnection connection, ConnectionOwner owner) {
     this.connection = connection;
+    this.owner = owner;
   }
 
   /** Returns the name under which a shape is prepared on any server. */
@@ -101,6 +104,11 @@
         .thenApply(replies -> replies.get(0));
   }
 
+  @Override
+  public ConnectionOwner owner() {
+    return owner;
+  }
+
   @Override
   public boolean usable() {
     return connection.usable();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -10,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnector;
@@ -26,6 +28,7 @@
 import org.alderyard.protocol.wire.PeerLinks;
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ConnectionPools;
+import org.alderyard.proxy.quota.OrganisationLimiter;
 import org.alderyard.proxy.view.ViewHolder;
 
 /** Opens and closes caller sessions, and rolls back their idle transactions. */
@@ -37,6 +40,7 @@
   private final SampleRefresher refresher;
   private final LocalStatements local;
   private final HeldStatements heldStatements;
+  private final OperationLimiter operationLimiter;
   private final int maxSessions;
   private final long admissionTimeoutMillis;
   private final boolean delaysServing;
@@ -66,7 +70,10 @@
       SessionLimits limits) {
     ConnectionPools<PooledSession> pools =
         new ConnectionPools<>(
-            (server, timeout) -> connector.connect(server, timeout).thenApply(PooledSession::new),
+            (server, owner, timeout) ->
+                connector
+                    .connect(server, owner, timeout)
+                    .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
             clock);
     GroupRoutings routings = new GroupRoutings(zone);
@@ -83,7 +90,8 @@
             viewConfirmed,
             new LogSampler(limits.routineLogSample()));
     refresher = new SampleRefresher(context);
-    local = new LocalStatements(context, new ReadFloors(context, refresher));
+    operationLimiter = new OperationLimiter(views);
+    local = new LocalStatements(context, new ReadFloors(context, refresher), operationLimiter);
     heldStatements = new HeldStatements(local);
     routings.setPrimarySearch(refresher::searchPrimary);
     registerGauges(metrics);
@@ -115,6 +123,10 @@
           "Statements that wait for a server of this kind.",
           () -> context.routings().queuedCount(need));
     }
+    metrics.gauge(
+        "alderyard_session_connections_replaced",
+        "Connections closed to open one of another organisation in their place.",
+        context.pools()::replacedConnections);
     metrics.gauge(
         "alderyard_session_transactions_held",
         "Open transactions of other hosts' callers on this host's connections.",
@@ -172,6 +184,20 @@
     forwarder = new HolderForwarder(context, selector, client, self);
   }
 
+  /** Limits the operations of organisations. */
+  public void limitOperations(OrganisationLimiter limiter) {
+    operationLimiter.limitWith(limiter);
+  }
+
+  /**
+   * Returns the hosts at which the statements of an organisation meet, one for each group.
+   *
+   * @return empty if its statements run on all hosts, or if there are too many groups
+   */
+  public Optional<List<HostState>> meetingHosts(View view, String organisation) {
+    return MeetingHosts.of(view, new ConnectionOwner(organisation));
+  }
+
   HeldStatements heldStatements() {
     return heldStatements;
   }
@@ -208,11 +234,11 @@
    *
    * @return a future that is empty if a session may be opened
    */
-  public CompletableFuture<Optional<Refusal>> admission(String database) {
+  public CompletableFuture<Optional<Refusal>> admission(String database, CallerIdentity identity) {
     if (draining || servingStarted.isDone()) {
-      return CompletableFuture.completedFuture(refusal(database));
+      return CompletableFuture.completedFuture(refusal(database, identity));
     }
-    return awaitServing().thenApply(ignored -> refusal(database));
+    return awaitServing().thenApply(ignored -> refusal(database, identity));
   }
 
   private CompletableFuture<Void> awaitServing() {
@@ -234,7 +260,7 @@
   }
 
   /** Returns why a session on this database can't be opened now; empty if it can. */
-  public Optional<Refusal> refusal(String database) {
+  Optional<Refusal> refusal(String database, CallerIdentity identity) {
     if (draining || sessions.size() >= maxSessions) {
       return Optional.of(
           new Refusal(
@@ -246,14 +272,13 @@
       return Optional.of(
           new Refusal(RefusalCode.BUSY, "this host has not received a configuration yet"));
     }
-    return configuration.get().database(database).isPresent()
-        ? Optional.empty()
-        : Optional.of(context.unknownDatabase(database));
+    return new SessionAccess(context, database, identity).refusal();
   }
 
   /** Opens a session. */
-  public CallerSession open(String database) {
-    CallerSession session = new CallerSession(local, forwarder, database);
+  public CallerSession open(String database, CallerIdentity identity) {
+    SessionAccess access = new SessionAccess(context, database, identity);
+    CallerSession session = new CallerSession(local, forwarder, access);
     sessions.add(session);
     return session;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -62,7 +62,7 @@
     routing.started(server, now);
     context
         .pools()
-        .acquire(server, task.database().priority(), run.remainingSearchTime(now))
+        .acquire(server, task.owner(), task.database().priority(), run.remainingSearchTime(now))
         .whenComplete(
             (session, failure) -> {
               context.metrics().recordConnectionWait(context.clock().nowNanos() - now);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementTask.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementTask.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.SessionRequest;
 import org.alderyard.backend.session.SessionStatement.Prepare;
@@ -11,6 +12,7 @@
 /**
  * A statement to run on a backend server.
  *
+ * @param owner the organisation of the caller
  * @param request the request to send to the server
  * @param kind whether the statement may change data
  * @param endsTransaction whether the statement ends a transaction
@@ -20,6 +22,7 @@
  * @param deadlineNanos the deadline for the reply, on the monotonic clock
  */
 record StatementTask(
+    ConnectionOwner owner,
     SessionRequest request,
     StatementKind kind,
     boolean endsTransaction,
@@ -30,6 +33,7 @@
 
   /** Rejects null components and copies the values. */
   StatementTask {
+    Objects.requireNonNull(owner);
     Objects.requireNonNull(request);
     Objects.requireNonNull(kind);
     Objects.requireNonNull(prepared);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/TransactionStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/TransactionStatement.java
@@ -11,14 +11,14 @@
  * transaction, on this host or on a holder, and further statements run there.
  */
 final class TransactionStatement {
-  private final SessionContext context;
+  private final LocalStatements local;
   private final TransactionOwner owner;
   private final OpenTransaction open;
   private final StatementTask task;
 
   TransactionStatement(
-      SessionContext context, TransactionOwner owner, OpenTransaction open, StatementTask task) {
-    this.context = context;
+      LocalStatements local, TransactionOwner owner, OpenTransaction open, StatementTask task) {
+    this.local = local;
     this.owner = owner;
     this.open = open;
     this.task = task;
@@ -61,7 +61,7 @@
                 readFloor
                     .map(ServerRequirement::readTransaction)
                     .orElseGet(ServerRequirement::transaction))
-        .thenCompose(requirement -> new StatementRun(context, task, requirement).run())
+        .thenCompose(requirement -> local.first(task, requirement))
         .thenApply(
             result -> handleFirstReply(result.reply(), result.pinned().map(pinned -> pinned)));
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
@@ -125,6 +125,7 @@
             .setServer(server.id().value())
             .setHeld(leases.request(server.id(), requestNumber, use.open()))
             .setWanted(targetConnections)
+            .setUseful(Math.max(0, use.activeOwners() - targetConnections))
             .build());
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.PooledConnection;
 import org.alderyard.backend.session.ConnectRefusedException;
 import org.alderyard.backend.session.RefusalCode;
@@ -19,6 +20,7 @@
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ServerState;
+import org.alderyard.proxy.pool.RequestQueue.QueuedRequest;
 
 /**
  * The connections to all servers, limited per server by an allowance.
@@ -37,6 +39,7 @@
   // Guarded by this.
   private final Map<ServerId, ServerPool<C>> pools = new HashMap<>();
   private final List<C> retired = new ArrayList<>();
+  private long replacedConnections;
 
   /** Creates pools without a connection limit. */
   public ConnectionPools(ConnectionSource<C> source) {
@@ -57,27 +60,36 @@
   }
 
   /**
-   * Acquires a connection for exclusive use until it is released, with the highest priority.
+   * Acquires a connection of any owner for exclusive use until it is released, with the highest
+   * priority.
    *
    * @return fails with {@code NOT_RUN} if no connection is available within the timeout
    */
   public CompletableFuture<C> acquire(ServerState server, Duration timeout) {
-    return acquire(server, 0, timeout);
+    return acquire(server, Optional.empty(), 0, timeout);
   }
 
   /**
-   * Acquires a connection for exclusive use until it is released.
+   * Acquires a connection of an owner for exclusive use until it is released.
    *
-   * @param priority queued requests are served in ascending order of priority, 0 first, and in
-   *     order of arrival within a priority
+   * @param priority queued requests are served in ascending order of priority, 0 first; owners take
+   *     turns within a priority
    * @return fails with {@code NOT_RUN} if no connection is available within the timeout
    */
-  public CompletableFuture<C> acquire(ServerState server, int priority, Duration timeout) {
+  public CompletableFuture<C> acquire(
+      ServerState server, ConnectionOwner owner, int priority, Duration timeout) {
+    return acquire(server, Optional.of(owner), priority, timeout);
+  }
+
+  private CompletableFuture<C> acquire(
+      ServerState server, Optional<ConnectionOwner> owner, int priority, Duration timeout) {
     CompletableFuture<C> request = new CompletableFuture<>();
     ServerPool<C> pool;
+    ConnectionOwner newOwner;
+    Optional<C> replaced = Optional.empty();
     synchronized (this) {
       pool = pool(server);
-      Optional<C> idle = pool.takeIdle();
+      Optional<C> idle = pool.takeIdle(owner);
       if (idle.isPresent()) {
         return CompletableFuture.completedFuture(idle.get());
       }
@@ -88,13 +100,30 @@
         return CompletableFuture.failedFuture(connectionLimitError(server));
       }
       if (!mayOpen(server, pool)) {
-        pool.enqueue(request, priority);
-        scheduleRetry(server, pool.blockedAfterNanos());
-        return withTimeout(server, request, timeout);
+        replaced = takeReplaceable(pool);
+        if (replaced.isEmpty()) {
+          pool.enqueue(request, owner, priority);
+          scheduleRetry(server, pool.blockedAfterNanos());
+          return withTimeout(server, request, timeout);
+        }
       }
-      pool.beginOpening();
+      newOwner = pool.beginOpening(owner);
+    }
+    replaced.ifPresent(PooledConnection::close);
+    return open(server, pool, newOwner, timeout);
+  }
+
+  /**
+   * Takes an idle connection of another owner that may be replaced by a new one. While the server
+   * refuses connections, none is replaced.
+   */
+  private Optional<C> takeReplaceable(ServerPool<C> pool) {
+    Optional<C> replaced =
+        pool.mayOpen(clock.nowNanos()) ? pool.takeReplaceable() : Optional.empty();
+    if (replaced.isPresent()) {
+      replacedConnections++;
     }
-    return open(server, pool, timeout);
+    return replaced;
   }
 
   /**
@@ -162,10 +191,11 @@
         RETRY_AFTER_MILLIS);
   }
 
-  private CompletableFuture<C> open(ServerState server, ServerPool<C> pool, Duration timeout) {
+  private CompletableFuture<C> open(
+      ServerState server, ServerPool<C> pool, ConnectionOwner owner, Duration timeout) {
     CompletableFuture<C> opened;
     try {
-      opened = source.connect(server, timeout);
+      opened = source.connect(server, owner, timeout);
     } catch (RuntimeException failure) {
       opened = CompletableFuture.failedFuture(failure);
     }
@@ -198,25 +228,31 @@
    */
   public void release(ServerState server, C connection) {
     boolean keep;
-    Optional<CompletableFuture<C>> request = Optional.empty();
+    Optional<QueuedRequest<C>> request = Optional.empty();
+    Optional<ConnectionOwner> newOwner = Optional.empty();
+    ServerPool<C> pool;
     synchronized (this) {
-      ServerPool<C> pool = pool(server);
+      pool = pool(server);
       boolean wasInUse = pool.release(connection);
       keep = wasInUse && connection.usable() && pool.open() < allowance.allowed(server.id());
       if (keep) {
-        pool.addIdle(connection);
-        request = pool.pollRequest();
-        if (request.isPresent()) {
-          pool.takeIdle();
+        request = pool.pollRequestFor(connection);
+        if (request.isPresent() && !request.get().accepts(connection)) {
+          newOwner = Optional.of(pool.beginOpening(request.get().owner()));
+          replacedConnections++;
+        } else {
+          pool.addIdle(connection);
+          request.ifPresent(accepted -> pool(server).takeIdle(Optional.of(connection.owner())));
         }
       }
     }
     if (!keep) {
       connection.close();
       serveNextRequest(server);
-      return;
-    }
-    if (request.isPresent() && !request.get().complete(connection)) {
+    } else if (newOwner.isPresent()) {
+      connection.close();
+      openFor(server, pool, newOwner.get(), request.get().connection());
+    } else if (request.isPresent() && !request.get().connection().complete(connection)) {
       release(server, connection);
     }
   }
@@ -231,7 +267,8 @@
    * connections within a second.
    */
   private void serveNextRequest(ServerState server) {
-    Optional<CompletableFuture<C>> request;
+    Optional<QueuedRequest<C>> request;
+    Optional<ConnectionOwner> newOwner = Optional.empty();
     ServerPool<C> pool;
     List<CompletableFuture<C>> unserved = List.of();
     synchronized (this) {
@@ -241,15 +278,18 @@
       }
       request = mayOpen(server, pool) ? pool.pollRequest() : Optional.empty();
       if (request.isPresent()) {
-        pool.beginOpening();
+        newOwner = Optional.of(pool.beginOpening(request.get().owner()));
       }
     }
     unserved.forEach(pending -> pending.completeExceptionally(connectionLimitError(server)));
-    request.ifPresent(pending -> openFor(server, pool, pending));
+    if (newOwner.isPresent()) {
+      openFor(server, pool, newOwner.get(), request.get().connection());
+    }
   }
 
-  private void openFor(ServerState server, ServerPool<C> pool, CompletableFuture<C> pending) {
-    open(server, pool, CONNECT_TIMEOUT)
+  private void openFor(
+      ServerState server, ServerPool<C> pool, ConnectionOwner owner, CompletableFuture<C> pending) {
+    open(server, pool, owner, CONNECT_TIMEOUT)
         .whenComplete(
             (connection, failure) -> {
               if (failure != null) {
@@ -274,6 +314,11 @@
     }
   }
 
+  /** Returns how many connections were closed to open one of another owner in their place. */
+  public synchronized long replacedConnections() {
+    return replacedConnections;
+  }
+
   /** Returns the use of a server's connections since the last call. */
   public synchronized PoolUse takeUse(ServerId server) {
     ServerPool<C> pool = pools.get(server);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionSource.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionSource.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.PooledConnection;
 import org.alderyard.common.view.ServerState;
 
@@ -13,6 +14,9 @@
 @FunctionalInterface
 public interface ConnectionSource<C extends PooledConnection> {
 
-  /** Opens a connection. A failure of the future has the outcome {@code NOT_RUN}. */
-  CompletableFuture<C> connect(ServerState server, Duration timeout);
+  /**
+   * Opens a connection in the name of an owner. A failure of the future has the outcome {@code
+   * NOT_RUN}.
+   */
+  CompletableFuture<C> connect(ServerState server, ConnectionOwner owner, Duration timeout);
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -4,13 +4,16 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.PooledConnection;
 import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.proxy.pool.RequestQueue.QueuedRequest;
 
 /** The connections to one incarnation of a server. Not thread-safe. */
 final class ServerPool<C extends PooledConnection> {
@@ -37,11 +40,17 @@
   /** The weight of a new sample in the mean use time, which covers about the last ten uses. */
   private static final double MEAN_USE_WEIGHT = 0.1;
 
+  /** Time since its last use of a connection after which an organisation is no longer active. */
+  private static final long ACTIVE_OWNER_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private final long incarnation;
   private final Deque<C> idle = new ArrayDeque<>();
   // The connections in use, with the time at which each use started.
   private final Map<C, Long> inUse = new HashMap<>();
-  private final List<QueuedRequest<C>> requests = new ArrayList<>();
+  // The organisations with the time of their last use of a connection.
+  private final Map<ConnectionOwner, Long> ownerUses = new HashMap<>();
+  private final RequestQueue<C> requests = new RequestQueue<>();
+  private ConnectionOwner lastOwner = ConnectionOwner.NONE;
   private int opening;
   private int peakInUse;
   private double meanUseNanos;
@@ -79,29 +88,55 @@
     return (int) inUse.values().stream().filter(since -> now - since >= limit).count();
   }
 
-  /** Takes the most recently used idle connection, so that surplus connections stay idle. */
-  Optional<C> takeIdle() {
-    while (!idle.isEmpty()) {
-      C connection = idle.removeLast();
-      if (connection.usable()) {
+  /**
+   * Takes the most recently used idle connection of an owner, so that surplus connections stay
+   * idle.
+   *
+   * @param owner empty if any connection will do
+   */
+  Optional<C> takeIdle(Optional<ConnectionOwner> owner) {
+    Iterator<C> newestFirst = idle.descendingIterator();
+    while (newestFirst.hasNext()) {
+      C connection = newestFirst.next();
+      if (!connection.usable()) {
+        newestFirst.remove();
+        connection.close();
+      } else if (owner.isEmpty() || owner.get().equals(connection.owner())) {
+        newestFirst.remove();
         markInUse(connection);
         return Optional.of(connection);
       }
-      connection.close();
     }
     return Optional.empty();
   }
 
+  /** Takes the least recently used idle connection, to replace it by one of another owner. */
+  Optional<C> takeReplaceable() {
+    return Optional.ofNullable(idle.pollFirst());
+  }
+
   private void markInUse(C connection) {
-    inUse.put(connection, clock.nowNanos());
+    long now = clock.nowNanos();
+    inUse.put(connection, now);
+    if (connection.owner().isOrganisation()) {
+      ownerUses.put(connection.owner(), now);
+    }
     meanDemand.update(demand());
     peakInUse = Math.max(peakInUse, inUse.size() + opening);
   }
 
-  void beginOpening() {
+  /**
+   * Counts a connection that is being opened.
+   *
+   * @param owner empty if any connection will do
+   * @return the owner in whose name to open it
+   */
+  ConnectionOwner beginOpening(Optional<ConnectionOwner> owner) {
+    lastOwner = owner.orElse(lastOwner);
     opening++;
     meanDemand.update(demand());
     peakInUse = Math.max(peakInUse, inUse.size() + opening);
+    return lastOwner;
   }
 
   void openingFailed() {
@@ -151,28 +186,29 @@
     idle.addLast(connection);
   }
 
-  /** Queues a request behind all requests with the same or a smaller priority number. */
-  void enqueue(CompletableFuture<C> request, int priority) {
-    int index = requests.size();
-    while (index > 0 && requests.get(index - 1).priority() > priority) {
-      index--;
-    }
-    requests.add(index, new QueuedRequest<>(request, priority));
+  /** Queues a request; see {@link RequestQueue} for the order. */
+  void enqueue(CompletableFuture<C> request, Optional<ConnectionOwner> owner, int priority) {
+    requests.add(request, owner, priority, clock.nowNanos());
     meanDemand.update(demand());
   }
 
   void removeRequest(CompletableFuture<C> request) {
-    requests.removeIf(entry -> entry.connection() == request);
+    requests.remove(request);
     meanDemand.update(demand());
   }
 
-  Optional<CompletableFuture<C>> pollRequest() {
-    if (requests.isEmpty()) {
-      return Optional.empty();
-    }
-    CompletableFuture<C> next = requests.remove(0).connection();
+  Optional<QueuedRequest<C>> pollRequest() {
+    Optional<QueuedRequest<C>> next = requests.poll();
+    meanDemand.update(demand());
+    return next;
+  }
+
+  /** Removes and returns the request to serve when the given connection is released. */
+  Optional<QueuedRequest<C>> pollRequestFor(C released) {
+    long now = clock.nowNanos();
+    Optional<QueuedRequest<C>> next = requests.pollFor(released, mayOpen(now), now);
     meanDemand.update(demand());
-    return Optional.of(next);
+    return next;
   }
 
   /** Returns the number of connections in use, being opened or requested. */
@@ -187,14 +223,12 @@
 
   /** Removes and returns all queued requests. */
   List<CompletableFuture<C>> takeRequests() {
-    List<CompletableFuture<C>> all = requests.stream().map(QueuedRequest::connection).toList();
-    requests.clear();
+    List<CompletableFuture<C>> all =
+        requests.takeAll().stream().map(QueuedRequest::connection).toList();
     meanDemand.update(demand());
     return all;
   }
 
-  private record QueuedRequest<C>(CompletableFuture<C> connection, int priority) {}
-
   /**
    * Returns the connections to close, and removes the idle ones among them: idle connections beyond
    * the allowed number, and all connections in use if none is allowed.
@@ -215,15 +249,16 @@
    * which must be closed.
    */
   List<C> transferRequestsTo(ServerPool<C> successor) {
-    successor.requests.addAll(requests);
-    requests.clear();
+    successor.requests.addAll(requests.takeAll());
     List<C> idleConnections = new ArrayList<>(idle);
     idle.clear();
     return idleConnections;
   }
 
   PoolUse takeUse() {
-    PoolUse use = new PoolUse(open(), peakInUse, requests.size());
+    long now = clock.nowNanos();
+    ownerUses.values().removeIf(last -> now - last > ACTIVE_OWNER_NANOS);
+    PoolUse use = new PoolUse(open(), peakInUse, requests.size(), ownerUses.size());
     peakInUse = inUse.size() + opening;
     return use;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPools.java
@@ -13,6 +13,6 @@
 
   /** Creates pools that are limited by an allowance. */
   public ServerPools(ServerConnector connector, ConnectionAllowance allowance) {
-    super((server, timeout) -> connector.connect(server.address(), timeout), allowance);
+    super((server, owner, timeout) -> connector.connect(server.address(), timeout), allowance);
   }
 }
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterAssignment.java
@@ -0,0 +1,85 @@
+package org.alderyard.proxy.quota;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.alderyard.common.id.RendezvousScores;
+import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.HostState;
+
+/**
+ * Selects the hosts that count the operations of an organisation.
+ *
+ * <p>A few hosts of each availability zone are counters of all organisations, so that hosts need
+ * few links to them. The selection depends on the hosts alone and changes little when a host comes
+ * or goes.
+ */
+final class CounterAssignment {
+  /** Hosts of an availability zone for each counter in it. */
+  private static final int HOSTS_PER_COUNTER = 8;
+
+  /** Minimum number of counters of one organisation, so that the others grant while one fails. */
+  private static final int MIN_PARTS = 3;
+
+  private static final long POOL_HASH = RendezvousScores.nameHash("quota counters");
+
+  private final RendezvousScores scores = new RendezvousScores();
+
+  private record ScoredHost(HostState host, long score) {}
+
+  /**
+   * Returns the counters of each availability zone, which share all organisations among them.
+   *
+   * @param eligible whether a host may be a counter
+   */
+  Map<ZoneName, List<HostState>> counters(
+      Collection<HostState> hosts, Predicate<HostState> eligible) {
+    Map<ZoneName, List<HostState>> zones = new TreeMap<>();
+    for (HostState host : hosts) {
+      if (host.acceptsNewWork() && eligible.test(host)) {
+        zones.computeIfAbsent(host.zone(), zone -> new ArrayList<>()).add(host);
+      }
+    }
+    int countersOfOrganisation = countersPerZone(zones.size());
+    zones.replaceAll(
+        (zone, members) ->
+            best(
+                members,
+                POOL_HASH,
+                Math.max(
+                    countersOfOrganisation,
+                    (members.size() + HOSTS_PER_COUNTER - 1) / HOSTS_PER_COUNTER)));
+    return zones;
+  }
+
+  private static int countersPerZone(int zones) {
+    return Math.max(1, (MIN_PARTS + zones - 1) / Math.max(1, zones));
+  }
+
+  /** Returns the counters of one organisation, the best of each availability zone first. */
+  List<HostState> countersOf(String organisation, Map<ZoneName, List<HostState>> counters) {
+    long hash = RendezvousScores.nameHash(organisation);
+    List<HostState> result = new ArrayList<>();
+    counters
+        .values()
+        .forEach(zone -> result.addAll(best(zone, hash, countersPerZone(counters.size()))));
+    return result;
+  }
+
+  /** Returns the hosts with the highest scores; control hosts only after all others. */
+  private List<HostState> best(List<HostState> hosts, long hash, int count) {
+    return hosts.stream()
+        .map(host -> new ScoredHost(host, scores.score(hash, host.id())))
+        .sorted(
+            Comparator.comparing((ScoredHost scored) -> scored.host().control())
+                .thenComparing(Comparator.comparingLong(ScoredHost::score).reversed())
+                .thenComparing(scored -> scored.host().id()))
+        .limit(count)
+        .map(ScoredHost::host)
+        .toList();
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaCounter.java
@@ -0,0 +1,95 @@
+package org.alderyard.proxy.quota;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.OrganisationQuota;
+import org.alderyard.common.view.OrganisationState;
+import org.alderyard.common.view.View;
+import org.alderyard.protocol.generated.quota.TakeQuotaReply;
+import org.alderyard.protocol.generated.quota.TakeQuotaReply.Verdict;
+import org.alderyard.protocol.generated.quota.TakeQuotaRequest;
+
+/**
+ * Grants operations to other hosts, for the organisations that this host counts.
+ *
+ * <p>A host whose view is not confirmed may have a successor and grants nothing. Only shortly after
+ * its first view it grants without a confirmation, as all hosts wait for each other after a common
+ * restart. Thread-safe.
+ */
+final class QuotaCounter {
+  private static final TakeQuotaReply NOT_COUNTED =
+      TakeQuotaReply.newBuilder().setVerdict(Verdict.NOT_OWNER).build();
+
+  /** Time after the first view in which a confirmation is not required. */
+  private static final long START_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private final Supplier<View> views;
+  private final CounterView counters;
+  private final QuotaLedger ledger;
+  private final BooleanSupplier viewConfirmed;
+  private final MonotonicClock clock;
+  private volatile Optional<Long> firstViewNanos = Optional.empty();
+  private volatile boolean stopped;
+
+  QuotaCounter(
+      Supplier<View> views,
+      CounterView counters,
+      QuotaLedger ledger,
+      BooleanSupplier viewConfirmed,
+      MonotonicClock clock) {
+    this.views = views;
+    this.counters = counters;
+    this.ledger = ledger;
+    this.viewConfirmed = viewConfirmed;
+    this.clock = clock;
+  }
+
+  /** Answers a request of another host. */
+  TakeQuotaReply take(TakeQuotaRequest request) {
+    View view = views.get();
+    long now = clock.nowNanos();
+    Optional<OrganisationQuota> quota =
+        view.configuration()
+            .flatMap(current -> current.organisations().byName(request.getOrganisation()))
+            .flatMap(OrganisationState::quota);
+    if (quota.isEmpty() || stopped || !isConfirmed(now)) {
+      return NOT_COUNTED;
+    }
+    if (!counters.mayGrant(request.getOrganisation())) {
+      ledger.forget(request.getOrganisation());
+      return NOT_COUNTED;
+    }
+    QuotaLedger.Grant grant =
+        ledger.take(
+            request.getOrganisation(),
+            quota.get(),
+            counters.countersOf(request.getOrganisation()).size(),
+            request.getOperations(),
+            now);
+    return TakeQuotaReply.newBuilder()
+        .setVerdict(grant.operations() > 0 ? Verdict.GRANTED : Verdict.EXHAUSTED)
+        .setOperations(grant.operations())
+        .setRetryAfterMillis(grant.retryAfterMillis())
+        .build();
+  }
+
+  /** Records that a view has arrived. */
+  void onViewChange() {
+    if (firstViewNanos.isEmpty()) {
+      firstViewNanos = Optional.of(clock.nowNanos());
+    }
+  }
+
+  private boolean isConfirmed(long nowNanos) {
+    return viewConfirmed.getAsBoolean()
+        || firstViewNanos.filter(first -> nowNanos - first < START_NANOS).isPresent();
+  }
+
+  /** Stops to grant, before this host leaves and another one takes over. */
+  void stop() {
+    stopped = true;
+  }
+}
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -0,0 +1,199 @@
+package org.alderyard.proxy.quota;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.OrganisationState;
+import org.alderyard.common.view.View;
+import org.alderyard.protocol.data.DataMethods;
+import org.alderyard.protocol.generated.quota.TakeQuotaRequest;
+import org.alderyard.protocol.wire.Dispatcher;
+import org.alderyard.protocol.wire.PeerLinks;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Limits the operations that callers of this host begin, and counts those of other hosts. */
+public final class QuotaService implements OrganisationLimiter {
+  private static final Logger log = LoggerFactory.getLogger(QuotaService.class);
+
+  /** How long a counter that did not reply is asked after the others. */
+  private static final long SILENT_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final HostState self;
+  private final MonotonicClock clock;
+  private final CounterView counters;
+  private final QuotaCounter counter;
+  private final CounterClient client;
+  private final Map<String, HeldOperations> held = new ConcurrentHashMap<>();
+  private final Map<HostId, Long> silentSinceNanos = new ConcurrentHashMap<>();
+  private final Counter decisions;
+
+  /**
+   * Creates a service.
+   *
+   * @param viewConfirmed whether the control hosts have recently confirmed this host's view
+   * @param source selects counters
+   * @param tolerance how far a limit may be exceeded in a window
+   */
+  public QuotaService(
+      HostState self,
+      CounterSource source,
+      Supplier<View> views,
+      PeerLinks links,
+      MonotonicClock clock,
+      BooleanSupplier viewConfirmed,
+      QuotaTolerance tolerance,
+      PrometheusRegistry registry) {
+    this(
+        self,
+        source,
+        views,
+        (host, request, timeout) ->
+            links.linkTo(host.innerAddress()).call(DataMethods.TAKE_QUOTA, request, timeout),
+        clock,
+        viewConfirmed,
+        tolerance,
+        registry);
+  }
+
+  QuotaService(
+      HostState self,
+      CounterSource source,
+      Supplier<View> views,
+      CounterClient remote,
+      MonotonicClock clock,
+      BooleanSupplier viewConfirmed,
+      QuotaTolerance tolerance,
+      PrometheusRegistry registry) {
+    this.self = self;
+    this.clock = clock;
+    counters = new CounterView(self, source, clock);
+    counter = new QuotaCounter(views, counters, new QuotaLedger(tolerance), viewConfirmed, clock);
+    client =
+        (host, request, timeout) ->
+            host.id().equals(self.id())
+                ? CompletableFuture.completedFuture(counter.take(request))
+                : remote
+                    .take(host, request, timeout)
+                    .whenComplete((reply, failure) -> recordReply(host, failure != null));
+    decisions =
+        Counter.builder()
+            .name("alderyard_operations")
+            .help("Operations of organisations by the decision of their quota.")
+            .labelNames("decision")
+            .register(registry);
+  }
+
+  /** Records a new view. Must be called for each view, in order. */
+  public void onViewChange(View view) {
+    counters.update(view);
+    counter.onViewChange();
+  }
+
+  /** Serves the requests of other hosts. */
+  public void serve(Dispatcher dispatcher) {
+    dispatcher.serve(
+        DataMethods.TAKE_QUOTA,
+        (peer, request) -> CompletableFuture.completedFuture(counter.take(request)));
+  }
+
+  /** Stops to count operations, before this host leaves. */
+  public void stopCounting() {
+    counter.stop();
+  }
+
+  QuotaCounter counter() {
+    return counter;
+  }
+
+  private void recordReply(HostState host, boolean silent) {
+    if (silent) {
+      silentSinceNanos.put(host.id(), clock.nowNanos());
+    } else {
+      silentSinceNanos.remove(host.id());
+    }
+  }
+
+  @Override
+  public CompletableFuture<QuotaDecision> begin(OrganisationState organisation) {
+    if (organisation.quota().isEmpty()) {
+      return CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
+    }
+    HeldOperations operations =
+        held.computeIfAbsent(organisation.name(), name -> new HeldOperations());
+    CompletableFuture<QuotaDecision> decision = operations.begin(clock.nowNanos());
+    if (!decision.isDone()) {
+      requestOperations(organisation.name(), operations);
+    }
+    return decision.thenApply(made -> record(organisation, made));
+  }
+
+  private QuotaDecision record(OrganisationState organisation, QuotaDecision decision) {
+    decisions.labelValues(decision.verdict().name()).inc();
+    if (decision.verdict() != QuotaDecision.Verdict.ADMITTED) {
+      log.info(
+          "event=operation-refused organisation={} reason={} rate-per-second={} burst={}"
+              + " counters={} retry-after-millis={} outcome=NOT_RUN",
+          organisation.name(),
+          decision.verdict(),
+          organisation.quota().orElseThrow().ratePerSecond(),
+          organisation.quota().orElseThrow().burst(),
+          counters.countersOf(organisation.name()).size(),
+          decision.retryAfterMillis());
+    }
+    return decision;
+  }
+
+  private void requestOperations(String organisation, HeldOperations operations) {
+    int wanted = operations.beginRequest();
+    if (wanted == 0) {
+      return;
+    }
+    TakeQuotaRequest message =
+        TakeQuotaRequest.newBuilder().setOrganisation(organisation).setOperations(wanted).build();
+    List<HostState> candidates = nearestFirst(counters.countersOf(organisation));
+    new QuotaRequest(client, clock, message, candidates)
+        .run()
+        .thenAccept(
+            result -> {
+              complete(operations, result);
+              requestOperations(organisation, operations);
+            });
+  }
+
+  /** Sorts counters: this host, then those in its availability zone; silent ones last. */
+  private List<HostState> nearestFirst(List<HostState> all) {
+    List<HostState> sorted = new ArrayList<>(all);
+    sorted.sort(
+        Comparator.comparing(this::isSilent)
+            .thenComparing(host -> !host.id().equals(self.id()))
+            .thenComparing(host -> !host.zone().equals(self.zone())));
+    return sorted;
+  }
+
+  private boolean isSilent(HostState host) {
+    Long since = silentSinceNanos.get(host.id());
+    return since != null && clock.nowNanos() - since < SILENT_BACKOFF_NANOS;
+  }
+
+  private void complete(HeldOperations operations, QuotaRequest.Result result) {
+    long now = clock.nowNanos();
+    QuotaDecision decision = result.decision();
+    List<CompletableFuture<QuotaDecision>> completed =
+        decision.verdict() == QuotaDecision.Verdict.ADMITTED
+            ? operations.granted(result.operations(), result.sentNanos(), now)
+            : operations.refused(decision, now);
+    completed.forEach(waiting -> waiting.complete(decision));
+  }
+}
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
@@ -173,8 +173,8 @@
 
   @Test
   void unknownDatabaseIsRefusedWhenSessionIsOpened() {
-    assertThat(fixture.service.refusal("nowhere").orElseThrow().code())
+    assertThat(fixture.service.refusal("nowhere", CallerIdentity.ANONYMOUS).orElseThrow().code())
         .isEqualTo(RefusalCode.UNKNOWN_DATABASE);
-    assertThat(fixture.service.refusal(SessionFixture.BOUNDED)).isEmpty();
+    assertThat(fixture.service.refusal(SessionFixture.BOUNDED, CallerIdentity.ANONYMOUS)).isEmpty();
   }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionAdmissionAfterStartTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionAdmissionAfterStartTest.java
@@ -21,7 +21,7 @@
   void hostWithoutServingDelayAdmitsSessionsWithItsFirstView() {
     try (SessionFixture host = new SessionFixture("z0", group())) {
       CompletableFuture<Optional<Refusal>> admission =
-          host.service.admission(SessionFixture.NEWEST);
+          host.service.admission(SessionFixture.NEWEST, CallerIdentity.ANONYMOUS);
       assertThat(admission.isDone()).isTrue();
       assertThat(admission.join()).isEqualTo(Optional.empty());
     }
@@ -35,16 +35,18 @@
     // than necessary.
     try (SessionFixture host = new SessionFixture("z0", group(), Duration.ofMillis(200))) {
       CompletableFuture<Optional<Refusal>> admission =
-          host.service.admission(SessionFixture.NEWEST);
+          host.service.admission(SessionFixture.NEWEST, CallerIdentity.ANONYMOUS);
       assertThat(admission.join()).isEqualTo(Optional.empty());
-      assertThat(host.service.admission(SessionFixture.NEWEST).isDone()).isTrue();
+      assertThat(host.service.admission(SessionFixture.NEWEST, CallerIdentity.ANONYMOUS).isDone())
+          .isTrue();
     }
   }
 
   @Test
   void sessionIsAdmittedAfterTimeoutDespiteServingDelay() {
     try (SessionFixture host = new SessionFixture("z0", group(), LONG_DELAY)) {
-      assertThat(host.service.admission(SessionFixture.NEWEST).join()).isEqualTo(Optional.empty());
+      assertThat(host.service.admission(SessionFixture.NEWEST, CallerIdentity.ANONYMOUS).join())
+          .isEqualTo(Optional.empty());
     }
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -1,6 +1,7 @@
 package org.alderyard.proxy.callersession;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionStatement;
@@ -30,6 +32,9 @@
 import org.alderyard.common.view.DatabaseState;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.KeyDigest;
+import org.alderyard.common.view.OrganisationState;
+import org.alderyard.common.view.Organisations;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.SessionReads;
 import org.alderyard.common.view.View;
@@ -62,6 +67,8 @@
   private int statements;
   private List<HostState> hosts = List.of();
   private int connectionsPerServer = 40;
+  private int timeoutMillis = TIMEOUT_MILLIS;
+  private Organisations organisations = Organisations.NONE;
 
   SessionFixture() {
     this("z0");
@@ -104,6 +111,28 @@
     publish("s1", group.states());
   }
 
+  /** Publishes a view in which statements have this timeout and latency objective. */
+  void timeout(int millis) {
+    timeoutMillis = millis;
+    publish("s1", group.states());
+  }
+
+  /** Publishes a view with these organisations. */
+  void organisations(OrganisationState... all) {
+    organisations = Organisations.of(List.of(all));
+    publish("s1", group.states());
+  }
+
+  static CallerIdentity identity(String key) {
+    return CallerIdentity.ofKey(key.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns an organisation without a quota. */
+  static OrganisationState organisation(String name, String... keys) {
+    return new OrganisationState(
+        name, Stream.of(keys).map(KeyDigest::of).toList(), 1, Optional.empty());
+  }
+
   /** Publishes a view in the next term with this primary. */
   void publish(String primary, List<ServerState> servers) {
     version++;
@@ -132,14 +161,16 @@
             new TreeMap<>(Map.of(id, 40)),
             IDLE_MILLIS,
             0,
+            organisations,
             Bytes.of(new byte[0]),
+            false,
             Bytes.of(new byte[0])));
     views.updateIfNewer(editor.at(new ViewVersion(1, version)));
   }
 
   private DatabaseState database(String name, SessionReads reads) {
     return new DatabaseState(
-        name, "/", group.id(), reads, TIMEOUT_MILLIS, TIMEOUT_MILLIS, 1, STALENESS_MILLIS);
+        name, "/", group.id(), reads, timeoutMillis, timeoutMillis, 1, STALENESS_MILLIS);
   }
 
   SessionContext context() {
@@ -152,7 +183,11 @@
   }
 
   Caller caller(String database) {
-    return new Caller(service.open(database));
+    return new Caller(service.open(database, CallerIdentity.ANONYMOUS));
+  }
+
+  Caller caller(String database, String key) {
+    return new Caller(service.open(database, identity(key)));
   }
 
   /** A caller that waits for each reply. */
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
@@ -106,6 +107,7 @@
     // then would leave its outcome unknown; refusing it lets the caller retry.
     StatementTask nearDeadline =
         new StatementTask(
+            ConnectionOwner.NONE,
             SessionRequest.of("q", new Write("a", "1")),
             StatementKind.WRITE,
             false,
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnknownDatabaseTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnknownDatabaseTest.java
@@ -20,7 +20,7 @@
   }
 
   private RefusalCode refusalCode() {
-    return host.service.refusal("added-since").orElseThrow().code();
+    return host.service.refusal("added-since", CallerIdentity.ANONYMOUS).orElseThrow().code();
   }
 
   @Test
@@ -42,6 +42,6 @@
   void knownDatabaseIsServedWithoutConfirmedView() {
     host.viewConfirmed = false;
 
-    assertThat(host.service.refusal(SessionFixture.BOUNDED)).isEmpty();
+    assertThat(host.service.refusal(SessionFixture.BOUNDED, CallerIdentity.ANONYMOUS)).isEmpty();
   }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/lease/SmoothedConnectionTargetTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/lease/SmoothedConnectionTargetTest.java
@@ -16,7 +16,7 @@
  */
 class SmoothedConnectionTargetTest {
   private static final ServerId SERVER = new ServerId("s1");
-  private static final PoolUse PEAK_OF_FIVE = new PoolUse(5, 5, 0);
+  private static final PoolUse PEAK_OF_FIVE = new PoolUse(5, 5, 0, 0);
 
   private final Map<ServerId, Double> means = new HashMap<>();
   private final SmoothedConnectionTarget target =
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/BlockedConnectionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/BlockedConnectionTest.java
@@ -3,9 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.SessionConnection;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
@@ -74,14 +76,14 @@
     ServerPool<SessionConnection> pool =
         new ServerPool<>(1, () -> TimeUnit.MILLISECONDS.toNanos(nowMillis.get()));
     for (int statement = 0; statement < 30; statement++) {
-      SessionConnection connection = group.connect(server, LONG).join();
-      pool.beginOpening();
+      SessionConnection connection = group.connect(server, ConnectionOwner.NONE, LONG).join();
+      pool.beginOpening(Optional.empty());
       pool.opened(connection);
       nowMillis.addAndGet(200);
       pool.release(connection);
     }
-    pool.beginOpening();
-    pool.opened(group.connect(server, LONG).join());
+    pool.beginOpening(Optional.empty());
+    pool.opened(group.connect(server, ConnectionOwner.NONE, LONG).join());
 
     nowMillis.addAndGet(300);
     assertThat(pool.blocked()).isEqualTo(0);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/FullServerTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/FullServerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.ConnectRefusedException;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnection;
@@ -30,7 +31,7 @@
   private int connectAttempts;
   private final ConnectionPools<SessionConnection> pools =
       new ConnectionPools<>(
-          (target, timeout) -> connect(),
+          (target, owner, timeout) -> connect(),
           target -> 2,
           () -> TimeUnit.MILLISECONDS.toNanos(nowMillis));
 
@@ -41,7 +42,7 @@
           new ConnectRefusedException(RefusalCode.CONNECTION_LIMIT, "full"));
     }
     acceptableConnections--;
-    return group.connect(server, LONG);
+    return group.connect(server, ConnectionOwner.NONE, LONG);
   }
 
   @Test
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/ServerPoolsTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/pool/ServerPoolsTest.java
@@ -55,7 +55,7 @@
     server.pools.acquire(SERVER, LONG).join();
     CompletableFuture<ServerConnection> third = server.pools.acquire(SERVER, LONG);
     assertThat(third.isDone()).isFalse();
-    assertThat(server.pools.takeUse(SERVER.id())).isEqualTo(new PoolUse(2, 2, 1));
+    assertThat(server.pools.takeUse(SERVER.id())).isEqualTo(new PoolUse(2, 2, 1, 0));
     server.pools.release(SERVER, first);
     assertThat(third.join()).isSameInstanceAs(first);
     assertThat(server.open()).isEqualTo(2);
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
@@ -34,6 +35,7 @@
 final class ModelConnection implements SessionConnection {
   private final ModelGroup group;
   private final ModelServer server;
+  private final ConnectionOwner owner;
   private final int number;
   private final Map<String, String> values = new TreeMap<>();
   private final Map<String, Prepare> prepared = new HashMap<>();
@@ -47,9 +49,10 @@
     private static final long serialVersionUID = 1L;
   }
 
-  ModelConnection(ModelGroup group, ModelServer server, int number) {
+  ModelConnection(ModelGroup group, ModelServer server, ConnectionOwner owner, int number) {
     this.group = group;
     this.server = server;
+    this.owner = owner;
     this.number = number;
   }
 
@@ -161,6 +164,7 @@
     server.addRun(
         new ModelServer.RanStatement(
             request.id(),
+            owner,
             number,
             request.statement(),
             Map.copyOf(values),
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelGroup.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelGroup.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.ConnectRefusedException;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnection;
@@ -116,7 +117,8 @@
   }
 
   @Override
-  public CompletableFuture<SessionConnection> connect(ServerState state, Duration timeout) {
+  public CompletableFuture<SessionConnection> connect(
+      ServerState state, ConnectionOwner owner, Duration timeout) {
     Optional<ModelServer> server =
         servers.values().stream()
             .filter(candidate -> candidate.state().address().equals(state.address()))
@@ -131,6 +133,6 @@
               RefusalCode.WRONG_SERVER, "address belongs to another server"));
     }
     return CompletableFuture.completedFuture(
-        new ModelConnection(this, server.get(), connections.incrementAndGet()));
+        new ModelConnection(this, server.get(), owner, connections.incrementAndGet()));
   }
 }
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionStatement;
 import org.alderyard.common.id.Position;
@@ -22,6 +23,7 @@
    * A statement that the server ran.
    *
    * @param id the id that the caller gave the statement, if any
+   * @param owner the owner of the connection that the statement arrived on
    * @param connection the number of the connection that the statement arrived on
    * @param statement the statement that ran
    * @param values the values of the session at the time of the run
@@ -29,6 +31,7 @@
    */
   public record RanStatement(
       Optional<String> id,
+      ConnectionOwner owner,
       int connection,
       SessionStatement statement,
       Map<String, String> values,
