Make tests of queued statements independent of the machine's speed

SharedRefusalsTest#queuedWritesRunOncePrimaryHasFreeSlot was listed as red: one of 40 writes was refused with s1:BUSY*1 after 309 ms beside load. A statement searches for half of its timeout, 300 ms in the fixture, and the test frees the slot 100 ms after it has started 40 statements. A run with the test's own thread late by 200 ms gave the same line: the first statement, s1:BUSY*1, waited 311 ms (two of two runs failed; in the slower one eight were refused). Nothing was wrong in the product.

The two tests that wait for a condition use a timeout of 20 s; what they assert is unchanged.

--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SharedRefusalsTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SharedRefusalsTest.java
@@ -18,6 +18,9 @@
 class SharedRefusalsTest {
   private static final int STATEMENTS = 40;
 
+  /** Long enough that no statement gives up while a slow machine starts all of them. */
+  private static final int LONG_TIMEOUT_MILLIS = 20_000;
+
   private final SessionFixture fixture = new SessionFixture("z1");
 
   @AfterEach
@@ -53,6 +56,7 @@
 
   @Test
   void readsRunOnceReplicaHoldsTheMissingPosition() throws Exception {
+    fixture.timeout(LONG_TIMEOUT_MILLIS);
     fixture.caller(SessionFixture.NEWEST).write("a", "1");
     fixture.group.server("s1").refuseBusy(Integer.MAX_VALUE);
     List<CompletableFuture<SessionReply>> replies = startAll(SessionFixture.BOUNDED, new Read("a"));
@@ -79,6 +83,7 @@
 
   @Test
   void queuedWritesRunOncePrimaryHasFreeSlot() throws Exception {
+    fixture.timeout(LONG_TIMEOUT_MILLIS);
     fixture.group.server("s1").refuseBusy(Integer.MAX_VALUE);
     List<CompletableFuture<SessionReply>> replies =
         startAll(SessionFixture.NEWEST, new Write("a", "1"));
