Send hosts views without the source of configurations

The change took up to ten seconds to be acknowledged. Each view carried the operator's document to every host beside its parsed form, over links of 2 Mbit/s, and only control hosts return it.

Views sent to hosts leave the document out.

--- a/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
@@ -86,4 +86,8 @@
   TicketService tickets() {
     return tickets;
   }
+
+  ConfigurationService configurations() {
+    return configurations;
+  }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
@@ -70,7 +70,8 @@
               ViewSnapshot filtered =
                   all.toBuilder()
                       .clearObjects()
-                      .addAllObjects(filter(all.getObjectsList(), groupFilter))
+                      .addAllObjects(
+                          filter(withoutSources(all.getObjectsList()).objects(), groupFilter))
                       .build();
               return FetchViewReply.newBuilder()
                   .setSnapshot(filtered)
@@ -80,17 +81,46 @@
   }
 
   private static FetchViewReply deltas(List<ViewDelta> deltas, Set<String> groupFilter) {
-    ViewDeltas.Builder filtered = ViewDeltas.newBuilder().setFiltered(!groupFilter.isEmpty());
+    ViewDeltas.Builder sent = ViewDeltas.newBuilder();
+    boolean anyFiltered = !groupFilter.isEmpty();
     for (ViewDelta delta : deltas) {
-      filtered.addDeltas(
-          groupFilter.isEmpty()
+      StrippedObjects stripped = withoutSources(delta.getObjectsList());
+      anyFiltered |= stripped.changed();
+      sent.addDeltas(
+          groupFilter.isEmpty() && !stripped.changed()
               ? delta
               : delta.toBuilder()
                   .clearObjects()
-                  .addAllObjects(filter(delta.getObjectsList(), groupFilter))
+                  .addAllObjects(filter(stripped.objects(), groupFilter))
                   .build());
     }
-    return FetchViewReply.newBuilder().setDeltas(filtered).build();
+    return FetchViewReply.newBuilder().setDeltas(sent.setFiltered(anyFiltered)).build();
+  }
+
+  private record StrippedObjects(List<ObjectState> objects, boolean changed) {}
+
+  /**
+   * Removes the source of configurations. It is more than half of a view, only control hosts return
+   * it, and they read it from their own state.
+   */
+  private static StrippedObjects withoutSources(List<ObjectState> objects) {
+    boolean hasSource = objects.stream().anyMatch(ViewService::hasSource);
+    if (!hasSource) {
+      return new StrippedObjects(objects, false);
+    }
+    return new StrippedObjects(objects.stream().map(ViewService::withoutSource).toList(), true);
+  }
+
+  private static boolean hasSource(ObjectState object) {
+    return object.hasConfiguration() && !object.getConfiguration().getSource().isEmpty();
+  }
+
+  private static ObjectState withoutSource(ObjectState object) {
+    return hasSource(object)
+        ? object.toBuilder()
+            .setConfiguration(object.getConfiguration().toBuilder().clearSource())
+            .build()
+        : object;
   }
 
   private static List<ObjectState> filter(List<ObjectState> objects, Set<String> groupFilter) {
--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
@@ -6,6 +6,7 @@
 import static org.alderyard.control.service.ControlHost.group;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.List;
 import org.alderyard.common.concurrent.WorkerPool;
@@ -17,10 +18,13 @@
 import org.alderyard.common.time.ManualClock;
 import org.alderyard.common.view.ServerStatus;
 import org.alderyard.control.state.TicketObjects;
+import org.alderyard.protocol.generated.control.FetchConfigurationRequest;
+import org.alderyard.protocol.generated.control.ReplaceConfigurationRequest;
 import org.alderyard.protocol.generated.control.SubmitTicketRequest;
 import org.alderyard.protocol.generated.control.Ticket;
 import org.alderyard.protocol.generated.control.TicketStatusRequest;
 import org.alderyard.protocol.generated.control.TicketVerdict;
+import org.alderyard.protocol.generated.state.Configuration;
 import org.alderyard.protocol.view.ViewFollower;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -156,6 +160,44 @@
     assertThat(follower.view().group(new GroupId("g1")).get().slotsPerServer()).isEqualTo(42);
   }
 
+  /**
+   * The source of a large configuration fills the links of hosts, so that responses to operators
+   * are late by seconds.
+   */
+  @Test
+  void viewsOfHostsDoNotContainSourceOfConfiguration() {
+    Configuration configuration =
+        Configuration.newBuilder()
+            .setNumber(1)
+            .setSource(ByteString.copyFromUtf8("x".repeat(100_000)))
+            .build();
+    first.submitMany(1);
+    ViewFollower before = catchUp(first, ViewFollower.EMPTY);
+    first
+        .service
+        .configurations()
+        .replace(ReplaceConfigurationRequest.newBuilder().setConfiguration(configuration).build())
+        .join();
+
+    var delta = first.fetch(before);
+    var snapshot = first.fetch(ViewFollower.EMPTY);
+
+    assertThat(delta.getSerializedSize()).isLessThan(1_000);
+    assertThat(snapshot.getSerializedSize()).isLessThan(1_000);
+    ViewFollower after = ControlHost.accept(before, delta).follower();
+    assertThat(after.view().configuration().orElseThrow().number()).isEqualTo(1);
+    assertThat(after.chainHash()).isEqualTo(snapshot.getChainHash());
+    assertThat(
+            first
+                .service
+                .configurations()
+                .fetch(FetchConfigurationRequest.getDefaultInstance())
+                .join()
+                .getConfiguration()
+                .getSource())
+        .isEqualTo(configuration.getSource());
+  }
+
   /** A restarted control host has no deltas, so a proxy that lags gets a snapshot. */
   @Test
   void restartedControlHostAnswersLaggingProxyWithSnapshot() {
