Redirect reads of the configuration to control hosts

A host with a link of 2 Mbit/s fetched the document from the leader, which took longer than the 0.7 s of the call, and sent it over the same link again; an answer begun before the acknowledgement arrived three seconds after it.

A host without a disk answers a read of the configuration with 307 and the address of the control host that served it last.

Uploads of large configurations through small hosts remain slow; they are acknowledged late but in time.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -1,5 +1,6 @@
 package org.alderyard.daemon;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -188,6 +189,7 @@
                     new ControlPort(
                             host.control,
                             host.settings.clusterKey()::documentSeal,
+                            () -> fetchRedirect(address.getPort()),
                             host.workers,
                             host.clock,
                             host.registry)
@@ -200,6 +202,18 @@
                     "metrics", address, Optional.empty(), new MetricsHandler(host.registry)));
   }
 
+  /**
+   * Returns where operators read the configuration: at a control host. All hosts have the same
+   * operator port.
+   */
+  private Optional<InetSocketAddress> fetchRedirect(int operatorPort) {
+    return host.settings.roles().contains(Role.CONTROL)
+        ? Optional.empty()
+        : host.control
+            .preferredHost()
+            .map(inner -> new InetSocketAddress(inner.getHostString(), operatorPort));
+  }
+
   private boolean ready() {
     return !stopping && sessions.ready();
   }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -66,6 +67,11 @@
     return links.linkTo(address(index)).call(method, request, timeout);
   }
 
+  /** Returns the control host that is asked first: the leader, if one has served a request. */
+  public Optional<InetSocketAddress> preferredHost() {
+    return hostCount() == 0 ? Optional.empty() : Optional.of(address(preferredIndex.get()));
+  }
+
   private InetSocketAddress address(int index) {
     List<InetSocketAddress> addresses = controlHosts.get();
     return addresses.get(Math.floorMod(index, addresses.size()));
