--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -73,14 +73,7 @@
    * @return a future that never fails; failures are reported as refusals
    */
   public CompletableFuture<SessionReply> handle(String id, SessionStatement statement) {
-    if (state == TransactionState.NONE
-        && needsServer(statement)
-        && !context.saturation().mayBegin()) {
-      return refuse(
-          RefusalCode.BUSY, "this host is saturated; retry after 200 ms", TransactionState.NONE);
-    }
     busy = true;
-    context.saturation().begin();
     long start = context.clock().nowNanos();
     CompletableFuture<SessionReply> result;
     try {
@@ -101,7 +94,6 @@
                       database ->
                           context.metrics().recordStatement(database.reads(), reply, now - start));
               busy = false;
-              context.saturation().end();
               if (closed) {
                 rollBack();
               }
@@ -109,14 +101,6 @@
             });
   }
 
-  /** Returns whether a statement outside a transaction begins an operation. */
-  private static boolean needsServer(SessionStatement statement) {
-    return statement instanceof Begin
-        || statement instanceof Read
-        || statement instanceof Write
-        || statement instanceof Execute;
-  }
-
   private SessionReply internalError(String id, Throwable failure) {
     log.error("event=statement-failed id={} outcome=OUTCOME_UNKNOWN", id, Futures.unwrap(failure));
     rollBack();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -65,23 +65,14 @@
    *     its view does not have the group, or if the statement can't be decoded
    */
   CompletableFuture<HeldStatementReply> run(HeldStatementRequest request) {
-    CompletableFuture<HeldStatementReply> reply = start(request);
-    context.saturation().begin();
-    return reply.whenComplete((ignored, failure) -> context.saturation().end());
-  }
-
-  private CompletableFuture<HeldStatementReply> start(HeldStatementRequest request) {
     long now = context.clock().nowNanos();
-    final StatementTask task = HeldStatementCodec.task(request, now);
-    final Optional<GroupRouting.Floor> lastWrite = HeldStatementCodec.lastWrite(request, now);
+    StatementTask task = HeldStatementCodec.task(request, now);
+    Optional<GroupRouting.Floor> lastWrite = HeldStatementCodec.lastWrite(request, now);
     Key key = Key.of(request.getHost(), request.getIncarnation(), request.getTransaction());
     if (request.getTransaction() != 0 && !request.getFirst()) {
       return runInTransaction(key, task).thenApply(HeldStatementCodec::replyMessage);
     }
     checkAccepts(task.database().group());
-    if (!context.saturation().mayBegin()) {
-      throw AlderyardException.notRun(ErrorCode.OVERLOADED, "this host is saturated");
-    }
     if (request.getTransaction() == 0) {
       return local.single(task, lastWrite).thenApply(HeldStatementCodec::replyMessage);
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
@@ -16,7 +16,6 @@
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
-import org.alderyard.proxy.limit.SaturationLimiter;
 import org.alderyard.proxy.pool.ConnectionPools;
 import org.alderyard.proxy.view.ViewHolder;
 
@@ -31,7 +30,6 @@
  * @param wallClock the time of day, used to detect that this host was suspended
  * @param metrics the session metrics
  * @param viewConfirmed whether the control hosts have recently confirmed this host's view
- * @param saturation limits statements while the processor of this host is saturated
  * @param routineLog selects the successful statements that are logged
  */
 record SessionContext(
@@ -43,7 +41,6 @@
     InstantSource wallClock,
     SessionMetrics metrics,
     BooleanSupplier viewConfirmed,
-    SaturationLimiter saturation,
     LogSampler routineLog) {
   /**
    * Timeout of a rollback, after which the connection is closed. A rollback needs no slot on the
@@ -61,7 +58,6 @@
     Objects.requireNonNull(wallClock);
     Objects.requireNonNull(metrics);
     Objects.requireNonNull(viewConfirmed);
-    Objects.requireNonNull(saturation);
     Objects.requireNonNull(routineLog);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -26,7 +26,6 @@
 import org.alderyard.protocol.control.ControlClient;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.PeerLinks;
-import org.alderyard.proxy.limit.SaturationLimiter;
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ConnectionPools;
 import org.alderyard.proxy.quota.OrganisationLimiter;
@@ -89,7 +88,6 @@
             wallClock,
             metrics,
             viewConfirmed,
-            new SaturationLimiter(),
             new LogSampler(limits.routineLogSample()));
     refresher = new SampleRefresher(context);
     operationLimiter = new OperationLimiter(views);
@@ -125,10 +123,6 @@
           "Statements that wait for a server of this kind.",
           () -> context.routings().queuedCount(need));
     }
-    metrics.gauge(
-        "alderyard_session_statement_limit",
-        "Statements that this host runs at a time before it refuses further ones.",
-        () -> (long) context.saturation().limit());
     metrics.gauge(
         "alderyard_session_connections_replaced",
         "Connections closed to open one of another organisation in their place.",
@@ -150,11 +144,6 @@
   /** Starts the periodic check for idle transactions. */
   public void start() {
     context.workers().scheduleRepeatedly(IDLE_CHECK_INTERVAL, this::endIdleTransactions);
-    context
-        .workers()
-        .scheduleRepeatedly(
-            Duration.ofMillis(SaturationLimiter.TICK_MILLIS),
-            () -> context.saturation().tick(context.clock().nowNanos()));
   }
 
   private void endIdleTransactions() {
