Begin operations before they are counted where the limit allows it

Change. - A counter tells whether its tokens allow one more operation of each host of its zone; a host then begins one and has it counted afterwards. What all hosts may begin that way stays within the tolerance of the limit. - A process that starts begins with what has accrued since its start: counters grant it, and hosts divide it among them, together with a part of the tolerance. - Grants expire after 100 ms instead of 300. - The statements of an organisation meet at a holder of their availability zone. - Holders are used again only where servers accept fewer connections than hosts need; counters at the holders are removed.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -97,7 +97,6 @@
     quota =
         new QuotaService(
             host.self,
-            sessions::meetingHosts,
             host.views::current,
             host.links,
             host.clock,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAffinity.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAffinity.java
@@ -9,7 +9,7 @@
 import org.alderyard.common.view.HostState;
 
 /**
- * Selects the holder at which the statements of one organisation meet.
+ * Selects the holder of an availability zone at which the statements of one organisation meet.
  *
  * <p>A connection serves one organisation, and servers accept fewer connections than there are
  * organisations. If the statements of an organisation were spread over all holders, each holder
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
@@ -58,16 +58,14 @@
   /**
    * Returns the holders of a group.
    *
-   * @return empty if all hosts hold connections, because the servers accept enough of them for each
-   *     organisation at each host
+   * @return empty if all hosts hold connections, because the servers accept enough of them
    */
   Optional<List<HostState>> holders(View view, GroupId group) {
     int acceptedConnections = view.group(group).map(GroupState::connectionsPerServer).orElse(0);
     List<HostState> hosts =
         view.hosts().values().stream().filter(HostState::acceptsNewWork).toList();
     int steadyStateConnections = acceptedConnections / STEADY_STATE_DIVISOR;
-    double neededConnections = hosts.size() * CONNECTIONS_PER_HOST * ownerCount(view);
-    if (acceptedConnections == 0 || neededConnections <= acceptedConnections) {
+    if (acceptedConnections == 0 || hosts.size() * CONNECTIONS_PER_HOST <= acceptedConnections) {
       return Optional.empty();
     }
     Map<ZoneName, List<ScoredHost>> zones = new TreeMap<>();
@@ -93,18 +91,6 @@
     return Optional.of(holders);
   }
 
-  /**
-   * Returns the number of owners of connections: a connection serves one organisation, and callers
-   * without organisations share all connections.
-   */
-  static int ownerCount(View view) {
-    int organisations =
-        view.configuration()
-            .map(configuration -> configuration.organisations().all().size())
-            .orElse(0);
-    return Math.max(1, organisations);
-  }
-
   private static int ceilDiv(int dividend, int divisor) {
     return (dividend + divisor - 1) / Math.max(1, divisor);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderSelector.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderSelector.java
@@ -58,7 +58,6 @@
   // Guarded by this.
   private Map<HostId, HostState> cachedHosts = Map.of();
   private Map<GroupId, GroupState> cachedGroups = Map.of();
-  private int cachedOwnerCount;
   private final Map<GroupId, GroupHolders> cache = new HashMap<>();
   private final Map<HostId, HolderTracker> trackers = new HashMap<>();
 
@@ -115,12 +114,8 @@
   }
 
   private GroupHolders groupHolders(View view, GroupId group) {
-    int ownerCount = HolderAssignment.ownerCount(view);
-    if (view.hosts() != cachedHosts
-        || view.groups() != cachedGroups
-        || ownerCount != cachedOwnerCount) {
+    if (view.hosts() != cachedHosts || view.groups() != cachedGroups) {
       cachedHosts = view.hosts();
-      cachedOwnerCount = ownerCount;
       cachedGroups = view.groups();
       cache.clear();
       trackers.keySet().retainAll(cachedHosts.keySet());
@@ -142,7 +137,8 @@
 
   /**
    * Returns the holder with the lowest expected latency that has not been tried and is below its
-   * in-flight limit; the preferred holder of the organisation if it replies.
+   * in-flight limit; the preferred holder of the organisation in this availability zone if it
+   * replies.
    */
   synchronized Optional<HostState> selectBest(
       GroupId group,
@@ -150,7 +146,9 @@
       List<HostState> holders,
       Set<HostId> tried,
       long nowNanos) {
-    Optional<HostId> preferred = affinity.preferred(group, owner, holders).map(HostState::id);
+    List<HostState> inZone = holders.stream().filter(holder -> holder.zone().equals(zone)).toList();
+    Optional<HostId> preferred =
+        affinity.preferred(group, owner, inZone.isEmpty() ? holders : inZone).map(HostState::id);
     return holders.stream()
         .filter(holder -> !tried.contains(holder.id()) && !tracker(holder).atInFlightLimit())
         .min(
@@ -162,7 +160,7 @@
   private double expectedMillis(HostState holder, boolean preferred, long nowNanos) {
     HolderTracker tracker = tracker(holder);
     return tracker.expectedMillis()
-        + (preferred || holder.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY_MILLIS)
+        + (holder.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY_MILLIS)
         + (preferred ? 0 : OTHER_HOLDER_PENALTY_MILLIS)
         + (isConnected.test(holder) ? 0 : UNCONNECTED_PENALTY_MILLIS)
         + (tracker.inBackoff(nowNanos) ? BACKOFF_PENALTY_MILLIS : 0);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OperationLimiter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OperationLimiter.java
@@ -13,7 +13,7 @@
  * Decides whether an operation is within the limit of its organisation.
  *
  * <p>Operations are counted by the host whose connection runs their first statement. The statements
- * of an organisation meet at few such hosts, which count most operations without a request.
+ * of an organisation meet at few such hosts, which request several operations at once.
  */
 final class OperationLimiter {
   private final ViewHolder views;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -3,7 +3,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -11,7 +10,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnector;
@@ -189,15 +187,6 @@
     operationLimiter.limitWith(limiter);
   }
 
-  /**
-   * Returns the hosts at which the statements of an organisation meet, one for each group.
-   *
-   * @return empty if its statements run on all hosts, or if there are too many groups
-   */
-  public Optional<List<HostState>> meetingHosts(View view, String organisation) {
-    return MeetingHosts.of(view, new ConnectionOwner(organisation));
-  }
-
   HeldStatements heldStatements() {
     return heldStatements;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterAssignment.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 import org.alderyard.common.id.RendezvousScores;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.view.HostState;
@@ -31,16 +30,11 @@
 
   private record ScoredHost(HostState host, long score) {}
 
-  /**
-   * Returns the counters of each availability zone, which share all organisations among them.
-   *
-   * @param eligible whether a host may be a counter
-   */
-  Map<ZoneName, List<HostState>> counters(
-      Collection<HostState> hosts, Predicate<HostState> eligible) {
+  /** Returns the counters of each availability zone, which share all organisations among them. */
+  Map<ZoneName, List<HostState>> counters(Collection<HostState> hosts) {
     Map<ZoneName, List<HostState>> zones = new TreeMap<>();
     for (HostState host : hosts) {
-      if (host.acceptsNewWork() && eligible.test(host)) {
+      if (host.acceptsNewWork()) {
         zones.computeIfAbsent(host.zone(), zone -> new ArrayList<>()).add(host);
       }
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterView.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterView.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.RendezvousScores;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
@@ -27,29 +29,60 @@
 
   private final HostState self;
   private final MonotonicClock clock;
-  private final CounterSource source;
   private final CounterAssignment assignment = new CounterAssignment();
+  private final RendezvousScores scores = new RendezvousScores();
   // Guarded by this.
-  private View current = View.EMPTY;
   private Map<HostId, HostState> hosts = Map.of();
   private Map<ZoneName, List<HostState>> counters = Map.of();
   private final Map<String, List<HostState>> byOrganisation = new HashMap<>();
   private boolean initialized;
   private long joinedNanos;
   private boolean joining;
+  private boolean sameHostsSinceStart;
+  private long hostsChangedNanos;
 
-  CounterView(HostState self, CounterSource source, MonotonicClock clock) {
+  CounterView(HostState self, MonotonicClock clock) {
     this.self = self;
-    this.source = source;
     this.clock = clock;
   }
 
   /** Returns the hosts that count the operations of an organisation. */
   synchronized List<HostState> countersOf(String organisation) {
     return byOrganisation.computeIfAbsent(
-        organisation,
-        name ->
-            source.counters(current, name).orElseGet(() -> assignment.countersOf(name, counters)));
+        organisation, name -> assignment.countersOf(name, counters));
+  }
+
+  /**
+   * Returns since when no other process can have granted for this host: since its start, if its
+   * earlier incarnation was among the same hosts, otherwise since the hosts last changed.
+   */
+  synchronized long countsSince(long startNanos) {
+    return sameHostsSinceStart ? startNanos : hostsChangedNanos;
+  }
+
+  /** Returns the number of hosts that ask this host first: those of its availability zone. */
+  synchronized int askingHosts() {
+    return (int) workingHosts().filter(host -> host.zone().equals(self.zone())).count();
+  }
+
+  private Stream<HostState> workingHosts() {
+    return hosts.values().stream().filter(HostState::acceptsNewWork);
+  }
+
+  /**
+   * Returns this host's part of operations that are divided among all hosts. Parts are whole
+   * numbers; which hosts get one more depends on the organisation.
+   */
+  synchronized int partOf(double operations, String organisation) {
+    long working = workingHosts().count();
+    if (working == 0 || operations < 1) {
+      return 0;
+    }
+    long whole = (long) operations;
+    long hash = RendezvousScores.nameHash(organisation);
+    long ownScore = scores.score(hash, self.id());
+    long rank = workingHosts().filter(host -> scores.score(hash, host.id()) > ownScore).count();
+    return (int) (whole / working + (rank < whole % working ? 1 : 0));
   }
 
   /** Returns whether this host counts the operations of an organisation and may grant them. */
@@ -61,28 +94,26 @@
     return countersOf(organisation).stream().anyMatch(host -> host.id().equals(self.id()));
   }
 
-  /** Records a new view. Must be called for each view, in order. */
+  /** Records the hosts of a new view. Must be called for each view, in order. */
   synchronized void update(View view) {
-    boolean sameHosts = initialized && view.hosts() == hosts;
-    boolean unchanged =
-        sameHosts
-            && view.groups() == current.groups()
-            && view.configuration().equals(current.configuration());
-    current = view;
-    if (unchanged) {
-      return;
-    }
-    byOrganisation.clear();
-    if (sameHosts) {
+    if (initialized && view.hosts() == hosts) {
       return;
     }
     if (isJoin(view)) {
       joining = true;
       joinedNanos = clock.nowNanos();
     }
+    if (!view.hosts().keySet().equals(hosts.keySet())) {
+      hostsChangedNanos = clock.nowNanos() + (joining ? JOIN_DELAY_NANOS : 0);
+    }
+    sameHostsSinceStart =
+        !joining
+            && (!initialized
+                || sameHostsSinceStart && view.hosts().keySet().equals(hosts.keySet()));
     initialized = true;
     hosts = view.hosts();
-    counters = assignment.counters(hosts.values(), host -> true);
+    counters = assignment.counters(hosts.values());
+    byOrganisation.clear();
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/HeldOperations.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/HeldOperations.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -15,7 +16,10 @@
  */
 final class HeldOperations {
   /** How long after the request a granted operation may begin. */
-  static final long HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+  static final long HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** How long a counter's report that its tokens are plentiful is valid. */
+  private static final long PLENTIFUL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /** The weight of a new interval in the mean interval between operations. */
   private static final double INTERVAL_WEIGHT = 0.2;
@@ -23,12 +27,29 @@
   // Guarded by this.
   private final Deque<Long> expiries = new ArrayDeque<>();
   private final Deque<CompletableFuture<QuotaDecision>> waiting = new ArrayDeque<>();
+  private int startOperations;
+  private long plentifulUntilNanos;
+  private boolean plentiful;
+  private boolean begunUncounted;
   private boolean asking;
   private long exhaustedUntilNanos;
   private boolean exhausted;
   private long lastOperationNanos;
   private double meanIntervalNanos = Double.POSITIVE_INFINITY;
 
+  /**
+   * Creates a host's state.
+   *
+   * @param startOperations the operations that may begin and are not counted
+   * @param plentifulUntilNanos until when one operation may begin before it is counted, if no
+   *     counter has replied
+   */
+  HeldOperations(int startOperations, long plentifulUntilNanos) {
+    this.startOperations = startOperations;
+    this.plentifulUntilNanos = plentifulUntilNanos;
+    this.plentiful = true;
+  }
+
   /** Returns the decision for one operation, which may have to wait for a grant. */
   synchronized CompletableFuture<QuotaDecision> begin(long nowNanos) {
     recordOperation(nowNanos);
@@ -37,6 +58,9 @@
       expiries.pollFirst();
       return CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
     }
+    if (waiting.isEmpty() && beginUnasked(nowNanos)) {
+      return CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
+    }
     if (exhausted && nowNanos - exhaustedUntilNanos < 0) {
       long millis = TimeUnit.NANOSECONDS.toMillis(exhaustedUntilNanos - nowNanos);
       return CompletableFuture.completedFuture(QuotaDecision.overLimit((int) Math.max(1, millis)));
@@ -46,6 +70,22 @@
     return decision;
   }
 
+  /**
+   * Begins an operation before asking, if this host has one left from its start, or if a counter
+   * has tokens for one more operation of each host. The latter is counted before the next one.
+   */
+  private boolean beginUnasked(long nowNanos) {
+    if (startOperations > 0) {
+      startOperations--;
+      return true;
+    }
+    if (!plentiful || begunUncounted || nowNanos - plentifulUntilNanos >= 0) {
+      return false;
+    }
+    begunUncounted = true;
+    return true;
+  }
+
   private void recordOperation(long nowNanos) {
     if (lastOperationNanos != 0) {
       double interval = Math.max(1, nowNanos - lastOperationNanos);
@@ -64,15 +104,32 @@
   }
 
   /**
-   * Returns how many operations to request now: those that wait, and half of those expected until a
-   * grant expires. Returns 0 if none waits or a request is in flight.
+   * What to send to a counter.
+   *
+   * @param operations the operations to request: those that wait, and half of those expected until
+   *     a grant expires
+   * @param begun the operations to count
    */
-  synchronized int beginRequest() {
-    if (asking || waiting.isEmpty()) {
-      return 0;
+  record Request(int operations, int begun) {}
+
+  /** Begins a request; empty if none is needed or one is in flight. */
+  synchronized Optional<Request> beginRequest() {
+    if (asking || waiting.isEmpty() && !begunUncounted) {
+      return Optional.empty();
     }
     asking = true;
-    return waiting.size() + (int) (HOLD_NANOS / meanIntervalNanos / 2);
+    int operations =
+        waiting.isEmpty() ? 0 : waiting.size() + (int) (HOLD_NANOS / meanIntervalNanos / 2);
+    return Optional.of(new Request(operations, begunUncounted ? 1 : 0));
+  }
+
+  /** Records the reply of a counter that has counted the operations of a request. */
+  synchronized void counted(Request request, boolean nowPlentiful, long sentNanos) {
+    if (request.begun() > 0) {
+      begunUncounted = false;
+    }
+    plentiful = nowPlentiful;
+    plentifulUntilNanos = sentNanos + PLENTIFUL_NANOS;
   }
 
   /** Ends a request with a grant; returns the decisions to complete as admitted. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaCounter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaCounter.java
@@ -31,6 +31,7 @@
   private final QuotaLedger ledger;
   private final BooleanSupplier viewConfirmed;
   private final MonotonicClock clock;
+  private final long startNanos;
   private volatile Optional<Long> firstViewNanos = Optional.empty();
   private volatile boolean stopped;
 
@@ -45,6 +46,7 @@
     this.ledger = ledger;
     this.viewConfirmed = viewConfirmed;
     this.clock = clock;
+    startNanos = clock.nowNanos();
   }
 
   /** Answers a request of another host. */
@@ -67,10 +69,17 @@
             request.getOrganisation(),
             quota.get(),
             counters.countersOf(request.getOrganisation()).size(),
+            counters.askingHosts(),
             request.getOperations(),
+            request.getBegun(),
+            Math.min(now, counters.countsSince(startNanos)),
             now);
     return TakeQuotaReply.newBuilder()
-        .setVerdict(grant.operations() > 0 ? Verdict.GRANTED : Verdict.EXHAUSTED)
+        .setVerdict(
+            grant.operations() > 0 || request.getOperations() == 0
+                ? Verdict.GRANTED
+                : Verdict.EXHAUSTED)
+        .setPlentiful(grant.plentiful())
         .setOperations(grant.operations())
         .setRetryAfterMillis(grant.retryAfterMillis())
         .build();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
@@ -8,8 +8,8 @@
  * What a counter has granted to each organisation.
  *
  * <p>A counter that starts, or takes over from another one, doesn't know what was granted before.
- * It begins with fewer tokens than the burst, so that its grants and the earlier ones together stay
- * within the tolerance.
+ * It begins with few tokens, and with those that have accrued since its process started, if it was
+ * the counter before.
  *
  * <p>Thread-safe. No other lock is acquired while the lock of this object is held.
  */
@@ -17,9 +17,6 @@
   /** Longest time that callers are told to wait. */
   static final int MAX_RETRY_MILLIS = 2_000;
 
-  /** Fraction of the tolerance that unknown earlier grants may use. */
-  private static final double INITIAL_TOLERANCE_FRACTION = 0.5;
-
   private final QuotaTolerance tolerance;
   // Guarded by this.
   private final Map<String, Account> accounts = new HashMap<>();
@@ -41,8 +38,9 @@
    *
    * @param operations the granted operations
    * @param retryAfterMillis when the next operation can be granted, if none was
+   * @param plentiful whether each asking host may begin one operation before it asks
    */
-  record Grant(int operations, int retryAfterMillis) {}
+  record Grant(int operations, int retryAfterMillis, boolean plentiful) {}
 
   QuotaLedger(QuotaTolerance tolerance) {
     this.tolerance = tolerance;
@@ -52,25 +50,40 @@
    * Grants up to the wanted number of operations.
    *
    * @param parts the number of counters that share the limit
+   * @param askingHosts the number of hosts that ask this counter first
+   * @param begun operations that the asking host has begun already
+   * @param sinceNanos since when no other process can have granted this counter's part
    */
   synchronized Grant take(
-      String organisation, OrganisationQuota quota, int parts, int wanted, long nowNanos) {
+      String organisation,
+      OrganisationQuota quota,
+      int parts,
+      int askingHosts,
+      int wanted,
+      int begun,
+      long sinceNanos,
+      long nowNanos) {
     double rate = quota.ratePerSecond() / parts;
     // A bucket that holds less than one token would never grant any.
     double capacity = Math.max(1, quota.burst() / parts);
     Account account = accounts.get(organisation);
     if (account == null) {
-      double initial =
-          Math.max(0, tolerance.operations(quota) * INITIAL_TOLERANCE_FRACTION / parts);
-      account = new Account(new TokenBucket(rate, capacity, initial, nowNanos), quota, parts);
+      double initial = tolerance.initialOperations(quota) / parts;
+      account = new Account(new TokenBucket(rate, capacity, initial, sinceNanos), quota, parts);
       accounts.put(organisation, account);
     } else if (!account.quota.equals(quota) || account.parts != parts) {
       account.bucket.setLimit(rate, capacity, nowNanos);
       account.quota = quota;
       account.parts = parts;
     }
+    account.bucket.takeUsed(begun, nowNanos);
     int granted = account.bucket.take(wanted, nowNanos);
-    return new Grant(granted, granted > 0 ? 0 : account.bucket.millisUntilToken(MAX_RETRY_MILLIS));
+    // If each host begins one more, the bucket owes no more than the tolerance allows.
+    double plentifulTokens = askingHosts - tolerance.unaskedOperations(quota) / parts;
+    return new Grant(
+        granted,
+        granted > 0 ? 0 : account.bucket.millisUntilToken(MAX_RETRY_MILLIS),
+        account.bucket.tokens() >= Math.max(0, plentifulTokens));
   }
 
   /** Forgets an organisation that this host no longer counts. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaRequest.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaRequest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
@@ -27,11 +28,13 @@
 
   private final CounterClient client;
   private final MonotonicClock clock;
-  private final TakeQuotaRequest message;
+  // Guarded by this.
+  private TakeQuotaRequest message;
   private final CompletableFuture<Result> result = new CompletableFuture<>();
   // Guarded by this.
   private final Deque<HostState> remaining;
   private int exhaustedCounters;
+  private Optional<HostState> lastCounter = Optional.empty();
   private int retryAfterMillis = QuotaLedger.MAX_RETRY_MILLIS;
 
   /**
@@ -39,8 +42,15 @@
    *
    * @param operations the granted operations; 0 if the decision is a refusal
    * @param sentNanos when the counter that granted them was asked
+   * @param counter the counter that replied last, if one counts the organisation
+   * @param plentiful whether that counter's tokens are plentiful
    */
-  record Result(QuotaDecision decision, int operations, long sentNanos) {}
+  record Result(
+      QuotaDecision decision,
+      int operations,
+      long sentNanos,
+      Optional<HostState> counter,
+      boolean plentiful) {}
 
   QuotaRequest(
       CounterClient client,
@@ -61,40 +71,55 @@
 
   private void askNext() {
     HostState next;
+    TakeQuotaRequest sent;
     synchronized (this) {
       next = remaining.pollFirst();
+      sent = message;
     }
     if (next == null) {
-      result.complete(new Result(refusal(), 0, clock.nowNanos()));
+      result.complete(new Result(refusal(), 0, clock.nowNanos(), lastCounter(), false));
       return;
     }
     long sentNanos = clock.nowNanos();
     client
-        .take(next, message, TIMEOUT)
+        .take(next, sent, TIMEOUT)
         .whenComplete(
             (reply, failure) -> {
               if (failure == null) {
-                handle(reply, sentNanos);
+                handle(next, reply, sentNanos);
               } else {
                 askNext();
               }
             });
   }
 
-  private void handle(TakeQuotaReply reply, long sentNanos) {
-    if (reply.getVerdict() == Verdict.GRANTED && reply.getOperations() > 0) {
-      result.complete(new Result(QuotaDecision.ADMITTED, reply.getOperations(), sentNanos));
+  private void handle(HostState counter, TakeQuotaReply reply, long sentNanos) {
+    if (reply.getVerdict() == Verdict.GRANTED) {
+      result.complete(
+          new Result(
+              QuotaDecision.ADMITTED,
+              reply.getOperations(),
+              sentNanos,
+              Optional.of(counter),
+              reply.getPlentiful()));
       return;
     }
     if (reply.getVerdict() == Verdict.EXHAUSTED) {
       synchronized (this) {
         exhaustedCounters++;
+        lastCounter = Optional.of(counter);
+        // Counted by this counter.
+        message = message.toBuilder().clearBegun().build();
         retryAfterMillis = Math.min(retryAfterMillis, reply.getRetryAfterMillis());
       }
     }
     askNext();
   }
 
+  private synchronized Optional<HostState> lastCounter() {
+    return lastCounter;
+  }
+
   private synchronized QuotaDecision refusal() {
     return exhaustedCounters > 0
         ? QuotaDecision.overLimit(retryAfterMillis)
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.OrganisationQuota;
 import org.alderyard.common.view.OrganisationState;
 import org.alderyard.common.view.View;
 import org.alderyard.protocol.data.DataMethods;
@@ -30,6 +32,9 @@
   /** How long a counter that did not reply is asked after the others. */
   private static final long SILENT_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** Time after the first view in which a host may begin its part of the start operations. */
+  private static final long START_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   private final HostState self;
   private final MonotonicClock clock;
   private final CounterView counters;
@@ -38,17 +43,18 @@
   private final Map<String, HeldOperations> held = new ConcurrentHashMap<>();
   private final Map<HostId, Long> silentSinceNanos = new ConcurrentHashMap<>();
   private final Counter decisions;
+  private final QuotaTolerance tolerance;
+  private final long startNanos;
+  private volatile Optional<Long> firstViewNanos = Optional.empty();
 
   /**
    * Creates a service.
    *
    * @param viewConfirmed whether the control hosts have recently confirmed this host's view
-   * @param source selects counters
    * @param tolerance how far a limit may be exceeded in a window
    */
   public QuotaService(
       HostState self,
-      CounterSource source,
       Supplier<View> views,
       PeerLinks links,
       MonotonicClock clock,
@@ -57,7 +63,6 @@
       PrometheusRegistry registry) {
     this(
         self,
-        source,
         views,
         (host, request, timeout) ->
             links.linkTo(host.innerAddress()).call(DataMethods.TAKE_QUOTA, request, timeout),
@@ -69,7 +74,6 @@
 
   QuotaService(
       HostState self,
-      CounterSource source,
       Supplier<View> views,
       CounterClient remote,
       MonotonicClock clock,
@@ -78,7 +82,9 @@
       PrometheusRegistry registry) {
     this.self = self;
     this.clock = clock;
-    counters = new CounterView(self, source, clock);
+    startNanos = clock.nowNanos();
+    this.tolerance = tolerance;
+    counters = new CounterView(self, clock);
     counter = new QuotaCounter(views, counters, new QuotaLedger(tolerance), viewConfirmed, clock);
     client =
         (host, request, timeout) ->
@@ -97,6 +103,9 @@
 
   /** Records a new view. Must be called for each view, in order. */
   public void onViewChange(View view) {
+    if (firstViewNanos.isEmpty()) {
+      firstViewNanos = Optional.of(clock.nowNanos());
+    }
     counters.update(view);
     counter.onViewChange();
   }
@@ -131,11 +140,9 @@
       return CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
     }
     HeldOperations operations =
-        held.computeIfAbsent(organisation.name(), name -> new HeldOperations());
+        held.computeIfAbsent(organisation.name(), name -> newOperations(organisation));
     CompletableFuture<QuotaDecision> decision = operations.begin(clock.nowNanos());
-    if (!decision.isDone()) {
-      requestOperations(organisation.name(), operations);
-    }
+    requestOperations(organisation.name(), operations);
     return decision.thenApply(made -> record(organisation, made));
   }
 
@@ -155,20 +162,49 @@
     return decision;
   }
 
+  /**
+   * Returns the state of an organisation without operations so far. Shortly after the start of this
+   * host, when counters may be slow to reply, some operations may begin before they are counted.
+   */
+  private HeldOperations newOperations(OrganisationState organisation) {
+    long now = clock.nowNanos();
+    long startEndNanos = firstViewNanos.map(first -> first + START_PERIOD_NANOS).orElse(now);
+    if (startEndNanos - now <= 0) {
+      return new HeldOperations(0, now);
+    }
+    OrganisationQuota quota = organisation.quota().orElseThrow();
+    double uncounted = tolerance.startOperations(quota);
+    // What has accrued since the start of this process, in which no host began an operation.
+    double accrued =
+        Math.min(
+            quota.burst(),
+            quota.ratePerSecond() * (now - startNanos) / (double) TimeUnit.SECONDS.toNanos(1));
+    int ownUncounted = counters.partOf(uncounted, organisation.name());
+    int ownTotal = counters.partOf(uncounted + accrued, organisation.name());
+    return new HeldOperations(ownUncounted, ownTotal > ownUncounted ? startEndNanos : now);
+  }
+
   private void requestOperations(String organisation, HeldOperations operations) {
-    int wanted = operations.beginRequest();
-    if (wanted == 0) {
+    Optional<HeldOperations.Request> request = operations.beginRequest();
+    if (request.isEmpty()) {
       return;
     }
     TakeQuotaRequest message =
-        TakeQuotaRequest.newBuilder().setOrganisation(organisation).setOperations(wanted).build();
+        TakeQuotaRequest.newBuilder()
+            .setOrganisation(organisation)
+            .setOperations(request.get().operations())
+            .setBegun(request.get().begun())
+            .build();
     List<HostState> candidates = nearestFirst(counters.countersOf(organisation));
     new QuotaRequest(client, clock, message, candidates)
         .run()
         .thenAccept(
             result -> {
+              recordCounted(operations, request.get(), result);
               complete(operations, result);
-              requestOperations(organisation, operations);
+              if (result.counter().isPresent()) {
+                requestOperations(organisation, operations);
+              }
             });
   }
 
@@ -187,6 +223,19 @@
     return since != null && clock.nowNanos() - since < SILENT_BACKOFF_NANOS;
   }
 
+  /** Only a counter of this availability zone keeps tokens for the hosts of the zone. */
+  private void recordCounted(
+      HeldOperations operations, HeldOperations.Request request, QuotaRequest.Result result) {
+    result
+        .counter()
+        .ifPresent(
+            counter ->
+                operations.counted(
+                    request,
+                    result.plentiful() && counter.zone().equals(self.zone()),
+                    result.sentNanos()));
+  }
+
   private void complete(HeldOperations operations, QuotaRequest.Result result) {
     long now = clock.nowNanos();
     QuotaDecision decision = result.decision();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/TokenBucket.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/TokenBucket.java
@@ -38,11 +38,22 @@
   /** Takes up to the wanted number of tokens; returns how many. */
   int take(int wanted, long nowNanos) {
     refill(nowNanos);
-    int taken = (int) Math.min(wanted, Math.floor(tokens + EPSILON));
-    tokens = Math.max(0, tokens - taken);
+    int taken = (int) Math.max(0, Math.min(wanted, Math.floor(tokens + EPSILON)));
+    tokens -= taken;
     return taken;
   }
 
+  /** Takes tokens that have been used already; the bucket may owe some afterwards. */
+  void takeUsed(int used, long nowNanos) {
+    refill(nowNanos);
+    tokens -= used;
+  }
+
+  /** Returns the tokens after the last call; negative if some are owed. */
+  double tokens() {
+    return tokens;
+  }
+
   /** Returns the milliseconds until a token is available, at least 1; the maximum if never. */
   int millisUntilToken(int maxMillis) {
     double missing = 1 - tokens;
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaServiceTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaServiceTest.java
@@ -86,6 +86,8 @@
             .filter(candidate -> !fleet.counters().contains(candidate.name))
             .findFirst()
             .orElseThrow();
+    // Shortly after its start, a host may begin an operation before it asks.
+    run(fleet, 0, 6_000);
     host.cut();
     host.begin();
 
