Move the values and prepared statements of a session into their own class

SessionVariables holds values and prepared statements; CallerSession asks it and replies. No change of behaviour.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -1,7 +1,6 @@
 package org.alderyard.proxy.callersession;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -41,18 +40,11 @@
 public final class CallerSession {
   private static final Logger log = LoggerFactory.getLogger(CallerSession.class);
 
-  /**
-   * Maximum number of values, and of prepared statements; bounds the memory that one caller can
-   * use.
-   */
-  private static final int MAX_ENTRIES = 1_000;
-
   private final SessionContext context;
   private final LocalStatements local;
   private final StatementForwarder forwarder;
   private final SessionAccess access;
-  private final Map<String, String> values = new LinkedHashMap<>();
-  private final Map<String, Prepare> prepared = new HashMap<>();
+  private final SessionVariables variables = new SessionVariables();
   private final Map<GroupId, GroupRouting.Floor> lastWrites = new HashMap<>();
   private volatile TransactionState state = TransactionState.NONE;
   private volatile Optional<OpenTransaction> transaction = Optional.empty();
@@ -115,15 +107,13 @@
           state);
     }
     if (statement instanceof SetValue setValue) {
-      return setValue(setValue);
+      return changed(variables.set(setValue));
     }
     if (statement instanceof Prepare prepare) {
-      return prepare(prepare);
+      return changed(variables.prepare(prepare));
     }
     if (statement instanceof Deallocate deallocate) {
-      return prepared.remove(deallocate.name()) == null
-          ? refuse(RefusalCode.NOT_PREPARED, deallocate.name(), failedState())
-          : succeed(state);
+      return changed(variables.deallocate(deallocate.name()));
     }
     if (statement instanceof Begin begin) {
       return begin(begin);
@@ -157,13 +147,11 @@
     return CompletableFuture.completedFuture(SessionReply.refused(code, text, next));
   }
 
-  private CompletableFuture<SessionReply> setValue(SetValue setValue) {
-    if (values.size() >= MAX_ENTRIES && !values.containsKey(setValue.name())) {
-      return refuse(
-          RefusalCode.TOO_LARGE, "a session has at most " + MAX_ENTRIES + " values", failedState());
-    }
-    values.put(setValue.name(), setValue.value());
-    return succeed(state);
+  /** Returns the reply to a change of the session's variables. */
+  private CompletableFuture<SessionReply> changed(Optional<Refusal> refusal) {
+    return refusal
+        .map(refused -> refuse(refused.code(), refused.text(), failedState()))
+        .orElseGet(() -> succeed(state));
   }
 
   /** Refuses an operation that this session has no right to begin. */
@@ -172,17 +160,6 @@
     return refuse(refusal.code(), refusal.text(), TransactionState.NONE);
   }
 
-  private CompletableFuture<SessionReply> prepare(Prepare prepare) {
-    if (prepared.size() >= MAX_ENTRIES && !prepared.containsKey(prepare.name())) {
-      return refuse(
-          RefusalCode.TOO_LARGE,
-          "a session has at most " + MAX_ENTRIES + " prepared statements",
-          failedState());
-    }
-    prepared.put(prepare.name(), prepare);
-    return succeed(state);
-  }
-
   private CompletableFuture<SessionReply> begin(Begin begin) {
     if (state != TransactionState.NONE) {
       return refuse(RefusalCode.MALFORMED, "a transaction is already open", failedState());
@@ -275,7 +252,7 @@
     } else if (statement instanceof Write) {
       kind = StatementKind.WRITE;
     } else if (statement instanceof Execute execute) {
-      preparedStatement = Optional.ofNullable(prepared.get(execute.name()));
+      preparedStatement = variables.prepared(execute.name());
       if (preparedStatement.isEmpty()) {
         return refuse(RefusalCode.NOT_PREPARED, execute.name(), failedState());
       }
@@ -329,7 +306,7 @@
         endsTransaction,
         preparedStatement,
         database,
-        values,
+        variables.values(),
         context.clock().nowNanos() + timeoutNanos);
   }
 
