Let control hosts count quotas first

The counters of an availability zone are taken from its control hosts first, which have more processor time and start soonest; an eighth of a zone's hosts are counters, so that larger zones use others as well.

Tests: CounterAssignmentTest.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterAssignment.java
@@ -30,6 +30,17 @@
 
   private record ScoredHost(HostState host, long score) {}
 
+  private static final Comparator<ScoredHost> BY_SCORE =
+      Comparator.comparingLong(ScoredHost::score)
+          .reversed()
+          .thenComparing(scored -> scored.host().id());
+
+  /**
+   * Control hosts are back first after a common restart, when all hosts wait for their counters.
+   */
+  private static final Comparator<ScoredHost> CONTROL_FIRST =
+      Comparator.comparing((ScoredHost scored) -> !scored.host().control()).thenComparing(BY_SCORE);
+
   /** Returns the counters of each availability zone, which share all organisations among them. */
   Map<ZoneName, List<HostState>> counters(Collection<HostState> hosts) {
     Map<ZoneName, List<HostState>> zones = new TreeMap<>();
@@ -44,6 +55,7 @@
             best(
                 members,
                 POOL_HASH,
+                CONTROL_FIRST,
                 Math.max(
                     countersOfOrganisation,
                     (members.size() + HOSTS_PER_COUNTER - 1) / HOSTS_PER_COUNTER)));
@@ -60,18 +72,16 @@
     List<HostState> result = new ArrayList<>();
     counters
         .values()
-        .forEach(zone -> result.addAll(best(zone, hash, countersPerZone(counters.size()))));
+        .forEach(
+            zone -> result.addAll(best(zone, hash, BY_SCORE, countersPerZone(counters.size()))));
     return result;
   }
 
-  /** Returns the hosts with the highest scores; control hosts only after all others. */
-  private List<HostState> best(List<HostState> hosts, long hash, int count) {
+  private List<HostState> best(
+      List<HostState> hosts, long hash, Comparator<ScoredHost> order, int count) {
     return hosts.stream()
         .map(host -> new ScoredHost(host, scores.score(hash, host.id())))
-        .sorted(
-            Comparator.comparing((ScoredHost scored) -> scored.host().control())
-                .thenComparing(Comparator.comparingLong(ScoredHost::score).reversed())
-                .thenComparing(scored -> scored.host().id()))
+        .sorted(order)
         .limit(count)
         .map(ScoredHost::host)
         .toList();
