--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/package-info.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/package-info.java
@@ -6,5 +6,8 @@
  * takes the right to do so from a counter, in its own availability zone first, and refuses an
  * operation only if all counters have granted their parts. While one counter fails, the others
  * still grant theirs.
+ *
+ * <p>Where the limit is far, an operation begins before it is counted, so that it does not wait for
+ * a counter. How many may do so at a time is bounded by the tolerance of the limit.
  */
 package org.alderyard.proxy.quota;
