--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -111,6 +111,8 @@
             pools,
             new PeakConnectionTarget(reads.limiters()::takePeakQueued))
         .start(host.controlWorkers);
+    new ThreadDelayProbe(host.clock, host.ioWorker(), reads.metrics()::recordCallerThreadDelay)
+        .start(host.workers);
     SessionTokens tokens = new SessionTokens(host.wallClock, settings.maxTokenAge());
     WriteStack writes =
         new WriteStack(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadMetrics.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadMetrics.java
@@ -1,11 +1,13 @@
 package org.alderyard.proxy.read;
 
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.Unit;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.alderyard.proxy.freshness.FreshnessMode;
 import org.alderyard.proxy.limit.RefusalReason;
 import org.alderyard.proxy.limit.ServerLimiters;
@@ -25,6 +27,10 @@
   private final Counter staleAnswers;
   private final Counter resends;
   private final Histogram ageBound;
+  private final DistributionDataPoint limiterWait;
+  private final DistributionDataPoint connectionWait;
+  private final DistributionDataPoint atServer;
+  private final Histogram callerThreadDelay;
 
   /** Registers the counters and the histogram with the registry. */
   public ReadMetrics(PrometheusRegistry registry) {
@@ -53,6 +59,27 @@
             .classicUpperBounds(0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 60)
             .classicOnly()
             .register(registry);
+    Histogram stages =
+        durations("alderyard_statement_stage", "Parts of a statement's time.")
+            .labelNames("stage")
+            .register(registry);
+    limiterWait = stages.labelValues("limiter");
+    connectionWait = stages.labelValues("connection");
+    atServer = stages.labelValues("at-server");
+    callerThreadDelay =
+        durations(
+                "alderyard_caller_thread_delay",
+                "How long a task waits for an I/O thread of the callers' port.")
+            .register(registry);
+  }
+
+  private static Histogram.Builder durations(String name, String help) {
+    return Histogram.builder()
+        .name(name)
+        .unit(Unit.SECONDS)
+        .help(help)
+        .classicUpperBounds(0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+        .classicOnly();
   }
 
   private Counter counter(String name, String help) {
@@ -98,6 +125,27 @@
     ageBound.observe(millis / 1000.0);
   }
 
+  void recordLimiterWait(long durationNanos) {
+    limiterWait.observe(seconds(durationNanos));
+  }
+
+  void recordConnectionWait(long durationNanos) {
+    connectionWait.observe(seconds(durationNanos));
+  }
+
+  void recordServerTime(long durationNanos) {
+    atServer.observe(seconds(durationNanos));
+  }
+
+  /** Records how long a task waited for an I/O thread of the callers' port. */
+  public void recordCallerThreadDelay(long durationNanos) {
+    callerThreadDelay.observe(seconds(durationNanos));
+  }
+
+  private static double seconds(long nanos) {
+    return nanos / (double) TimeUnit.SECONDS.toNanos(1);
+  }
+
   private static String lowerCaseName(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadStack.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadStack.java
@@ -37,6 +37,7 @@
   private final ServerLimiters limiters;
   private final ServerRunner runner;
   private final ReadPath path;
+  private final ReadMetrics metrics;
 
   /**
    * Creates the read path and registers it as a listener of the views and of the monitor.
@@ -54,7 +55,7 @@
       MonotonicClock clock,
       RandomGenerator random,
       PrometheusRegistry registry) {
-    ReadMetrics metrics = new ReadMetrics(registry);
+    metrics = new ReadMetrics(registry);
     positionWaits = new PositionWaits(workers);
     loads = new ServerLoads(clock);
     limiters =
@@ -94,6 +95,11 @@
     return path;
   }
 
+  /** Returns the metrics of statements. */
+  public ReadMetrics metrics() {
+    return metrics;
+  }
+
   /** Returns the limiters of the servers, which reads and writes share. */
   public ServerLimiters limiters() {
     return limiters;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ServerRunner.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ServerRunner.java
@@ -62,13 +62,16 @@
     boolean primary = group.primary().filter(server.id()::equals).isPresent();
     boolean write = statement.kind() == StatementKind.WRITE;
     loads.begin(server);
+    long submittedNanos = clock.nowNanos();
     return limiters
         .acquire(server.id(), group.slotsPerServer(), primary, flow, write, deadlineNanos)
         .whenComplete(
             (permit, refusal) -> {
               if (refusal != null) {
                 loads.cancel(server);
+                return;
               }
+              metrics.recordLimiterWait(clock.nowNanos() - submittedNanos);
             })
         .thenCompose(permit -> send(server, statement, deadlineNanos, permit));
   }
@@ -86,7 +89,10 @@
           pools
               .acquire(server, connectTimeout)
               .thenCompose(
-                  connection -> runOnConnection(server, connection, statement, deadlineNanos));
+                  connection -> {
+                    metrics.recordConnectionWait(clock.nowNanos() - startedNanos);
+                    return runOnConnection(server, connection, statement, deadlineNanos);
+                  });
     } catch (RuntimeException failure) {
       result = CompletableFuture.failedFuture(failure);
     }
@@ -107,9 +113,14 @@
       throw AlderyardException.notRun(
           ErrorCode.DEADLINE_EXCEEDED, "the deadline passed before the statement was sent");
     }
+    long sentNanos = clock.nowNanos();
     return connection
         .run(statement, Duration.ofNanos(remainingNanos))
-        .whenComplete((answer, failure) -> pools.release(server, connection));
+        .whenComplete(
+            (answer, failure) -> {
+              metrics.recordServerTime(clock.nowNanos() - sentNanos);
+              pools.release(server, connection);
+            });
   }
 
   private void recordResult(
