--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerLimiter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerLimiter.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Limits the statements sent to one server: runs a bounded number concurrently, queues a bounded
@@ -31,8 +30,6 @@
   /** The maximum number of queued reads at a primary, per read that may run concurrently. */
   private static final int QUEUED_READS_FACTOR = 2;
 
-  private static final long MIN_RETRY_AFTER_MILLIS = 20;
-
   private final ConcurrencyLimit limit;
   private final int queueCapacity;
   private final FairQueue<T> writes = new FairQueue<>();
@@ -42,6 +39,7 @@
   private int readsInFlight;
   private double meanServiceNanos;
   private double deviationNanos;
+  private final ReturnSchedule returns = new ReturnSchedule();
 
   /** Creates a limiter with no statements. */
   public ServerLimiter(ConcurrencyLimit limit, int queueCapacity) {
@@ -61,11 +59,12 @@
     long waitNanos = expectedWaitNanos(statement, queue);
     boolean missesDeadline = nowNanos + waitNanos + slowServiceNanos() > statement.deadlineNanos();
     if (missesDeadline) {
-      result.refuse(statement, RefusalReason.WOULD_MISS_DEADLINE, retryAfterMillis());
+      result.refuse(
+          statement, RefusalReason.WOULD_MISS_DEADLINE, retryAfterMillis(statement, nowNanos));
       return result;
     }
-    if (queued() >= queueCapacity && !displaceQueued(statement, queue, result)) {
-      result.refuse(statement, RefusalReason.QUEUE_FULL, retryAfterMillis());
+    if (queued() >= queueCapacity && !displaceQueued(statement, queue, nowNanos, result)) {
+      result.refuse(statement, RefusalReason.QUEUE_FULL, retryAfterMillis(statement, nowNanos));
       return result;
     }
     queue.add(statement);
@@ -120,7 +119,8 @@
     for (FairQueue<T> queue : List.of(writes, reads)) {
       queue
           .removeIf(statement -> wouldMissDeadline(statement, nowNanos))
-          .forEach(e -> result.refuse(e, RefusalReason.DEADLINE_NEAR, retryAfterMillis()));
+          .forEach(
+              e -> result.refuse(e, RefusalReason.DEADLINE_NEAR, retryAfterMillis(e, nowNanos)));
     }
     return result;
   }
@@ -168,9 +168,10 @@
    * Returns whether a statement was refused.
    */
   private boolean displaceQueued(
-      QueuedStatement<T> statement, FairQueue<T> queue, AdmissionResult<T> result) {
+      QueuedStatement<T> statement, FairQueue<T> queue, long nowNanos, AdmissionResult<T> result) {
     Optional<QueuedStatement<T>> displaced = queue.displaceFor(statement.flow());
-    displaced.ifPresent(e -> result.refuse(e, RefusalReason.DISPLACED, retryAfterMillis()));
+    displaced.ifPresent(
+        e -> result.refuse(e, RefusalReason.DISPLACED, retryAfterMillis(e, nowNanos)));
     return displaced.isPresent();
   }
 
@@ -182,7 +183,8 @@
       }
       QueuedStatement<T> statement = next.get();
       if (wouldMissDeadline(statement, nowNanos)) {
-        result.refuse(statement, RefusalReason.DEADLINE_NEAR, retryAfterMillis());
+        result.refuse(
+            statement, RefusalReason.DEADLINE_NEAR, retryAfterMillis(statement, nowNanos));
         continue;
       }
       if (statement.write()) {
@@ -210,8 +212,12 @@
     return nowNanos + slowServiceNanos() > statement.deadlineNanos();
   }
 
-  private long retryAfterMillis() {
-    double drainNanos = (queued() + 1) * meanServiceNanos / limit.current();
-    return Math.max(MIN_RETRY_AFTER_MILLIS, TimeUnit.NANOSECONDS.toMillis((long) drainNanos));
+  private long retryAfterMillis(QueuedStatement<T> refused, long nowNanos) {
+    long intervalNanos = (long) (meanServiceNanos / limit.current());
+    return returns.nextDelayMillis(
+        nowNanos,
+        (queued() + 1) * intervalNanos,
+        intervalNanos,
+        refused.deadlineNanos() - nowNanos);
   }
 }
