--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
@@ -2,7 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.alderyard.common.view.OrganisationQuota;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What a counter has granted to each organisation.
@@ -14,20 +17,25 @@
  * <p>Thread-safe. No other lock is acquired while the lock of this object is held.
  */
 final class QuotaLedger {
+  private static final Logger log = LoggerFactory.getLogger(QuotaLedger.class);
+
   /** Longest time that callers are told to wait. */
   static final int MAX_RETRY_MILLIS = 2_000;
 
   private final QuotaTolerance tolerance;
+  private final long windowNanos;
   // Guarded by this.
   private final Map<String, Account> accounts = new HashMap<>();
 
   private static final class Account {
     final TokenBucket bucket;
+    final RecentCount counted;
     OrganisationQuota quota;
     int parts;
 
-    Account(TokenBucket bucket, OrganisationQuota quota, int parts) {
+    Account(TokenBucket bucket, RecentCount counted, OrganisationQuota quota, int parts) {
       this.bucket = bucket;
+      this.counted = counted;
       this.quota = quota;
       this.parts = parts;
     }
@@ -44,6 +52,7 @@
 
   QuotaLedger(QuotaTolerance tolerance) {
     this.tolerance = tolerance;
+    windowNanos = (long) (tolerance.windowSeconds() * TimeUnit.SECONDS.toNanos(1));
   }
 
   /**
@@ -69,7 +78,12 @@
     Account account = accounts.get(organisation);
     if (account == null) {
       double initial = tolerance.initialOperations(quota) / parts;
-      account = new Account(new TokenBucket(rate, capacity, initial, sinceNanos), quota, parts);
+      account =
+          new Account(
+              new TokenBucket(rate, capacity, initial, sinceNanos),
+              new RecentCount(windowNanos),
+              quota,
+              parts);
       accounts.put(organisation, account);
     } else if (!account.quota.equals(quota) || account.parts != parts) {
       account.bucket.setLimit(rate, capacity, nowNanos);
@@ -78,6 +92,10 @@
     }
     account.bucket.takeUsed(begun, nowNanos);
     int granted = account.bucket.take(wanted, nowNanos);
+    account.counted.add(begun + granted, nowNanos);
+    if (wanted > 0 && granted == 0) {
+      logExhausted(organisation, account, nowNanos);
+    }
     // If each host begins one more, the bucket owes no more than the tolerance allows.
     double plentifulTokens = askingHosts - tolerance.unaskedOperations(quota) / parts;
     return new Grant(
@@ -86,6 +104,18 @@
         account.bucket.tokens() >= Math.max(0, plentifulTokens));
   }
 
+  private void logExhausted(String organisation, Account account, long nowNanos) {
+    log.info(
+        "event=quota-exhausted organisation={} rate-per-second={} burst={} parts={} tokens={}"
+            + " counted-in-window={}",
+        organisation,
+        account.quota.ratePerSecond(),
+        account.quota.burst(),
+        account.parts,
+        Math.round(account.bucket.tokens() * 100) / 100.0,
+        account.counted.sum(nowNanos));
+  }
+
   /** Forgets an organisation that this host no longer counts. */
   synchronized void forget(String organisation) {
     accounts.remove(organisation);
