--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -100,6 +100,7 @@
             host.views::current,
             host.links,
             host.clock,
+            host.workers::schedule,
             host.viewClient::leaseValid,
             options.quotaTolerance(),
             host.registry);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LocalStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LocalStatements.java
@@ -35,7 +35,7 @@
    */
   CompletableFuture<SessionReply> single(StatementTask task, Optional<GroupRouting.Floor> written) {
     return limiter
-        .begin(task.owner())
+        .begin(task.owner(), task.database())
         .thenCompose(
             refusal ->
                 refusal
@@ -55,7 +55,7 @@
    */
   CompletableFuture<StatementRun.Result> first(StatementTask task, ServerRequirement requirement) {
     return limiter
-        .begin(task.owner())
+        .begin(task.owner(), task.database())
         .thenCompose(
             refusal ->
                 refusal
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OperationLimiter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OperationLimiter.java
@@ -5,6 +5,7 @@
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.common.view.DatabaseState;
 import org.alderyard.proxy.quota.OrganisationLimiter;
 import org.alderyard.proxy.quota.QuotaDecision;
 import org.alderyard.proxy.view.ViewHolder;
@@ -29,12 +30,14 @@
   }
 
   /**
-   * Begins an operation on this host's connections.
+   * Begins an operation on this host's connections. An operation over the limit waits for its
+   * organisation's next token for half of the latency objective of its database, as the other half
+   * remains for its statements.
    *
    * @return a future that never fails; empty if the operation may begin, otherwise the reason why
    *     nothing ran
    */
-  CompletableFuture<Optional<Refusal>> begin(ConnectionOwner owner) {
+  CompletableFuture<Optional<Refusal>> begin(ConnectionOwner owner, DatabaseState database) {
     if (!owner.isOrganisation()) {
       return CompletableFuture.completedFuture(Optional.empty());
     }
@@ -42,7 +45,9 @@
         .current()
         .configuration()
         .flatMap(configuration -> configuration.organisations().byName(owner.organisation()))
-        .map(organisations::begin)
+        .map(
+            organisation ->
+                organisations.begin(organisation, database.latencyObjectiveMillis() / 2))
         .map(decision -> decision.thenApply(OperationLimiter::refusal))
         .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/HeldOperations.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/HeldOperations.java
@@ -26,7 +26,7 @@
 
   // Guarded by this.
   private final Deque<Long> expiries = new ArrayDeque<>();
-  private final Deque<CompletableFuture<QuotaDecision>> waiting = new ArrayDeque<>();
+  private final Deque<Waiting> waiting = new ArrayDeque<>();
   private int startOperations;
   private long plentifulUntilNanos;
   private boolean plentiful;
@@ -37,6 +37,9 @@
   private long lastOperationNanos;
   private double meanIntervalNanos = Double.POSITIVE_INFINITY;
 
+  /** An operation that waits for a grant, for at most the given time once none is left. */
+  private record Waiting(CompletableFuture<QuotaDecision> decision, int maxWaitMillis) {}
+
   /**
    * Creates a host's state.
    *
@@ -50,8 +53,12 @@
     this.plentiful = true;
   }
 
-  /** Returns the decision for one operation, which may have to wait for a grant. */
-  synchronized CompletableFuture<QuotaDecision> begin(long nowNanos) {
+  /**
+   * Returns the decision for one operation, which may have to wait for a grant.
+   *
+   * @param maxWaitMillis how long the operation waits for the next token of a counter
+   */
+  synchronized CompletableFuture<QuotaDecision> begin(int maxWaitMillis, long nowNanos) {
     recordOperation(nowNanos);
     dropExpired(nowNanos);
     if (waiting.isEmpty() && !expiries.isEmpty()) {
@@ -61,13 +68,14 @@
     if (waiting.isEmpty() && beginUnasked(nowNanos)) {
       return CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
     }
-    if (exhausted && nowNanos - exhaustedUntilNanos < 0) {
-      long millis = TimeUnit.NANOSECONDS.toMillis(exhaustedUntilNanos - nowNanos);
-      return CompletableFuture.completedFuture(QuotaDecision.overLimit((int) Math.max(1, millis)));
+    long exhaustedMillis = TimeUnit.NANOSECONDS.toMillis(exhaustedUntilNanos - nowNanos);
+    if (exhausted && exhaustedUntilNanos - nowNanos > 0 && exhaustedMillis >= maxWaitMillis) {
+      return CompletableFuture.completedFuture(
+          QuotaDecision.overLimit((int) Math.max(1, exhaustedMillis)));
     }
-    CompletableFuture<QuotaDecision> decision = new CompletableFuture<>();
-    waiting.addLast(decision);
-    return decision;
+    Waiting operation = new Waiting(new CompletableFuture<>(), maxWaitMillis);
+    waiting.addLast(operation);
+    return operation.decision();
   }
 
   /**
@@ -109,8 +117,9 @@
    * @param operations the operations to request: those that wait, and half of those expected until
    *     a grant expires
    * @param begun the operations to count
+   * @param maxWaitMillis how long the first of those that wait accepts to wait for a token
    */
-  record Request(int operations, int begun) {}
+  record Request(int operations, int begun, int maxWaitMillis) {}
 
   /** Begins a request; empty if none is needed or one is in flight. */
   synchronized Optional<Request> beginRequest() {
@@ -120,7 +129,8 @@
     asking = true;
     int operations =
         waiting.isEmpty() ? 0 : waiting.size() + (int) (HOLD_NANOS / meanIntervalNanos / 2);
-    return Optional.of(new Request(operations, begunUncounted ? 1 : 0));
+    int maxWaitMillis = waiting.isEmpty() ? 0 : waiting.peekFirst().maxWaitMillis();
+    return Optional.of(new Request(operations, begunUncounted ? 1 : 0, maxWaitMillis));
   }
 
   /** Records the reply of a counter that has counted the operations of a request. */
@@ -147,18 +157,31 @@
     List<CompletableFuture<QuotaDecision>> admitted = new ArrayList<>();
     while (!expiries.isEmpty() && !waiting.isEmpty()) {
       expiries.pollFirst();
-      admitted.add(waiting.pollFirst());
+      admitted.add(waiting.pollFirst().decision());
     }
     return admitted;
   }
 
+  /**
+   * Ends a request with a reserved token; returns the decision to complete as admitted at its time.
+   */
+  synchronized Optional<CompletableFuture<QuotaDecision>> reserved(
+      long requestedNanos, long nowNanos) {
+    asking = false;
+    if (nowNanos - requestedNanos >= HOLD_NANOS) {
+      return Optional.empty();
+    }
+    return Optional.ofNullable(waiting.pollFirst()).map(Waiting::decision);
+  }
+
   /** Ends a request without a grant; returns the decisions to complete as refused. */
   synchronized List<CompletableFuture<QuotaDecision>> refused(
       QuotaDecision decision, long nowNanos) {
     asking = false;
     exhausted = decision.verdict() == QuotaDecision.Verdict.OVER_LIMIT;
     exhaustedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(decision.retryAfterMillis());
-    List<CompletableFuture<QuotaDecision>> all = new ArrayList<>(waiting);
+    List<CompletableFuture<QuotaDecision>> all =
+        new ArrayList<>(waiting.stream().map(Waiting::decision).toList());
     waiting.clear();
     return all;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/OrganisationLimiter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/OrganisationLimiter.java
@@ -8,8 +8,12 @@
 public interface OrganisationLimiter {
   /** Admits every operation. */
   OrganisationLimiter NONE =
-      organisation -> CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
+      (organisation, maxWaitMillis) -> CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
 
-  /** Returns the decision for one operation; the future never fails. */
-  CompletableFuture<QuotaDecision> begin(OrganisationState organisation);
+  /**
+   * Returns the decision for one operation; the future never fails.
+   *
+   * @param maxWaitMillis how long the operation waits for the next token, rather than being refused
+   */
+  CompletableFuture<QuotaDecision> begin(OrganisationState organisation, int maxWaitMillis);
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaCounter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaCounter.java
@@ -74,6 +74,12 @@
             request.getBegun(),
             Math.min(now, counters.countsSince(startNanos)),
             now);
+    if (grant.operations() == 0 && request.getReserveWithinMillis() > 0) {
+      grant =
+          ledger
+              .reserve(request.getOrganisation(), request.getReserveWithinMillis(), now)
+              .orElse(grant);
+    }
     return TakeQuotaReply.newBuilder()
         .setVerdict(
             grant.operations() > 0 || request.getOperations() == 0
@@ -82,6 +88,7 @@
         .setPlentiful(grant.plentiful())
         .setOperations(grant.operations())
         .setRetryAfterMillis(grant.retryAfterMillis())
+        .setBeginsInMillis(grant.beginsInMillis())
         .build();
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.common.view.OrganisationQuota;
 import org.slf4j.Logger;
@@ -22,6 +23,12 @@
   /** Longest time that callers are told to wait. */
   static final int MAX_RETRY_MILLIS = 2_000;
 
+  /**
+   * The longest time for which a token is reserved. It limits what a successor, which doesn't know
+   * of reservations, can grant twice.
+   */
+  static final int MAX_RESERVE_MILLIS = 250;
+
   private final QuotaTolerance tolerance;
   private final long windowNanos;
   // Guarded by this.
@@ -47,14 +54,39 @@
    * @param operations the granted operations
    * @param retryAfterMillis when the next operation can be granted, if none was
    * @param plentiful whether each asking host may begin one operation before it asks
+   * @param beginsInMillis when the operations may begin; not 0 only for a reserved token
    */
-  record Grant(int operations, int retryAfterMillis, boolean plentiful) {}
+  record Grant(int operations, int retryAfterMillis, boolean plentiful, int beginsInMillis) {
+    Grant(int operations, int retryAfterMillis, boolean plentiful) {
+      this(operations, retryAfterMillis, plentiful, 0);
+    }
+  }
 
   QuotaLedger(QuotaTolerance tolerance) {
     this.tolerance = tolerance;
     windowNanos = (long) (tolerance.windowSeconds() * TimeUnit.SECONDS.toNanos(1));
   }
 
+  /**
+   * Reserves the next token, if it comes within the given time. Operations that wait for tokens
+   * therefore begin in the order of their reservations, and none overtakes them.
+   *
+   * @return empty if the organisation is not known here, or its next token comes later
+   */
+  synchronized Optional<Grant> reserve(String organisation, int withinMillis, long nowNanos) {
+    Account account = accounts.get(organisation);
+    if (account == null) {
+      return Optional.empty();
+    }
+    int beginsInMillis = account.bucket.millisUntilToken(MAX_RETRY_MILLIS);
+    if (beginsInMillis > Math.min(withinMillis, MAX_RESERVE_MILLIS)) {
+      return Optional.empty();
+    }
+    account.bucket.takeUsed(1, nowNanos);
+    account.counted.add(1, nowNanos);
+    return Optional.of(new Grant(1, 0, false, beginsInMillis));
+  }
+
   /**
    * Grants up to the wanted number of operations.
    *
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaRequest.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaRequest.java
@@ -14,7 +14,7 @@
 
 /**
  * One request for operations, which asks the counters of an organisation in turn until one grants
- * some.
+ * some. If none does, it reserves the next token at the counter that has one first.
  *
  * <p>A counter that does not reply soon is left out, and its late grant is not used. Thread-safe;
  * guarded by the object's own lock, which is released before a counter is asked.
@@ -35,6 +35,8 @@
   private final Deque<HostState> remaining;
   private int exhaustedCounters;
   private Optional<HostState> lastCounter = Optional.empty();
+  private Optional<HostState> soonestCounter = Optional.empty();
+  private final int reserveWithinMillis;
   private int retryAfterMillis = QuotaLedger.MAX_RETRY_MILLIS;
 
   /**
@@ -44,22 +46,32 @@
    * @param sentNanos when the counter that granted them was asked
    * @param counter the counter that replied last, if one counts the organisation
    * @param plentiful whether that counter's tokens are plentiful
+   * @param beginsInMillis when the operations may begin, counted from the reply
    */
   record Result(
       QuotaDecision decision,
       int operations,
       long sentNanos,
       Optional<HostState> counter,
-      boolean plentiful) {}
+      boolean plentiful,
+      int beginsInMillis) {}
 
+  /**
+   * Creates a request.
+   *
+   * @param message what to request of each counter
+   * @param reserveWithinMillis reserves a token that is available within this time; 0 for none
+   */
   QuotaRequest(
       CounterClient client,
       MonotonicClock clock,
       TakeQuotaRequest message,
+      int reserveWithinMillis,
       List<HostState> counters) {
     this.client = client;
     this.clock = clock;
     this.message = message;
+    this.reserveWithinMillis = reserveWithinMillis;
     this.remaining = new ArrayDeque<>(counters);
   }
 
@@ -73,11 +85,11 @@
     HostState next;
     TakeQuotaRequest sent;
     synchronized (this) {
-      next = remaining.pollFirst();
+      next = remaining.isEmpty() ? takeSoonestCounter() : remaining.pollFirst();
       sent = message;
     }
     if (next == null) {
-      result.complete(new Result(refusal(), 0, clock.nowNanos(), lastCounter(), false));
+      result.complete(new Result(refusal(), 0, clock.nowNanos(), lastCounter(), false, 0));
       return;
     }
     long sentNanos = clock.nowNanos();
@@ -93,6 +105,18 @@
             });
   }
 
+  /** Returns the counter to reserve a token at, once; null if none has one in time. */
+  private HostState takeSoonestCounter() {
+    if (soonestCounter.isEmpty() || retryAfterMillis > reserveWithinMillis) {
+      return null;
+    }
+    HostState soonest = soonestCounter.get();
+    soonestCounter = Optional.empty();
+    message =
+        message.toBuilder().setOperations(1).setReserveWithinMillis(reserveWithinMillis).build();
+    return soonest;
+  }
+
   private void handle(HostState counter, TakeQuotaReply reply, long sentNanos) {
     if (reply.getVerdict() == Verdict.GRANTED) {
       result.complete(
@@ -101,7 +125,8 @@
               reply.getOperations(),
               sentNanos,
               Optional.of(counter),
-              reply.getPlentiful()));
+              reply.getPlentiful(),
+              reply.getBeginsInMillis()));
       return;
     }
     if (reply.getVerdict() == Verdict.EXHAUSTED) {
@@ -110,12 +135,23 @@
         lastCounter = Optional.of(counter);
         // Counted by this counter.
         message = message.toBuilder().clearBegun().build();
-        retryAfterMillis = Math.min(retryAfterMillis, reply.getRetryAfterMillis());
+        recordRetryTime(counter, reply.getRetryAfterMillis());
       }
     }
     askNext();
   }
 
+  private void recordRetryTime(HostState counter, int millis) {
+    boolean reserving = message.getReserveWithinMillis() > 0;
+    if (reserving) {
+      // Others have reserved the token that was seen before.
+      retryAfterMillis = Math.max(retryAfterMillis, millis);
+    } else if (millis < retryAfterMillis) {
+      retryAfterMillis = millis;
+      soonestCounter = Optional.of(counter);
+    }
+  }
+
   private synchronized Optional<HostState> lastCounter() {
     return lastCounter;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -44,12 +45,21 @@
   private final Map<HostId, Long> silentSinceNanos = new ConcurrentHashMap<>();
   private final Counter decisions;
   private final QuotaTolerance tolerance;
+  private final Timer timer;
   private final long startNanos;
   private volatile Optional<Long> firstViewNanos = Optional.empty();
 
+  /** Runs a task once after a delay. */
+  @FunctionalInterface
+  public interface Timer {
+    /** Schedules the task; does not block. */
+    void schedule(Duration delay, Runnable task);
+  }
+
   /**
    * Creates a service.
    *
+   * @param timer begins operations that have reserved a token
    * @param viewConfirmed whether the control hosts have recently confirmed this host's view
    * @param tolerance how far a limit may be exceeded in a window
    */
@@ -58,6 +68,7 @@
       Supplier<View> views,
       PeerLinks links,
       MonotonicClock clock,
+      Timer timer,
       BooleanSupplier viewConfirmed,
       QuotaTolerance tolerance,
       PrometheusRegistry registry) {
@@ -67,6 +78,7 @@
         (host, request, timeout) ->
             links.linkTo(host.innerAddress()).call(DataMethods.TAKE_QUOTA, request, timeout),
         clock,
+        timer,
         viewConfirmed,
         tolerance,
         registry);
@@ -77,11 +89,13 @@
       Supplier<View> views,
       CounterClient remote,
       MonotonicClock clock,
+      Timer timer,
       BooleanSupplier viewConfirmed,
       QuotaTolerance tolerance,
       PrometheusRegistry registry) {
     this.self = self;
     this.clock = clock;
+    this.timer = timer;
     startNanos = clock.nowNanos();
     this.tolerance = tolerance;
     counters = new CounterView(self, clock);
@@ -135,13 +149,13 @@
   }
 
   @Override
-  public CompletableFuture<QuotaDecision> begin(OrganisationState organisation) {
+  public CompletableFuture<QuotaDecision> begin(OrganisationState organisation, int maxWaitMillis) {
     if (organisation.quota().isEmpty()) {
       return CompletableFuture.completedFuture(QuotaDecision.ADMITTED);
     }
     HeldOperations operations =
         held.computeIfAbsent(organisation.name(), name -> newOperations(organisation));
-    CompletableFuture<QuotaDecision> decision = operations.begin(clock.nowNanos());
+    CompletableFuture<QuotaDecision> decision = operations.begin(maxWaitMillis, clock.nowNanos());
     requestOperations(organisation.name(), operations);
     return decision.thenApply(made -> record(organisation, made));
   }
@@ -196,7 +210,7 @@
             .setBegun(request.get().begun())
             .build();
     List<HostState> candidates = nearestFirst(counters.countersOf(organisation));
-    new QuotaRequest(client, clock, message, candidates)
+    new QuotaRequest(client, clock, message, request.get().maxWaitMillis(), candidates)
         .run()
         .thenAccept(
             result -> {
@@ -239,10 +253,31 @@
   private void complete(HeldOperations operations, QuotaRequest.Result result) {
     long now = clock.nowNanos();
     QuotaDecision decision = result.decision();
+    if (result.beginsInMillis() > 0) {
+      operations
+          .reserved(result.sentNanos(), now)
+          .ifPresent(waiting -> beginLater(waiting, result.beginsInMillis(), now));
+      return;
+    }
     List<CompletableFuture<QuotaDecision>> completed =
         decision.verdict() == QuotaDecision.Verdict.ADMITTED
             ? operations.granted(result.operations(), result.sentNanos(), now)
             : operations.refused(decision, now);
     completed.forEach(waiting -> waiting.complete(decision));
   }
+
+  /**
+   * Begins an operation at the time of its reserved token. If this host was stopped meanwhile, all
+   * its reservations are due at once, and those that are long past are dropped.
+   */
+  private void beginLater(
+      CompletableFuture<QuotaDecision> waiting, int delayMillis, long reservedNanos) {
+    long dueNanos = reservedNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+    timer.schedule(
+        Duration.ofMillis(delayMillis),
+        () -> {
+          boolean late = clock.nowNanos() - dueNanos >= HeldOperations.HOLD_NANOS;
+          waiting.complete(late ? QuotaDecision.overLimit(delayMillis) : QuotaDecision.ADMITTED);
+        });
+  }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OrganisationSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/OrganisationSessionTest.java
@@ -144,7 +144,8 @@
             java.util.Optional.of(new OrganisationQuota(1, 1)));
     host.organisations(limited);
     QuotaDecision over = new QuotaDecision(QuotaDecision.Verdict.OVER_LIMIT, 40);
-    host.service.limitOperations(organisation -> CompletableFuture.completedFuture(over));
+    host.service.limitOperations(
+        (organisation, maxWaitMillis) -> CompletableFuture.completedFuture(over));
     Caller caller = host.caller(SessionFixture.NEWEST, "key-a");
 
     SessionReply write = caller.write("x", "1");
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaFleet.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaFleet.java
@@ -3,11 +3,13 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -46,10 +48,22 @@
   private View controlView = View.EMPTY;
   final List<Host> hosts = new ArrayList<>();
   final List<Long> admittedMillis = new ArrayList<>();
+  private final PriorityQueue<Timed> timers = new PriorityQueue<>();
   int refusedOverLimit;
   int refusedWithoutCounter;
   int requests;
 
+  /** A task to run at a time; those of one time run in the order of their numbers. */
+  private record Timed(long atMillis, long number, Host host, Runnable task)
+      implements Comparable<Timed> {
+    @Override
+    public int compareTo(Timed other) {
+      return Comparator.comparingLong(Timed::atMillis)
+          .thenComparingLong(Timed::number)
+          .compare(this, other);
+    }
+  }
+
   /** A host with its own view, which may be cut off from all others or down. */
   final class Host {
     final String name;
@@ -89,6 +103,8 @@
               () -> view,
               this::call,
               () -> TimeUnit.MILLISECONDS.toNanos(nowMillis),
+              (delay, task) ->
+                  timers.add(new Timed(nowMillis + delay.toMillis(), timers.size(), this, task)),
               () -> nowMillis - confirmedMillis < LEASE_MILLIS,
               TOLERANCE,
               new PrometheusRegistry());
@@ -139,11 +155,19 @@
     }
 
     void begin() {
+      begin(0);
+    }
+
+    /** Begins an operation that waits for a token for the given time. */
+    void begin(int maxWaitMillis) {
       OrganisationState organisation =
           view.configuration()
               .flatMap(configuration -> configuration.organisations().byName(ORGANISATION))
               .orElseThrow();
-      QuotaDecision decision = service.begin(organisation).join();
+      service.begin(organisation, maxWaitMillis).thenAccept(this::record);
+    }
+
+    private void record(QuotaDecision decision) {
       switch (decision.verdict()) {
         case ADMITTED -> admittedMillis.add(nowMillis);
         case OVER_LIMIT -> refusedOverLimit++;
@@ -204,7 +228,15 @@
 
   /** Advances the time, renews leases, and removes hosts whose leases have expired for long. */
   void advance(long millis) {
-    nowMillis += millis;
+    long endMillis = nowMillis + millis;
+    while (!timers.isEmpty() && timers.peek().atMillis() <= endMillis) {
+      Timed due = timers.poll();
+      nowMillis = Math.max(nowMillis, due.atMillis());
+      if (due.host().running()) {
+        due.task().run();
+      }
+    }
+    nowMillis = endMillis;
     for (Host host : hosts) {
       HostId id = new HostId(host.name);
       boolean expired = !host.connected() && nowMillis - host.lostMillis >= REMOVAL_MILLIS;
