--- a/alderyard-common/src/main/java/org/alderyard/common/error/AlderyardException.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/error/AlderyardException.java
@@ -25,7 +25,8 @@
     this(code, outcome, message, cause, NO_RETRY_DELAY);
   }
 
-  private AlderyardException(
+  /** Creates an error with a cause, which may be null, and a retry delay in milliseconds. */
+  protected AlderyardException(
       ErrorCode code, Outcome outcome, String message, Throwable cause, long retryAfterMillis) {
     super(message, cause);
     this.code = Objects.requireNonNull(code);
--- a/alderyard-control/src/main/java/org/alderyard/control/log/LogStatus.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/LogStatus.java
@@ -1,5 +1,6 @@
 package org.alderyard.control.log;
 
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.Membership;
@@ -11,6 +12,7 @@
  * @param elected whether this host was elected leader in the term
  * @param established whether this host is the leader and has applied all earlier committed commands
  * @param leader the presumed leader, or empty if none is known
+ * @param leaderAddress the inner address of the presumed leader
  * @param appliedIndex index of the last entry applied to the state machine
  * @param snapshotIndex index of the last entry covered by the newest snapshot
  * @param membership the replicas, as of the latest membership change
@@ -20,12 +22,13 @@
     boolean elected,
     boolean established,
     Optional<HostId> leader,
+    Optional<InetSocketAddress> leaderAddress,
     long appliedIndex,
     long snapshotIndex,
     Membership membership) {
   /** The status before the log is part of a cluster, and after the log has stopped. */
   static final LogStatus NONE =
-      new LogStatus(0, false, false, Optional.empty(), 0, 0, Membership.EMPTY);
+      new LogStatus(0, false, false, Optional.empty(), Optional.empty(), 0, 0, Membership.EMPTY);
 
   /** Returns whether requests can reach a leader: this host, or another host that is known. */
   boolean isLeaderKnown() {
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -380,20 +380,18 @@
       return LogStatus.NONE;
     }
     RaftCore core = driver.core();
-    Optional<HostId> leader = Optional.empty();
+    Optional<Member> leader = Optional.empty();
     if (core.leader().isPresent()) {
       long leaderId = core.leader().getAsLong();
       leader =
-          core.membership()
-              .member(leaderId)
-              .or(() -> Optional.ofNullable(senders.get(leaderId)))
-              .map(member -> new HostId(member.getHostId()));
+          core.membership().member(leaderId).or(() -> Optional.ofNullable(senders.get(leaderId)));
     }
     return new LogStatus(
         core.term(),
         core.role() == Role.LEADER,
         core.hasCommittedInTerm(),
-        leader,
+        leader.map(member -> new HostId(member.getHostId())),
+        leader.flatMap(member -> resolve(member.getAddress())),
         driver.appliedIndex(),
         driver.snapshotIndex(),
         core.membership());
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -14,6 +14,7 @@
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.NotLeaderException;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.MembershipChange;
@@ -235,9 +236,9 @@
 
   private AlderyardException notLeader() {
     String leaderHint = status.leader().map(host -> "; host " + host + " leads").orElse("");
-    return AlderyardException.notRun(
-        ErrorCode.NOT_LEADER,
+    return new NotLeaderException(
         "this host is not the leader of the log" + leaderHint,
+        status.leaderAddress(),
         options.raft().electionTimeoutMinMillis());
   }
 
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.NotLeaderException;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.protocol.wire.Method;
 import org.alderyard.protocol.wire.PeerLinks;
@@ -20,7 +22,9 @@
  * Sends requests to the leading control host and searches for the leader after a change of
  * leadership.
  *
- * <p>Every request must be idempotent: after a lost reply it is sent to another host.
+ * <p>Every request must be idempotent: after a lost reply it is sent to another host. A host that
+ * does not lead names the leader, which may be missing in the list of control hosts, as that of a
+ * host that has just started holds only a few of them.
  */
 public final class ControlClient {
   private static final int RETRY_ROUNDS = 30;
@@ -30,6 +34,7 @@
   private final Supplier<List<InetSocketAddress>> controlHosts;
   private final WorkerPool workers;
   private final AtomicInteger preferredIndex = new AtomicInteger();
+  private final AtomicReference<InetSocketAddress> namedLeader = new AtomicReference<>();
 
   /** Creates a client for a fixed list of control hosts, by their inner addresses. */
   public ControlClient(PeerLinks links, List<InetSocketAddress> controlHosts, WorkerPool workers) {
@@ -64,11 +69,33 @@
    */
   public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> callHost(
       int index, Method<Q, R> method, Q request, Duration timeout) {
-    return links.linkTo(address(index)).call(method, request, timeout);
+    return links
+        .linkTo(address(index))
+        .call(method, request, timeout)
+        .whenComplete((reply, failure) -> recordNamedLeader(failure));
+  }
+
+  private void recordNamedLeader(Throwable failure) {
+    if (failure != null && Futures.unwrap(failure) instanceof NotLeaderException notLeader) {
+      notLeader.leader().ifPresent(namedLeader::set);
+    }
+  }
+
+  /** Asks a leader by its place in the list from now on, once the list has it. */
+  private void preferIfListed(InetSocketAddress leader) {
+    int index = controlHosts.get().indexOf(leader);
+    if (index >= 0) {
+      preferredIndex.set(index);
+      namedLeader.compareAndSet(leader, null);
+    }
   }
 
   /** Returns the control host that is asked first: the leader, if one has served a request. */
   public Optional<InetSocketAddress> preferredHost() {
+    InetSocketAddress leader = namedLeader.get();
+    if (leader != null) {
+      return Optional.of(leader);
+    }
     return hostCount() == 0 ? Optional.empty() : Optional.of(address(preferredIndex.get()));
   }
 
@@ -135,6 +162,8 @@
     // Whether any attempt may have been served without a reply.
     private boolean mayHaveRun;
     private volatile boolean stopped;
+    // Whether the leader that another host named has been tried.
+    private boolean triesNamedLeader;
 
     RetryingCall(
         Method<Q, R> method, Q request, Duration timeout, int attempts, Duration roundDelay) {
@@ -156,6 +185,12 @@
     }
 
     private void tryNextHost() {
+      InetSocketAddress leader = namedLeader.get();
+      if (leader != null && !triesNamedLeader) {
+        triesNamedLeader = true;
+        tryNamedLeader(leader);
+        return;
+      }
       attemptsLeft--;
       int index = preferredIndex.get();
       InetSocketAddress host = address(index);
@@ -169,11 +204,38 @@
                 } else {
                   AlderyardException error = Futures.toAlderyardException(failure);
                   triedHosts.add(host, error);
+                  recordNamedLeader(failure);
                   onFailure(index, error);
                 }
               });
     }
 
+    /** Sends the request to a host that another host named; a failure costs no attempt. */
+    private void tryNamedLeader(InetSocketAddress leader) {
+      links
+          .linkTo(leader)
+          .call(method, request, timeout)
+          .whenComplete(
+              (reply, failure) -> {
+                if (failure == null) {
+                  preferIfListed(leader);
+                  result.complete(reply);
+                  return;
+                }
+                namedLeader.compareAndSet(leader, null);
+                AlderyardException error = Futures.toAlderyardException(failure);
+                triedHosts.add(leader, error);
+                mayHaveRun |= error.outcome() != Outcome.NOT_RUN;
+                if (!mayRetryElsewhere(error.code())) {
+                  completeRefused(error);
+                } else if (attemptsLeft == 0 || stopped) {
+                  failWithoutHost(error);
+                } else {
+                  tryNextHost();
+                }
+              });
+    }
+
     private void onFailure(int index, AlderyardException failure) {
       mayHaveRun |= failure.outcome() != Outcome.NOT_RUN;
       if (!mayRetryElsewhere(failure.code())) {
@@ -181,9 +243,13 @@
         return;
       }
       preferredIndex.compareAndSet(index, Math.floorMod(index + 1, hostCount()));
-      if (attemptsLeft == 0 || stopped) {
-        completeFailed(
-            ErrorCode.NO_QUORUM, mayHaveRun ? Outcome.OUTCOME_UNKNOWN : Outcome.NOT_RUN, failure);
+      boolean leaderNamed = namedLeader.get() != null && !triesNamedLeader;
+      if (stopped || attemptsLeft == 0 && !leaderNamed) {
+        failWithoutHost(failure);
+        return;
+      }
+      if (leaderNamed) {
+        tryNextHost();
         return;
       }
       boolean roundOver = attemptsLeft % hostCount() == 0;
@@ -194,6 +260,11 @@
       }
     }
 
+    private void failWithoutHost(AlderyardException lastFailure) {
+      completeFailed(
+          ErrorCode.NO_QUORUM, mayHaveRun ? Outcome.OUTCOME_UNKNOWN : Outcome.NOT_RUN, lastFailure);
+    }
+
     /**
      * Completes the request after a refusal. A refusal by one host does not exclude that another
      * host has executed an earlier attempt.
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Frames.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Frames.java
@@ -2,10 +2,13 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.MessageLite;
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.NotLeaderException;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.protocol.generated.envelope.Envelope;
 import org.alderyard.protocol.generated.envelope.ErrorReply;
@@ -37,15 +40,35 @@
 
   static Envelope error(long correlationId, Throwable failure) {
     AlderyardException error = Futures.toAlderyardException(failure);
-    return Envelope.newBuilder()
-        .setError(
-            ErrorReply.newBuilder()
-                .setCorrelationId(correlationId)
-                .setCode(error.code().name())
-                .setOutcome(error.outcome().name())
-                .setMessage(String.valueOf(error.getMessage()))
-                .setRetryAfterMillis(error.retryAfterMillis().orElse(0)))
-        .build();
+    ErrorReply.Builder reply =
+        ErrorReply.newBuilder()
+            .setCorrelationId(correlationId)
+            .setCode(error.code().name())
+            .setOutcome(error.outcome().name())
+            .setMessage(String.valueOf(error.getMessage()))
+            .setRetryAfterMillis(error.retryAfterMillis().orElse(0));
+    if (error instanceof NotLeaderException notLeader) {
+      notLeader.leader().map(Frames::text).ifPresent(reply::setLeaderAddress);
+    }
+    return Envelope.newBuilder().setError(reply).build();
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  /** Returns the address in a text of the form ip:port; empty if the text is no such address. */
+  private static Optional<InetSocketAddress> address(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      return Optional.empty();
+    }
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
+    } catch (IllegalArgumentException unreadable) {
+      return Optional.empty();
+    }
   }
 
   /**
@@ -62,6 +85,10 @@
       return new AlderyardException(
           code, Outcome.OUTCOME_UNKNOWN, error.getCode() + ": " + error.getMessage());
     }
+    if (code == ErrorCode.NOT_LEADER && outcome == Outcome.NOT_RUN) {
+      return new NotLeaderException(
+          error.getMessage(), address(error.getLeaderAddress()), error.getRetryAfterMillis());
+    }
     if (outcome == Outcome.NOT_RUN && error.getRetryAfterMillis() > 0) {
       return AlderyardException.notRun(code, error.getMessage(), error.getRetryAfterMillis());
     }
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/control/ControlClientTest.java
@@ -9,15 +9,18 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.error.NotLeaderException;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.protocol.TestPeers;
 import org.alderyard.protocol.generated.control.AnnounceReply;
@@ -94,6 +97,66 @@
         assertThrows(CompletionException.class, () -> announce(timeout).join()));
   }
 
+  private static AlderyardException notLeader(InetSocketAddress leader) {
+    return new NotLeaderException("another host leads", Optional.of(leader), 150);
+  }
+
+  /** Returns a client that knows only the first hosts that were started. */
+  private ControlClient clientOfFirst(int hostCount) {
+    return new ControlClient(
+        links, hosts.stream().limit(hostCount).map(InnerServer::address).toList(), workers);
+  }
+
+  /** Guards against a search that ends although a host has named a leader outside the list. */
+  @Test
+  void leaderOutsideListIsFound() {
+    AtomicReference<InetSocketAddress> leader = new AtomicReference<>();
+    startHost((peer, request) -> CompletableFuture.failedFuture(notLeader(leader.get())));
+    startServingHost();
+    leader.set(hosts.get(1).address());
+    ControlClient client = clientOfFirst(1);
+
+    AnnounceReply reply =
+        client
+            .callIdempotent(
+                ControlMethods.ANNOUNCE, AnnounceRequest.getDefaultInstance(), SHORT_TIMEOUT)
+            .join();
+
+    assertThat(reply).isEqualTo(AnnounceReply.getDefaultInstance());
+    assertThat(client.preferredHost()).hasValue(hosts.get(1).address());
+  }
+
+  /** Guards against a named leader that has failed since and keeps requests from other hosts. */
+  @Test
+  void namedLeaderThatFailsIsLeftOut() {
+    AtomicReference<InetSocketAddress> leader = new AtomicReference<>();
+    startHost((peer, request) -> CompletableFuture.failedFuture(notLeader(leader.get())));
+    startServingHost();
+    startFailingHost(AlderyardException.notRun(ErrorCode.NOT_LEADER, "no longer"));
+    leader.set(hosts.get(2).address());
+
+    AnnounceReply reply =
+        clientOfFirst(2)
+            .callIdempotent(ControlMethods.ANNOUNCE, AnnounceRequest.getDefaultInstance(), TIMEOUT)
+            .join();
+
+    assertThat(reply).isEqualTo(AnnounceReply.getDefaultInstance());
+  }
+
+  /** Guards against two hosts that name each other as the leader and a request without an end. */
+  @Test
+  void hostsThatNameEachOtherEndTheSearch() {
+    List<InetSocketAddress> leaders = new ArrayList<>();
+    startHost((peer, request) -> CompletableFuture.failedFuture(notLeader(leaders.get(1))));
+    startHost((peer, request) -> CompletableFuture.failedFuture(notLeader(leaders.get(0))));
+    hosts.forEach(host -> leaders.add(host.address()));
+
+    AlderyardException failure = failure(TIMEOUT);
+
+    assertThat(failure.code()).isEqualTo(ErrorCode.NO_QUORUM);
+    assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
   /**
    * Guards against the outcome {@code NOT_RUN} for a request that an earlier host may have
    * executed.
