--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -48,6 +48,12 @@
    */
   private static final double EXPIRED_PENALTY_MILLIS = 1_000;
 
+  /**
+   * Penalty for each statement that a server failed recently: another one would cost the read a
+   * further attempt.
+   */
+  private static final double FAILED_PENALTY_MILLIS = 100;
+
   private static final double BACKOFF_PENALTY_MILLIS = 100_000;
 
   /**
@@ -196,6 +202,7 @@
             ? 0
             : MISSING_POSITION_PENALTY_MILLIS;
     millis += server.status() == ServerStatus.EXPIRED ? EXPIRED_PENALTY_MILLIS : 0;
+    millis += tracker.recentFailures(nowNanos) * FAILED_PENALTY_MILLIS;
     millis += tracker.inBackoff(nowNanos) ? BACKOFF_PENALTY_MILLIS : 0;
     return millis;
   }
@@ -332,6 +339,11 @@
     shown.ifPresent(tracker::recordPosition);
   }
 
+  /** Records that a server ran a statement and answered that it failed. */
+  synchronized void recordFailed(ServerState server, long nowNanos) {
+    tracker(server).recordFailed(nowNanos);
+  }
+
   /** Records that a server had no free slot for a statement. */
   synchronized void recordBusy(ServerState server, long nowNanos) {
     tracker(server).refusals().recordBusy(nowNanos);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTracker.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTracker.java
@@ -18,10 +18,17 @@
   private static final double LAG_DECAY = 0.97;
   private static final long MAX_LAG_MILLIS = 10_000;
 
+  /** The time in which a failed statement counts for half. */
+  private static final double FAILED_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private static final double MAX_RECENT_FAILURES = 3;
+
   private final long incarnation;
   private double lagMillis = INITIAL_LAG_MILLIS;
   private Position position = Position.NONE;
   private boolean replaced;
+  private double recentFailures;
+  private long failuresNanos;
   private final ServerRefusals refusals = new ServerRefusals();
 
   ServerTracker(long incarnation) {
@@ -41,6 +48,17 @@
     }
   }
 
+  /** Records that the server ran a statement and answered that it failed. */
+  void recordFailed(long nowNanos) {
+    recentFailures = Math.min(MAX_RECENT_FAILURES, recentFailures(nowNanos) + 1);
+    failuresNanos = nowNanos;
+  }
+
+  /** Returns the number of failed statements, of which older ones count for less. */
+  double recentFailures(long nowNanos) {
+    return recentFailures * Math.pow(0.5, (nowNanos - failuresNanos) / FAILED_HALF_LIFE_NANOS);
+  }
+
   /** Records that another server now listens on the server's address. */
   void markReplaced() {
     replaced = true;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -308,12 +308,15 @@
       retryElsewhere();
       return;
     }
-    boolean mayRetryFailure =
-        code == RefusalCode.FAILED && isRepeatable() && !requirement.keepOpen();
+    if (code == RefusalCode.FAILED) {
+      routing.recordFailed(server, now);
+    }
+    // The first read of a transaction too: the server rolls back, and the caller knows of nothing.
+    boolean mayRetryFailure = code == RefusalCode.FAILED && isRepeatable();
     releaseConnection(session, reply);
     if (refusedBeforeRun(reply) && !(task.endsTransaction() && code == RefusalCode.NOT_PRIMARY)) {
       retryElsewhere();
-    } else if (mayRetryFailure && run.storeFailure(reply.withState(TransactionState.NONE))) {
+    } else if (mayRetryFailure && run.storeFailure(reply.withState(stateAfterRefusal()))) {
       retryElsewhere();
     } else {
       endAttempt();
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
@@ -62,6 +62,45 @@
     assertThat(fixture.caller(SessionFixture.BOUNDED).read("room").rows()).containsExactly("old");
   }
 
+  /** Guards against a transaction that fails with its first read although nothing depends on it. */
+  @Test
+  void firstReadOfTransactionThatFailsRunsAgain() {
+    fixture.caller(SessionFixture.NEWEST).write("room", "old");
+    fixture.group.replicate();
+    fixture.advance(SessionFixture.STALENESS_MILLIS / 2);
+    fixture.group.server("s1").fail(1);
+    var writing = fixture.caller(SessionFixture.NEWEST);
+    writing.begin();
+
+    assertThat(writing.read("room").rows()).containsExactly("old");
+    assertThat(writing.write("room", "new").succeeded()).isTrue();
+    assertThat(writing.commit().succeeded()).isTrue();
+  }
+
+  /** Guards against a second run of the first write of a transaction. */
+  @Test
+  void firstWriteOfTransactionThatFailsIsNotRepeated() {
+    fixture.group.server("s1").fail(1);
+    var writing = fixture.caller(SessionFixture.NEWEST);
+    writing.begin();
+
+    assertThat(writing.write("room", "new").refusedWith(RefusalCode.FAILED)).isTrue();
+    assertThat(fixture.group.server("s1").ran()).hasSize(1);
+  }
+
+  /** Guards against a server that fails statements and is chosen for each read all the same. */
+  @Test
+  void serverThatFailsStatementsIsAvoidedByReads() {
+    fixture.caller(SessionFixture.NEWEST).write("room", "old");
+    fixture.group.replicate();
+    fixture.advance(SessionFixture.STALENESS_MILLIS / 2);
+    fixture.group.server("s2").fail(50);
+    for (int i = 0; i < 20; i++) {
+      fixture.caller(SessionFixture.BOUNDED).read("room");
+    }
+    assertThat(fixture.group.server("s2").ran().size()).isAtMost(3);
+  }
+
   @Test
   void unresponsiveReplicaDelaysReadOnlyBriefly() {
     // A replica stops responding without closing its connections, which only a timeout detects. The
