--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.alderyard.common.id.Addresses;
 import org.alderyard.daemon.DaemonMain;
 import org.alderyard.testkit.net.FreePorts;
 
@@ -67,7 +68,7 @@
     String hosts =
         advertisedInnerAddresses.stream()
             .limit(plan.controlHosts())
-            .map(LocalHttp::hostAndPort)
+            .map(Addresses::text)
             .collect(Collectors.joining(","));
     String template =
         """
@@ -92,10 +93,10 @@
         name(host),
         ZONES.get(host % ZONES.size()),
         control ? "control,proxy" : "proxy",
-        LocalHttp.hostAndPort(callerPorts.get(host)),
-        LocalHttp.hostAndPort(advertisedInnerAddresses.get(host)),
-        LocalHttp.hostAndPort(innerPorts.get(host)),
-        LocalHttp.hostAndPort(operatorPorts.get(host)),
+        Addresses.text(callerPorts.get(host)),
+        Addresses.text(advertisedInnerAddresses.get(host)),
+        Addresses.text(innerPorts.get(host)),
+        Addresses.text(operatorPorts.get(host)),
         hosts,
         control ? "data-folder = " + name(host) + "-data" : "");
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHttp.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHttp.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.http.Json;
+import org.alderyard.common.id.Addresses;
 
 /** Blocking HTTP client for JSON requests to the processes of a local system. */
 public final class LocalHttp {
@@ -21,10 +22,6 @@
   private final HttpClient http =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
 
-  static String hostAndPort(InetSocketAddress address) {
-    return address.getAddress().getHostAddress() + ":" + address.getPort();
-  }
-
   /** Sends a GET request; returns the response body, or empty on an error or a lost response. */
   public Optional<JsonNode> get(InetSocketAddress address, String path) {
     return send(request(address, path).GET().build());
@@ -77,7 +74,7 @@
   public record PostResult(boolean refused, Optional<JsonNode> response) {}
 
   private static HttpRequest.Builder request(InetSocketAddress address, String path) {
-    return HttpRequest.newBuilder(URI.create("http://" + hostAndPort(address) + path))
+    return HttpRequest.newBuilder(URI.create("http://" + Addresses.text(address) + path))
         .timeout(TIMEOUT)
         .header("Authorization", "Bearer " + OPERATOR_KEY);
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalServers.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalServers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.alderyard.common.id.Addresses;
 import org.alderyard.testkit.net.FreePorts;
 import org.alderyard.testkit.standin.StandInMain;
 
@@ -46,8 +47,7 @@
           List<String> roleArguments =
               server.number == 0
                   ? List.of("--primary")
-                  : List.of(
-                      "--follow", LocalHttp.hostAndPort(servers.get(server.group + "-1").address));
+                  : List.of("--follow", Addresses.text(servers.get(server.group + "-1").address));
           start(name, 1, roleArguments);
         });
   }
@@ -65,16 +65,16 @@
     arguments.addAll(List.of("--server", name));
     arguments.addAll(List.of("--group", server.group));
     arguments.addAll(List.of("--zone", LocalHosts.ZONES.get(server.number)));
-    arguments.addAll(List.of("--listen", LocalHttp.hostAndPort(server.address)));
+    arguments.addAll(List.of("--listen", Addresses.text(server.address)));
     server.link.ifPresent(
-        link -> arguments.addAll(List.of("--announce", LocalHttp.hostAndPort(link.address()))));
+        link -> arguments.addAll(List.of("--announce", Addresses.text(link.address()))));
     arguments.addAll(List.of("--incarnation", Integer.toString(incarnation)));
     arguments.addAll(List.of("--data", folder.resolve(name + ".data").toString()));
     arguments.addAll(List.of("--apply-lag-millis", Integer.toString(plan.applyLagMillis())));
     arguments.addAll(
         List.of(
             "--entry-hosts",
-            entryHosts.stream().map(LocalHttp::hostAndPort).collect(Collectors.joining(","))));
+            entryHosts.stream().map(Addresses::text).collect(Collectors.joining(","))));
     arguments.addAll(extraArguments);
     processes.start(name, MAX_HEAP, StandInMain.class, arguments);
   }
--- a/alderyard-common/src/main/java/org/alderyard/common/settings/SettingTypes.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/settings/SettingTypes.java
@@ -1,8 +1,6 @@
 package org.alderyard.common.settings;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,12 +15,11 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.id.Addresses;
 
 /** The types of settings. */
 public final class SettingTypes {
   private static final Pattern QUANTITY = Pattern.compile("(\\d{1,15})\\s*([A-Za-z]+)");
-  private static final Pattern IP_ADDRESS = Pattern.compile("[0-9.]+|[0-9A-Fa-f:]+");
-  private static final int MAX_PORT = 65_535;
   private static final Map<String, Long> NANOS_PER_UNIT =
       Map.of(
           "us", 1_000L,
@@ -119,27 +116,7 @@
 
   /** Returns the type of an IP address with a port. */
   public static SettingType<InetSocketAddress> address() {
-    return new SettingType<>(
-        "an IP number with a port, such as 10.0.0.1:7000", SettingTypes::address);
-  }
-
-  private static Optional<InetSocketAddress> address(String text) {
-    int colon = text.lastIndexOf(':');
-    if (colon <= 0) {
-      return Optional.empty();
-    }
-    String host = text.substring(0, colon).replaceAll("^\\[|]$", "");
-    Optional<Long> port =
-        wholeNumber(text.substring(colon + 1)).filter(n -> n >= 0 && n <= MAX_PORT);
-    if (port.isEmpty() || !IP_ADDRESS.matcher(host).matches()) {
-      return Optional.empty();
-    }
-    try {
-      // The pattern accepts IP addresses only, so getByName does not query DNS.
-      return Optional.of(new InetSocketAddress(InetAddress.getByName(host), port.get().intValue()));
-    } catch (UnknownHostException invalidAddress) {
-      return Optional.empty();
-    }
+    return new SettingType<>("an IP number with a port, such as 10.0.0.1:7000", Addresses::parse);
   }
 
   /** Returns the type of a comma-separated list of values of another type. */
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executor;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.id.Addresses;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.Membership;
 import org.alderyard.control.raft.MembershipChange;
@@ -66,13 +67,13 @@
     this.loop = loop;
     this.snapshotExecutor = snapshotExecutor;
     this.pending = pending;
-    builder.members.forEach(address -> listedMembers.put(endpoint(address), address));
+    builder.members.forEach(address -> listedMembers.put(Addresses.text(address), address));
     folder = DataFolder.open(builder.dataFolder, builder.clusterId, builder.host, builder.random);
     self =
         Member.newBuilder()
             .setReplicaId(folder.identity().getReplicaId())
             .setHostId(builder.host.value())
-            .setAddress(endpoint(builder.address))
+            .setAddress(Addresses.text(builder.address))
             .build();
     joinPoller =
         new JoinPoller(
@@ -101,7 +102,7 @@
           .orElseThrow()
           .controlHosts()
           .get()
-          .forEach(address -> joinTargets.put(endpoint(address), address));
+          .forEach(address -> joinTargets.put(Addresses.text(address), address));
     }
     joinTargets.remove(self.getAddress());
     return joinTargets;
@@ -121,10 +122,6 @@
         && listedMembers.containsKey(self.getAddress());
   }
 
-  private static String endpoint(InetSocketAddress address) {
-    return address.getAddress().getHostAddress() + ":" + address.getPort();
-  }
-
   long nowMillis() {
     return builder.clock.nowMillis();
   }
@@ -191,13 +188,7 @@
     if (known.isPresent() || builder.openMembership.isEmpty()) {
       return known;
     }
-    return Optional.of(parseAddress(endpoint));
-  }
-
-  static InetSocketAddress parseAddress(String endpoint) {
-    int colon = endpoint.lastIndexOf(':');
-    return new InetSocketAddress(
-        endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1)));
+    return Addresses.parse(endpoint);
   }
 
   void tick(long nowMillis) {
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -16,6 +16,7 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.NotLeaderException;
 import org.alderyard.common.error.Outcome;
+import org.alderyard.common.id.Addresses;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.MembershipChange;
 import org.alderyard.control.raft.MembershipChange.Verdict;
@@ -273,7 +274,7 @@
   @Override
   public List<InetSocketAddress> memberAddresses() {
     return status.membership().members().stream()
-        .map(member -> ReplicaHost.parseAddress(member.getAddress()))
+        .flatMap(member -> Addresses.parse(member.getAddress()).stream())
         .toList();
   }
 
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Frames.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Frames.java
@@ -2,14 +2,13 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.MessageLite;
-import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Optional;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.NotLeaderException;
 import org.alderyard.common.error.Outcome;
+import org.alderyard.common.id.Addresses;
 import org.alderyard.protocol.generated.envelope.Envelope;
 import org.alderyard.protocol.generated.envelope.ErrorReply;
 import org.alderyard.protocol.generated.envelope.Reply;
@@ -48,29 +47,11 @@
             .setMessage(String.valueOf(error.getMessage()))
             .setRetryAfterMillis(error.retryAfterMillis().orElse(0));
     if (error instanceof NotLeaderException notLeader) {
-      notLeader.leader().map(Frames::text).ifPresent(reply::setLeaderAddress);
+      notLeader.leader().map(Addresses::text).ifPresent(reply::setLeaderAddress);
     }
     return Envelope.newBuilder().setError(reply).build();
   }
 
-  private static String text(InetSocketAddress address) {
-    return address.getAddress().getHostAddress() + ":" + address.getPort();
-  }
-
-  /** Returns the address in a text of the form ip:port; empty if the text is no such address. */
-  private static Optional<InetSocketAddress> address(String text) {
-    int colon = text.lastIndexOf(':');
-    if (colon <= 0) {
-      return Optional.empty();
-    }
-    try {
-      int port = Integer.parseInt(text.substring(colon + 1));
-      return Optional.of(new InetSocketAddress(text.substring(0, colon), port));
-    } catch (IllegalArgumentException unreadable) {
-      return Optional.empty();
-    }
-  }
-
   /**
    * Returns the error that a reply contains. A code or outcome that this build does not know
    * becomes {@code INTERNAL} with an unknown outcome.
@@ -87,7 +68,9 @@
     }
     if (code == ErrorCode.NOT_LEADER && outcome == Outcome.NOT_RUN) {
       return new NotLeaderException(
-          error.getMessage(), address(error.getLeaderAddress()), error.getRetryAfterMillis());
+          error.getMessage(),
+          Addresses.parse(error.getLeaderAddress()),
+          error.getRetryAfterMillis());
     }
     if (outcome == Outcome.NOT_RUN && error.getRetryAfterMillis() > 0) {
       return AlderyardException.notRun(code, error.getMessage(), error.getRetryAfterMillis());
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -26,36 +26,6 @@
  * statements are notified after it is released.
  */
 final class GroupRouting {
-  /**
-   * Penalty for a server in another availability zone: the round trip and the cost of the traffic.
-   */
-  private static final double OTHER_ZONE_PENALTY_MILLIS = 6;
-
-  /**
-   * Penalty for reads on the primary. Only the primary can run writes, so reads use a replica
-   * unless replicas are slower by more than this.
-   */
-  private static final double PRIMARY_PENALTY_MILLIS = 10;
-
-  /**
-   * Penalty for a replica that probably lacks the position and would refuse the read; the primary
-   * certainly holds it.
-   */
-  private static final double MISSING_POSITION_PENALTY_MILLIS = 500;
-
-  /**
-   * Penalty for an expired server, which may still serve this host; other servers are preferred.
-   */
-  private static final double EXPIRED_PENALTY_MILLIS = 1_000;
-
-  /**
-   * Penalty for each statement that a server failed recently: another one would cost the read a
-   * further attempt.
-   */
-  private static final double FAILED_PENALTY_MILLIS = 100;
-
-  private static final double BACKOFF_PENALTY_MILLIS = 100_000;
-
   /**
    * How long a leaving primary is still used. Shorter, by a margin, than the minimum time for which
    * a leaving server keeps serving, 7 s.
@@ -68,7 +38,7 @@
   /** Age up to which a response of the primary still shows that it is available. */
   private static final long RECENT_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  private final ZoneName zone;
+  private final ReadScores scores;
   // Guarded by this.
   private final Map<ServerId, ServerTracker> trackers = new HashMap<>();
   private final PositionSamples samples = new PositionSamples();
@@ -78,7 +48,7 @@
   private final Map<ServerId, Long> leavingSinceNanos = new HashMap<>();
 
   GroupRouting(ZoneName zone) {
-    this.zone = zone;
+    scores = new ReadScores(zone);
   }
 
   /**
@@ -181,32 +151,14 @@
       if (!acceptsWork(server) || tracker.isReplaced()) {
         continue;
       }
-      scored.add(new ScoredServer(server, scoreMillis(server, tracker, primary, floor, nowNanos)));
+      boolean isPrimary = primary.filter(server.id()::equals).isPresent();
+      scored.add(
+          new ScoredServer(server, scores.millis(server, tracker, isPrimary, floor, nowNanos)));
     }
     scored.sort(Comparator.comparingDouble(ScoredServer::millis));
     return scored.stream().map(ScoredServer::server).toList();
   }
 
-  private double scoreMillis(
-      ServerState server,
-      ServerTracker tracker,
-      Optional<ServerId> primary,
-      Floor floor,
-      long nowNanos) {
-    boolean isPrimary = primary.filter(server.id()::equals).isPresent();
-    double millis = tracker.expectedMillis();
-    millis += server.zone().equals(zone) ? 0 : OTHER_ZONE_PENALTY_MILLIS;
-    millis += isPrimary ? PRIMARY_PENALTY_MILLIS : 0;
-    millis +=
-        isPrimary || tracker.likelyHolds(floor.position(), nowNanos - floor.sinceNanos())
-            ? 0
-            : MISSING_POSITION_PENALTY_MILLIS;
-    millis += server.status() == ServerStatus.EXPIRED ? EXPIRED_PENALTY_MILLIS : 0;
-    millis += tracker.recentFailures(nowNanos) * FAILED_PENALTY_MILLIS;
-    millis += tracker.inBackoff(nowNanos) ? BACKOFF_PENALTY_MILLIS : 0;
-    return millis;
-  }
-
   /**
    * Returns whether a server may get new work. A leaving server gets none; an expired server may
    * only have lost its connection to this cluster.
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.ConnectRefusedException;
 import org.alderyard.backend.session.RefusalCode;
@@ -15,8 +14,6 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.view.ServerState;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * One attempt to run a statement on one server: acquires a connection, applies the session values,
@@ -24,8 +21,6 @@
  */
 final class StatementAttempt {
 
-  private static final Logger log = LoggerFactory.getLogger(StatementAttempt.class);
-
   /**
    * A begin takes no slot, so a server that does not answer it within this time counts as
    * unreachable.
@@ -47,6 +42,7 @@
   private final StatementTask task;
   private final ServerRequirement requirement;
   private final GroupRouting routing;
+  private final AttemptLog log;
   private long sentNanos;
 
   StatementAttempt(StatementRun run, ServerState server) {
@@ -56,6 +52,7 @@
     this.task = run.task();
     this.requirement = run.requirement();
     this.routing = run.routing();
+    this.log = new AttemptLog(context, task, requirement, server);
   }
 
   void start(long now) {
@@ -264,17 +261,7 @@
     } else {
       endAttempt();
       boolean nothingCommitted = requirement.keepOpen();
-      log.warn(
-          "event=statement-lost id={} database={} server={} incarnation={} kind={}"
-              + " after-millis={} reason={} outcome={}",
-          task.request().id().orElse("-"),
-          task.database().name(),
-          server.id(),
-          server.incarnation(),
-          task.kind(),
-          TimeUnit.NANOSECONDS.toMillis(now - sentNanos),
-          failure.code(),
-          nothingCommitted ? "NOT_KEPT" : "OUTCOME_UNKNOWN");
+      log.lost(failure.code(), nothingCommitted, now, sentNanos);
       run.complete(
           SessionReply.refused(
               nothingCommitted ? RefusalCode.ABORTED : RefusalCode.IN_DOUBT,
@@ -295,7 +282,7 @@
     routing.answered(server, now, now - sentNanos, !refusedBeforeRun(reply), reply.position());
     context.metrics().recordServerTime(now - sentNanos);
     if (reply.succeeded()) {
-      logSuccess(now);
+      log.succeeded(now, sentNanos, run.attemptCount());
       handleSuccess(session, reply);
       return;
     }
@@ -320,26 +307,11 @@
       retryElsewhere();
     } else {
       endAttempt();
-      logFailed(code, now);
+      log.failed(code, now, sentNanos, run.attemptCount());
       run.complete(reply.withState(stateAfterRefusal()), Optional.empty());
     }
   }
 
-  /** Logs a statement that failed on the server, or a refusal that no other server can resolve. */
-  private void logFailed(RefusalCode code, long now) {
-    log.info(
-        "event=statement-failed-at-server id={} database={} server={} incarnation={} kind={}"
-            + " code={} at-server-millis={} attempts={}",
-        task.request().id().orElse("-"),
-        task.database().name(),
-        server.id(),
-        server.incarnation(),
-        task.kind(),
-        code,
-        TimeUnit.NANOSECONDS.toMillis(now - sentNanos),
-        run.attemptCount());
-  }
-
   /** Returns whether the server refused the statement before assigning it a slot. */
   static boolean refusedBeforeRun(SessionReply reply) {
     return reply.refusedWith(RefusalCode.BUSY)
@@ -347,28 +319,6 @@
         || reply.refusedWith(RefusalCode.BEHIND);
   }
 
-  private void logSuccess(long now) {
-    if (!context.routineLog().shouldLog()) {
-      return;
-    }
-    log.info(
-        "event=statement-ran id={} database={} server={} incarnation={} kind={} floor={}"
-            + " floor-age-millis={} view={} at-server-millis={} attempts={} outcome=DONE",
-        task.request().id().orElse("-"),
-        task.database().name(),
-        server.id(),
-        server.incarnation(),
-        task.kind(),
-        requirement.floor().map(floor -> floor.position().toString()).orElse("lead"),
-        requirement
-            .floor()
-            .map(floor -> TimeUnit.NANOSECONDS.toMillis(now - floor.sinceNanos()))
-            .orElse(0L),
-        context.views().current().version(),
-        TimeUnit.NANOSECONDS.toMillis(now - sentNanos),
-        run.attemptCount());
-  }
-
   private void releaseConnection(PooledSession session, SessionReply reply) {
     if (requirement.begin().isPresent() || reply.state() != TransactionState.NONE) {
       context.rollBackAndRelease(server, session);
