--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -163,7 +163,7 @@
     private boolean mayHaveRun;
     private volatile boolean stopped;
     // Whether the leader that another host named has been tried.
-    private boolean triesNamedLeader;
+    private boolean namedLeaderTried;
 
     RetryingCall(
         Method<Q, R> method, Q request, Duration timeout, int attempts, Duration roundDelay) {
@@ -186,8 +186,8 @@
 
     private void tryNextHost() {
       InetSocketAddress leader = namedLeader.get();
-      if (leader != null && !triesNamedLeader) {
-        triesNamedLeader = true;
+      if (leader != null && !namedLeaderTried) {
+        namedLeaderTried = true;
         tryNamedLeader(leader);
         return;
       }
@@ -243,7 +243,7 @@
         return;
       }
       preferredIndex.compareAndSet(index, Math.floorMod(index + 1, hostCount()));
-      boolean leaderNamed = namedLeader.get() != null && !triesNamedLeader;
+      boolean leaderNamed = namedLeader.get() != null && !namedLeaderTried;
       if (stopped || attemptsLeft == 0 && !leaderNamed) {
         failWithoutHost(failure);
         return;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTracker.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTracker.java
@@ -56,6 +56,9 @@
 
   /** Returns the number of failed statements, of which older ones count for less. */
   double recentFailures(long nowNanos) {
+    if (recentFailures == 0) {
+      return 0;
+    }
     return recentFailures * Math.pow(0.5, (nowNanos - failuresNanos) / FAILED_HALF_LIFE_NANOS);
   }
 
