--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerLimiter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerLimiter.java
@@ -213,11 +213,20 @@
   }
 
   private long retryAfterMillis(QueuedStatement<T> refused, long nowNanos) {
+    return reserveReturnMillis(0, refused.deadlineNanos(), nowNanos);
+  }
+
+  /**
+   * Reserves a place for a statement that returns later, and returns the delay until then.
+   *
+   * @param earliestNanos the minimum delay, in nanoseconds
+   */
+  public long reserveReturnMillis(long earliestNanos, long deadlineNanos, long nowNanos) {
     long intervalNanos = (long) (meanServiceNanos / limit.current());
     return returns.nextDelayMillis(
         nowNanos,
-        (queued() + 1) * intervalNanos,
+        Math.max(earliestNanos, (queued() + 1) * intervalNanos),
         intervalNanos,
-        refused.deadlineNanos() - nowNanos);
+        deadlineNanos - nowNanos);
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerLimiters.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/limit/ServerLimiters.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.alderyard.common.error.AlderyardException;
@@ -80,6 +81,19 @@
     return limiter.readCapacity();
   }
 
+  /**
+   * Reserves a place for a read that the primary has no capacity for, and returns the delay until
+   * then, in milliseconds.
+   *
+   * @param earliestMillis the minimum delay
+   */
+  public synchronized long reserveReturnMillis(
+      ServerId primary, int slots, long earliestMillis, long deadlineNanos) {
+    return limiter(primary, slots)
+        .reserveReturnMillis(
+            TimeUnit.MILLISECONDS.toNanos(earliestMillis), deadlineNanos, clock.nowNanos());
+  }
+
   /**
    * Refuses all queued statements that can no longer meet their deadlines. Must be called every few
    * milliseconds.
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadPath.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/read/ReadPath.java
@@ -31,6 +31,7 @@
 import org.alderyard.proxy.routing.ReadRequest;
 import org.alderyard.proxy.routing.ReadRouter;
 import org.alderyard.proxy.routing.RoutingDecision;
+import org.alderyard.proxy.routing.RoutingReason;
 import org.alderyard.proxy.routing.ServerLoad;
 import org.alderyard.proxy.routing.ServerLoads;
 
@@ -123,6 +124,9 @@
                 Math.max(0, read.deadlineNanos - now)));
     routingLog.write(read.flow.pool(), read.group.id(), demand, decision);
     metrics.recordDecision(demand.mode(), decision.reason());
+    if (decision.reason() == RoutingReason.REFUSED_PRIMARY_BUSY) {
+      decision = decision.withRetryAfterMillis(reserveReturnMillis(read, decision));
+    }
     ServerState server = decision.serverOrThrow();
     if (decision.waitFor().isEmpty()) {
       return send(read, server, decision.reason().replica());
@@ -142,6 +146,15 @@
         .toList();
   }
 
+  /** Returns when a read returns that the primary has no capacity for, no two at one time. */
+  private long reserveReturnMillis(ReadState read, RoutingDecision decision) {
+    return limiters.reserveReturnMillis(
+        read.group.primary().orElseThrow(),
+        read.group.slotsPerServer(),
+        decision.retryAfterMillis(),
+        read.deadlineNanos);
+  }
+
   private int primaryReadCapacity(GroupState group) {
     return group.primary().map(id -> limiters.readCapacity(id, group.slotsPerServer())).orElse(0);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/routing/RoutingDecision.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/routing/RoutingDecision.java
@@ -65,6 +65,12 @@
         reason, Optional.empty(), Optional.empty(), 0, OptionalLong.empty(), 0, retryAfterMillis);
   }
 
+  /** Returns this decision with another retry delay. */
+  public RoutingDecision withRetryAfterMillis(long millis) {
+    return new RoutingDecision(
+        reason, server, waitFor, waitNanos, ageBoundNanos, eligibleCount, millis);
+  }
+
   /**
    * Returns the server.
    *
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/limit/ReturnScheduleTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/limit/ReturnScheduleTest.java
@@ -73,6 +73,19 @@
     return new QueuedStatement<>(flow, false, DEADLINE_NANOS, caller);
   }
 
+  /** Guards against reads beyond a primary's capacity that return together. */
+  @Test
+  void readsThatPrimaryHasNoCapacityForReturnOneAfterAnother() {
+    long earliestNanos = TimeUnit.MILLISECONDS.toNanos(100);
+    List<Long> delays = new ArrayList<>();
+    limiter.submit(statement(0), 0);
+    limiter.complete(false, SLOTS * SERVICE_NANOS, true, 0);
+    for (int i = 0; i < 3; i++) {
+      delays.add(limiter.reserveReturnMillis(earliestNanos, DEADLINE_NANOS, 0));
+    }
+    assertThat(delays).containsExactly(100L, 110L, 120L).inOrder();
+  }
+
   /** Guards against returns that come faster than the server serves. */
   @Test
   void placesAreOneServiceIntervalApart() {
