--- a/review/1/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
 classes="$(mktemp -d)"
 trap 'rm -rf "$classes"' EXIT
 "$here/../build.sh" "$classes" || exit 2
-timeout --signal=TERM --kill-after=5 115 java -Xmx256m -cp "$classes" LostAfterPromotion "$repository" "$here"
+timeout --signal=TERM --kill-after=5 115 java -Xmx256m -cp "$classes" ValuesAfterPromotion "$repository" "$here"
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standin/DatabaseServer.java
+++ b/review/standin/DatabaseServer.java
@@ -37,6 +37,7 @@
   private final long writeMillis;
   private final Semaphore slots;
   private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger lastConnection = new AtomicInteger();
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final List<Run> runs = new ArrayList<>();
   private volatile boolean running = true;
@@ -51,8 +52,12 @@
   private int applied;
   private boolean paused;
 
-  /** A statement of a requester that this server ran. */
-  record Run(String id, String text, Map<String, String> values) {}
+  /**
+   * A statement of a requester that this server ran.
+   *
+   * @param connection the server's connection on which it ran
+   */
+  record Run(String id, String text, String connection, Map<String, String> values) {}
 
   DatabaseServer(DatabaseGroup group, String id, String zone, long readMillis, long writeMillis)
       throws IOException {
@@ -260,6 +265,7 @@
   /** One connection from a host. */
   private final class Session {
     private final Socket socket;
+    private final String connection = id + "#" + lastConnection.incrementAndGet();
     private final Map<String, String> values = new TreeMap<>();
     private final Map<String, String> prepared = new HashMap<>();
     private final Map<String, String> written = new TreeMap<>();
@@ -503,9 +509,9 @@
           throw new IOException("crashed");
         }
         synchronized (runs) {
-          runs.add(new Run(statement, text, Map.copyOf(values)));
+          runs.add(new Run(statement, text, connection, Map.copyOf(values)));
         }
-        group.record.add("server-runs", id, statement, text, values);
+        group.record.add("server-runs", connection, statement, text, values);
         if (!execute(statement, kind, words)) {
           return;
         }
@@ -530,7 +536,7 @@
           return true;
         }
         case "WRITE" -> {
-          String data = prepared ? words[3] : String.join(" ", List.of(words).subList(2, words.length));
+          String data = String.join(" ", List.of(words).subList(prepared ? 3 : 2, words.length));
           written.put(words[prepared ? 2 : 1], data);
           return state.equals("T") || commit(statement);
         }
--- a/review/standin/HostProcesses.java
+++ b/review/standin/HostProcesses.java
@@ -103,7 +103,8 @@
     String command = quoted(deploy, "run = \"([^\"]*)\"").replace(SETTINGS, settings.toString());
     ProcessBuilder builder = new ProcessBuilder(Arrays.asList(command.split(" ")));
     builder.directory(repository.toFile());
-    Matcher variable = Pattern.compile("(\\w+) = \"([^\"]*)\"").matcher(quoted(deploy, "env = \\{([^}]*)\\}"));
+    String environment = quoted(deploy, "env = \\{([^}]*)\\}");
+    Matcher variable = Pattern.compile("(\\w+) = \"([^\"]*)\"").matcher(environment);
     while (variable.find()) {
       builder.environment().put(variable.group(1), variable.group(2));
     }
@@ -174,9 +175,8 @@
 
   private boolean isReady(int host) {
     try {
-      HttpURLConnection call =
-          (HttpURLConnection)
-              URI.create("http://" + address(host, READY) + "/api/readiness").toURL().openConnection();
+      URI readiness = URI.create("http://" + address(host, READY) + "/api/readiness");
+      HttpURLConnection call = (HttpURLConnection) readiness.toURL().openConnection();
       call.setConnectTimeout(500);
       call.setReadTimeout(500);
       return call.getResponseCode() == 200;
--- a/review/standin/LostAfterPromotion.java
+++ b/review/standin/LostAfterPromotion.java
@@ -6,22 +6,22 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A service with one synchronous replica: one replica receives nothing for a while, and the primary
- * crashes meanwhile.
+ * A service with one synchronous replica, whose servers are being replaced: one replica drains, the
+ * other one receives nothing for a while, and the primary crashes meanwhile.
  */
 final class LostAfterPromotion extends Scenario {
-  private static final int SLOTS = 5;
-  private static final int CONNECTIONS = 34;
+  private static final int SLOTS = 2;
+  private static final int CONNECTIONS = 40;
   private static final int SYNC_REPLICAS = 1;
-  private static final long PROMOTE_MILLIS = 300;
+  private static final long PROMOTE_MILLIS = 1_000;
   private static final long NETWORK_MILLIS = 2;
-  private static final long APPLY_MILLIS = 60;
-  private static final long READ_MILLIS = 55;
-  private static final long WRITE_MILLIS = 11;
+  private static final long APPLY_MILLIS = 20;
+  private static final long READ_MILLIS = 15;
+  private static final long WRITE_MILLIS = 3;
   private static final int WRITERS = 4;
-  private static final int READERS = 36;
+  private static final int READERS = 6;
   private static final long WRITER_PAUSE_MILLIS = 60;
-  private static final long READER_PAUSE_MILLIS = 120;
+  private static final long READER_PAUSE_MILLIS = 100;
 
   private final Set<String> acknowledged = ConcurrentHashMap.newKeySet();
   private volatile boolean stopped;
@@ -35,7 +35,7 @@
   protected DatabaseGroup createGroup() throws IOException {
     DatabaseGroup created =
         new DatabaseGroup(
-            "listings",
+            "ledger",
             SLOTS,
             CONNECTIONS,
             SYNC_REPLICAS,
@@ -52,9 +52,9 @@
   @Override
   protected List<String> routes() {
     return List.of(
-        Platform.route("edits", "primary", group.service, ""),
+        Platform.route("orders", "primary", group.service, ""),
         Platform.route(
-            "browse", "bounded_staleness", group.service, ",\"max_staleness_ms\":1500"));
+            "shades", "bounded_staleness", group.service, ",\"max_staleness_ms\":1500"));
   }
 
   @Override
@@ -62,15 +62,18 @@
     List<Thread> requesters = new ArrayList<>();
     for (int i = 0; i < WRITERS; i++) {
       int number = i;
-      requesters.add(new Thread(() -> work("w" + number, number, "edits")));
+      requesters.add(new Thread(() -> work("w" + number, number, "orders")));
     }
     for (int i = 0; i < READERS; i++) {
       int number = i;
-      requesters.add(new Thread(() -> work("r" + number, number, "browse")));
+      requesters.add(new Thread(() -> work("r" + number, number, "shades")));
     }
     requesters.forEach(Thread::start);
     TimeUnit.SECONDS.sleep(4);
     if (trouble) {
+      group.server("s2").setDraining(true);
+      platform.heartbeatNow();
+      TimeUnit.SECONDS.sleep(1);
       group.server("s3").deafFor(6_000);
       TimeUnit.SECONDS.sleep(3);
       group.server("s1").crash();
@@ -84,13 +87,13 @@
   }
 
   private void work(String name, int number, String database) {
-    boolean writes = database.equals("edits");
+    boolean writes = database.equals("orders");
     for (int round = 0; !stopped; round++) {
       String host = hosts.caller((number + round) % 3);
       try (Requester session = new Requester(name, host, database, !writes, record)) {
         Requester.Reply reply = null;
         while (!stopped && (reply == null || reply.succeeded())) {
-          reply = session.run(writes ? "WRITE item" + number + " d" + Requester.nextId() : "READ item0");
+          reply = session.run(writes ? "WRITE item" + number + " d" + round : "READ item0");
           if (writes && reply.succeeded() && !reply.mac().equals("-")) {
             acknowledged.add(reply.id());
           }
--- a/review/standin/Platform.java
+++ b/review/standin/Platform.java
@@ -23,6 +23,9 @@
   private static final long HEARTBEAT_MILLIS = 1_200;
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
 
+  /** The operator waits for longer than a second if bodies are large. */
+  private static final Duration LARGE_CALL_TIMEOUT = Duration.ofSeconds(2);
+
   private final DatabaseGroup group;
   private final RunRecord record;
   private final HttpServer promotions;
@@ -36,7 +39,8 @@
   Platform(DatabaseGroup group, RunRecord record) throws IOException {
     this.group = group;
     this.record = record;
-    promotions = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 16);
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
+    promotions = HttpServer.create(address, 16);
     promotions.createContext("/promotion", this::promote);
     promotions.setExecutor(timers);
     promotions.start();
@@ -65,16 +69,18 @@
     String holder = exchange.getRequestHeaders().getFirst("X-Alderyard-Duty-Holder");
     String service = field(body, "service");
     String server = field(body, "id");
-    boolean current;
-    synchronized (this) {
-      current = highestTokens.merge(service, token, Math::max) == token;
-    }
-    boolean accepted = current && service.equals(group.service) && group.promote(server);
+    boolean accepted = service.equals(group.service) && isCurrent(service, token);
+    accepted = accepted && group.promote(server);
     record.say("promotion-call", server, "by", holder, "token", token, "accepted", accepted);
     exchange.sendResponseHeaders(accepted ? 200 : 409, -1);
     exchange.close();
   }
 
+  /** Returns whether a token is not below one that was seen before for the service. */
+  private synchronized boolean isCurrent(String service, long token) {
+    return highestTokens.merge(service, token, Math::max) == token;
+  }
+
   private static String field(String json, String name) {
     Matcher matcher = Pattern.compile("\"" + name + "\"\\s*:\\s*\"([^\"]*)\"").matcher(json);
     return matcher.find() ? matcher.group(1) : "";
@@ -83,15 +89,15 @@
   private void heartbeats() {
     for (DatabaseServer server : group.servers()) {
       if (server.running() && !server.partitioned()) {
-        post("/api/Instances.Heartbeat/" + server.id, heartbeat(server));
+        post("/api/Instances.Heartbeat/" + server.id, heartbeat(server), CALL_TIMEOUT);
       }
     }
   }
 
   private String heartbeat(DatabaseServer server) {
-    return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
-            + "\"state\":\"%s\",\"cold_remaining_ms\":0,\"db_role\":\"%s\",\"seq_no\":%d,"
-            + "\"born\":%d}")
+    return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
+            + "\"slots\":%d,\"state\":\"%s\",\"cold_remaining_ms\":0,\"db_role\":\"%s\","
+            + "\"seq_no\":%d,\"born\":%d}")
         .formatted(
             group.service,
             server.address(),
@@ -104,13 +110,13 @@
   }
 
   /** Sends a body to one control address after the other until one accepts it. */
-  private boolean post(String path, String body) {
+  private boolean post(String path, String body, Duration timeout) {
     for (int i = 0; i < controlAddresses.size(); i++) {
       int next = (int) ((sequence.get() + i) % controlAddresses.size());
       try {
         HttpRequest request =
             HttpRequest.newBuilder(URI.create("http://" + controlAddresses.get(next) + path))
-                .timeout(CALL_TIMEOUT)
+                .timeout(timeout)
                 .header("Content-Type", "application/json")
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
@@ -135,8 +141,38 @@
    */
   boolean configure(long version, List<String> routes, long deadlineMillis)
       throws InterruptedException {
-    String body =
-        ("{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"%s\",\"health_path\":\"/health\","
+    String body = configuration(version, routes);
+    while (record.nowMillis() < deadlineMillis) {
+      if (post("/api/Config.Replace", body, LARGE_CALL_TIMEOUT)) {
+        record.add("operator", "configuration", version, "acknowledged", body.length(), "bytes");
+        return true;
+      }
+      Thread.sleep(200);
+    }
+    return false;
+  }
+
+  /** Returns the version that a control address reads back; 0 if it gives none. */
+  long fetchVersion(String control) {
+    try {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + control + "/api/Config.Fetch"))
+              .timeout(LARGE_CALL_TIMEOUT)
+              .build();
+      HttpResponse<String> answer = http.send(request, HttpResponse.BodyHandlers.ofString());
+      Matcher version = Pattern.compile("\"version\"\\s*:\\s*(\\d+)").matcher(answer.body());
+      return answer.statusCode() == 200 && version.find() ? Long.parseLong(version.group(1)) : 0;
+    } catch (IOException unreachable) {
+      return 0;
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  private String configuration(long version, List<String> routes) {
+    return ("{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"%s\","
+                + "\"health_path\":\"/health\","
                 + "\"max_connections\":%d,\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":%d}],"
                 + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
                 + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"tx_idle_ms\":3000}}")
@@ -146,14 +182,6 @@
                 group.service,
                 group.maxConnections,
                 group.syncReplicas);
-    while (record.nowMillis() < deadlineMillis) {
-      if (post("/api/Config.Replace", body)) {
-        record.add("operator", "configuration", version, "acknowledged", body);
-        return true;
-      }
-      Thread.sleep(200);
-    }
-    return false;
   }
 
   static String route(String database, String kind, String service, String more) {
