--- a/review/standin/LostAfterPromotion.java
+++ b/review/standin/LostAfterPromotion.java
@@ -90,7 +90,7 @@
     boolean writes = database.equals("orders");
     for (int round = 0; !stopped; round++) {
       String host = hosts.caller((number + round) % 3);
-      try (Requester session = new Requester(name, host, database, !writes, record)) {
+      try (Requester session = new Requester(name, host, database, record)) {
         Requester.Reply reply = null;
         while (!stopped && (reply == null || reply.succeeded())) {
           reply = session.run(writes ? "WRITE item" + number + " d" + round : "READ item0");
--- a/review/standin/Requester.java
+++ b/review/standin/Requester.java
@@ -18,7 +18,6 @@
   private final RunRecord record;
   private final Socket socket = new Socket();
   private final InputStream in;
-  private final boolean quiet;
 
   /**
    * The answer to one statement.
@@ -33,12 +32,10 @@
     }
   }
 
-  /** Opens a session; a quiet one leaves only its failures in the record. */
-  Requester(String name, String host, String database, boolean quiet, RunRecord record)
-      throws IOException {
+  /** Opens a session on a host's address for requesters. */
+  Requester(String name, String host, String database, RunRecord record) throws IOException {
     this.name = name;
     this.record = record;
-    this.quiet = quiet;
     String[] address = host.split(":");
     socket.connect(
         new InetSocketAddress(address[0], Integer.parseInt(address[1])), TIMEOUT_MILLIS);
@@ -62,14 +59,10 @@
   }
 
   Reply run(String id, String text) throws IOException {
-    if (!quiet) {
-      record.add("sent", name, id, text);
-    }
+    record.add("sent", name, id, text);
     write("QUERY " + id + " " + text + "\r\n");
     Reply reply = read(id);
-    if (!quiet || !reply.succeeded()) {
-      record.add("answered", name, reply);
-    }
+    record.add("answered", name, reply);
     return reply;
   }
 
@@ -92,18 +85,6 @@
     }
   }
 
-  /** Returns whether a further message arrives within a time. */
-  boolean hasMore(int millis) throws IOException {
-    socket.setSoTimeout(millis);
-    try {
-      String line = readLine();
-      record.add("answered", name, "unasked", line);
-      return true;
-    } catch (IOException nothing) {
-      return false;
-    }
-  }
-
   private void write(String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
--- a/review/standin/ValuesAfterPromotion.java
+++ b/review/standin/ValuesAfterPromotion.java
@@ -81,7 +81,7 @@
   }
 
   private int playSession() throws Exception {
-    try (Requester session = new Requester("session", hosts.caller(0), "parcels", false, record)) {
+    try (Requester session = new Requester("session", hosts.caller(0), "parcels", record)) {
       session.run("SET colour red");
       session.run("BEGIN");
       Requester.Reply first = send(session, "WRITE parcel-1 closed");
@@ -122,7 +122,7 @@
   private void write(int number) {
     for (int round = 0; !stopped; round++) {
       String host = hosts.caller((number + round) % 3);
-      try (Requester session = new Requester("o" + number, host, "orders", true, record)) {
+      try (Requester session = new Requester("o" + number, host, "orders", record)) {
         boolean succeeded = true;
         while (!stopped && succeeded) {
           succeeded = session.run("WRITE order-" + number + " d" + round).succeeded();
