--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")"
 mkdir -p "$1"
-javac -d "$1" standin/*.java
+javac -d "$1" ./*.java
