--- a/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
@@ -108,7 +108,7 @@
     appliedIndex = entry.getIndex();
     if (entry.getKind() == EntryKind.COMMAND) {
       ByteString result = stateMachine.apply(entry.getIndex(), entry.getData());
-      pending.completeProposal(entry.getIndex(), result);
+      pending.completeProposal(entry.getIndex(), entry.getTerm(), result);
     }
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/log/PendingRequests.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/PendingRequests.java
@@ -8,14 +8,21 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.alderyard.common.error.AlderyardException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Proposals and reads of this host that are not completed yet. Used only on the serial loop. */
 final class PendingRequests {
+  private static final Logger log = LoggerFactory.getLogger(PendingRequests.class);
+
   private final Executor callbacks;
-  private final TreeMap<Long, CompletableFuture<ByteString>> proposals = new TreeMap<>();
+  private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
   private final TreeMap<Long, CompletableFuture<Void>> unconfirmedReads = new TreeMap<>();
   private final TreeMap<Long, List<CompletableFuture<Void>>> confirmedReads = new TreeMap<>();
 
+  /** A proposal and the term in which this host appended it to its log. */
+  private record Proposal(long term, CompletableFuture<ByteString> future) {}
+
   PendingRequests(Executor callbacks) {
     this.callbacks = callbacks;
   }
@@ -24,8 +31,8 @@
     return proposals.size() + unconfirmedReads.size();
   }
 
-  void addProposal(long index, CompletableFuture<ByteString> future) {
-    proposals.put(index, future);
+  void addProposal(long index, long term, CompletableFuture<ByteString> future) {
+    proposals.put(index, new Proposal(term, future));
   }
 
   void addRead(long readId, CompletableFuture<Void> future) {
@@ -40,11 +47,19 @@
   }
 
   /** Completes the pending proposal at this index, if any, with the result of the applied entry. */
-  void completeProposal(long index, ByteString result) {
-    CompletableFuture<ByteString> future = proposals.remove(index);
-    if (future != null) {
-      callbacks.execute(() -> future.complete(result));
+  void completeProposal(long index, long term, ByteString result) {
+    Proposal proposal = proposals.remove(index);
+    if (proposal == null) {
+      return;
     }
+    if (proposal.term() != term) {
+      log.warn(
+          "event=proposal-replaced index={} proposed-term={} applied-term={}",
+          index,
+          proposal.term(),
+          term);
+    }
+    callbacks.execute(() -> proposal.future().complete(result));
   }
 
   /** Completes the confirmed reads that waited for entries up to the applied index. */
@@ -61,7 +76,9 @@
   void failAll(AlderyardException proposalFailure, AlderyardException readFailure) {
     proposals
         .values()
-        .forEach(future -> callbacks.execute(() -> future.completeExceptionally(proposalFailure)));
+        .forEach(
+            proposal ->
+                callbacks.execute(() -> proposal.future().completeExceptionally(proposalFailure)));
     unconfirmedReads
         .values()
         .forEach(future -> callbacks.execute(() -> future.completeExceptionally(readFailure)));
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -160,13 +160,13 @@
               options.raft().heartbeatMillis()));
       return;
     }
-    OptionalLong index =
-        replica.core().map(core -> core.propose(command)).orElse(OptionalLong.empty());
+    Optional<RaftCore> core = replica.core();
+    OptionalLong index = core.map(c -> c.propose(command)).orElse(OptionalLong.empty());
     if (index.isEmpty()) {
       future.completeExceptionally(notLeader());
       return;
     }
-    pending.addProposal(index.getAsLong(), future);
+    pending.addProposal(index.getAsLong(), core.get().term(), future);
   }
 
   @Override
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -6,12 +6,17 @@
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.DatabaseState;
+import org.alderyard.common.view.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What a session may use in the current view. Decided anew for each operation, as each change of
  * the configuration applies from the next operation on.
  */
 final class SessionAccess {
+  private static final Logger log = LoggerFactory.getLogger(SessionAccess.class);
+
   private final SessionContext context;
   private final String databaseName;
   private final CallerIdentity identity;
@@ -53,12 +58,28 @@
 
   /** Returns why no operation may begin; empty if one may. */
   Optional<Refusal> refusal() {
-    if (database().isEmpty()) {
-      return Optional.of(context.unknownDatabase(databaseName));
+    View view = context.views().current();
+    if (view.configuration().flatMap(known -> known.database(databaseName)).isEmpty()) {
+      Refusal refusal = context.unknownDatabase(databaseName);
+      logUnknownDatabase(view, refusal);
+      return Optional.of(refusal);
     }
     return right().isEmpty() ? Optional.of(unauthorized()) : Optional.empty();
   }
 
+  /** Logs the view of the lookup beside the view that is current when the refusal is decided. */
+  private void logUnknownDatabase(View view, Refusal refusal) {
+    log.info(
+        "event=database-unknown database={} refusal={} configuration={} view={} current-view={}"
+            + " current-view-has-it={}",
+        databaseName,
+        refusal.code(),
+        view.configuration().map(ConfigurationState::number).orElse(0L),
+        view.version(),
+        context.views().current().version(),
+        database().isPresent());
+  }
+
   /**
    * Returns whether statements of an open transaction may still run. The transaction keeps the
    * database that it began with, but not the rights of a removed key.
