Reproduce the acknowledgement of a change that no log holds

What callers see: an operator gets the answer of another change for one that was never committed, and every host refuses what only that change allows.

Cause: proposals are kept by index alone, and a replaced leader applies the entries of its successor before it fails its own proposals.

--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
@@ -27,6 +28,8 @@
   final List<String> applied = new ArrayList<>();
   final List<String> leadership = new CopyOnWriteArrayList<>();
   volatile AlderyardException failure;
+  private volatile CountDownLatch stallEnd = new CountDownLatch(0);
+  private volatile boolean stalled;
   private final WorkerPool workers = new WorkerPool("host", 2);
   private final EventLoops loops = new EventLoops(1);
   private final PeerLinks links;
@@ -87,8 +90,33 @@
     return List.copyOf(applied);
   }
 
+  /** Makes the next command "stall" block the thread of this host's log. */
+  void stallLog() {
+    stallEnd = new CountDownLatch(1);
+  }
+
+  boolean isStalled() {
+    return stalled;
+  }
+
+  void endStall() {
+    stallEnd.countDown();
+  }
+
+  private void awaitStallEnd() {
+    stalled = stallEnd.getCount() > 0;
+    try {
+      stallEnd.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public synchronized ByteString apply(long index, ByteString command) {
+    if (command.toStringUtf8().equals("stall")) {
+      awaitStallEnd();
+    }
     if (command.toStringUtf8().equals("poison")) {
       throw new IllegalStateException("can't apply");
     }
