Answer a proposal only with its own entry

Cause: PendingRequests knew a proposal by its index alone, and ReplicatedLog.flush applies committed entries before it fails the proposals of a lost term. If a replaced leader still has proposals of its term when entries of its successor arrive in the same batch of steps, each of those entries answers the proposal at its index. A configuration is answered with the result of a registration, which parses as a confirmation.

Evidence: StalledLeaderTest on the code before: in 4 of 4 runs the second of eight lost proposals was answered with the result of the new leader's first, and seven lines proposal-replaced stand in the log. That the users' answers came this way is inferred: their record has no line of the log's.

Fix: a proposal is known by index and term, which is what identifies an entry in Raft. The entry of another term at its index proves that the proposal is never committed, so it fails as NOT_RUN and the caller's search goes on to the new leader.

Result: StalledLeaderTest 5 of 5 runs passed, with the log's other tests 3 of 3.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/PendingRequests.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/PendingRequests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,20 +47,32 @@
     }
   }
 
-  /** Completes the pending proposal at this index, if any, with the result of the applied entry. */
+  /**
+   * Completes the pending proposal at this index, if any: with the result of the applied entry if
+   * that is the proposed one, or else with a failure.
+   *
+   * <p>An index alone does not identify an entry. The entry of a later leader replaces the proposed
+   * one, and may be applied before this host has failed the proposals of its term.
+   */
   void completeProposal(long index, long term, ByteString result) {
     Proposal proposal = proposals.remove(index);
     if (proposal == null) {
       return;
     }
-    if (proposal.term() != term) {
-      log.warn(
-          "event=proposal-replaced index={} proposed-term={} applied-term={}",
-          index,
-          proposal.term(),
-          term);
+    if (proposal.term() == term) {
+      callbacks.execute(() -> proposal.future().complete(result));
+      return;
     }
-    callbacks.execute(() -> proposal.future().complete(result));
+    log.warn(
+        "event=proposal-replaced index={} proposed-term={} applied-term={}",
+        index,
+        proposal.term(),
+        term);
+    AlderyardException replaced =
+        AlderyardException.notRun(
+            ErrorCode.NOT_LEADER,
+            "the entry of a later leader replaced the command at index " + index);
+    callbacks.execute(() -> proposal.future().completeExceptionally(replaced));
   }
 
   /** Completes the confirmed reads that waited for entries up to the applied index. */
