Send no entries to a replica that does not reply

What callers saw: nothing directly; a control host that stands still was sent all entries that it lacks every 50 ms, as long as it stood still.

Cause: sendHeartbeat leaves the entries out for a replica that has not replied for two heartbeats, but the flush of the same step sends them, as the heartbeat has just allowed another probe.

Change: the check stands where entries are sent, so both ways pass it. A reply to the empty heartbeat resumes replication.

--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Replication.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Replication.java
@@ -29,7 +29,7 @@
       sendSnapshotChunk(peer, progress, round);
       return;
     }
-    if (!sendNext(peer, progress, round, isUnresponsive(progress))) {
+    if (!sendNext(peer, progress, round)) {
       sendAppend(peer, progress, List.of(), round);
     }
   }
@@ -45,7 +45,7 @@
    */
   void sendEntries(long peer, Progress progress, long round, boolean sendCommitIndex) {
     boolean sent = false;
-    while (sendNext(peer, progress, round, false)) {
+    while (sendNext(peer, progress, round)) {
       sent = true;
     }
     if (sendCommitIndex && !sent && !progress.probing()) {
@@ -53,8 +53,8 @@
     }
   }
 
-  private boolean sendNext(long peer, Progress progress, long round, boolean unresponsive) {
-    if (unresponsive || !progress.canSendEntries(state.options.maxInflight())) {
+  private boolean sendNext(long peer, Progress progress, long round) {
+    if (isUnresponsive(progress) || !progress.canSendEntries(state.options.maxInflight())) {
       return false;
     }
     if (!state.log.hasTermAt(progress.nextIndex() - 1)) {
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
@@ -404,4 +404,35 @@
 
     assertThat(cluster.leader().orElseThrow().core().term()).isEqualTo(term + 1);
   }
+
+  /**
+   * Guards against a leader that sends all missing entries with each heartbeat to a lost replica.
+   */
+  @Test
+  void leaderSendsNoEntriesToReplicaThatDoesNotReply() {
+    RaftReplica lost = proposeCommands(cluster.runUntilConverged(), 3);
+    lost.crash();
+    RaftReplica leader = cluster.runUntilConverged();
+    cluster.run(ELECTION_MILLIS);
+    cluster.propose(leader);
+
+    assertThat(entriesSentTo(lost, ELECTION_MILLIS)).isEqualTo(0);
+
+    lost.start(cluster.nowMillis());
+    assertThat(cluster.runUntilConverged().digest()).isEqualTo(lost.digest());
+  }
+
+  private long entriesSentTo(RaftReplica replica, long millis) {
+    long count = 0;
+    for (long end = cluster.nowMillis() + millis; cluster.nowMillis() < end; ) {
+      cluster.advanceClock(RaftReplica.OPTIONS.heartbeatMillis());
+      cluster.runningReplicas().forEach(running -> cluster.tick(running, false));
+      while (!cluster.messages.isEmpty()) {
+        RaftMessage message = cluster.messages.remove(0);
+        count += message.getTo() == replica.id ? message.getAppendRequest().getEntriesCount() : 0;
+        cluster.deliver(message, false);
+      }
+    }
+    return count;
+  }
 }
