Decide a session's refusal by one view and its lease

What callers see: UNKNOWN_DATABASE or UNAUTHORIZED for a database or key that is in force, from a host that receives the view with it at that moment.

Cause: the lookup read one view and the refusal read the lease of the view that was current afterwards. A thread that stalls in between passes the refusal of an old view off as confirmed. An operation even looked up twice, and fell to UNAUTHORIZED when the second lookup found a right.

Change: LeasedView holds a view and whether a lease covers it; its source reads the lease first, so the view is at least as new as what the lease covers. SessionAccess.decide makes the lookup and the refusal from one of them, and the session context no longer offers the lease alone. The server search and the readiness of sessions use it too.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -155,8 +155,7 @@
   }
 
   /** Refuses an operation that this session has no right to begin. */
-  private CompletableFuture<SessionReply> refuseOperation() {
-    Refusal refusal = access.refusal().orElseGet(access::unauthorized);
+  private CompletableFuture<SessionReply> refuseOperation(Refusal refusal) {
     return refuse(refusal.code(), refusal.text(), TransactionState.NONE);
   }
 
@@ -164,17 +163,14 @@
     if (state != TransactionState.NONE) {
       return refuse(RefusalCode.MALFORMED, "a transaction is already open", failedState());
     }
-    Optional<SessionAccess.Right> right = access.right();
-    if (right.isEmpty()) {
-      return refuseOperation();
-    }
+    return access.decide().map(right -> begin(begin, right), this::refuseOperation);
+  }
+
+  private CompletableFuture<SessionReply> begin(Begin begin, SessionAccess.Right right) {
     transaction =
         Optional.of(
             new OpenTransaction(
-                right.get().database(),
-                right.get().owner(),
-                begin.readOnly(),
-                context.clock().nowNanos()));
+                right.database(), right.owner(), begin.readOnly(), context.clock().nowNanos()));
     return succeed(TransactionState.OPEN);
   }
 
@@ -283,12 +279,13 @@
   /** Begins an operation that consists of one statement. */
   private CompletableFuture<SessionReply> beginSingle(
       SessionRequest request, StatementKind kind, Optional<Prepare> preparedStatement) {
-    Optional<SessionAccess.Right> right = access.right();
-    if (right.isEmpty()) {
-      return refuseOperation();
-    }
-    return runOutsideTransaction(
-        task(request, kind, false, preparedStatement, right.get().database(), right.get().owner()));
+    return access
+        .decide()
+        .map(
+            right ->
+                runOutsideTransaction(
+                    task(request, kind, false, preparedStatement, right.database(), right.owner())),
+            this::refuseOperation);
   }
 
   private StatementTask task(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -1,12 +1,14 @@
 package org.alderyard.proxy.callersession;
 
 import java.util.Optional;
+import java.util.function.Function;
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.DatabaseState;
 import org.alderyard.common.view.View;
+import org.alderyard.proxy.view.LeasedView;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,27 +46,55 @@
     return context.views().current().configuration();
   }
 
-  /** Returns the right to begin an operation; empty if there is a {@link #refusal()}. */
-  Optional<Right> right() {
-    Optional<ConfigurationState> configuration = configuration();
-    Optional<DatabaseState> database = database();
-    if (configuration.isEmpty() || database.isEmpty()) {
-      return Optional.empty();
+  /**
+   * Whether an operation may begin: either the right to begin it or the refusal is present.
+   *
+   * @param right the right, if the operation may begin
+   * @param refusal the reason, if it may not begin
+   */
+  record Decision(Optional<Right> right, Optional<Refusal> refusal) {
+
+    private static Decision allow(DatabaseState database, ConnectionOwner owner) {
+      return new Decision(Optional.of(new Right(database, owner)), Optional.empty());
+    }
+
+    private static Decision refuse(Refusal refusal) {
+      return new Decision(Optional.empty(), Optional.of(refusal));
+    }
+
+    /** Returns the result of the function for the right or of the one for the refusal. */
+    <T> T map(Function<Right, T> ifAllowed, Function<Refusal, T> ifRefused) {
+      return right.map(ifAllowed).orElseGet(() -> ifRefused.apply(refusal.orElseThrow()));
+    }
+  }
+
+  /** Decides by one view and its lease whether an operation may begin. */
+  Decision decide() {
+    LeasedView leased = context.leasedViews().read();
+    Optional<ConfigurationState> configuration = leased.view().configuration();
+    Optional<DatabaseState> database = configuration.flatMap(known -> known.database(databaseName));
+    if (database.isEmpty()) {
+      Refusal refusal = unknownDatabase(leased);
+      logUnknownDatabase(leased.view(), refusal);
+      return Decision.refuse(refusal);
     }
     return identity
         .owner(configuration.get(), database.get())
-        .map(owner -> new Right(database.get(), owner));
+        .map(owner -> Decision.allow(database.get(), owner))
+        .orElseGet(() -> Decision.refuse(unauthorized(leased)));
   }
 
-  /** Returns why no operation may begin; empty if one may. */
-  Optional<Refusal> refusal() {
-    View view = context.views().current();
-    if (view.configuration().flatMap(known -> known.database(databaseName)).isEmpty()) {
-      Refusal refusal = context.unknownDatabase(databaseName);
-      logUnknownDatabase(view, refusal);
-      return Optional.of(refusal);
-    }
-    return right().isEmpty() ? Optional.of(unauthorized()) : Optional.empty();
+  /**
+   * Returns the refusal of a database that is not in the view. Without a valid lease, the refusal
+   * is {@code BUSY}, so that the caller retries on another host, and not an error of the caller.
+   */
+  private Refusal unknownDatabase(LeasedView leased) {
+    return leased.leaseValid()
+        ? new Refusal(RefusalCode.UNKNOWN_DATABASE, databaseName)
+        : new Refusal(
+            RefusalCode.BUSY,
+            "the control hosts have not confirmed this host's view, which has no database "
+                + databaseName);
   }
 
   /** Logs the view of the lookup beside the view that is current when the refusal is decided. */
@@ -92,11 +122,11 @@
   }
 
   /**
-   * Returns the refusal of an unknown key. Without a recent confirmation of the view, the key may
-   * have been added since, and the caller retries on another host.
+   * Returns the refusal of an unknown key; {@code BUSY} without a valid lease, so that the caller
+   * retries on another host.
    */
-  Refusal unauthorized() {
-    return context.viewConfirmed().getAsBoolean()
+  private static Refusal unauthorized(LeasedView leased) {
+    return leased.leaseValid()
         ? new Refusal(RefusalCode.UNAUTHORIZED, "no organisation has this key")
         : new Refusal(
             RefusalCode.BUSY,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
@@ -5,9 +5,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
-import org.alderyard.backend.session.Refusal;
-import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionStatement.Rollback;
 import org.alderyard.backend.session.TransactionState;
@@ -17,6 +14,7 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.proxy.pool.ConnectionPools;
+import org.alderyard.proxy.view.LeasedView;
 import org.alderyard.proxy.view.ViewHolder;
 
 /**
@@ -29,7 +27,7 @@
  * @param clock measures intervals
  * @param wallClock the time of day, used to detect that this host was suspended
  * @param metrics the session metrics
- * @param viewConfirmed whether the control hosts have recently confirmed this host's view
+ * @param leasedViews the current view with its lease, for refusals that depend on the lease
  * @param routineLog selects the successful statements that are logged
  */
 record SessionContext(
@@ -40,7 +38,7 @@
     MonotonicClock clock,
     InstantSource wallClock,
     SessionMetrics metrics,
-    BooleanSupplier viewConfirmed,
+    LeasedView.Source leasedViews,
     LogSampler routineLog) {
   /**
    * Timeout of a rollback, after which the connection is closed. A rollback needs no slot on the
@@ -57,7 +55,7 @@
     Objects.requireNonNull(clock);
     Objects.requireNonNull(wallClock);
     Objects.requireNonNull(metrics);
-    Objects.requireNonNull(viewConfirmed);
+    Objects.requireNonNull(leasedViews);
     Objects.requireNonNull(routineLog);
   }
 
@@ -103,20 +101,4 @@
     session.close();
     release(server, session);
   }
-
-  /**
-   * Returns the refusal of a database that is not in this host's view.
-   *
-   * <p>Without a recent confirmation of the view, the database may have been added since. The
-   * refusal is then {@code BUSY}, so that the caller retries on another host, and not an error of
-   * the caller.
-   */
-  Refusal unknownDatabase(String database) {
-    return viewConfirmed.getAsBoolean()
-        ? new Refusal(RefusalCode.UNKNOWN_DATABASE, database)
-        : new Refusal(
-            RefusalCode.BUSY,
-            "the control hosts have not confirmed this host's view, which has no database "
-                + database);
-  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -27,6 +27,7 @@
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ConnectionPools;
 import org.alderyard.proxy.quota.OrganisationLimiter;
+import org.alderyard.proxy.view.LeasedView;
 import org.alderyard.proxy.view.ViewHolder;
 
 /** Opens and closes caller sessions, and rolls back their idle transactions. */
@@ -85,7 +86,7 @@
             clock,
             wallClock,
             metrics,
-            viewConfirmed,
+            LeasedView.Source.of(views::current, viewConfirmed),
             new LogSampler(limits.routineLogSample()));
     refresher = new SampleRefresher(context);
     operationLimiter = new OperationLimiter(views);
@@ -261,7 +262,7 @@
       return Optional.of(
           new Refusal(RefusalCode.BUSY, "this host has not received a configuration yet"));
     }
-    return new SessionAccess(context, database, identity).refusal();
+    return new SessionAccess(context, database, identity).decide().refusal();
   }
 
   /** Opens a session. */
@@ -306,16 +307,16 @@
    * of them.
    */
   public boolean ready() {
-    View view = context.views().current();
-    return !draining && view.configuration().isPresent() && !isIsolated(view);
+    LeasedView leased = context.leasedViews().read();
+    return !draining && leased.view().configuration().isPresent() && !isIsolated(leased);
   }
 
-  private boolean isIsolated(View view) {
-    if (context.viewConfirmed().getAsBoolean()) {
+  private boolean isIsolated(LeasedView leased) {
+    if (leased.leaseValid()) {
       return false;
     }
     long now = context.clock().nowNanos();
-    return view.groups().values().stream()
+    return leased.view().groups().values().stream()
         .anyMatch(
             group ->
                 new ServerSearchPolicy(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -19,6 +19,7 @@
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
+import org.alderyard.proxy.view.LeasedView;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -191,10 +192,12 @@
   }
 
   private ServerSearchPolicy searchPolicy(long now) {
+    LeasedView leased = context.leasedViews().read();
     return new ServerSearchPolicy(
         requirement.needsPrimary(),
-        context.viewConfirmed().getAsBoolean(),
-        context
+        leased.leaseValid(),
+        leased
+            .view()
             .group(task.database().group())
             .map(group -> routing.primaryUnresponsiveNanos(group, now))
             .orElse(OptionalLong.empty()));
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -63,12 +64,17 @@
   private final MonotonicClock clock =
       () -> System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(advancedMillis.get());
   volatile boolean viewConfirmed = true;
+
+  /** Runs each time the state of the view lease is read, before it is returned. */
+  volatile Runnable onLeaseRead = () -> {};
+
   private long version;
   private int statements;
   private List<HostState> hosts = List.of();
   private int connectionsPerServer = 40;
   private int timeoutMillis = TIMEOUT_MILLIS;
   private Organisations organisations = Organisations.NONE;
+  private final List<DatabaseState> addedDatabases = new ArrayList<>();
 
   SessionFixture() {
     this("z0");
@@ -96,11 +102,16 @@
             clock,
             () -> Instant.ofEpochMilli(clock.nowMillis()),
             new PrometheusRegistry(),
-            () -> viewConfirmed,
+            this::readLease,
             new SessionLimits(100, servingDelay, 1));
     publish("s1", group.states());
   }
 
+  private boolean readLease() {
+    onLeaseRead.run();
+    return viewConfirmed;
+  }
+
   /**
    * Publishes a view in which this host is one of several, and servers accept this number of
    * connections.
@@ -123,6 +134,12 @@
     publish("s1", group.states());
   }
 
+  /** Publishes a view with another database. */
+  void addDatabase(String name) {
+    addedDatabases.add(database(name, SessionReads.NEWEST));
+    publish("s1", group.states());
+  }
+
   static CallerIdentity identity(String key) {
     return CallerIdentity.ofKey(key.getBytes(StandardCharsets.UTF_8));
   }
@@ -154,10 +171,7 @@
     editor.configuration(
         new ConfigurationState(
             version,
-            List.of(
-                database(NEWEST, SessionReads.NEWEST),
-                database(BOUNDED, SessionReads.BOUNDED),
-                database(OWN_WRITES, SessionReads.OWN_WRITES)),
+            databases(),
             new TreeMap<>(Map.of(id, 40)),
             IDLE_MILLIS,
             0,
@@ -168,6 +182,14 @@
     views.updateIfNewer(editor.at(new ViewVersion(1, version)));
   }
 
+  private List<DatabaseState> databases() {
+    List<DatabaseState> all = new ArrayList<>(addedDatabases);
+    all.add(database(NEWEST, SessionReads.NEWEST));
+    all.add(database(BOUNDED, SessionReads.BOUNDED));
+    all.add(database(OWN_WRITES, SessionReads.OWN_WRITES));
+    return all;
+  }
+
   private DatabaseState database(String name, SessionReads reads) {
     return new DatabaseState(
         name, "/", group.id(), reads, timeoutMillis, timeoutMillis, 1, STALENESS_MILLIS);
