Look up a pool in the view whose lease its refusal reports

What callers see: 404 POOL_UNKNOWN for a pool that is in force, from a host that receives the view with it at that moment.

Cause: PoolLookup.require was given a view and read the lease later, which may be that of a newer view.

Evidence: PoolLookupTest.poolOfConfirmedViewIsNotUnknown publishes the view with the pool when the lease is read. Before the change: AlderyardException: no pool 'added-since' is known.

Change: the lookup reads the view with its lease itself and returns the pool with the view that contains it. The two other tests of the class keep their checks on the new signature.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStack.java
@@ -32,6 +32,7 @@
 import org.alderyard.proxy.session.SessionTokens;
 import org.alderyard.proxy.statement.StatementService;
 import org.alderyard.proxy.transaction.TransactionService;
+import org.alderyard.proxy.view.LeasedView;
 import org.alderyard.proxy.view.PoolLookup;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.proxy.watch.WatchOptions;
@@ -129,7 +130,8 @@
             host.links);
     writes.reportLostPrimariesTo(watchers);
     writes.serveLedger(host.dispatcher, inFlight);
-    PoolLookup poolLookup = new PoolLookup(host.viewClient::leaseValid);
+    PoolLookup poolLookup =
+        new PoolLookup(LeasedView.Source.of(views::current, host.viewClient::leaseValid));
     StatementService statements =
         new StatementService(
             views,
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/TransactionApi.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/TransactionApi.java
@@ -90,7 +90,7 @@
   }
 
   private PoolState pool(PoolName name) {
-    return pools.require(views.current(), name);
+    return pools.require(name).pool();
   }
 
   /** Runs a request of an open transaction, or forwards it to the holder of the transaction. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/statement/StatementService.java
@@ -60,8 +60,9 @@
 
   /** Runs a statement. A failure carries an error code and an outcome. */
   public CompletableFuture<StatementAnswer> run(StatementRequest request) {
-    View view = views.current();
-    PoolState pool = pools.require(view, request.pool());
+    PoolLookup.Found found = pools.require(request.pool());
+    View view = found.view();
+    PoolState pool = found.pool();
     GroupState group =
         view.group(GroupSelector.groupOf(pool, request.key()))
             .orElseThrow(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/PoolLookup.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/PoolLookup.java
@@ -1,7 +1,6 @@
 package org.alderyard.proxy.view;
 
 import java.util.Objects;
-import java.util.function.BooleanSupplier;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.PoolName;
@@ -10,30 +9,39 @@
 
 /** Looks up the pools that callers name in their requests. */
 public final class PoolLookup {
-  private final BooleanSupplier viewConfirmed;
+  private final LeasedView.Source views;
+
+  /** Creates the lookup. */
+  public PoolLookup(LeasedView.Source views) {
+    this.views = Objects.requireNonNull(views);
+  }
 
   /**
-   * Creates the lookup.
+   * A pool and the view that contains it.
    *
-   * @param viewConfirmed returns whether the control hosts have confirmed this host's view recently
+   * @param pool the pool
+   * @param view the view of the lookup
    */
-  public PoolLookup(BooleanSupplier viewConfirmed) {
-    this.viewConfirmed = Objects.requireNonNull(viewConfirmed);
-  }
+  public record Found(PoolState pool, View view) {}
 
   /**
-   * Returns a pool of the view.
+   * Returns a pool of the current view.
    *
-   * @throws AlderyardException with {@code POOL_UNKNOWN} if a confirmed view does not contain the
-   *     pool, or with {@code VIEW_LEASE_EXPIRED} if the view is not confirmed. The pool may then be
-   *     newer than the view, so the request may be valid and another host may serve it.
+   * @throws AlderyardException with {@code POOL_UNKNOWN} if a view with a valid lease does not
+   *     contain the pool, or with {@code VIEW_LEASE_EXPIRED} if the lease has expired. The pool may
+   *     then be newer than the view, so the request may be valid and another host may serve it.
    */
-  public PoolState require(View view, PoolName name) {
-    return view.pool(name).orElseThrow(() -> unknownPool(name));
+  public Found require(PoolName name) {
+    LeasedView leased = views.read();
+    return leased
+        .view()
+        .pool(name)
+        .map(pool -> new Found(pool, leased.view()))
+        .orElseThrow(() -> unknownPool(name, leased));
   }
 
-  private AlderyardException unknownPool(PoolName name) {
-    return viewConfirmed.getAsBoolean()
+  private static AlderyardException unknownPool(PoolName name, LeasedView leased) {
+    return leased.leaseValid()
         ? AlderyardException.notRun(ErrorCode.POOL_UNKNOWN, "no pool '" + name + "' is known")
         : AlderyardException.notRun(
             ErrorCode.VIEW_LEASE_EXPIRED,
