Count an organisation's operations by the quota of the confirmed view

What callers see: OVER_QUOTA by an earlier limit, at a counter that receives the raised limit at that moment.

Cause: QuotaCounter.take read the quota from one view and then the lease of the view that was current afterwards.

Evidence: QuotaCounterTest.raisedLimitOfConfirmedViewApplies publishes the raised limit when the lease is read. Before the change: expected: 100, but was: 1.

Change: the counter takes the quota and the lease from one LeasedView.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaCounter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaCounter.java
@@ -2,15 +2,13 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.OrganisationQuota;
 import org.alderyard.common.view.OrganisationState;
-import org.alderyard.common.view.View;
 import org.alderyard.protocol.generated.quota.TakeQuotaReply;
 import org.alderyard.protocol.generated.quota.TakeQuotaReply.Verdict;
 import org.alderyard.protocol.generated.quota.TakeQuotaRequest;
+import org.alderyard.proxy.view.LeasedView;
 
 /**
  * Grants operations to other hosts, for the organisations that this host counts.
@@ -26,38 +24,34 @@
   /** Time after the first view in which a confirmation is not required. */
   private static final long START_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  private final Supplier<View> views;
+  private final LeasedView.Source views;
   private final CounterView counters;
   private final QuotaLedger ledger;
-  private final BooleanSupplier viewConfirmed;
   private final MonotonicClock clock;
   private final long startNanos;
   private volatile Optional<Long> firstViewNanos = Optional.empty();
   private volatile boolean stopped;
 
   QuotaCounter(
-      Supplier<View> views,
-      CounterView counters,
-      QuotaLedger ledger,
-      BooleanSupplier viewConfirmed,
-      MonotonicClock clock) {
+      LeasedView.Source views, CounterView counters, QuotaLedger ledger, MonotonicClock clock) {
     this.views = views;
     this.counters = counters;
     this.ledger = ledger;
-    this.viewConfirmed = viewConfirmed;
     this.clock = clock;
     startNanos = clock.nowNanos();
   }
 
   /** Answers a request of another host. */
   TakeQuotaReply take(TakeQuotaRequest request) {
-    View view = views.get();
+    LeasedView leased = views.read();
     long now = clock.nowNanos();
     Optional<OrganisationQuota> quota =
-        view.configuration()
+        leased
+            .view()
+            .configuration()
             .flatMap(current -> current.organisations().byName(request.getOrganisation()))
             .flatMap(OrganisationState::quota);
-    if (quota.isEmpty() || stopped || !isConfirmed(now)) {
+    if (quota.isEmpty() || stopped || !(leased.leaseValid() || isStarting(now))) {
       return NOT_COUNTED;
     }
     if (!counters.mayGrant(request.getOrganisation())) {
@@ -99,9 +93,8 @@
     }
   }
 
-  private boolean isConfirmed(long nowNanos) {
-    return viewConfirmed.getAsBoolean()
-        || firstViewNanos.filter(first -> nowNanos - first < START_NANOS).isPresent();
+  private boolean isStarting(long nowNanos) {
+    return firstViewNanos.filter(first -> nowNanos - first < START_NANOS).isPresent();
   }
 
   /** Stops to grant, before this host leaves and another one takes over. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -23,6 +23,7 @@
 import org.alderyard.protocol.generated.quota.TakeQuotaRequest;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.PeerLinks;
+import org.alderyard.proxy.view.LeasedView;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -99,7 +100,12 @@
     startNanos = clock.nowNanos();
     this.tolerance = tolerance;
     counters = new CounterView(self, clock);
-    counter = new QuotaCounter(views, counters, new QuotaLedger(tolerance), viewConfirmed, clock);
+    counter =
+        new QuotaCounter(
+            LeasedView.Source.of(views, viewConfirmed),
+            counters,
+            new QuotaLedger(tolerance),
+            clock);
     client =
         (host, request, timeout) ->
             host.id().equals(self.id())
