Separate the fetches of views from the heartbeats of the view client

Cause: the view client fetched, sent heartbeats and kept the lease in one class, over links and worker threads that a test can't hold still.

Change: ViewFetcher has the fetch loop, ViewControl the three requests to the control hosts, and common.concurrent.Timer (moved from QuotaService) the delays. What is sent and when stays the same.

--- a/alderyard-common/src/main/java/org/alderyard/common/concurrent/package-info.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/concurrent/package-info.java
@@ -1,2 +1,2 @@
-/** The worker pool and helpers for futures. */
+/** The worker pool, timers and helpers for futures. */
 package org.alderyard.common.concurrent;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.alderyard.common.concurrent.Timer;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
@@ -50,13 +51,6 @@
   private final long startNanos;
   private volatile Optional<Long> firstViewNanos = Optional.empty();
 
-  /** Runs a task once after a delay. */
-  @FunctionalInterface
-  public interface Timer {
-    /** Schedules the task; does not block. */
-    void schedule(Duration delay, Runnable task);
-  }
-
   /**
    * Creates a service.
    *
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
@@ -0,0 +1,178 @@
+package org.alderyard.proxy.view;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.Timer;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.log.DependencyLog;
+import org.alderyard.common.view.View;
+import org.alderyard.protocol.generated.control.FetchViewReply;
+import org.alderyard.protocol.generated.control.FetchViewRequest;
+import org.alderyard.protocol.view.StateCodec;
+import org.alderyard.protocol.view.ViewFollower;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Fetches views by long polling from any control host.
+ *
+ * <p>Locking: guarded by the object itself; it is a leaf lock, and views are handed on after it is
+ * released.
+ */
+final class ViewFetcher {
+  private static final Logger log = LoggerFactory.getLogger(ViewFetcher.class);
+  private static final Duration POLL_WAIT = Duration.ofMillis(1_000);
+
+  /**
+   * Poll wait of a fetch from the leader. The fetch asks one control host after the other, and each
+   * may wait this long for a leader.
+   */
+  private static final Duration LEADER_POLL_WAIT = Duration.ofMillis(200);
+
+  private static final Duration RETRY_DELAY = Duration.ofMillis(100);
+
+  private final ViewControl control;
+  private final Timer timer;
+  private final Consumer<View> onView;
+  private final BooleanSupplier behindTooLong;
+  private final DependencyLog fetches = new DependencyLog(log, "view-fetch");
+  // Guarded by this.
+  private ViewFollower follower = ViewFollower.EMPTY;
+  // Index of the control host to fetch from.
+  private int sourceIndex;
+  // Set when the deltas that follow this host's version are not available: only the leader sends
+  // a whole view.
+  private boolean needsLeader;
+  private volatile boolean closed;
+
+  /**
+   * Creates a fetcher that sends nothing until {@link #start()}.
+   *
+   * @param sourceIndex the control host to fetch from first
+   * @param onView is called with each view that a reply contains
+   * @param behindTooLong whether a version that the leader has reported is overdue
+   */
+  ViewFetcher(
+      ViewControl control,
+      int sourceIndex,
+      Timer timer,
+      Consumer<View> onView,
+      BooleanSupplier behindTooLong) {
+    this.control = control;
+    this.sourceIndex = sourceIndex;
+    this.timer = timer;
+    this.onView = onView;
+    this.behindTooLong = behindTooLong;
+  }
+
+  void start() {
+    timer.schedule(Duration.ZERO, this::fetch);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /**
+   * A request in flight.
+   *
+   * @param index the index of the control host, if the request does not go to the leader
+   * @param toLeader whether the request goes to the leader
+   */
+  private record Attempt(int index, boolean toLeader) {}
+
+  private void fetch() {
+    if (closed) {
+      return;
+    }
+    Attempt attempt;
+    FetchViewRequest request;
+    synchronized (this) {
+      attempt = new Attempt(sourceIndex, needsLeader);
+      request = request(attempt.toLeader());
+    }
+    send(attempt, request)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure == null) {
+                onReply(attempt, reply);
+              } else {
+                onFailure(attempt, failure);
+              }
+            });
+  }
+
+  private FetchViewRequest request(boolean toLeader) {
+    return FetchViewRequest.newBuilder()
+        .setRunning(StateCodec.versionMessage(follower.view().version()))
+        .setChainHash(follower.chainHash())
+        .setWaitMillis((int) (toLeader ? LEADER_POLL_WAIT : POLL_WAIT).toMillis())
+        .build();
+  }
+
+  private CompletableFuture<FetchViewReply> send(Attempt attempt, FetchViewRequest request) {
+    return attempt.toLeader()
+        ? control.fetchFromLeader(request)
+        : control.fetch(attempt.index(), request);
+  }
+
+  private void onReply(Attempt attempt, FetchViewReply reply) {
+    if (accept(reply)) {
+      fetches.recordSuccess();
+      fetchNext(attempt.index(), false, Duration.ZERO);
+    } else {
+      fetchNext(attempt.index() + 1, false, RETRY_DELAY);
+    }
+  }
+
+  private void onFailure(Attempt attempt, Throwable failure) {
+    fetches.recordFailure(Futures.toAlderyardException(failure));
+    boolean wholeViewNeeded =
+        !attempt.toLeader() && Futures.toAlderyardException(failure).code() == ErrorCode.NOT_LEADER;
+    if (wholeViewNeeded) {
+      fetchNext(attempt.index(), true, Duration.ZERO);
+    } else {
+      fetchNext(attempt.index() + 1, false, RETRY_DELAY);
+    }
+  }
+
+  private void fetchNext(int index, boolean fromLeader, Duration delay) {
+    synchronized (this) {
+      sourceIndex = index;
+      needsLeader = fromLeader;
+    }
+    timer.schedule(delay, this::fetch);
+  }
+
+  /** Applies a reply. Returns whether to keep fetching from the same control host. */
+  private boolean accept(FetchViewReply reply) {
+    ViewFollower.Result result;
+    synchronized (this) {
+      result =
+          reply.hasSnapshot()
+              ? follower.accept(reply.getSnapshot(), reply.getChainHash())
+              : follower.accept(reply.getDeltas());
+      follower = result.follower();
+    }
+    onView.accept(result.follower().view());
+    switch (result.reason()) {
+      case ADVANCED -> {
+        return true;
+      }
+      case NOTHING_NEW -> {
+        // A control host that is partitioned from the leader never sends a newer version.
+        return !reply.hasSnapshot() && !behindTooLong.getAsBoolean();
+      }
+      default -> {
+        log.warn(
+            "event=view-delta-refused version={} reason={}",
+            result.follower().view().version(),
+            result.reason());
+        return false;
+      }
+    }
+  }
+}
