Fetch the view from the leader while a stopped control host is silent

What callers see: a host runs an old configuration for over 3 s after a change was acknowledged, though it reaches the leader all the while.

Cause: a host checked whether it lags only when a fetch was answered. A fetch to a control host that stands still fails after 2 s, and the next one may hang as well, while each heartbeat reply names the version that the host lacks.

Evidence: ViewClientTest, 5 of 6 failing before the change, e.g. hostFetchesFromLeaderWhileStoppedSourceIsSilent: pendingAtLeader().size() expected: 1, but was: 0 (the sixth, sourceThatAnswersInTimeIsKept, guards against needless fetches).

Change: 501 to 750 ms after a heartbeat reply that names a version which the host lacks, it fetches from the leader, if it still lags and its own fetch is older than 500 ms. The delay is spread by host. A fetch from the leader is never overtaken, so there is at most one more a host. Fetches have a round: the late reply of an overtaken one is applied, as the chain of hashes guards it, but the loop of its round ends. Logged as view-fetch-overtaken.

Result: 6 of 6 pass; ThreeControlHostsTest and SessionHostTest pass.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -31,6 +31,12 @@
   private static final long LEAVE_TIMEOUT_MILLIS = 300;
   private static final long MAX_BEHIND_MILLIS = 500;
 
+  /**
+   * Spreads the fetches of the hosts that overtake the same stopped control host, so that they
+   * don't reach the leader at once.
+   */
+  private static final int OVERTAKE_SPREAD_MILLIS = 250;
+
   private final ViewControl control;
   private final HostState self;
   private final ViewHolder holder;
@@ -75,7 +81,8 @@
     this.holder = holder;
     this.timer = timer;
     this.clock = clock;
-    fetcher = new ViewFetcher(control, sourceIndex, timer, this::onView, this::behindTooLong);
+    fetcher =
+        new ViewFetcher(control, sourceIndex, timer, clock, this::onView, this::behindTooLong);
   }
 
   /**
@@ -156,6 +163,7 @@
           sentMillis,
           reply.getLeaseMillis(),
           clock.nowMillis());
+      overtakeIfStillBehind();
     } else {
       heartbeats.recordFailure(Futures.toAlderyardException(failure));
     }
@@ -169,6 +177,21 @@
     }
   }
 
+  /** Fetches from the leader unless the fetch in flight brings the overdue version in time. */
+  private void overtakeIfStillBehind() {
+    if (lease.behindMillis(clock.nowMillis()).isEmpty()) {
+      return;
+    }
+    long spreadMillis = Math.floorMod(self.id().hashCode(), OVERTAKE_SPREAD_MILLIS);
+    timer.schedule(
+        Duration.ofMillis(MAX_BEHIND_MILLIS + 1 + spreadMillis),
+        () -> {
+          if (behindTooLong()) {
+            fetcher.overtake();
+          }
+        });
+  }
+
   private CompletableFuture<HeartbeatReply> send(boolean leaving) {
     HeartbeatRequest request =
         HeartbeatRequest.newBuilder()
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
@@ -8,6 +8,7 @@
 import org.alderyard.common.concurrent.Timer;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.log.DependencyLog;
+import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.View;
 import org.alderyard.protocol.generated.control.FetchViewReply;
 import org.alderyard.protocol.generated.control.FetchViewRequest;
@@ -34,8 +35,15 @@
 
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
+  /**
+   * Age at which a fetch may be overtaken. A fetch that is younger is left alone, as updates arrive
+   * late, but do arrive, when the control hosts are overloaded.
+   */
+  private static final long MIN_OVERTAKEN_AGE_MILLIS = 500;
+
   private final ViewControl control;
   private final Timer timer;
+  private final MonotonicClock clock;
   private final Consumer<View> onView;
   private final BooleanSupplier behindTooLong;
   private final DependencyLog fetches = new DependencyLog(log, "view-fetch");
@@ -46,6 +54,9 @@
   // Set when the deltas that follow this host's version are not available: only the leader sends
   // a whole view.
   private boolean needsLeader;
+  private long sentMillis;
+  // Number of fetches that were overtaken; only the loop of the last round goes on.
+  private long round;
   private volatile boolean closed;
 
   /**
@@ -59,17 +70,41 @@
       ViewControl control,
       int sourceIndex,
       Timer timer,
+      MonotonicClock clock,
       Consumer<View> onView,
       BooleanSupplier behindTooLong) {
     this.control = control;
     this.sourceIndex = sourceIndex;
     this.timer = timer;
+    this.clock = clock;
     this.onView = onView;
     this.behindTooLong = behindTooLong;
   }
 
   void start() {
-    timer.schedule(Duration.ZERO, this::fetch);
+    timer.schedule(Duration.ZERO, () -> fetch(0));
+  }
+
+  /**
+   * Fetches from the leader without waiting for the fetch in flight, whose source may have stopped.
+   * Does nothing if the fetch in flight is recent or goes to the leader, so at most one additional
+   * fetch is sent. A late reply to the overtaken fetch is still applied.
+   */
+  void overtake() {
+    long ageMillis;
+    long nextRound;
+    synchronized (this) {
+      ageMillis = clock.nowMillis() - sentMillis;
+      if (needsLeader || ageMillis < MIN_OVERTAKEN_AGE_MILLIS) {
+        return;
+      }
+      round++;
+      nextRound = round;
+      sourceIndex++;
+      needsLeader = true;
+    }
+    log.info("event=view-fetch-overtaken waited-millis={}", ageMillis);
+    fetch(nextRound);
   }
 
   void close() {
@@ -79,19 +114,21 @@
   /**
    * A request in flight.
    *
+   * @param round the round of the fetch loop
    * @param index the index of the control host, if the request does not go to the leader
    * @param toLeader whether the request goes to the leader
    */
-  private record Attempt(int index, boolean toLeader) {}
+  private record Attempt(long round, int index, boolean toLeader) {}
 
-  private void fetch() {
-    if (closed) {
-      return;
-    }
+  private void fetch(long ofRound) {
     Attempt attempt;
     FetchViewRequest request;
     synchronized (this) {
-      attempt = new Attempt(sourceIndex, needsLeader);
+      if (closed || ofRound != round) {
+        return;
+      }
+      attempt = new Attempt(round, sourceIndex, needsLeader);
+      sentMillis = clock.nowMillis();
       request = request(attempt.toLeader());
     }
     send(attempt, request)
@@ -122,29 +159,39 @@
   private void onReply(Attempt attempt, FetchViewReply reply) {
     if (accept(reply)) {
       fetches.recordSuccess();
-      fetchNext(attempt.index(), false, Duration.ZERO);
+      fetchNext(attempt, attempt.index(), false, Duration.ZERO);
     } else {
-      fetchNext(attempt.index() + 1, false, RETRY_DELAY);
+      fetchNext(attempt, attempt.index() + 1, false, RETRY_DELAY);
     }
   }
 
   private void onFailure(Attempt attempt, Throwable failure) {
+    if (isOvertaken(attempt)) {
+      return;
+    }
     fetches.recordFailure(Futures.toAlderyardException(failure));
     boolean wholeViewNeeded =
         !attempt.toLeader() && Futures.toAlderyardException(failure).code() == ErrorCode.NOT_LEADER;
     if (wholeViewNeeded) {
-      fetchNext(attempt.index(), true, Duration.ZERO);
+      fetchNext(attempt, attempt.index(), true, Duration.ZERO);
     } else {
-      fetchNext(attempt.index() + 1, false, RETRY_DELAY);
+      fetchNext(attempt, attempt.index() + 1, false, RETRY_DELAY);
     }
   }
 
-  private void fetchNext(int index, boolean fromLeader, Duration delay) {
+  private synchronized boolean isOvertaken(Attempt attempt) {
+    return attempt.round() != round;
+  }
+
+  private void fetchNext(Attempt previous, int index, boolean fromLeader, Duration delay) {
     synchronized (this) {
+      if (isOvertaken(previous)) {
+        return;
+      }
       sourceIndex = index;
       needsLeader = fromLeader;
     }
-    timer.schedule(delay, this::fetch);
+    timer.schedule(delay, () -> fetch(previous.round()));
   }
 
   /** Applies a reply. Returns whether to keep fetching from the same control host. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
@@ -41,7 +41,9 @@
 
   /** Records the version that this host acts on. */
   synchronized void recordRunning(ViewVersion version) {
-    running = version;
+    if (version.compareTo(running) > 0) {
+      running = version;
+    }
     if (!behind()) {
       endMillis = Math.max(endMillis, pendingEndMillis);
     }
