Log that a host was suspended

Cause: nothing tells whether a host acted on a view that was old by the time of day, as its monotonic clock stands still during a suspension.

Change: event=host-suspended millis=... when the time of day has advanced by over 1 s more than the monotonic clock between two heartbeats. What the host does stays the same.

--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import org.alderyard.common.concurrent.WorkerPool;
@@ -132,7 +133,8 @@
             self,
             new ViewHolder(),
             workers,
-            clock);
+            clock,
+            InstantSource.system());
     client.start();
     return List.of(links);
   }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -129,7 +129,7 @@
             settings.roles().contains(Role.PROXY),
             settings.roles().contains(Role.CONTROL),
             false);
-    viewClient = new ViewClient(control, self, views, controlWorkers, clock);
+    viewClient = new ViewClient(control, self, views, controlWorkers, clock, wallClock);
   }
 
   private List<InetSocketAddress> initialControlHosts() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -1,6 +1,7 @@
 package org.alderyard.proxy.view;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -31,6 +32,9 @@
   private static final long LEAVE_TIMEOUT_MILLIS = 300;
   private static final long MAX_BEHIND_MILLIS = 500;
 
+  /** Suspensions and steps of the clock up to this are not logged. */
+  private static final long MAX_UNLOGGED_SUSPENSION_MILLIS = 1_000;
+
   /**
    * Spreads the fetches of the hosts that overtake the same stopped control host, so that they
    * don't reach the leader at once.
@@ -42,12 +46,14 @@
   private final ViewHolder holder;
   private final Timer timer;
   private final MonotonicClock clock;
+  private final InstantSource wallClock;
   private final ViewFetcher fetcher;
   private final ViewLease lease = new ViewLease();
   private final Object lock = new Object();
   // Guarded by lock.
   private boolean heartbeatInFlight;
   private boolean heartbeatPending;
+  private HostTime lastHeartbeat;
   private final DependencyLog heartbeats = new DependencyLog(log, "heartbeat");
   private final List<Runnable> leaseLapseListeners = new CopyOnWriteArrayList<>();
   private volatile boolean closed;
@@ -58,7 +64,8 @@
       HostState self,
       ViewHolder holder,
       WorkerPool workers,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      InstantSource wallClock) {
     this(
         new RemoteViewControl(control),
         // Spreads the fetches of all hosts over the control hosts.
@@ -66,7 +73,8 @@
         self,
         holder,
         workers::schedule,
-        clock);
+        clock,
+        wallClock);
   }
 
   ViewClient(
@@ -75,12 +83,15 @@
       HostState self,
       ViewHolder holder,
       Timer timer,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      InstantSource wallClock) {
     this.control = control;
     this.self = self;
     this.holder = holder;
     this.timer = timer;
     this.clock = clock;
+    this.wallClock = wallClock;
+    lastHeartbeat = HostTime.now(clock, wallClock);
     fetcher =
         new ViewFetcher(control, sourceIndex, timer, clock, this::onView, this::behindTooLong);
   }
@@ -150,8 +161,21 @@
       heartbeatInFlight = true;
     }
     // The lease starts before the request is sent, because the reply may be delayed.
-    long sentMillis = clock.nowMillis();
-    send(false).whenComplete((reply, failure) -> onHeartbeatReply(sentMillis, reply, failure));
+    HostTime sent = HostTime.now(clock, wallClock);
+    logSuspension(sent);
+    send(false)
+        .whenComplete((reply, failure) -> onHeartbeatReply(sent.monotonicMillis(), reply, failure));
+  }
+
+  private void logSuspension(HostTime now) {
+    long suspendedMillis;
+    synchronized (lock) {
+      suspendedMillis = now.suspendedMillisSince(lastHeartbeat);
+      lastHeartbeat = now;
+    }
+    if (suspendedMillis > MAX_UNLOGGED_SUSPENSION_MILLIS) {
+      log.warn("event=host-suspended millis={}", suspendedMillis);
+    }
   }
 
   private void onHeartbeatReply(long sentMillis, HeartbeatReply reply, Throwable failure) {
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
@@ -29,7 +29,7 @@
   private final HostState self =
       new HostState(new HostId("h1"), 1, new ZoneName("z0"), ADDRESS, ADDRESS, true, false, false);
   private final ViewClient client =
-      new ViewClient(control, SOURCE, self, holder, timer, timer.clock);
+      new ViewClient(control, SOURCE, self, holder, timer, timer.clock, timer.wallClock);
 
   /** Runs version 1 with a valid lease; a fetch from the source is in flight. */
   @BeforeEach
