End the view lease by the time of day as well

What callers see: for up to 3 s after a suspension, a host refuses for good what only its view from before the suspension refuses.

Cause: the lease counted on System.nanoTime alone, which stands still while a machine is suspended.

Change: a lease keeps the sending of its heartbeat on both clocks and ends on the one that reaches its end first. A clock that is set back leaves the monotonic bound in force; the next heartbeat replaces both ends.

Writes are then NOT_RUN with VIEW_LEASE_EXPIRED until a heartbeat is answered. The first check that finds the lease ended so sends one at once, and no more before the lease is valid again, so this lasts for one call to the leader (two if one was in flight) rather than for 0.75 s. The owner ledger would refuse requests for 7 s after an interruption; it is told of one only if the host also learns of a newer view, as no other host can own its ids without one.

ViewLeaseTest keeps its checks, with times on both clocks.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.Timer;
 import org.alderyard.common.concurrent.WorkerPool;
@@ -13,6 +14,7 @@
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.View;
+import org.alderyard.common.view.ViewVersion;
 import org.alderyard.protocol.control.ControlClient;
 import org.alderyard.protocol.generated.control.HeartbeatReply;
 import org.alderyard.protocol.generated.control.HeartbeatRequest;
@@ -56,6 +58,8 @@
   private HostTime lastHeartbeat;
   private final DependencyLog heartbeats = new DependencyLog(log, "heartbeat");
   private final List<Runnable> leaseLapseListeners = new CopyOnWriteArrayList<>();
+  // Whether a heartbeat was sent because the time of day ended the lease.
+  private final AtomicBoolean renewing = new AtomicBoolean();
   private volatile boolean closed;
 
   /** Creates a client that sends nothing until {@link #start()}. */
@@ -117,23 +121,45 @@
 
   /** Returns whether the view lease is valid, so that this host may act on its view. */
   public boolean leaseValid() {
-    return lease.valid(clock.nowMillis());
+    HostTime now = now();
+    boolean valid = lease.valid(now);
+    if (!valid && lease.endedByTimeOfDayOnly(now)) {
+      renewAtOnce();
+    }
+    return valid;
+  }
+
+  /**
+   * Sends a heartbeat now, so that a host whose clock was set forward refuses no more than what
+   * arrives until the reply. Sent once until the lease is valid again.
+   */
+  private void renewAtOnce() {
+    if (!closed && renewing.compareAndSet(false, true)) {
+      timer.schedule(Duration.ZERO, this::heartbeat);
+    }
+  }
+
+  private HostTime now() {
+    return HostTime.now(clock, wallClock);
   }
 
-  /** Adds a listener that is notified of an expired lease before the lease becomes valid again. */
+  /**
+   * Adds a listener that is notified before the lease becomes valid again after an interruption, in
+   * which another host may have taken over work of this host.
+   */
   public void onLeaseLapsed(Runnable listener) {
     leaseLapseListeners.add(listener);
   }
 
-  private void notifyIfLeaseLapsed() {
-    if (!leaseValid()) {
+  private void notifyIfInterrupted(ViewVersion newest) {
+    if (lease.interrupted(newest, now())) {
       leaseLapseListeners.forEach(Runnable::run);
     }
   }
 
   private void onView(View view) {
     if (holder.updateIfNewer(view)) {
-      notifyIfLeaseLapsed();
+      notifyIfInterrupted(view.version());
       lease.recordRunning(holder.current().version());
       log.info("event=view-changed version={}", holder.current().version());
       timer.schedule(Duration.ZERO, this::heartbeat);
@@ -161,10 +187,9 @@
       heartbeatInFlight = true;
     }
     // The lease starts before the request is sent, because the reply may be delayed.
-    HostTime sent = HostTime.now(clock, wallClock);
+    HostTime sent = now();
     logSuspension(sent);
-    send(false)
-        .whenComplete((reply, failure) -> onHeartbeatReply(sent.monotonicMillis(), reply, failure));
+    send(false).whenComplete((reply, failure) -> onHeartbeatReply(sent, reply, failure));
   }
 
   private void logSuspension(HostTime now) {
@@ -178,15 +203,15 @@
     }
   }
 
-  private void onHeartbeatReply(long sentMillis, HeartbeatReply reply, Throwable failure) {
+  private void onHeartbeatReply(HostTime sent, HeartbeatReply reply, Throwable failure) {
     if (failure == null) {
       heartbeats.recordSuccess();
-      notifyIfLeaseLapsed();
-      lease.recordConfirmation(
-          StateCodec.version(reply.getCurrent()),
-          sentMillis,
-          reply.getLeaseMillis(),
-          clock.nowMillis());
+      ViewVersion current = StateCodec.version(reply.getCurrent());
+      notifyIfInterrupted(current);
+      lease.recordConfirmation(current, sent, reply.getLeaseMillis(), now());
+      if (lease.valid(now())) {
+        renewing.set(false);
+      }
       overtakeIfStillBehind();
     } else {
       heartbeats.recordFailure(Futures.toAlderyardException(failure));
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
@@ -1,5 +1,6 @@
 package org.alderyard.proxy.view;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.alderyard.common.view.ViewVersion;
 
@@ -10,32 +11,63 @@
  * heartbeat was sent. A host that runs this version holds the lease from the time at which it sent
  * the heartbeat, because the reply may be delayed. A host that lags behind obtains the lease only
  * when it has caught up with this version.
+ *
+ * <p>The lease ends on the clock that is first to reach its end: the monotonic clock stands still
+ * while the host is suspended, and the time of day may be set back.
  */
 final class ViewLease {
-  private long endMillis = Long.MIN_VALUE;
+  private Optional<Grant> grant = Optional.empty();
   private ViewVersion running = ViewVersion.NONE;
-  // The version that a reply confirmed and this host does not run yet, the end of the lease that
-  // the version grants, and the time since which this host lags.
+  // The version that a reply confirmed and this host does not run yet, the lease that the version
+  // grants, and the time since which this host lags.
   private ViewVersion pending = ViewVersion.NONE;
-  private long pendingEndMillis = Long.MIN_VALUE;
+  private Optional<Grant> pendingGrant = Optional.empty();
   private long behindSinceMillis;
 
+  /** The period that one heartbeat grants. */
+  private record Grant(HostTime sent, long leaseMillis) {
+
+    boolean endedMonotonic(HostTime now) {
+      return now.monotonicMillis() - sent.monotonicMillis() >= leaseMillis;
+    }
+
+    boolean endedByTimeOfDay(HostTime now) {
+      return now.wallMillis() - sent.wallMillis() >= leaseMillis;
+    }
+
+    private long endMillis() {
+      return sent.monotonicMillis() + leaseMillis;
+    }
+
+    /**
+     * Returns the grant that ends later on the monotonic clock, which is never set back; the second
+     * one if both end at once, as of two that were sent before and after a suspension.
+     */
+    static Optional<Grant> later(Optional<Grant> first, Optional<Grant> second) {
+      if (first.isEmpty() || second.isEmpty()) {
+        return first.or(() -> second);
+      }
+      return second.get().endMillis() >= first.get().endMillis() ? second : first;
+    }
+  }
+
   /** Records the reply to a heartbeat. */
   synchronized void recordConfirmation(
-      ViewVersion current, long sentMillis, long leaseMillis, long nowMillis) {
+      ViewVersion current, HostTime sent, long leaseMillis, HostTime now) {
+    Optional<Grant> granted = Optional.of(new Grant(sent, leaseMillis));
     if (current.compareTo(running) <= 0) {
-      endMillis = Math.max(endMillis, sentMillis + leaseMillis);
+      grant = Grant.later(grant, granted);
       return;
     }
     if (!behind()) {
-      behindSinceMillis = nowMillis;
+      behindSinceMillis = now.monotonicMillis();
     }
     if (current.compareTo(pending) > 0) {
       // An older pending version grants an earlier end: only the end of the newest one is kept.
       pending = current;
-      pendingEndMillis = sentMillis + leaseMillis;
+      pendingGrant = granted;
     } else {
-      pendingEndMillis = Math.max(pendingEndMillis, sentMillis + leaseMillis);
+      pendingGrant = Grant.later(pendingGrant, granted);
     }
   }
 
@@ -45,7 +77,7 @@
       running = version;
     }
     if (!behind()) {
-      endMillis = Math.max(endMillis, pendingEndMillis);
+      grant = Grant.later(grant, pendingGrant);
     }
   }
 
@@ -54,8 +86,35 @@
   }
 
   /** Returns whether the lease has not expired. */
-  synchronized boolean valid(long nowMillis) {
-    return nowMillis < endMillis;
+  synchronized boolean valid(HostTime now) {
+    return grant
+        .filter(held -> !held.endedMonotonic(now) && !held.endedByTimeOfDay(now))
+        .isPresent();
+  }
+
+  /**
+   * Returns whether the lease has expired by the time of day alone: this host was suspended, or its
+   * clock was set forward.
+   */
+  synchronized boolean endedByTimeOfDayOnly(HostTime now) {
+    return grant
+        .filter(held -> !held.endedMonotonic(now) && held.endedByTimeOfDay(now))
+        .isPresent();
+  }
+
+  /**
+   * Returns whether another host may have taken over work of this host since the last lease.
+   *
+   * <p>This needs a newer view. If the time of day alone ended the lease and the newest version is
+   * still the one that this host runs, only the clock was set forward.
+   *
+   * @param newest a version of which this host learns now
+   */
+  synchronized boolean interrupted(ViewVersion newest, HostTime now) {
+    if (valid(now)) {
+      return false;
+    }
+    return !endedByTimeOfDayOnly(now) || newest.compareTo(running) > 0;
   }
 
   /** Returns for how long a newer version has been known but not received; empty if none. */
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewLeaseTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewLeaseTest.java
@@ -13,13 +13,18 @@
 
   private final ViewLease lease = new ViewLease();
 
+  /** Returns a time on the clocks of a host that is never suspended. */
+  private static HostTime at(long millis) {
+    return new HostTime(millis, millis);
+  }
+
   @Test
   void leaseStartsWhenHeartbeatIsSent() {
-    assertThat(lease.valid(0)).isFalse();
+    assertThat(lease.valid(at(0))).isFalse();
     lease.recordRunning(V1);
-    lease.recordConfirmation(V1, 100, LEASE_MILLIS, 900);
-    assertThat(lease.valid(3_099)).isTrue();
-    assertThat(lease.valid(3_100)).isFalse();
+    lease.recordConfirmation(V1, at(100), LEASE_MILLIS, at(900));
+    assertThat(lease.valid(at(3_099))).isTrue();
+    assertThat(lease.valid(at(3_100))).isFalse();
   }
 
   /**
@@ -30,24 +35,24 @@
   @Test
   void answeredHeartbeatsDoNotExtendLeaseOfLaggingHost() {
     lease.recordRunning(V1);
-    lease.recordConfirmation(V1, 0, LEASE_MILLIS, 1);
-    lease.recordConfirmation(V2, 1_000, LEASE_MILLIS, 1_001);
-    lease.recordConfirmation(V2, 2_000, LEASE_MILLIS, 2_001);
+    lease.recordConfirmation(V1, at(0), LEASE_MILLIS, at(1));
+    lease.recordConfirmation(V2, at(1_000), LEASE_MILLIS, at(1_001));
+    lease.recordConfirmation(V2, at(2_000), LEASE_MILLIS, at(2_001));
 
-    assertThat(lease.valid(3_000)).isFalse();
+    assertThat(lease.valid(at(3_000))).isFalse();
     assertThat(lease.behindMillis(2_501).getAsLong()).isEqualTo(1_500);
 
     lease.recordRunning(V2);
-    assertThat(lease.valid(4_999)).isTrue();
-    assertThat(lease.valid(5_000)).isFalse();
+    assertThat(lease.valid(at(4_999))).isTrue();
+    assertThat(lease.valid(at(5_000))).isFalse();
     assertThat(lease.behindMillis(4_000).isPresent()).isFalse();
   }
 
   @Test
   void lateReplyToEarlierHeartbeatDoesNotShortenLease() {
     lease.recordRunning(V2);
-    lease.recordConfirmation(V2, 1_000, LEASE_MILLIS, 1_001);
-    lease.recordConfirmation(V1, 0, LEASE_MILLIS, 1_500);
-    assertThat(lease.valid(3_999)).isTrue();
+    lease.recordConfirmation(V2, at(1_000), LEASE_MILLIS, at(1_001));
+    lease.recordConfirmation(V1, at(0), LEASE_MILLIS, at(1_500));
+    assertThat(lease.valid(at(3_999))).isTrue();
   }
 }
