--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.alderyard.common.concurrent.Timer;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
@@ -23,6 +24,7 @@
 import org.alderyard.protocol.generated.quota.TakeQuotaRequest;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.PeerLinks;
+import org.alderyard.proxy.view.LeasedView;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -49,13 +51,6 @@
   private final long startNanos;
   private volatile Optional<Long> firstViewNanos = Optional.empty();
 
-  /** Runs a task once after a delay. */
-  @FunctionalInterface
-  public interface Timer {
-    /** Schedules the task; does not block. */
-    void schedule(Duration delay, Runnable task);
-  }
-
   /**
    * Creates a service.
    *
@@ -99,7 +94,12 @@
     startNanos = clock.nowNanos();
     this.tolerance = tolerance;
     counters = new CounterView(self, clock);
-    counter = new QuotaCounter(views, counters, new QuotaLedger(tolerance), viewConfirmed, clock);
+    counter =
+        new QuotaCounter(
+            LeasedView.Source.of(views, viewConfirmed),
+            counters,
+            new QuotaLedger(tolerance),
+            clock);
     client =
         (host, request, timeout) ->
             host.id().equals(self.id())
--- /dev/null
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
@@ -0,0 +1,225 @@
+package org.alderyard.proxy.view;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.Timer;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.log.DependencyLog;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.View;
+import org.alderyard.protocol.generated.control.FetchViewReply;
+import org.alderyard.protocol.generated.control.FetchViewRequest;
+import org.alderyard.protocol.view.StateCodec;
+import org.alderyard.protocol.view.ViewFollower;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Fetches views by long polling from any control host.
+ *
+ * <p>Locking: guarded by the object itself; it is a leaf lock, and views are handed on after it is
+ * released.
+ */
+final class ViewFetcher {
+  private static final Logger log = LoggerFactory.getLogger(ViewFetcher.class);
+  private static final Duration POLL_WAIT = Duration.ofMillis(1_000);
+
+  /**
+   * Poll wait of a fetch from the leader. The fetch asks one control host after the other, and each
+   * may wait this long for a leader.
+   */
+  private static final Duration LEADER_POLL_WAIT = Duration.ofMillis(200);
+
+  private static final Duration RETRY_DELAY = Duration.ofMillis(100);
+
+  /**
+   * Age at which a fetch may be overtaken. A fetch that is younger is left alone, as updates arrive
+   * late, but do arrive, when the control hosts are overloaded.
+   */
+  private static final long MIN_OVERTAKEN_AGE_MILLIS = 500;
+
+  private final ViewControl control;
+  private final Timer timer;
+  private final MonotonicClock clock;
+  private final Consumer<View> onView;
+  private final BooleanSupplier behindTooLong;
+  private final DependencyLog fetches = new DependencyLog(log, "view-fetch");
+  // Guarded by this.
+  private ViewFollower follower = ViewFollower.EMPTY;
+  // Index of the control host to fetch from.
+  private int sourceIndex;
+  // Set when the deltas that follow this host's version are not available: only the leader sends
+  // a whole view.
+  private boolean needsLeader;
+  private long sentMillis;
+  // Number of fetches that were overtaken; only the loop of the last round goes on.
+  private long round;
+  private volatile boolean closed;
+
+  /**
+   * Creates a fetcher that sends nothing until {@link #start()}.
+   *
+   * @param sourceIndex the control host to fetch from first
+   * @param onView is called with each view that a reply contains
+   * @param behindTooLong whether a version that the leader has reported is overdue
+   */
+  ViewFetcher(
+      ViewControl control,
+      int sourceIndex,
+      Timer timer,
+      MonotonicClock clock,
+      Consumer<View> onView,
+      BooleanSupplier behindTooLong) {
+    this.control = control;
+    this.sourceIndex = sourceIndex;
+    this.timer = timer;
+    this.clock = clock;
+    this.onView = onView;
+    this.behindTooLong = behindTooLong;
+  }
+
+  void start() {
+    timer.schedule(Duration.ZERO, () -> fetch(0));
+  }
+
+  /**
+   * Fetches from the leader without waiting for the fetch in flight, whose source may have stopped.
+   * Does nothing if the fetch in flight is recent or goes to the leader, so at most one additional
+   * fetch is sent. A late reply to the overtaken fetch is still applied.
+   */
+  void overtake() {
+    long ageMillis;
+    long nextRound;
+    synchronized (this) {
+      ageMillis = clock.nowMillis() - sentMillis;
+      if (needsLeader || ageMillis < MIN_OVERTAKEN_AGE_MILLIS) {
+        return;
+      }
+      round++;
+      nextRound = round;
+      sourceIndex++;
+      needsLeader = true;
+    }
+    log.info("event=view-fetch-overtaken waited-millis={}", ageMillis);
+    fetch(nextRound);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /**
+   * A request in flight.
+   *
+   * @param round the round of the fetch loop
+   * @param index the index of the control host, if the request does not go to the leader
+   * @param toLeader whether the request goes to the leader
+   */
+  private record Attempt(long round, int index, boolean toLeader) {}
+
+  private void fetch(long ofRound) {
+    Attempt attempt;
+    FetchViewRequest request;
+    synchronized (this) {
+      if (closed || ofRound != round) {
+        return;
+      }
+      attempt = new Attempt(round, sourceIndex, needsLeader);
+      sentMillis = clock.nowMillis();
+      request = request(attempt.toLeader());
+    }
+    send(attempt, request)
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure == null) {
+                onReply(attempt, reply);
+              } else {
+                onFailure(attempt, failure);
+              }
+            });
+  }
+
+  private FetchViewRequest request(boolean toLeader) {
+    return FetchViewRequest.newBuilder()
+        .setRunning(StateCodec.versionMessage(follower.view().version()))
+        .setChainHash(follower.chainHash())
+        .setWaitMillis((int) (toLeader ? LEADER_POLL_WAIT : POLL_WAIT).toMillis())
+        .build();
+  }
+
+  private CompletableFuture<FetchViewReply> send(Attempt attempt, FetchViewRequest request) {
+    return attempt.toLeader()
+        ? control.fetchFromLeader(request)
+        : control.fetch(attempt.index(), request);
+  }
+
+  private void onReply(Attempt attempt, FetchViewReply reply) {
+    if (accept(reply)) {
+      fetches.recordSuccess();
+      fetchNext(attempt, attempt.index(), false, Duration.ZERO);
+    } else {
+      fetchNext(attempt, attempt.index() + 1, false, RETRY_DELAY);
+    }
+  }
+
+  private void onFailure(Attempt attempt, Throwable failure) {
+    if (isOvertaken(attempt)) {
+      return;
+    }
+    fetches.recordFailure(Futures.toAlderyardException(failure));
+    boolean wholeViewNeeded =
+        !attempt.toLeader() && Futures.toAlderyardException(failure).code() == ErrorCode.NOT_LEADER;
+    if (wholeViewNeeded) {
+      fetchNext(attempt, attempt.index(), true, Duration.ZERO);
+    } else {
+      fetchNext(attempt, attempt.index() + 1, false, RETRY_DELAY);
+    }
+  }
+
+  private synchronized boolean isOvertaken(Attempt attempt) {
+    return attempt.round() != round;
+  }
+
+  private void fetchNext(Attempt previous, int index, boolean fromLeader, Duration delay) {
+    synchronized (this) {
+      if (isOvertaken(previous)) {
+        return;
+      }
+      sourceIndex = index;
+      needsLeader = fromLeader;
+    }
+    timer.schedule(delay, () -> fetch(previous.round()));
+  }
+
+  /** Applies a reply. Returns whether to keep fetching from the same control host. */
+  private boolean accept(FetchViewReply reply) {
+    ViewFollower.Result result;
+    synchronized (this) {
+      result =
+          reply.hasSnapshot()
+              ? follower.accept(reply.getSnapshot(), reply.getChainHash())
+              : follower.accept(reply.getDeltas());
+      follower = result.follower();
+    }
+    onView.accept(result.follower().view());
+    switch (result.reason()) {
+      case ADVANCED -> {
+        return true;
+      }
+      case NOTHING_NEW -> {
+        // A control host that is partitioned from the leader never sends a newer version.
+        return !reply.hasSnapshot() && !behindTooLong.getAsBoolean();
+      }
+      default -> {
+        log.warn(
+            "event=view-delta-refused version={} reason={}",
+            result.follower().view().version(),
+            result.reason());
+        return false;
+      }
+    }
+  }
+}
