Promote only a replica that holds all synchronous commits

The number of synchronous replicas is now part of the configuration. In a group with n of them, SynchronousReplicaSearch asks all replicas, pauses all but the candidate, and chooses only if fewer than n replicas are neither paused nor the candidate. Each set that acknowledges a commit then contains a replica that is paused at a position which the candidate holds, or the candidate itself, also for commits acknowledged until the promotion takes effect. Without enough answers the primary is not replaced. Paused replicas resume after the promotion, after a search without a call, or when a call is too old to be executed. Groups without synchronous replicas take the same path as before.

--- a/alderyard-backend/src/main/java/org/alderyard/backend/session/SessionStatement.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/session/SessionStatement.java
@@ -82,6 +82,16 @@
   /** Queries a server's role and log position; accepted by backend servers only. */
   record Report() implements SessionStatement {}
 
+  /**
+   * Stops a replica from receiving commits; accepted by backend servers only.
+   *
+   * @param term a term greater than the newest term of the group
+   */
+  record Pause(long term) implements SessionStatement {}
+
+  /** Lets a paused replica receive commits again; accepted by backend servers only. */
+  record Resume() implements SessionStatement {}
+
   /** A text that is not a valid statement. */
   record Unreadable(String reason) implements SessionStatement {}
 }
--- a/alderyard-common/src/main/java/org/alderyard/common/view/ConfigurationState.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/view/ConfigurationState.java
@@ -16,6 +16,8 @@
  * @param number the number of this configuration
  * @param databases the databases, in the operator's order
  * @param connectionsPerServer the connections that each server of a group accepts
+ * @param syncReplicas the number of replicas that have received a commit before it is acknowledged;
+ *     contains only groups with at least one
  * @param transactionIdleMillis the time after which an idle transaction may be ended
  * @param sessionIdleMillis the time after which an idle session may be closed
  * @param organisations the organisations whose callers use the databases
@@ -27,6 +29,7 @@
     long number,
     List<DatabaseState> databases,
     SortedMap<GroupId, Integer> connectionsPerServer,
+    SortedMap<GroupId, Integer> syncReplicas,
     int transactionIdleMillis,
     int sessionIdleMillis,
     Organisations organisations,
@@ -41,9 +44,13 @@
   public ConfigurationState {
     databases = List.copyOf(databases);
     connectionsPerServer = Collections.unmodifiableSortedMap(new TreeMap<>(connectionsPerServer));
+    syncReplicas = Collections.unmodifiableSortedMap(new TreeMap<>(syncReplicas));
   }
 
-  /** Creates a configuration without organisations, whose source is not encrypted. */
+  /**
+   * Creates a configuration without organisations and synchronous replicas, whose source is not
+   * encrypted.
+   */
   public ConfigurationState(
       long number,
       List<DatabaseState> databases,
@@ -56,6 +63,7 @@
         number,
         databases,
         connectionsPerServer,
+        new TreeMap<>(),
         transactionIdleMillis,
         sessionIdleMillis,
         Organisations.NONE,
@@ -64,6 +72,11 @@
         contentHash);
   }
 
+  /** Returns the number of replicas that have received a commit before it is acknowledged. */
+  public int syncReplicasOf(GroupId group) {
+    return syncReplicas.getOrDefault(group, 0);
+  }
+
   /** Returns the databases by name; of several entries with one name, the first one. */
   public Map<String, DatabaseState> byName() {
     Map<String, DatabaseState> index = new HashMap<>();
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -4,16 +4,17 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.alderyard.backend.session.ReplicationStatus;
-import org.alderyard.backend.session.ReplicationStatusProbe;
+import org.alderyard.backend.session.ReplicationClient;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
@@ -22,6 +23,7 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
@@ -46,6 +48,10 @@
  * repeated with the same arguments, so that the result is the same whether or not the first call
  * was executed.
  *
+ * <p>A group without synchronous replicas gets the replica with the highest position among those
+ * that respond at once. In a group with synchronous replicas, a {@link SynchronousReplicaSearch}
+ * finds a replica that holds all acknowledged commits; without one, the primary is not replaced.
+ *
  * <p>Locking: {@code lock} is a leaf lock; calls are made after it is released.
  */
 public final class PromotionService {
@@ -72,7 +78,7 @@
   private final ControlLog controlLog;
   private final HostId self;
   private final Supplier<View> views;
-  private final ReplicationStatusProbe probe;
+  private final ReplicationClient replication;
   private final PrimaryPromoter promoter;
   private final WorkerPool workers;
   private final MonotonicClock clock;
@@ -80,20 +86,24 @@
   // Guarded by lock.
   private final SightingTable sightings = new SightingTable();
   private final Map<GroupId, Long> nextAttemptNanos = new HashMap<>();
+  private final ReplicaMembership membership = new ReplicaMembership();
+  private final PausedReplicas paused = new PausedReplicas();
+  private final Set<GroupId> groupsOfTerm = new HashSet<>();
+  private long leaderTerm;
 
   /** Creates a service that is idle until {@link #start()}. */
   public PromotionService(
       ControlLog controlLog,
       HostId self,
       Supplier<View> views,
-      ReplicationStatusProbe probe,
+      ReplicationClient replication,
       PrimaryPromoter promoter,
       WorkerPool workers,
       MonotonicClock clock) {
     this.controlLog = controlLog;
     this.self = self;
     this.views = views;
-    this.probe = probe;
+    this.replication = replication;
     this.promoter = promoter;
     this.workers = workers;
     this.clock = clock;
@@ -136,21 +146,79 @@
     View view = views.get();
     long nowNanos = clock.nowNanos();
     List<Runnable> failoversToStart = new ArrayList<>();
+    List<PausedReplicas.Resumption> resumptions;
     synchronized (lock) {
       sightings.removeExpired(nowNanos);
+      updateSynchronousGroups(view, nowNanos);
+      resumptions = paused.startResuming(view, nowNanos);
       for (GroupState group : view.groups().values()) {
         Optional<String> reason = failoverReason(view, group, nowNanos);
         if (reason.isEmpty()
-            || nextAttemptNanos.getOrDefault(group.id(), nowNanos) - nowNanos > 0) {
+            || nextAttemptNanos.getOrDefault(group.id(), nowNanos) - nowNanos > 0
+            || paused.isResuming(group.id())) {
           continue;
         }
         nextAttemptNanos.put(group.id(), nowNanos + APPOINTMENT_TIMEOUT_NANOS);
-        failoversToStart.add(() -> startFailover(view, group, reason.get()));
+        if (syncReplicas(view, group) > 0) {
+          failoversToStart.add(prepareSearch(view, group, reason.get(), nowNanos));
+        } else {
+          failoversToStart.add(() -> startFailover(view, group, reason.get()));
+        }
       }
     }
+    resumptions.forEach(this::resume);
     failoversToStart.forEach(Runnable::run);
   }
 
+  private static int syncReplicas(View view, GroupState group) {
+    return view.configuration()
+        .map(configuration -> configuration.syncReplicasOf(group.id()))
+        .orElse(0);
+  }
+
+  /**
+   * Updates the members of the groups with synchronous replicas. A leader knows nothing of the
+   * replicas that an earlier one has paused, and therefore resumes all of them once.
+   */
+  private void updateSynchronousGroups(View view, long nowNanos) {
+    if (controlLog.term() != leaderTerm) {
+      leaderTerm = controlLog.term();
+      groupsOfTerm.clear();
+    }
+    List<GroupState> groups =
+        view
+            .configuration()
+            .map(ConfigurationState::syncReplicas)
+            .orElse(new TreeMap<>())
+            .keySet()
+            .stream()
+            .flatMap(id -> view.group(id).stream())
+            .toList();
+    membership.update(view, groups, nowNanos);
+    for (GroupState group : groups) {
+      if (groupsOfTerm.add(group.id())) {
+        paused.addUnknown(group, membership.replicasOf(view, group, nowNanos), nowNanos);
+      }
+    }
+  }
+
+  private void resume(PausedReplicas.Resumption resumption) {
+    ServerState server = resumption.server();
+    replication
+        .resume(server, SynchronousReplicaSearch.CALL_TIMEOUT)
+        .whenComplete(
+            (status, failure) -> {
+              log.info(
+                  "event=replica-resumed group={} server={} reached={}",
+                  resumption.group(),
+                  server.id(),
+                  failure == null);
+              synchronized (lock) {
+                paused.resumed(resumption.group(), server.id(), failure == null);
+              }
+            });
+  }
+
   private Optional<String> failoverReason(View view, GroupState group, long nowNanos) {
     if (group.primary().isEmpty()) {
       return Optional.empty();
@@ -167,21 +235,70 @@
     return sightings.isLost(group.id(), primary, nowNanos) ? Optional.of("lost") : Optional.empty();
   }
 
-  private void startFailover(View view, GroupState group, String reason) {
-    long startNanos = clock.nowNanos();
+  /** Returns the start of a search; called with the lock held. */
+  private Runnable prepareSearch(View view, GroupState group, String reason, long nowNanos) {
+    ServerId primary = group.primary().orElseThrow();
+    boolean primaryRuns =
+        view.server(primary).filter(server -> server.status() == ServerStatus.LEAVING).isPresent()
+            && !sightings.isLost(group.id(), primary, nowNanos)
+            && !paused.hasPendingCall(group.id(), nowNanos);
+    SynchronousReplicaSearch search =
+        new SynchronousReplicaSearch(
+            membership.replicasOf(view, group, nowNanos),
+            syncReplicas(view, group),
+            primaryRuns,
+            replication,
+            workers);
+    paused.searchStarted(group);
+    return () -> {
+      logBegin(group, reason);
+      search.run().thenAccept(choice -> handleChoice(group.id(), choice, nowNanos));
+    };
+  }
+
+  private void handleChoice(GroupId group, ReplicaChoice choice, long startNanos) {
+    if (choice.server().isEmpty()) {
+      endSearch(group, choice);
+      recordFailedAttempt(group, choice.failure(), null);
+      return;
+    }
+    ServerId chosen = choice.server().get();
+    proposeIntent(group, chosen)
+        .whenComplete(
+            (token, failure) -> {
+              if (failure == null) {
+                synchronized (lock) {
+                  paused.callSent(group, clock.nowNanos());
+                }
+              }
+              endSearch(group, choice);
+            })
+        .thenAccept(token -> callPromoter(group, chosen, token, startNanos, 1))
+        .exceptionally(failure -> handleMissingToken(group, failure));
+  }
+
+  private void endSearch(GroupId group, ReplicaChoice choice) {
+    synchronized (lock) {
+      paused.searchEnded(group, choice.paused(), clock.nowNanos());
+    }
+  }
+
+  private static void logBegin(GroupState group, String reason) {
     log.info(
         "event=failover-begin group={} primary={} reason={} term={}",
         group.id(),
         group.primary().map(ServerId::value).orElse("none"),
         reason,
         group.term());
+  }
+
+  private void startFailover(View view, GroupState group, String reason) {
+    long startNanos = clock.nowNanos();
+    logBegin(group, reason);
     List<ServerState> replicas =
         view.serversOf(group.id()).stream()
             .filter(server -> !group.primary().equals(Optional.of(server.id())))
-            .filter(
-                server ->
-                    server.status() == ServerStatus.ACTIVE
-                        || server.status() == ServerStatus.EXPIRED)
+            .filter(Candidate::isStaying)
             .toList();
     List<CompletableFuture<Optional<Candidate>>> probes =
         replicas.stream().map(this::probeReplica).toList();
@@ -202,10 +319,8 @@
             });
   }
 
-  private record Candidate(ServerState server, ReplicationStatus status) {}
-
   private CompletableFuture<Optional<Candidate>> probeReplica(ServerState server) {
-    return probe
+    return replication
         .probe(server, PROBE_TIMEOUT)
         .handle(
             (status, failure) -> {
@@ -216,50 +331,41 @@
                     Futures.toAlderyardException(failure).code());
                 return Optional.empty();
               }
-              log.info(
-                  "event=failover-candidate server={} reached=true primary={} term={} received={}"
-                      + " lag-millis={}",
-                  server.id(),
-                  status.primary(),
-                  status.term(),
-                  status.received(),
-                  status.lagMillis());
+              SynchronousReplicaSearch.logReport(server, status);
               return Optional.of(new Candidate(server, status));
             });
   }
 
-  /**
-   * Chooses the replica with the highest received position, as it loses the fewest writes; among
-   * equal positions the one with the smallest lag is preferred.
-   */
   private void chooseCandidate(GroupState group, long startNanos, List<Candidate> candidates) {
-    Optional<Candidate> bestCandidate =
-        candidates.stream()
-            .max(
-                Comparator.comparing((Candidate candidate) -> candidate.status().received())
-                    .thenComparing(candidate -> -candidate.status().lagMillis()));
+    Optional<Candidate> bestCandidate = candidates.stream().max(Candidate.BY_POSITION);
     if (bestCandidate.isEmpty()) {
       recordFailedAttempt(group.id(), "no-candidate", null);
       return;
     }
     ServerId chosen = bestCandidate.get().server().id();
-    controlLog
+    proposeIntent(group.id(), chosen)
+        .thenAccept(token -> callPromoter(group.id(), chosen, token, startNanos, 1))
+        .exceptionally(failure -> handleMissingToken(group.id(), failure));
+  }
+
+  /** Commits the intent to promote a server and returns the fencing token of the call. */
+  private CompletableFuture<Long> proposeIntent(GroupId group, ServerId chosen) {
+    return controlLog
         .propose(
             Command.newBuilder()
                 .setPromotionIntent(
                     PromotionIntent.newBuilder()
-                        .setGroup(group.id().value())
+                        .setGroup(group.value())
                         .setServer(chosen.value())
                         .setHolder(self.value()))
                 .build()
                 .toByteString())
-        .thenApply(PromotionService::parseToken)
-        .thenAccept(token -> callPromoter(group.id(), chosen, token, startNanos, 1))
-        .exceptionally(
-            failure -> {
-              recordFailedAttempt(group.id(), "no-token", Futures.unwrap(failure));
-              return null;
-            });
+        .thenApply(PromotionService::parseToken);
+  }
+
+  private Void handleMissingToken(GroupId group, Throwable failure) {
+    recordFailedAttempt(group, "no-token", Futures.unwrap(failure));
+    return null;
   }
 
   private static long parseToken(ByteString reply) {
@@ -272,6 +378,9 @@
 
   private void callPromoter(
       GroupId group, ServerId server, long token, long startNanos, int callNumber) {
+    synchronized (lock) {
+      paused.callSent(group, clock.nowNanos());
+    }
     promoter
         .promote(group, server, self, token)
         .thenAccept(
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
@@ -0,0 +1,223 @@
+package org.alderyard.control.promotion;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.alderyard.backend.session.ReplicationClient;
+import org.alderyard.backend.session.ReplicationStatus;
+import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.id.Position;
+import org.alderyard.common.view.ServerState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Searches for a replica whose log holds all acknowledged commits, in a group that acknowledges a
+ * commit once a number of replicas have received it.
+ *
+ * <p>At most one less than that number of replicas may be neither paused nor the candidate. Each
+ * acknowledged commit was then received by a paused replica, whose position the candidate has
+ * reached, or by the candidate itself. A commit that is acknowledged after the search was received
+ * by the candidate, because the replicas that are neither paused nor the candidate are too few.
+ *
+ * <p>Replicas that leave receive and acknowledge until they end, so they are asked too. One of them
+ * is promoted if no other replica reaches its position.
+ */
+final class SynchronousReplicaSearch {
+  private static final Logger log = LoggerFactory.getLogger(SynchronousReplicaSearch.class);
+
+  static final Duration CALL_TIMEOUT = Duration.ofMillis(350);
+
+  /** Statements of callers may occupy all slots of a replica for a moment. */
+  private static final int MAX_BUSY_RETRIES = 12;
+
+  private static final Duration BUSY_RETRY_DELAY = Duration.ofMillis(15);
+
+  /** The number of times that a candidate behind a paused replica is asked again. */
+  private static final int MAX_CATCH_UP_CHECKS = 5;
+
+  private static final Duration CATCH_UP_CHECK_DELAY = Duration.ofMillis(40);
+
+  private final List<ServerState> replicas;
+  private final int syncReplicas;
+  private final boolean primaryRuns;
+  private final ReplicationClient client;
+  private final WorkerPool workers;
+  // Written by one step of the search at a time.
+  private final List<ServerState> paused = Collections.synchronizedList(new ArrayList<>());
+
+  /**
+   * Creates a search.
+   *
+   * @param replicas all replicas that may have acknowledged a commit
+   * @param syncReplicas the replicas that have received a commit before it is acknowledged; at
+   *     least 1
+   * @param primaryRuns whether the primary still sends commits, so that a replica that stays can
+   *     catch up with one that leaves
+   */
+  SynchronousReplicaSearch(
+      List<ServerState> replicas,
+      int syncReplicas,
+      boolean primaryRuns,
+      ReplicationClient client,
+      WorkerPool workers) {
+    this.replicas = replicas;
+    this.syncReplicas = syncReplicas;
+    this.primaryRuns = primaryRuns;
+    this.client = client;
+    this.workers = workers;
+  }
+
+  /** Runs the search. The future never fails. */
+  CompletableFuture<ReplicaChoice> run() {
+    return callAll(replicas, server -> client.probe(server, CALL_TIMEOUT))
+        .thenCompose(this::pauseOthers)
+        .exceptionally(
+            failure -> {
+              log.error("event=failover-search-failed", Futures.unwrap(failure));
+              return fail("search");
+            });
+  }
+
+  private CompletableFuture<ReplicaChoice> pauseOthers(List<Candidate> responding) {
+    if (responding.isEmpty()) {
+      return CompletableFuture.completedFuture(fail("no-candidate"));
+    }
+    if (!isEnough(responding.size())) {
+      return CompletableFuture.completedFuture(fail("replica-not-reached"));
+    }
+    Candidate candidate =
+        Collections.max(responding, primaryRuns ? Candidate.STAYING_FIRST : Candidate.BY_POSITION);
+    long newestTerm =
+        responding.stream()
+            .map(Candidate::status)
+            .mapToLong(status -> Math.max(status.term(), status.received().term()))
+            .max()
+            .orElseThrow();
+    List<ServerState> others =
+        responding.stream()
+            .map(Candidate::server)
+            .filter(server -> !server.equals(candidate.server()))
+            .toList();
+    return pause(others, newestTerm + 1)
+        .thenCompose(
+            stopped ->
+                isEnough(stopped.size() + 1)
+                    ? check(candidate.server(), stopped, newestTerm + 1, 0)
+                    : CompletableFuture.completedFuture(fail("replica-not-paused")));
+  }
+
+  /** Returns whether each set of acknowledging replicas contains one of this number of replicas. */
+  private boolean isEnough(int count) {
+    return replicas.size() - count < syncReplicas;
+  }
+
+  private CompletableFuture<List<Candidate>> pause(List<ServerState> servers, long term) {
+    paused.addAll(servers);
+    return callAll(servers, server -> client.pause(server, term, CALL_TIMEOUT));
+  }
+
+  /** Chooses the candidate if it has reached the position of each paused replica. */
+  private CompletableFuture<ReplicaChoice> check(
+      ServerState candidate, List<Candidate> stopped, long pauseTerm, int checks) {
+    Position highest =
+        stopped.stream().map(Candidate::received).max(Position::compareTo).orElse(Position.NONE);
+    return callAll(List.of(candidate), server -> client.probe(server, CALL_TIMEOUT))
+        .thenCompose(
+            reported -> {
+              if (reported.isEmpty()) {
+                return CompletableFuture.completedFuture(fail("candidate-not-reached"));
+              }
+              if (reported.get(0).received().compareTo(highest) >= 0) {
+                return CompletableFuture.completedFuture(
+                    ReplicaChoice.of(candidate.id(), List.copyOf(paused)));
+              }
+              if (!primaryRuns) {
+                return choosePaused(candidate, stopped, pauseTerm);
+              }
+              return checks < MAX_CATCH_UP_CHECKS
+                  ? delay(CATCH_UP_CHECK_DELAY)
+                      .thenCompose(ignored -> check(candidate, stopped, pauseTerm, checks + 1))
+                  : CompletableFuture.completedFuture(fail("candidate-behind"));
+            });
+  }
+
+  /** Pauses the candidate too and chooses the replica with the highest position. */
+  private CompletableFuture<ReplicaChoice> choosePaused(
+      ServerState candidate, List<Candidate> stopped, long pauseTerm) {
+    return pause(List.of(candidate), pauseTerm)
+        .thenApply(
+            reported -> {
+              List<Candidate> all = new ArrayList<>(stopped);
+              all.addAll(reported);
+              return isEnough(all.size())
+                  ? ReplicaChoice.of(
+                      Collections.max(all, Candidate.BY_POSITION).server().id(),
+                      List.copyOf(paused))
+                  : fail("replica-not-paused");
+            });
+  }
+
+  private ReplicaChoice fail(String reason) {
+    return ReplicaChoice.failed(reason, List.copyOf(paused));
+  }
+
+  /** Calls all servers and returns the reports of those that respond. */
+  private CompletableFuture<List<Candidate>> callAll(
+      List<ServerState> servers,
+      Function<ServerState, CompletableFuture<ReplicationStatus>> request) {
+    List<CompletableFuture<Optional<Candidate>>> calls =
+        servers.stream().map(server -> call(server, () -> request.apply(server), 0)).toList();
+    return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+        .thenApply(
+            ignored ->
+                calls.stream().map(CompletableFuture::join).flatMap(Optional::stream).toList());
+  }
+
+  private CompletableFuture<Optional<Candidate>> call(
+      ServerState server, Supplier<CompletableFuture<ReplicationStatus>> request, int retries) {
+    return request
+        .get()
+        .handle(
+            (status, failure) -> {
+              if (failure == null) {
+                logReport(server, status);
+                return CompletableFuture.completedFuture(
+                    Optional.of(new Candidate(server, status)));
+              }
+              ErrorCode code = Futures.toAlderyardException(failure).code();
+              if (code == ErrorCode.OVERLOADED && retries < MAX_BUSY_RETRIES) {
+                return delay(BUSY_RETRY_DELAY)
+                    .thenCompose(ignored -> call(server, request, retries + 1));
+              }
+              log.info(
+                  "event=failover-candidate server={} reached=false reason={}", server.id(), code);
+              return CompletableFuture.completedFuture(Optional.<Candidate>empty());
+            })
+        .thenCompose(result -> result);
+  }
+
+  static void logReport(ServerState server, ReplicationStatus status) {
+    log.info(
+        "event=failover-candidate server={} reached=true primary={} term={} received={}"
+            + " lag-millis={}",
+        server.id(),
+        status.primary(),
+        status.term(),
+        status.received(),
+        status.lagMillis());
+  }
+
+  private CompletableFuture<Void> delay(Duration duration) {
+    CompletableFuture<Void> elapsed = new CompletableFuture<>();
+    workers.schedule(duration, () -> elapsed.complete(null));
+    return elapsed;
+  }
+}
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -4,16 +4,20 @@
 
 import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import org.alderyard.backend.session.ReplicationClient;
 import org.alderyard.backend.session.ReplicationStatus;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
@@ -24,7 +28,10 @@
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.Bytes;
+import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.Organisations;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
 import org.alderyard.common.view.View;
@@ -44,8 +51,12 @@
   private final List<Call> calls = Collections.synchronizedList(new ArrayList<>());
   private final List<PromotionResponse> scriptedResponses =
       Collections.synchronizedList(new ArrayList<>());
-  private final Map<String, ReplicationStatus> statuses = new HashMap<>();
+  private final Map<String, ReplicationStatus> statuses = new ConcurrentHashMap<>();
+  private final Map<String, ServerStatus> replicaStatuses = new ConcurrentHashMap<>();
+  private final Set<String> pausedServers = ConcurrentHashMap.newKeySet();
   private volatile ServerStatus primaryStatus = ServerStatus.ACTIVE;
+  private volatile String primary = "s1";
+  private volatile int syncReplicas;
 
   @AfterEach
   void close() {
@@ -58,11 +69,24 @@
 
   private View view() {
     View.Editor editor = View.EMPTY.edit();
+    editor.configuration(
+        new ConfigurationState(
+            1,
+            List.of(),
+            new TreeMap<>(Map.of(GROUP, 40)),
+            syncReplicas > 0 ? new TreeMap<>(Map.of(GROUP, syncReplicas)) : new TreeMap<>(),
+            0,
+            0,
+            Organisations.NONE,
+            Bytes.of(new byte[0]),
+            false,
+            Bytes.of(new byte[0])));
     editor
         .groups()
-        .put(GROUP, new GroupState(GROUP, 1, Optional.of(new ServerId("s1")), List.of(), 2, 40));
+        .put(GROUP, new GroupState(GROUP, 1, Optional.of(new ServerId(primary)), List.of(), 2, 40));
     for (String id : List.of("s1", "s2", "s3")) {
-      ServerStatus status = id.equals("s1") ? primaryStatus : ServerStatus.ACTIVE;
+      ServerStatus status =
+          id.equals("s1") ? primaryStatus : replicaStatuses.getOrDefault(id, ServerStatus.ACTIVE);
       editor.put(
           new ServerState(
               new ServerId(id),
@@ -81,13 +105,7 @@
             new LeaderLog(),
             new HostId("h1"),
             this::view,
-            (server, timeout) ->
-                Optional.ofNullable(statuses.get(server.id().value()))
-                    .map(CompletableFuture::completedFuture)
-                    .orElseGet(
-                        () ->
-                            CompletableFuture.failedFuture(
-                                AlderyardException.notRun(ErrorCode.CONNECTION_LOST, "gone"))),
+            new ScriptedReplication(),
             (group, server, controlLeader, token) -> {
               calls.add(new Call(server.value(), token));
               return CompletableFuture.completedFuture(
@@ -153,6 +171,88 @@
     assertThat(calls).isEmpty();
   }
 
+  // Guards against the loss of acknowledged commits that only a replica that leaves has received.
+  @Test
+  void replicaThatLeavesIsPromotedIfOnlyItHoldsSynchronousCommits() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(10, 0));
+    replicaStatuses.put("s2", ServerStatus.LEAVING);
+    primaryStatus = ServerStatus.GONE;
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s2");
+  }
+
+  // Guards against the loss of acknowledged commits that only an unreachable replica has received.
+  @Test
+  void groupWithSynchronousReplicaWaitsForEachReplica() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s3", status(10, 0));
+    primaryStatus = ServerStatus.GONE;
+    startService();
+
+    TimeUnit.MILLISECONDS.sleep(700);
+    assertThat(calls).isEmpty();
+    statuses.put("s2", status(12, 0));
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s2");
+  }
+
+  @Test
+  void groupWithoutSynchronousReplicasDoesNotWaitForUnreachableReplica() throws Exception {
+    statuses.put("s3", status(10, 0));
+    primaryStatus = ServerStatus.GONE;
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s3");
+    assertThat(pausedServers).isEmpty();
+  }
+
+  // Guards against replicas that receive nothing for good after a promotion.
+  @Test
+  void pausedReplicasResumeOnceAnotherServerIsPrimary() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(10, 0));
+    primaryStatus = ServerStatus.GONE;
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    TimeUnit.MILLISECONDS.sleep(300);
+    assertThat(pausedServers).containsExactly("s3");
+    primary = "s2";
+    awaitTrue(pausedServers::isEmpty);
+  }
+
+  private final class ScriptedReplication implements ReplicationClient {
+    @Override
+    public CompletableFuture<ReplicationStatus> probe(ServerState server, Duration timeout) {
+      return Optional.ofNullable(statuses.get(server.id().value()))
+          .map(CompletableFuture::completedFuture)
+          .orElseGet(
+              () ->
+                  CompletableFuture.failedFuture(
+                      AlderyardException.notRun(ErrorCode.CONNECTION_LOST, "gone")));
+    }
+
+    @Override
+    public CompletableFuture<ReplicationStatus> pause(
+        ServerState server, long term, Duration timeout) {
+      assertThat(term).isGreaterThan(3);
+      pausedServers.add(server.id().value());
+      return probe(server, timeout);
+    }
+
+    @Override
+    public CompletableFuture<ReplicationStatus> resume(ServerState server, Duration timeout) {
+      pausedServers.remove(server.id().value());
+      return probe(server, timeout);
+    }
+  }
+
   /** A log that commits each entry immediately. */
   private static final class LeaderLog implements ControlLog {
     private final AtomicLong index = new AtomicLong();
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -23,7 +23,7 @@
 import org.alderyard.control.service.ViewFeed;
 import org.alderyard.control.state.ControlState;
 import org.alderyard.platform.PlatformPromoter;
-import org.alderyard.platform.WireReplicationStatusProbe;
+import org.alderyard.platform.WireReplicationClient;
 import org.alderyard.platform.WireSessionConnector;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -144,7 +144,7 @@
                       controlLog,
                       host.settings.host(),
                       state::view,
-                      new WireReplicationStatusProbe(new WireSessionConnector(host.loops)),
+                      new WireReplicationClient(new WireSessionConnector(host.loops)),
                       new PlatformPromoter(address, appointer),
                       host.workers,
                       host.clock);
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -217,7 +217,8 @@
                 message.addGroups(
                     GroupLimits.newBuilder()
                         .setId(group.value())
-                        .setConnectionsPerServer(connections)));
+                        .setConnectionsPerServer(connections)
+                        .setSyncReplicas(configuration.syncReplicasOf(group))));
     return message.build();
   }
 
@@ -241,14 +242,19 @@
   /** Converts a message to the configuration of sessions. */
   public static ConfigurationState configuration(Configuration message) {
     SortedMap<GroupId, Integer> connections = new TreeMap<>();
-    message
-        .getGroupsList()
-        .forEach(
-            group -> connections.put(new GroupId(group.getId()), group.getConnectionsPerServer()));
+    SortedMap<GroupId, Integer> syncReplicas = new TreeMap<>();
+    for (GroupLimits group : message.getGroupsList()) {
+      GroupId id = new GroupId(group.getId());
+      connections.put(id, group.getConnectionsPerServer());
+      if (group.getSyncReplicas() > 0) {
+        syncReplicas.put(id, group.getSyncReplicas());
+      }
+    }
     return new ConfigurationState(
         message.getNumber(),
         message.getDatabasesList().stream().map(StateCodec::database).toList(),
         connections,
+        syncReplicas,
         message.getTransactionIdleMillis(),
         message.getSessionIdleMillis(),
         OrganisationCodec.decode(message),
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -159,6 +159,7 @@
                 database(BOUNDED, SessionReads.BOUNDED),
                 database(OWN_WRITES, SessionReads.OWN_WRITES)),
             new TreeMap<>(Map.of(id, 40)),
+            new TreeMap<>(),
             IDLE_MILLIS,
             0,
             organisations,
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaFleet.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaFleet.java
@@ -205,6 +205,7 @@
             version + 1,
             List.of(),
             new TreeMap<>(),
+            new TreeMap<>(),
             0,
             0,
             Organisations.of(
