Record session values only once the server has accepted them

Cause: PooledSession recorded values and prepared statements when it built the requests, and PinnedStatement looked at the last reply only, so a refused SET or PREPARE in front of a statement counted as done.

PooledSession.run now records what each reply says. A value whose SET was refused, or whose reply was lost, is unknown: it is set again before the next statement, or reset for a session without it. The same holds for PREPARE, RESET and names that the server answers NOSTMT to. PinnedStatement reports the refusal in front of a statement, and refuses a commit behind it, as the transaction has failed.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedStatement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
@@ -102,7 +103,7 @@
   private CompletableFuture<SessionReply> handleReplies(
       List<SessionReply> replies, long sentNanos, int retries) {
     long now = context.clock().nowNanos();
-    SessionReply reply = replies.get(replies.size() - 1);
+    SessionReply reply = outcome(replies);
     GroupRouting routing = context.routings().of(open.database().group());
     boolean ran = !StatementAttempt.refusedBeforeRun(reply);
     routing.answered(server, now, now - sentNanos, ran, reply.position());
@@ -136,6 +137,35 @@
         reply.withState(task.endsTransaction() ? TransactionState.NONE : TransactionState.FAILED));
   }
 
+  /**
+   * Returns the reply that decides the statement: its own, or the first refusal of a value or
+   * prepared statement in front of it.
+   *
+   * <p>Such a refusal decides if the transaction has failed with it, because even a commit that the
+   * server accepts then rolls back, and if the statement ran without the value.
+   */
+  private SessionReply outcome(List<SessionReply> replies) {
+    SessionReply last = replies.get(replies.size() - 1);
+    Optional<SessionReply> refusedSetup =
+        replies.subList(0, replies.size() - 1).stream()
+            .filter(reply -> !reply.succeeded())
+            .findFirst();
+    boolean ranWithoutSetup = last.succeeded() && !task.endsTransaction();
+    return refusedSetup
+        .filter(refused -> refused.state() == TransactionState.FAILED || ranWithoutSetup)
+        .map(refused -> abortedIfLost(refused).withState(TransactionState.FAILED))
+        .orElseGet(() -> abortedIfLost(last));
+  }
+
+  /** Hides from the caller, whose prepared statement exists, that the server has lost it. */
+  private SessionReply abortedIfLost(SessionReply reply) {
+    boolean lost = reply.refusedWith(RefusalCode.NOT_PREPARED) && task.prepared().isPresent();
+    return lost
+        ? SessionReply.refused(
+            RefusalCode.ABORTED, "the server has lost a prepared statement", reply.state())
+        : reply;
+  }
+
   private void handleCommit(SessionReply reply, long sentNanos) {
     open.end();
     owner.transactionEnded();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PooledSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PooledSession.java
@@ -13,10 +13,12 @@
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.PooledConnection;
+import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnection;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionRequest;
 import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.backend.session.SessionStatement.Execute;
 import org.alderyard.backend.session.SessionStatement.Prepare;
 import org.alderyard.backend.session.SessionStatement.Reset;
 import org.alderyard.backend.session.SessionStatement.SetValue;
@@ -26,6 +28,9 @@
  * A pooled connection that tracks the session values and prepared statements that earlier sessions
  * left on it.
  *
+ * <p>A value or prepared statement counts as present only once the server has accepted it. After a
+ * refusal or a lost reply it is unknown, and is sent again before the next statement that needs it.
+ *
  * <p>Prepared statements are named by their shape, so that sessions with colliding names can share
  * a connection and each shape is prepared once per connection. Only one session at a time may use
  * the connection.
@@ -41,8 +46,10 @@
 
   private final SessionConnection connection;
   private final ConnectionOwner owner;
-  private final Map<String, String> values = new HashMap<>();
+  // Empty for a name whose value on the server is unknown.
+  private final Map<String, Optional<String>> values = new HashMap<>();
   private final Set<String> prepared = new HashSet<>();
+  private boolean resetRequired;
 
   PooledSession(SessionConnection connection, ConnectionOwner owner) {
     this.connection = connection;
@@ -68,34 +75,66 @@
       Map<String, String> sessionValues, Optional<Prepare> statement, boolean mayReset) {
     List<SessionRequest> requests = new ArrayList<>();
     boolean hasForeignValues = !sessionValues.keySet().containsAll(values.keySet());
-    if (mayReset && (hasForeignValues || prepared.size() >= MAX_PREPARED)) {
+    boolean resets =
+        mayReset && (resetRequired || hasForeignValues || prepared.size() >= MAX_PREPARED);
+    if (resets) {
       requests.add(SessionRequest.internal(new Reset()));
-      values.clear();
-      prepared.clear();
     }
     sessionValues.forEach(
         (name, value) -> {
-          if (!value.equals(values.put(name, value))) {
+          if (resets || !Optional.of(value).equals(values.get(name))) {
             requests.add(SessionRequest.internal(new SetValue(name, value)));
           }
         });
     statement.ifPresent(
         shape -> {
           String name = serverName(shape);
-          if (prepared.add(name)) {
+          if (resets || !prepared.contains(name)) {
             requests.add(SessionRequest.internal(new Prepare(name, shape.kind(), shape.shape())));
           }
         });
     return requests;
   }
 
-  /** Records that the server no longer has a prepared statement; its next use prepares it again. */
-  void removePrepared(Prepare statement) {
-    prepared.remove(serverName(statement));
+  /** Runs requests and records which values and prepared statements the server has after them. */
+  CompletableFuture<List<SessionReply>> run(List<SessionRequest> requests, Duration timeout) {
+    return connection
+        .run(requests, timeout)
+        .whenComplete(
+            (replies, failure) -> {
+              for (int i = 0; i < requests.size(); i++) {
+                record(
+                    requests.get(i).statement(),
+                    failure == null ? Optional.of(replies.get(i)) : Optional.empty());
+              }
+            });
   }
 
-  CompletableFuture<List<SessionReply>> run(List<SessionRequest> requests, Duration timeout) {
-    return connection.run(requests, timeout);
+  private void record(SessionStatement statement, Optional<SessionReply> reply) {
+    boolean accepted = reply.filter(SessionReply::succeeded).isPresent();
+    if (statement instanceof SetValue set) {
+      values.put(set.name(), accepted ? Optional.of(set.value()) : Optional.empty());
+    } else if (statement instanceof Prepare prepare) {
+      recordPrepared(prepare.name(), accepted);
+    } else if (statement instanceof Reset) {
+      values.clear();
+      prepared.clear();
+      resetRequired = !accepted;
+    } else if (statement instanceof Execute execute && isNotPrepared(reply)) {
+      prepared.remove(execute.name());
+    }
+  }
+
+  private void recordPrepared(String name, boolean accepted) {
+    if (accepted) {
+      prepared.add(name);
+    } else {
+      prepared.remove(name);
+    }
+  }
+
+  private static boolean isNotPrepared(Optional<SessionReply> reply) {
+    return reply.filter(refused -> refused.refusedWith(RefusalCode.NOT_PREPARED)).isPresent();
   }
 
   /** Sends a statement that the proxy itself issues. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -290,7 +290,6 @@
     recordRefusal(reply);
     boolean preparedStatementLost = code == RefusalCode.NOT_PREPARED && task.prepared().isPresent();
     if (preparedStatementLost && run.allowPrepareRetry(server)) {
-      session.removePrepared(task.prepared().get());
       releaseConnection(session, reply);
       retryElsewhere();
       return;
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
@@ -72,6 +72,76 @@
         .isEqualTo(statementsRun("s1").get(0).connection());
   }
 
+  private static void assertRefused(SessionReply reply, RefusalCode code) {
+    assertThat(reply.refusedWith(code)).isTrue();
+  }
+
+  private void promote(String server) {
+    fixture.group.replicate();
+    fixture.group.promote(server);
+    fixture.publish(server, fixture.group.states());
+  }
+
+  // Guards against reads with an old value after a server refused its change within a transaction.
+  @Test
+  void valueThatServerRefusedInTransactionIsSetBeforeNextStatement() {
+    SessionFixture.Caller caller = fixture.caller(SessionFixture.BOUNDED);
+    caller.set("colour", "red");
+    caller.begin();
+    caller.write("kit", "1");
+    promote("s2");
+    caller.set("colour", "blue");
+    caller.read("kit");
+    caller.rollback();
+    int before = statementsRun("s1").size();
+
+    for (int i = 0; i < 6; i++) {
+      assertThat(caller.read("kit").succeeded()).isTrue();
+    }
+
+    List<RanStatement> ran = statementsRun("s1");
+    assertThat(ran.size()).isGreaterThan(before);
+    for (RanStatement statement : ran.subList(before, ran.size())) {
+      assertThat(statement.values()).containsExactly("colour", "blue");
+    }
+    assertThat(fixture.group.server("s1").refusals(RefusalCode.NOT_PRIMARY)).isEqualTo(1);
+  }
+
+  // Guards against a commit that is reported as successful though its transaction had failed.
+  @Test
+  void commitBehindRefusedValueIsRefused() {
+    SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
+    caller.begin();
+    caller.write("kit", "1");
+    promote("s2");
+    caller.set("colour", "blue");
+
+    SessionReply commit = caller.commit();
+
+    assertRefused(commit, RefusalCode.NOT_PRIMARY);
+    assertThat(commit.state()).isEqualTo(TransactionState.NONE);
+    assertThat(caller.read("kit").rows()).containsExactly("");
+  }
+
+  // Guards against a prepared statement that is unknown after a server refused to prepare it.
+  @Test
+  void statementThatServerRefusedToPrepareIsPreparedInNextTransaction() {
+    SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
+    caller.prepare("p", StatementKind.READ, "shape");
+    caller.begin();
+    caller.write("kit", "1");
+    promote("s2");
+    assertRefused(caller.execute("p", "kit"), RefusalCode.NOT_PRIMARY);
+    caller.rollback();
+    promote("s1");
+    caller.begin();
+    caller.write("kit", "2");
+
+    assertThat(caller.execute("p", "kit").rows()).containsExactly("2");
+    assertThat(caller.commit().succeeded()).isTrue();
+    assertThat(fixture.group.server("s1").refusals(RefusalCode.NOT_PREPARED)).isEqualTo(0);
+  }
+
   @Test
   void transactionRunsOnOneConnectionThatOtherSessionsDoNotUse() {
     // Another caller's statement arrives while a transaction is open. On the same connection the
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
@@ -103,11 +103,9 @@
 
   private Optional<Refusal> refusal(SessionRequest request) {
     SessionStatement statement = request.statement();
-    boolean needsSlot =
-        statement instanceof Read
-            || statement instanceof Write
-            || statement instanceof Execute
-            || statement instanceof Commit;
+    if (state == TransactionState.FAILED && !endsTransaction(statement)) {
+      return refuse(RefusalCode.MALFORMED);
+    }
     if (request
         .after()
         .filter(after -> server.appliedPosition().compareTo(after) < 0)
@@ -122,13 +120,22 @@
     boolean requiresPrimary =
         writes(statement)
             || statement instanceof Begin begin && !begin.readOnly()
-            || inReadWriteTransaction && needsSlot && !isEmptyCommit;
+            || inReadWriteTransaction && !(statement instanceof Rollback) && !isEmptyCommit;
     if (requiresPrimary && !group.isPrimary(server)) {
       return refuse(RefusalCode.NOT_PRIMARY);
     }
+    boolean needsSlot =
+        statement instanceof Read
+            || statement instanceof Write
+            || statement instanceof Execute
+            || statement instanceof Commit;
     return needsSlot && server.consumeBusy() ? refuse(RefusalCode.BUSY) : Optional.empty();
   }
 
+  private static boolean endsTransaction(SessionStatement statement) {
+    return statement instanceof Commit || statement instanceof Rollback;
+  }
+
   private boolean writes(SessionStatement statement) {
     return statement instanceof Write
         || statement instanceof Execute execute
@@ -203,8 +210,9 @@
     }
   }
 
+  /** Commits the writes; the commit of a failed transaction rolls back. */
   private void commit() {
-    if (!written.isEmpty()) {
+    if (!written.isEmpty() && state != TransactionState.FAILED) {
       group.commit(server, written);
     }
     written.clear();
