--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -173,6 +173,7 @@
             version,
             databases(),
             new TreeMap<>(Map.of(id, 40)),
+            new TreeMap<>(),
             IDLE_MILLIS,
             0,
             organisations,
