--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaCounterTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaCounterTest.java
@@ -49,7 +49,16 @@
     Organisations organisations = Organisations.of(List.of(organisation));
     editor.configuration(
         new ConfigurationState(
-            version, List.of(), new TreeMap<>(), 0, 0, organisations, none, false, none));
+            version,
+            List.of(),
+            new TreeMap<>(),
+            new TreeMap<>(),
+            0,
+            0,
+            organisations,
+            none,
+            false,
+            none));
     return editor.at(new ViewVersion(1, version));
   }
 
