Confirm no read by a reply to a message of an earlier term

What callers see: a host's view is confirmed, or the configuration is read, by a leader that has been replaced: a view lease for an old version, and so the refusal of what a newer, acknowledged configuration allows.

Cause: a follower answers an append of an earlier term with the round of that append and the current term. If the sender leads again, it takes the round for one of its own. Rounds count anew in each term and the old ones are higher, so from then on one follower seems to confirm every read of the leader, with three voters a quorum, for as many rounds as the earlier term had.

RaftFailureTest.replyToAppendOfEarlierTermConfirmsNoRead on the code before: a read at a leader that is cut off is confirmed (ConfirmedRead[readId=1, index=6]).

Fix: the reply to a message of an earlier term has no round. Its only use is the term that it carries.

--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Follower.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Follower.java
@@ -42,11 +42,15 @@
     return state.log.matches(request.getPrevIndex(), request.getPrevTerm());
   }
 
-  /** Rejects a message of an earlier term; the reply carries the current term. */
+  /**
+   * Rejects a message of an earlier term; the reply carries the current term.
+   *
+   * <p>The reply has no round. Rounds count anew in each term, and the sender may lead the current
+   * term again, in which a round of its earlier term would confirm reads.
+   */
   void rejectStale(RaftMessage message) {
     if (message.hasAppendRequest()) {
-      AppendRequest request = message.getAppendRequest();
-      reply(message, AppendReply.newBuilder().setRound(request.getRound()));
+      reply(message, AppendReply.newBuilder());
       return;
     }
     state.sendAfterSync(
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
@@ -25,6 +25,7 @@
 class RaftFailureTest {
   private static final long HOUR_MILLIS = 3_600_000;
   private static final long ELECTION_MILLIS = 2_000;
+  private static final long LONG_TERM_MILLIS = 10_000;
 
   private final RaftCluster cluster = new RaftCluster(7, 3);
 
@@ -405,6 +406,40 @@
     assertThat(cluster.leader().orElseThrow().core().term()).isEqualTo(term + 1);
   }
 
+  /**
+   * Guards against reads that are confirmed without a quorum: a follower replies to a late append
+   * of an earlier term of the same leader.
+   */
+  @Test
+  void replyToAppendOfEarlierTermConfirmsNoRead() {
+    RaftReplica leader = proposeCommands(cluster.runUntilConverged(), 3);
+    cluster.run(LONG_TERM_MILLIS);
+    RaftReplica follower = othersExcept(leader).get(0);
+    final RaftReplica other = othersExcept(leader).get(1);
+    cluster.advanceClock(RaftReplica.OPTIONS.heartbeatMillis());
+    cluster.tick(leader, false);
+    RaftMessage late =
+        cluster.messages.stream()
+            .filter(message -> message.getTo() == follower.id && message.hasAppendRequest())
+            .findFirst()
+            .orElseThrow();
+    handOver(leader, other);
+    handOver(other, leader);
+
+    cluster.deliver(late, false);
+    cluster.run(RaftReplica.OPTIONS.heartbeatMillis());
+    cluster.isolate(leader.id);
+    assertThat(leader.core().requestRead(1)).isTrue();
+
+    assertThat(leader.core().takeEffects().reads()).isEmpty();
+  }
+
+  private void handOver(RaftReplica from, RaftReplica to) {
+    assertThat(from.core().handOver(to.id)).isTrue();
+    from.performEffects(false);
+    assertThat(cluster.runUntilConverged().id).isEqualTo(to.id);
+  }
+
   /**
    * Guards against a leader that sends all missing entries with each heartbeat to a lost replica.
    */
