Judge an unresponsive replica by unanswered messages

A leader with slow syncs processes the reply to each heartbeat one sync late, so that contact always looks too old when it sends.

Fix: a replica is unresponsive if a message to it has been without a reply for two heartbeats, whenever the reply was processed.

--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Progress.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Progress.java
@@ -13,6 +13,9 @@
   private boolean probeSent;
   private long lastContactMillis;
   private long repliedRound;
+  // The time of the first message since the last reply; meaningful only while a reply is awaited.
+  private boolean replyAwaited;
+  private long unansweredSinceMillis;
   // Non-null during a snapshot transfer. Kept so that a newer snapshot does not interrupt the
   // transfer.
   private Snapshot pendingSnapshot;
@@ -41,9 +44,26 @@
 
   void recordReply(long nowMillis, long replyRound) {
     lastContactMillis = nowMillis;
+    replyAwaited = false;
     repliedRound = Math.max(repliedRound, replyRound);
   }
 
+  /** Records that a message was sent, to which the replica replies. */
+  void recordMessage(long nowMillis) {
+    if (!replyAwaited) {
+      replyAwaited = true;
+      unansweredSinceMillis = nowMillis;
+    }
+  }
+
+  /**
+   * Returns whether messages have been without a reply for longer than the given time. A reply
+   * counts even if it is processed late, as by a leader whose syncs are slow.
+   */
+  boolean isUnansweredFor(long nowMillis, long millis) {
+    return replyAwaited && nowMillis - unansweredSinceMillis > millis;
+  }
+
   /**
    * Returns whether entries may be sent now: one message at a time while probing, otherwise up to
    * {@code maxInflight} messages without a reply.
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Replication.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Replication.java
@@ -35,8 +35,8 @@
   }
 
   private boolean isUnresponsive(Progress progress) {
-    long unresponsiveMillis = state.nowMillis() - progress.lastContactMillis();
-    return progress.probing() && unresponsiveMillis > 2 * state.options.heartbeatMillis();
+    return progress.probing()
+        && progress.isUnansweredFor(state.nowMillis(), 2 * state.options.heartbeatMillis());
   }
 
   /**
@@ -79,6 +79,7 @@
         state.log.hasTermAt(progress.nextIndex() - 1)
             ? progress.nextIndex() - 1
             : state.log.commitIndex();
+    progress.recordMessage(state.nowMillis());
     state.sendBeforeSync(
         state
             .message(peer)
@@ -96,6 +97,7 @@
     int start = Math.toIntExact(Math.min(progress.snapshotOffsetBytes(), snapshot.data().size()));
     int end = Math.min(start + state.options.snapshotChunkBytes(), snapshot.data().size());
     ByteString data = snapshot.data().substring(start, end);
+    progress.recordMessage(state.nowMillis());
     state.sendBeforeSync(
         state
             .message(peer)
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
@@ -26,6 +27,8 @@
   private static final long HOUR_MILLIS = 3_600_000;
   private static final long ELECTION_MILLIS = 2_000;
   private static final long LONG_TERM_MILLIS = 10_000;
+  private static final long SLOW_SYNC_MILLIS = 120;
+  private static final int SLOW_BATCHES = 50;
 
   private final RaftCluster cluster = new RaftCluster(7, 3);
 
@@ -440,6 +443,36 @@
     assertThat(cluster.runUntilConverged().id).isEqualTo(to.id);
   }
 
+  /**
+   * Guards against a replica that never gets its snapshot, as the replies to each heartbeat arrive
+   * while the leader syncs.
+   */
+  @Test
+  void leaderWithSlowSyncsSendsSnapshot() {
+    RaftReplica behind = othersExcept(proposeCommands(cluster.runUntilConverged(), 3)).get(0);
+    behind.crash();
+    RaftReplica leader = proposeCommands(cluster.runUntilConverged(), 20);
+    leader.takeSnapshot(0);
+    behind.start(cluster.nowMillis());
+
+    int chunks = 0;
+    for (int batch = 0; batch < SLOW_BATCHES; batch++) {
+      List<RaftMessage> sent = new ArrayList<>(cluster.messages);
+      cluster.messages.clear();
+      chunks += (int) sent.stream().filter(RaftMessage::hasSnapshotChunk).count();
+      sent.forEach(message -> cluster.deliver(message, false));
+      cluster.messages.forEach(reply -> leader.core().receive(reply, cluster.nowMillis()));
+      cluster.messages.clear();
+      cluster.advanceClock(SLOW_SYNC_MILLIS);
+      leader.core().tick(cluster.nowMillis());
+      leader.performEffects(false);
+    }
+
+    assertThat(leader.isLeader()).isTrue();
+    assertThat(chunks).isGreaterThan(0);
+    assertThat(behind.appliedIndex()).isEqualTo(leader.appliedIndex());
+  }
+
   /**
    * Guards against a leader that sends all missing entries with each heartbeat to a lost replica.
    */
