Keep periodic tasks running after an Error

What callers see: after the heap of a host was full once, tasks that run again and again (the ticks of the log, the check of leases) never run again, although the process goes on and memory may be free again.

Cause: WorkerPool.runLogged catches RuntimeException only. The scheduler cancels a periodic task that throws anything, and nothing is logged.

Change: an Error is logged and the task runs again, as after any failure.

--- a/alderyard-common/src/main/java/org/alderyard/common/concurrent/WorkerPool.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/concurrent/WorkerPool.java
@@ -96,8 +96,9 @@
   }
 
   /**
-   * Runs a task and logs its failure. Without this, a periodic task that throws is cancelled
-   * silently. A rejection after the pool was closed is expected at shutdown and not logged.
+   * Runs a task and logs its failure, also an {@link Error} such as a full heap. Without this, a
+   * periodic task that throws is cancelled silently. A rejection after the pool was closed is
+   * expected at shutdown and not logged.
    */
   private void runLogged(Runnable task) {
     try {
@@ -106,7 +107,7 @@
       if (!executor.isShutdown()) {
         log.error("event=task-failed", rejected);
       }
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       log.error("event=task-failed", failure);
     }
   }
