Stop the log after an Error as after any other failure

What callers see: after an OutOfMemoryError on the thread of the log a control host confirms nothing and answers no read that needs the log, for good, while its process runs on and its peers see nothing.

Cause: SerialLoop.runBatch catches RuntimeException only. After an Error its flag 'running' stays true, so no later step is run; the same happens when the executor can't take a batch, or when the failure handler itself fails.

Change: an Error goes to the failure handler, as a disk fault does: the log closes, pending requests fail, the listener is told and the daemon ends on that (by reading). The listener is told even if a step before it fails. A batch that the executor refused is scheduled by the next step.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
@@ -134,7 +134,7 @@
   private void writeSnapshot(Snapshot snapshot) {
     try {
       store.save(snapshot);
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       loop.submit(
           () -> {
             throw failure;
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -117,24 +117,32 @@
   }
 
   /**
-   * Stops the log permanently after a disk or state machine failure. Nothing is retried, since the
-   * state on the disk or in memory may be wrong.
+   * Stops the log permanently after a failure of the disk, the state machine or the runtime, such
+   * as a full heap. Nothing is retried, since the state on the disk or in memory may be wrong.
    */
-  private void fail(RuntimeException cause) {
+  private void fail(Throwable cause) {
     if (closed) {
       return;
     }
-    AlderyardException error = Futures.toAlderyardException(cause);
-    log.error("event=log-stopped reason=\"{}\"", error.getMessage(), cause);
-    failure = error;
-    loop.stop();
     closed = true;
+    loop.stop();
     status = LogStatus.NONE;
-    pending.failAll(
-        AlderyardException.unknown(error.code(), "the log stopped: " + error.getMessage(), error),
-        stopped());
-    replica.close();
-    listener.onFailure(error);
+    AlderyardException error = Futures.toAlderyardException(cause);
+    failure = error;
+    // The steps allocate memory, which may fail again; the listener must be notified nevertheless.
+    try {
+      replica.close();
+    } finally {
+      try {
+        log.error("event=log-stopped reason=\"{}\"", error.getMessage(), cause);
+        pending.failAll(
+            AlderyardException.unknown(
+                error.code(), "the log stopped: " + error.getMessage(), error),
+            stopped());
+      } finally {
+        listener.onFailure(error);
+      }
+    }
   }
 
   @Override
--- a/alderyard-control/src/main/java/org/alderyard/control/log/SerialLoop.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/SerialLoop.java
@@ -8,20 +8,23 @@
 /**
  * Runs steps sequentially, in the order of submission, on a shared executor. A flush callback runs
  * once after each batch of steps, so that the steps of a batch share one disk sync.
+ *
+ * <p>A step that fails, also with an {@link Error} such as a full heap, is reported and does not
+ * keep later steps from running.
  */
 final class SerialLoop {
   private static final int MAX_STEPS_PER_BATCH = 1_000;
 
   private final Executor executor;
   private final Runnable flush;
-  private final Consumer<RuntimeException> onFailure;
+  private final Consumer<Throwable> onFailure;
   private final Object lock = new Object();
   // Guarded by lock.
   private final Queue<Runnable> steps = new ArrayDeque<>();
   private boolean running;
   private boolean stopped;
 
-  SerialLoop(Executor executor, Runnable flush, Consumer<RuntimeException> onFailure) {
+  SerialLoop(Executor executor, Runnable flush, Consumer<Throwable> onFailure) {
     this.executor = executor;
     this.flush = flush;
     this.onFailure = onFailure;
@@ -39,10 +42,22 @@
       }
       running = true;
     }
-    executor.execute(this::runBatch);
+    scheduleBatch();
     return true;
   }
 
+  /** Schedules a batch; if that fails, the next submitted step schedules it. */
+  private void scheduleBatch() {
+    try {
+      executor.execute(this::runBatch);
+    } catch (RuntimeException | Error failure) {
+      synchronized (lock) {
+        running = false;
+      }
+      throw failure;
+    }
+  }
+
   /** Rejects further steps; steps already queued still run. */
   void stop() {
     synchronized (lock) {
@@ -60,16 +75,21 @@
         completedSteps++;
       }
       flush.run();
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       onFailure.accept(failure);
+    } finally {
+      endBatch();
     }
+  }
+
+  private void endBatch() {
     synchronized (lock) {
       if (steps.isEmpty()) {
         running = false;
         return;
       }
     }
-    executor.execute(this::runBatch);
+    scheduleBatch();
   }
 
   private Runnable pollStep(int completedSteps) {
--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -120,6 +120,9 @@
     if (command.toStringUtf8().equals("poison")) {
       throw new IllegalStateException("can't apply");
     }
+    if (command.toStringUtf8().equals("exhaust")) {
+      throw new OutOfMemoryError("heap of the test");
+    }
     applied.add(command.toStringUtf8());
     return ByteString.copyFromUtf8("answer to " + command.toStringUtf8());
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
@@ -280,6 +281,21 @@
         .isEqualTo(Outcome.NOT_RUN);
   }
 
+  /** Guards against a host whose log stands still for ever once its heap is full. */
+  @Test
+  void exhaustedHeapStopsHost() {
+    startAll();
+    LogHost leader = hosts.get(leader());
+    CompletableFuture<ByteString> proposal =
+        leader.log().propose(ByteString.copyFromUtf8("exhaust")).orTimeout(20, TimeUnit.SECONDS);
+    AlderyardException error = failure(proposal);
+    assertThat(error.outcome()).isEqualTo(Outcome.OUTCOME_UNKNOWN);
+    assertThat(error.code()).isEqualTo(ErrorCode.INTERNAL);
+    LogHost.await("the failure notification of the listener", () -> leader.failure != null);
+    assertThat(failure(leader.log().propose(ByteString.EMPTY)).outcome())
+        .isEqualTo(Outcome.NOT_RUN);
+  }
+
   @Test
   void refusesCommandAboveSizeLimit() {
     startAll();
