--- a/alderyard-control/src/main/java/org/alderyard/control/store/SegmentReader.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SegmentReader.java
@@ -15,11 +15,16 @@
 
 /** Recovers the log by replaying the batches of all segments in order. */
 final class SegmentReader {
+  private final long snapshotIndex;
   private final List<Entry> entries = new ArrayList<>();
   private HardState hardState = HardState.getDefaultInstance();
   private long tornBytes;
   private long lastIndex;
 
+  SegmentReader(long snapshotIndex) {
+    this.snapshotIndex = snapshotIndex;
+  }
+
   /** Replays a segment and returns the last index so far; only the last segment may be torn. */
   long replay(Path path, boolean last) {
     byte[] bytes = AtomicFile.readBytes(path);
@@ -59,8 +64,13 @@
     for (Entry entry : batch.getEntriesList()) {
       boolean first = entries.isEmpty() && lastIndex == 0;
       if (!first && entry.getIndex() > lastIndex + 1) {
-        throw StorageException.damaged(
-            path, position, "entry " + entry.getIndex() + " follows entry " + lastIndex);
+        if (entry.getIndex() > snapshotIndex + 1) {
+          throw StorageException.damaged(
+              path, position, "entry " + entry.getIndex() + " follows entry " + lastIndex);
+        }
+        // Segments that the snapshot covers are deleted without a sync, so that a power loss may
+        // undo only some of the deletions.
+        entries.clear();
       }
       while (!entries.isEmpty() && entries.get(entries.size() - 1).getIndex() >= entry.getIndex()) {
         entries.remove(entries.size() - 1);
--- a/alderyard-control/src/main/java/org/alderyard/control/store/SegmentedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SegmentedLog.java
@@ -33,7 +33,7 @@
 
   /** Replays the stored segments and starts a new segment. */
   RecoveredState recover(Snapshot snapshot) {
-    SegmentReader reader = new SegmentReader();
+    SegmentReader reader = new SegmentReader(snapshot.lastIndex());
     List<Path> files =
         folder.listFiles().stream()
             .filter(entry -> entry.getFileName().toString().startsWith(PREFIX))
@@ -110,10 +110,8 @@
   }
 
   /**
-   * Deletes the closed segments whose entries are all covered by the snapshot.
-   *
-   * <p>The oldest segments are deleted first, so that the remaining segments are contiguous after a
-   * crash.
+   * Deletes the closed segments whose entries are all covered by the snapshot, the oldest ones
+   * first. The deletions are not synced; see {@link SegmentReader}.
    */
   void trim(long snapshotIndex) {
     while (!closedSegments.isEmpty() && closedSegments.get(0).lastIndex <= snapshotIndex) {
