--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/RestartBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/RestartBenchmark.java
@@ -15,6 +15,7 @@
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.control.log.ReplicatedLogOptions;
 import org.alderyard.control.log.StateMachine;
+import org.alderyard.control.raft.LogSize;
 import org.alderyard.control.state.ControlState;
 import org.alderyard.protocol.generated.control.Announcement;
 import org.alderyard.protocol.generated.control.Command;
@@ -153,8 +154,8 @@
             defaults.tick(),
             Duration.ofMillis(10),
             defaults.sendTimeout(),
-            snapshotEntries,
-            defaults.keepEntries(),
+            LogSize.ofEntries(snapshotEntries),
+            defaults.keep(),
             defaults.maxPending(),
             defaults.maxCommandBytes());
     return new BenchHost(
--- a/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executor;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.control.raft.Effects;
+import org.alderyard.control.raft.LogSize;
 import org.alderyard.control.raft.RaftCore;
 import org.alderyard.control.raft.Snapshot;
 import org.alderyard.control.store.ReplicaStore;
@@ -19,6 +20,9 @@
 final class LogDriver {
   private static final Logger log = LoggerFactory.getLogger(LogDriver.class);
 
+  /** Keeps the bytes written for snapshots below the bytes written for entries. */
+  private static final long ENTRY_BYTES_PER_SNAPSHOT_BYTE = 2;
+
   private final RaftCore core;
   private final ReplicaStore store;
   private final StateMachine stateMachine;
@@ -30,6 +34,8 @@
   private final MonotonicClock clock;
   private long appliedIndex;
   private long snapshotIndex;
+  private long appliedBytesSinceSnapshot;
+  private long lastSnapshotBytes;
   private boolean snapshotInProgress;
 
   LogDriver(
@@ -81,11 +87,17 @@
       effects.reads().forEach(read -> pending.confirmRead(read.readId(), read.index()));
       pending.completeReads(appliedIndex);
     }
-    if (appliedIndex - snapshotIndex >= options.snapshotEntries() && !snapshotInProgress) {
+    if (!snapshotInProgress && isSnapshotDue()) {
       startSnapshot();
     }
   }
 
+  private boolean isSnapshotDue() {
+    LogSize limit = options.snapshotAfter();
+    long maxBytes = Math.max(limit.bytes(), ENTRY_BYTES_PER_SNAPSHOT_BYTE * lastSnapshotBytes);
+    return appliedIndex - snapshotIndex >= limit.entries() || appliedBytesSinceSnapshot >= maxBytes;
+  }
+
   /** Logs slow syncs: no heartbeat is sent during a sync, so a slow disk can cause an election. */
   private void sync(Effects effects) {
     long startMillis = clock.nowMillis();
@@ -106,6 +118,7 @@
 
   private void apply(Entry entry) {
     appliedIndex = entry.getIndex();
+    appliedBytesSinceSnapshot += entry.getSerializedSize();
     if (entry.getKind() == EntryKind.COMMAND) {
       ByteString result = stateMachine.apply(entry.getIndex(), entry.getData());
       pending.completeProposal(entry.getIndex(), entry.getTerm(), result);
@@ -116,9 +129,15 @@
     stateMachine.restore(snapshot.lastIndex(), snapshot.data());
     appliedIndex = snapshot.lastIndex();
     snapshotIndex = snapshot.lastIndex();
+    recordSnapshotSize(snapshot);
     log.info("event=snapshot-restored index={} bytes={}", appliedIndex, snapshot.data().size());
   }
 
+  private void recordSnapshotSize(Snapshot snapshot) {
+    appliedBytesSinceSnapshot = 0;
+    lastSnapshotBytes = snapshot.data().size();
+  }
+
   /** Copies the state on the loop and writes the file on another thread, so heartbeats continue. */
   private void startSnapshot() {
     snapshotInProgress = true;
@@ -128,6 +147,7 @@
             core.termAt(appliedIndex),
             core.membershipAt(appliedIndex),
             stateMachine.snapshot());
+    recordSnapshotSize(snapshot);
     snapshotExecutor.execute(() -> writeSnapshot(snapshot));
   }
 
@@ -147,7 +167,7 @@
   private void onSnapshotSaved(Snapshot snapshot) {
     snapshotInProgress = false;
     store.trim(snapshot.lastIndex());
-    core.compact(snapshot, options.keepEntries());
+    core.compact(snapshot, options.keep());
     snapshotIndex = Math.max(snapshotIndex, snapshot.lastIndex());
     log.info("event=snapshot-saved index={} bytes={}", snapshotIndex, snapshot.data().size());
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -343,8 +343,13 @@
   }
 
   /** Compacts the log up to a snapshot of applied entries that the caller took and synced. */
-  public void compact(Snapshot snapshot, long keepEntries) {
-    state.log.compact(snapshot, keepEntries);
+  public void compact(Snapshot snapshot, LogSize keep) {
+    state.log.compact(snapshot, keep);
+  }
+
+  /** Returns the size of the entries that are held in memory. */
+  public LogSize retained() {
+    return state.log.retained();
   }
 
   /** Returns the members as of an index at or after that of the last snapshot. */
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftLog.java
@@ -21,18 +21,29 @@
   private long deliveredIndex;
   private long membershipIndex;
   private Membership membership;
+  private long retainedBytes;
 
   RaftLog(Snapshot snapshot, List<Entry> stored) {
     this.snapshot = snapshot;
     baseIndex = snapshot.lastIndex();
     baseTerm = snapshot.lastTerm();
     entries.addAll(stored);
+    retainedBytes = bytesOf(entries);
     storedIndex = lastIndex();
     commitIndex = snapshot.lastIndex();
     deliveredIndex = snapshot.lastIndex();
     refreshMembership();
   }
 
+  private static long bytesOf(List<Entry> range) {
+    return range.stream().mapToLong(Entry::getSerializedSize).sum();
+  }
+
+  /** Returns the size of the entries that are held in memory. */
+  LogSize retained() {
+    return new LogSize(entries.size(), retainedBytes);
+  }
+
   long lastIndex() {
     return baseIndex + entries.size();
   }
@@ -97,6 +108,7 @@
   /** Appends an entry and, if it changes the membership, makes the change effective. */
   void append(Entry entry) {
     entries.add(entry);
+    retainedBytes += entry.getSerializedSize();
     if (entry.getKind() == EntryKind.MEMBERSHIP) {
       membershipIndex = entry.getIndex();
       membership = membershipOf(entry);
@@ -126,11 +138,16 @@
     if (index <= commitIndex) {
       throw new IllegalStateException("entry " + index + " is committed and cannot be replaced");
     }
-    entries.subList(offsetOf(index), entries.size()).clear();
+    remove(entries.subList(offsetOf(index), entries.size()));
     storedIndex = Math.min(storedIndex, index - 1);
     refreshMembership();
   }
 
+  private void remove(List<Entry> range) {
+    retainedBytes -= bytesOf(range);
+    range.clear();
+  }
+
   /**
    * Returns entries from an index on, up to about {@code maxBytes}, but at least one if any exists.
    */
@@ -176,6 +193,7 @@
   /** Replaces the whole log with a snapshot of the leader. */
   void restore(Snapshot received) {
     entries.clear();
+    retainedBytes = 0;
     snapshot = received;
     baseIndex = received.lastIndex();
     baseTerm = received.lastTerm();
@@ -186,24 +204,37 @@
   }
 
   /**
-   * Drops the entries covered by a snapshot of this replica, except the last {@code keepEntries},
-   * which let slow followers catch up without a snapshot.
+   * Drops the entries covered by a snapshot of this replica, except the newest ones within the
+   * limit {@code keep}, which let slow followers catch up without a snapshot.
    */
-  void compact(Snapshot newSnapshot, long keepEntries) {
+  void compact(Snapshot newSnapshot, LogSize keep) {
     if (newSnapshot.lastIndex() > deliveredIndex) {
       throw new IllegalArgumentException("snapshot covers entries that are not applied yet");
     }
     if (newSnapshot.lastIndex() <= snapshot.lastIndex()) {
       return;
     }
-    long newBase = Math.max(baseIndex, newSnapshot.lastIndex() - keepEntries);
+    long newBase = indexBeforeKept(newSnapshot.lastIndex(), keep);
     long newBaseTerm = termAt(newBase);
-    entries.subList(0, offsetOf(newBase) + 1).clear();
+    remove(entries.subList(0, offsetOf(newBase) + 1));
     baseIndex = newBase;
     baseTerm = newBaseTerm;
     snapshot = newSnapshot;
   }
 
+  private long indexBeforeKept(long snapshotIndex, LogSize keep) {
+    long index = snapshotIndex;
+    long keptBytes = 0;
+    while (index > baseIndex && snapshotIndex - index < keep.entries()) {
+      keptBytes += entry(index).getSerializedSize();
+      if (keptBytes > keep.bytes()) {
+        break;
+      }
+      index--;
+    }
+    return index;
+  }
+
   /** Returns the members as of an index at or after that of the snapshot. */
   Membership membershipAt(long index) {
     for (long i = index; i > snapshot.lastIndex(); i--) {
--- a/alderyard-control/src/main/java/org/alderyard/control/store/ReplicaStore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/ReplicaStore.java
@@ -13,7 +13,7 @@
  * although these pages never reached the disk.
  */
 public final class ReplicaStore implements AutoCloseable {
-  private static final long MAX_SEGMENT_BYTES = 8L * 1024 * 1024;
+  private static final long MAX_SEGMENT_BYTES = 4L * 1024 * 1024;
 
   private final SnapshotFiles snapshots;
   private final SegmentedLog log;
--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -13,6 +13,7 @@
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.id.HostId;
+import org.alderyard.control.raft.LogSize;
 import org.alderyard.protocol.wire.ClusterKey;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.EventLoops;
@@ -65,8 +66,8 @@
         defaults.tick(),
         Duration.ofMillis(50),
         defaults.sendTimeout(),
-        snapshotEntries,
-        keepEntries,
+        LogSize.ofEntries(snapshotEntries),
+        LogSize.ofEntries(keepEntries),
         defaults.maxPending(),
         1_000);
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftReplica.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftReplica.java
@@ -144,6 +144,6 @@
             core.membershipAt(appliedIndex),
             ByteString.copyFrom(bytes));
     stored.removeIf(entry -> entry.getIndex() <= snapshot.lastIndex());
-    core.compact(snapshot, keepEntries);
+    core.compact(snapshot, LogSize.ofEntries(keepEntries));
   }
 }
