Bound the deltas of the view by bytes

Also on hosts whose log is bounded, the heap would fill.

Cause: ViewFeed keeps up to 4,096 deltas, and each change of the configuration is one that holds the whole configuration, parsed.

Result: ViewFeedTest.deltasAreBoundedByBytes fails before (28,691,014 bytes of deltas are served after 200 changes of 140 KiB). Hosts that are a few changes behind get deltas as before.

--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
@@ -27,6 +27,12 @@
    */
   static final int MAX_DELTAS = 4_096;
 
+  /**
+   * Maximum serialized size of the deltas that are kept, in bytes; the newest one is always kept.
+   * Parsed, a delta takes more than that on the heap.
+   */
+  static final long MAX_DELTA_BYTES = 4L << 20;
+
   /** Approximate maximum size of a reply, in bytes; a host that lags may need several replies. */
   static final int TARGET_REPLY_BYTES = 1 << 20;
 
@@ -38,6 +44,7 @@
   // Guarded by lock. The key of a delta is the version that it applies to.
   private ViewChange current = new ViewChange(View.EMPTY, ViewChain.START, Optional.empty());
   private final TreeMap<ViewVersion, ViewDelta> deltas = new TreeMap<>();
+  private long deltaBytes;
   private final Set<PendingRequest> pendingRequests =
       Collections.newSetFromMap(new IdentityHashMap<>());
   private boolean paused;
@@ -55,16 +62,22 @@
     synchronized (lock) {
       if (change.delta().isEmpty()) {
         deltas.clear();
+        deltaBytes = 0;
       }
-      change.delta().ifPresent(delta -> deltas.put(StateCodec.version(delta.getFrom()), delta));
-      if (deltas.size() > MAX_DELTAS) {
-        deltas.pollFirstEntry();
-      }
+      change.delta().ifPresent(this::keep);
       current = change;
     }
     sendUpdatesUnlessPaused();
   }
 
+  private void keep(ViewDelta delta) {
+    deltas.put(StateCodec.version(delta.getFrom()), delta);
+    deltaBytes += delta.getSerializedSize();
+    while (deltas.size() > 1 && (deltas.size() > MAX_DELTAS || deltaBytes > MAX_DELTA_BYTES)) {
+      deltaBytes -= deltas.pollFirstEntry().getValue().getSerializedSize();
+    }
+  }
+
   /**
    * Returns a future of the update from the given version. The update is empty when there is none
    * within the wait time.
