Bound the messages that wait for a replica by bytes

What callers would see: a leader whose heap fills while a replica takes its messages slowly. Not observed; found by reading while looking for what else counts messages and not bytes.

Cause: the queue of a replica holds 4,096 messages of any size. The leader stops after 16 messages without an answer, but each holds at least one entry, of up to 4 MiB.

Change: the queue is a class of its own, bounded to 4,096 messages and 8 MiB. A message that doesn't fit clears it, as before; the follower rejects what comes after the gap and the leader resumes from there.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/RaftTransport.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/RaftTransport.java
@@ -1,8 +1,6 @@
 package org.alderyard.control.log;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,7 +9,6 @@
 import java.util.Set;
 import java.util.function.LongFunction;
 import org.alderyard.protocol.generated.raft.Member;
-import org.alderyard.protocol.generated.raft.RaftBatch;
 import org.alderyard.protocol.generated.raft.RaftMessage;
 import org.alderyard.protocol.wire.PeerLinks;
 
@@ -23,9 +20,6 @@
  * <p>Used only on the serial loop.
  */
 final class RaftTransport {
-  private static final int MAX_BATCH_BYTES = 4 * 1024 * 1024;
-  private static final int MAX_QUEUED_MESSAGES = 4_096;
-
   private final PeerLinks links;
   private final SerialLoop loop;
   private final ReplicatedLogOptions options;
@@ -50,7 +44,7 @@
     Set<Outbox> changed = new LinkedHashSet<>();
     for (RaftMessage message : messages) {
       Outbox outbox = outboxes.computeIfAbsent(message.getTo(), Outbox::new);
-      outbox.add(message);
+      outbox.queue.add(message);
       changed.add(outbox);
     }
     changed.forEach(Outbox::sendNext);
@@ -58,21 +52,13 @@
 
   private final class Outbox {
     private final long replicaId;
-    private final Deque<RaftMessage> queue = new ArrayDeque<>();
+    private final MessageQueue queue = new MessageQueue();
     private boolean inFlight;
 
     Outbox(long replicaId) {
       this.replicaId = replicaId;
     }
 
-    /** Queues a message. A full queue is cleared first, since Raft tolerates lost messages. */
-    void add(RaftMessage message) {
-      if (queue.size() >= MAX_QUEUED_MESSAGES) {
-        queue.clear();
-      }
-      queue.addLast(message);
-    }
-
     void sendNext() {
       if (inFlight || queue.isEmpty()) {
         return;
@@ -85,20 +71,10 @@
       inFlight = true;
       links
           .linkTo(address.get())
-          .call(RaftMethods.MESSAGES, nextBatch(), options.sendTimeout())
+          .call(RaftMethods.MESSAGES, queue.removeBatch(self), options.sendTimeout())
           .whenComplete((ack, failure) -> loop.submit(() -> onSent(failure)));
     }
 
-    private RaftBatch nextBatch() {
-      RaftBatch.Builder batch = RaftBatch.newBuilder().setSender(self);
-      int bytes = 0;
-      while (!queue.isEmpty() && bytes < MAX_BATCH_BYTES) {
-        bytes += queue.peekFirst().getSerializedSize();
-        batch.addMessages(queue.removeFirst());
-      }
-      return batch.build();
-    }
-
     private void onSent(Throwable failure) {
       inFlight = false;
       if (failure != null) {
