--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -23,7 +23,7 @@
 
 /** Control host inside the test process that uses real sockets and files. */
 final class LogHost implements StateMachine, LogListener, AutoCloseable {
-  static final ReplicatedLogOptions OPTIONS = options(50, 5);
+  static final ReplicatedLogOptions OPTIONS = options(LogSize.ofEntries(50), LogSize.ofEntries(5));
   private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(60);
 
   final List<String> applied = new ArrayList<>();
@@ -38,6 +38,15 @@
   private final InnerServer server;
 
   LogHost(HostId host, InetSocketAddress self, List<InetSocketAddress> members, Path folder) {
+    this(host, self, members, folder, OPTIONS);
+  }
+
+  LogHost(
+      HostId host,
+      InetSocketAddress self,
+      List<InetSocketAddress> members,
+      Path folder,
+      ReplicatedLogOptions options) {
     ProtocolOptions protocol =
         new ProtocolOptions(
             "c1", host, 1, new ClusterKey(new byte[16]), Duration.ofSeconds(1), 1_000);
@@ -54,20 +63,20 @@
             .callbacks(workers)
             .random(new SecureRandom())
             .listener(this)
-            .options(OPTIONS)
+            .options(options)
             .start();
     server = new InnerServer(loops, self, protocol, dispatcher, workers);
   }
 
-  private static ReplicatedLogOptions options(long snapshotEntries, long keepEntries) {
+  static ReplicatedLogOptions options(LogSize snapshotAfter, LogSize keep) {
     ReplicatedLogOptions defaults = ReplicatedLogOptions.defaults();
     return new ReplicatedLogOptions(
         defaults.raft(),
         defaults.tick(),
         Duration.ofMillis(50),
         defaults.sendTimeout(),
-        LogSize.ofEntries(snapshotEntries),
-        LogSize.ofEntries(keepEntries),
+        snapshotAfter,
+        keep,
         defaults.maxPending(),
         1_000);
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/ReplicatedLogTest.java
@@ -20,6 +20,7 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.common.id.HostId;
+import org.alderyard.control.raft.LogSize;
 import org.alderyard.control.raft.Membership;
 import org.alderyard.control.raft.MembershipChange.Remove;
 import org.alderyard.control.raft.MembershipChange.Verdict;
@@ -36,11 +37,12 @@
       Stream.generate(FreePorts::nextAddress).limit(3).toList();
   private final Map<Integer, LogHost> hosts = new TreeMap<>();
   private final List<String> accepted = new ArrayList<>();
+  private ReplicatedLogOptions options = LogHost.OPTIONS;
 
   private LogHost start(int number) {
     HostId host = new HostId("control-" + number);
     Path folder = root.resolve(host.value());
-    LogHost started = new LogHost(host, members.get(number), members, folder);
+    LogHost started = new LogHost(host, members.get(number), members, folder, options);
     hosts.put(number, started);
     return started;
   }
@@ -156,6 +158,27 @@
     awaitReplication();
   }
 
+  /**
+   * A host is down while the others trim their logs because of the bytes of a few entries, so the
+   * host must catch up from a snapshot.
+   */
+  @Test
+  void hostCatchesUpFromSnapshotOfLogThatIsTrimmedByBytes() {
+    options = LogHost.options(new LogSize(Long.MAX_VALUE, 500), new LogSize(Long.MAX_VALUE, 100));
+    startAll();
+    proposeMany(3);
+    int stoppedHost = follower();
+    kill(stoppedHost);
+    proposeMany(60);
+    LogHost leader = hosts.get(leader());
+    LogHost.await("a snapshot", () -> leader.log().status().snapshotIndex() > 20);
+
+    start(stoppedHost);
+
+    awaitReplication();
+    assertThat(hosts.get(stoppedHost).log().status().snapshotIndex()).isGreaterThan(20);
+  }
+
   /**
    * A host's disk is wiped, and the host restarts with the same name and settings. It must rejoin
    * with a new replica id without operator action, and the old id must be removed. Then a second
