Repeat a promotion call only while a quorum confirms the leader

Cause: the service asked whether it leads before the pause between two calls, by its own state, which a stopped process has not updated when it wakes.

Change: PromotionCalls, split off from PromotionService, asks a quorum after the pause, and that the term is still the one of the token. Otherwise the attempt ends, and the next one obtains a new token.

Evidence: PromotionServiceTest.callIsNotRepeatedWithItsTokenOnceAnotherHostLeads on the code before: the second call has the token of the first (expected to be greater than: 1, but was: 1). 9 of 9 pass now, with 9 of SynchronousReplicaSearchTest and 6 of PausedReplicasTest. Not run: a process that is stopped between two calls.

What remains: a stop between the confirmation and the call is not excluded; only the provider's fence does that.

--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionCalls.java
@@ -0,0 +1,112 @@
+package org.alderyard.control.promotion;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.alderyard.common.concurrent.WorkerPool;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.control.log.ControlLog;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The calls that request one promotion, with the same arguments each time.
+ *
+ * <p>A call is repeated only while a quorum confirms that this host still leads in the term in
+ * which it obtained the token. A host that was stopped between two calls would otherwise send a
+ * token that is lower than the one that the next leader has used.
+ */
+final class PromotionCalls {
+  private static final Logger log = LoggerFactory.getLogger(PromotionCalls.class);
+
+  /** The delay before a call that was throttled or got no response is repeated. */
+  private static final Duration RETRY_DELAY = Duration.ofMillis(150);
+
+  /** The number of calls without a definite response after which a candidate is chosen again. */
+  private static final int MAX_CALLS = 6;
+
+  private final PrimaryPromoter promoter;
+  private final ControlLog controlLog;
+  private final HostId self;
+  private final WorkerPool workers;
+  private final MonotonicClock clock;
+
+  PromotionCalls(
+      PrimaryPromoter promoter,
+      ControlLog controlLog,
+      HostId self,
+      WorkerPool workers,
+      MonotonicClock clock) {
+    this.promoter = promoter;
+    this.controlLog = controlLog;
+    this.self = self;
+    this.workers = workers;
+    this.clock = clock;
+  }
+
+  /**
+   * A promotion.
+   *
+   * @param token the fencing token
+   * @param term the term of the control log in which the token was obtained
+   * @param startNanos when the failover began
+   */
+  record Promotion(GroupId group, ServerId server, long token, long term, long startNanos) {}
+
+  /**
+   * Calls the promoter until it responds definitely.
+   *
+   * @param beforeCall runs before each call
+   * @return a future of the last response, which is neither accepted nor refused if this host
+   *     stopped calling; it never fails
+   */
+  CompletableFuture<PromotionResponse> run(Promotion promotion, Runnable beforeCall) {
+    return call(promotion, beforeCall, 1);
+  }
+
+  private CompletableFuture<PromotionResponse> call(
+      Promotion promotion, Runnable beforeCall, int callNumber) {
+    beforeCall.run();
+    return promoter
+        .promote(promotion.group(), promotion.server(), self, promotion.token())
+        .thenCompose(
+            response -> {
+              logResponse(promotion, callNumber, response);
+              return isDefinite(response) || callNumber >= MAX_CALLS
+                  ? CompletableFuture.completedFuture(response)
+                  : repeat(promotion, beforeCall, callNumber, response);
+            });
+  }
+
+  private static boolean isDefinite(PromotionResponse response) {
+    return response == PromotionResponse.ACCEPTED || response == PromotionResponse.REFUSED;
+  }
+
+  private CompletableFuture<PromotionResponse> repeat(
+      Promotion promotion, Runnable beforeCall, int callNumber, PromotionResponse last) {
+    CompletableFuture<Void> elapsed = new CompletableFuture<>();
+    workers.schedule(RETRY_DELAY, () -> elapsed.complete(null));
+    return elapsed
+        .thenCompose(ignored -> controlLog.readBarrier())
+        .handle((confirmed, failure) -> failure == null && controlLog.term() == promotion.term())
+        .thenCompose(
+            leads ->
+                leads
+                    ? call(promotion, beforeCall, callNumber + 1)
+                    : CompletableFuture.completedFuture(last));
+  }
+
+  private void logResponse(Promotion promotion, int callNumber, PromotionResponse response) {
+    log.info(
+        "event=promotion-call group={} server={} token={} call={} answer={} after-millis={}",
+        promotion.group(),
+        promotion.server(),
+        promotion.token(),
+        callNumber,
+        response,
+        TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - promotion.startNanos()));
+  }
+}
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -63,12 +63,6 @@
   /** The time within which a replica must report its position to be a candidate. */
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(350);
 
-  /** The delay before a call that was throttled or got no response is repeated. */
-  private static final Duration CALL_RETRY_DELAY = Duration.ofMillis(150);
-
-  /** The number of calls without a definite response after which a candidate is chosen again. */
-  private static final int MAX_CALLS = 6;
-
   /** The time that an appointed server may take until it reports that it is primary. */
   private static final long APPOINTMENT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
@@ -79,7 +73,7 @@
   private final HostId self;
   private final Supplier<View> views;
   private final ReplicationClient replication;
-  private final PrimaryPromoter promoter;
+  private final PromotionCalls calls;
   private final WorkerPool workers;
   private final MonotonicClock clock;
   private final Object lock = new Object();
@@ -104,7 +98,7 @@
     this.self = self;
     this.views = views;
     this.replication = replication;
-    this.promoter = promoter;
+    calls = new PromotionCalls(promoter, controlLog, self, workers, clock);
     this.workers = workers;
     this.clock = clock;
   }
@@ -273,7 +267,7 @@
               }
               endSearch(group, choice);
             })
-        .thenAccept(token -> callPromoter(group, chosen, token, startNanos, 1))
+        .thenAccept(token -> callPromoter(group, chosen, token, startNanos))
         .exceptionally(failure -> handleMissingToken(group, failure));
   }
 
@@ -344,12 +338,13 @@
     }
     ServerId chosen = bestCandidate.get().server().id();
     proposeIntent(group.id(), chosen)
-        .thenAccept(token -> callPromoter(group.id(), chosen, token, startNanos, 1))
+        .thenAccept(token -> callPromoter(group.id(), chosen, token, startNanos))
         .exceptionally(failure -> handleMissingToken(group.id(), failure));
   }
 
   /** Commits the intent to promote a server and returns the fencing token of the call. */
-  private CompletableFuture<Long> proposeIntent(GroupId group, ServerId chosen) {
+  private CompletableFuture<Token> proposeIntent(GroupId group, ServerId chosen) {
+    long term = controlLog.term();
     return controlLog
         .propose(
             Command.newBuilder()
@@ -360,9 +355,12 @@
                         .setHolder(self.value()))
                 .build()
                 .toByteString())
-        .thenApply(PromotionService::parseToken);
+        .thenApply(reply -> new Token(parseToken(reply), term));
   }
 
+  /** A fencing token and the term of the control log in which it was requested. */
+  private record Token(long value, long term) {}
+
   private Void handleMissingToken(GroupId group, Throwable failure) {
     recordFailedAttempt(group, "no-token", Futures.unwrap(failure));
     return null;
@@ -376,40 +374,25 @@
     }
   }
 
-  private void callPromoter(
-      GroupId group, ServerId server, long token, long startNanos, int callNumber) {
-    synchronized (lock) {
-      paused.callSent(group, clock.nowNanos());
-    }
-    promoter
-        .promote(group, server, self, token)
+  private void callPromoter(GroupId group, ServerId server, Token token, long startNanos) {
+    PromotionCalls.Promotion promotion =
+        new PromotionCalls.Promotion(group, server, token.value(), token.term(), startNanos);
+    calls
+        .run(promotion, () -> recordCall(group))
         .thenAccept(
             response -> {
-              log.info(
-                  "event=promotion-call group={} server={} token={} call={} answer={}"
-                      + " after-millis={}",
-                  group,
-                  server,
-                  token,
-                  callNumber,
-                  response,
-                  TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - startNanos));
               switch (response) {
                 case ACCEPTED -> awaitAppointment(group);
                 case REFUSED -> recordFailedAttempt(group, "refused", null);
-                default -> retryCall(group, server, token, startNanos, callNumber);
+                default -> recordFailedAttempt(group, "no-answer", null);
               }
             });
   }
 
-  private void retryCall(
-      GroupId group, ServerId server, long token, long startNanos, int callNumber) {
-    if (callNumber >= MAX_CALLS || !controlLog.isLeader()) {
-      recordFailedAttempt(group, "no-answer", null);
-      return;
+  private void recordCall(GroupId group) {
+    synchronized (lock) {
+      paused.callSent(group, clock.nowNanos());
     }
-    workers.schedule(
-        CALL_RETRY_DELAY, () -> callPromoter(group, server, token, startNanos, callNumber + 1));
   }
 
   private void awaitAppointment(GroupId group) {
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -57,6 +57,7 @@
   private volatile ServerStatus primaryStatus = ServerStatus.ACTIVE;
   private volatile String primary = "s1";
   private volatile int syncReplicas;
+  private volatile boolean leadershipConfirmed = true;
 
   @AfterEach
   void close() {
@@ -151,6 +152,22 @@
     assertThat(calls.subList(0, 3).stream().distinct().toList()).hasSize(1);
   }
 
+  /**
+   * Guards against a token that is lower than the one of the next leader: this host was stopped
+   * between two calls and still takes itself for the leader.
+   */
+  @Test
+  void callIsNotRepeatedWithItsTokenOnceAnotherHostLeads() throws Exception {
+    statuses.put("s2", status(10, 0));
+    scriptedResponses.add(PromotionResponse.UNKNOWN);
+    primaryStatus = ServerStatus.GONE;
+    leadershipConfirmed = false;
+    startService();
+
+    awaitTrue(() -> calls.size() >= 2);
+    assertThat(calls.get(1).token()).isGreaterThan(calls.get(0).token());
+  }
+
   @Test
   void refusedCallIsNotRepeatedWithItsToken() throws Exception {
     statuses.put("s2", status(10, 0));
@@ -254,7 +271,7 @@
   }
 
   /** A log that commits each entry immediately. */
-  private static final class LeaderLog implements ControlLog {
+  private final class LeaderLog implements ControlLog {
     private final AtomicLong index = new AtomicLong();
 
     @Override
@@ -268,7 +285,10 @@
 
     @Override
     public CompletableFuture<Void> readBarrier() {
-      return CompletableFuture.completedFuture(null);
+      return leadershipConfirmed
+          ? CompletableFuture.completedFuture(null)
+          : CompletableFuture.failedFuture(
+              AlderyardException.notRun(ErrorCode.NOT_LEADER, "another host leads"));
     }
 
     @Override
