Keep replicas paused while a promotion call may still be executed

Replicas were resumed 10 s after the last call, and a new control leader resumed them 10 s after it took over, knowing nothing of its predecessor's calls. A call that is executed later promotes a replica that lacks the commits which a resumed one has acknowledged meanwhile (LOST). A second promotion of another server could also follow a late first one within a second.

Cause: the end of a call was guessed by time. Its evidence is another call with a higher token or another primary.

It is pending until the group has another primary, or until a withdrawal is committed, which a leader proposes when none of its calls was or can be executed (refused or throttled, with no earlier call pending). - While it is pending, replicas of a group with synchronous replicas stay paused, under any leader, and the failover goes on until another server is primary, also when the old primary responds again. Each call has a new token, so that it fences the old ones. - The server of a pending call stays the candidate: executed in either order, both calls then promote the same server, which holds all acknowledged commits. Without it, the search fails. - The two ways to choose a replica have one interface (ReplicaSearch), and one path from the choice to the call.

Evidence: PromotionServiceTest (five new tests), PausedReplicasTest, SynchronousReplicaSearchTest, PromotionTableTest.

Conclusion: what remains is a replica that restarts while it is paused, as a restart ends a pause.

--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/Candidate.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/Candidate.java
@@ -2,12 +2,17 @@
 
 import java.util.Comparator;
 import org.alderyard.backend.session.ReplicationStatus;
+import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A replica that may be promoted, with the state that it has reported. */
 record Candidate(ServerState server, ReplicationStatus status) {
+  private static final Logger log = LoggerFactory.getLogger(Candidate.class);
+
   /**
    * Prefers the highest received position, as it loses the fewest writes; among equal positions a
    * server that does not leave, and then the smallest lag.
@@ -34,4 +39,21 @@
   static boolean isStaying(ServerState server) {
     return server.status() == ServerStatus.ACTIVE || server.status() == ServerStatus.EXPIRED;
   }
+
+  /** Logs that the server reported its state. */
+  void logReport() {
+    log.info(
+        "event=failover-candidate server={} reached=true primary={} term={} received={}"
+            + " lag-millis={}",
+        server.id(),
+        status.primary(),
+        status.term(),
+        status.received(),
+        status.lagMillis());
+  }
+
+  /** Logs that a server did not report its state. */
+  static void logMissing(ServerState server, ErrorCode reason) {
+    log.info("event=failover-candidate server={} reached=false reason={}", server.id(), reason);
+  }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PausedReplicas.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PausedReplicas.java
@@ -6,12 +6,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
-import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
 import org.alderyard.common.view.View;
@@ -19,10 +18,9 @@
 /**
  * Holds the replicas that searches have paused and decides when they resume.
  *
- * <p>While a call for a promotion may still be executed, the replicas stay paused: a commit that
- * they acknowledged would be missing in the log of the promoted server. They resume when the group
- * has another primary, when a search ended without a call, or when the last call is too old to be
- * executed.
+ * <p>While a call for a promotion may still be executed, the replicas stay paused, however long
+ * that takes: a commit that they acknowledged would be missing in the log of the promoted server.
+ * They resume when the group has another primary, or when no call is pending.
  *
  * <p>Not thread-safe; performs no I/O and reads no clock.
  */
@@ -30,14 +28,12 @@
   /** The delay before the next attempt to resume a replica. */
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-  /** The time after which a call without a response is no longer executed. */
-  static final long CALL_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(10);
+  /** The time after which the search of an earlier leader has sent all its calls. */
+  static final long EARLIER_SEARCH_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   private static final class Entry {
     private final Map<ServerId, ServerState> servers = new LinkedHashMap<>();
     private final Set<ServerId> resuming = new HashSet<>();
-    private Optional<ServerId> replacedPrimary = Optional.empty();
-    private Optional<Long> lastCallNanos = Optional.empty();
     private boolean searching;
     private long nextResumeNanos;
   }
@@ -53,24 +49,9 @@
     return entry != null && !entry.resuming.isEmpty();
   }
 
-  /** Returns whether a call for the promotion of a server of the group may still be executed. */
-  boolean hasPendingCall(GroupId group, long nowNanos) {
-    Entry entry = entries.get(group);
-    return entry != null && hasPendingCall(entry, nowNanos);
-  }
-
-  private static boolean hasPendingCall(Entry entry, long nowNanos) {
-    return entry.lastCallNanos.filter(at -> nowNanos - at < CALL_LIFETIME_NANOS).isPresent();
-  }
-
   /** Records the start of a search; no replica of the group resumes before its end. */
-  void searchStarted(GroupState group) {
-    Entry entry = entries.computeIfAbsent(group.id(), id -> new Entry());
-    if (!entry.replacedPrimary.equals(group.primary())) {
-      entry.lastCallNanos = Optional.empty();
-    }
-    entry.replacedPrimary = group.primary();
-    entry.searching = true;
+  void searchStarted(GroupId group) {
+    entries.computeIfAbsent(group, id -> new Entry()).searching = true;
   }
 
   /** Records the end of a search and the replicas that it paused. */
@@ -81,28 +62,25 @@
     entry.nextResumeNanos = nowNanos;
   }
 
-  /** Records a call for the promotion of a server of the group. */
-  void callSent(GroupId group, long nowNanos) {
-    Entry entry = entries.get(group);
-    if (entry != null) {
-      entry.lastCallNanos = Optional.of(nowNanos);
-    }
-  }
-
   /** Adds replicas that an earlier leader may have paused. */
-  void addUnknown(GroupState group, List<ServerState> replicas, long nowNanos) {
-    Entry entry = entries.computeIfAbsent(group.id(), id -> new Entry());
+  void addUnknown(GroupId group, List<ServerState> replicas, long nowNanos) {
+    Entry entry = entries.computeIfAbsent(group, id -> new Entry());
     replicas.forEach(server -> entry.servers.putIfAbsent(server.id(), server));
-    entry.nextResumeNanos = nowNanos + CALL_LIFETIME_NANOS;
+    entry.nextResumeNanos = nowNanos + EARLIER_SEARCH_NANOS;
   }
 
-  /** Returns the replicas to resume now; each is in flight until {@link #resumed}. */
-  List<Resumption> startResuming(View view, long nowNanos) {
+  /**
+   * Returns the replicas to resume now; each is in flight until {@link #resumed}.
+   *
+   * @param hasPendingCall whether a call for the promotion of a server of the group may still be
+   *     executed
+   */
+  List<Resumption> startResuming(View view, Predicate<GroupId> hasPendingCall, long nowNanos) {
     List<Resumption> due = new ArrayList<>();
     entries.forEach(
         (group, entry) -> {
           entry.servers.keySet().removeIf(server -> view.server(server).isEmpty());
-          if (!mayResume(entry, view.group(group), nowNanos)) {
+          if (!isDue(entry, nowNanos) || hasPendingCall.test(group)) {
             return;
           }
           entry.nextResumeNanos = nowNanos + RETRY_DELAY_NANOS;
@@ -112,11 +90,7 @@
             }
           }
         });
-    entries
-        .values()
-        .removeIf(
-            entry ->
-                entry.servers.isEmpty() && !entry.searching && !hasPendingCall(entry, nowNanos));
+    entries.values().removeIf(entry -> entry.servers.isEmpty() && !entry.searching);
     return due;
   }
 
@@ -127,12 +101,8 @@
         .isPresent();
   }
 
-  private static boolean mayResume(Entry entry, Optional<GroupState> group, long nowNanos) {
-    Optional<ServerId> primary = group.flatMap(GroupState::primary);
-    boolean replaced = primary.isPresent() && !primary.equals(entry.replacedPrimary);
-    return !entry.searching
-        && nowNanos - entry.nextResumeNanos >= 0
-        && (replaced || !hasPendingCall(entry, nowNanos));
+  private static boolean isDue(Entry entry, long nowNanos) {
+    return !entry.searching && nowNanos - entry.nextResumeNanos >= 0;
   }
 
   /** Records the end of an attempt to resume; a failed one is repeated. */
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionCalls.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionCalls.java
@@ -57,27 +57,30 @@
   record Promotion(GroupId group, ServerId server, long token, long term, long startNanos) {}
 
   /**
-   * Calls the promoter until it responds definitely.
+   * The end of the calls for one promotion.
    *
-   * @param beforeCall runs before each call
-   * @return a future of the last response, which is neither accepted nor refused if this host
-   *     stopped calling; it never fails
+   * @param response the last response, which is neither accepted nor refused if this host stopped
+   *     calling
+   * @param executable whether one of the calls was executed or may still be executed
    */
-  CompletableFuture<PromotionResponse> run(Promotion promotion, Runnable beforeCall) {
-    return call(promotion, beforeCall, 1);
+  record Outcome(PromotionResponse response, boolean executable) {}
+
+  /** Calls the promoter until it responds definitely. The future never fails. */
+  CompletableFuture<Outcome> run(Promotion promotion) {
+    return call(promotion, 1, false);
   }
 
-  private CompletableFuture<PromotionResponse> call(
-      Promotion promotion, Runnable beforeCall, int callNumber) {
-    beforeCall.run();
+  private CompletableFuture<Outcome> call(
+      Promotion promotion, int callNumber, boolean earlierExecutable) {
     return promoter
         .promote(promotion.group(), promotion.server(), self, promotion.token())
         .thenCompose(
             response -> {
               logResponse(promotion, callNumber, response);
+              Outcome outcome = new Outcome(response, earlierExecutable || isExecutable(response));
               return isDefinite(response) || callNumber >= MAX_CALLS
-                  ? CompletableFuture.completedFuture(response)
-                  : repeat(promotion, beforeCall, callNumber, response);
+                  ? CompletableFuture.completedFuture(outcome)
+                  : repeat(promotion, callNumber, outcome);
             });
   }
 
@@ -85,8 +88,11 @@
     return response == PromotionResponse.ACCEPTED || response == PromotionResponse.REFUSED;
   }
 
-  private CompletableFuture<PromotionResponse> repeat(
-      Promotion promotion, Runnable beforeCall, int callNumber, PromotionResponse last) {
+  private static boolean isExecutable(PromotionResponse response) {
+    return response == PromotionResponse.ACCEPTED || response == PromotionResponse.UNKNOWN;
+  }
+
+  private CompletableFuture<Outcome> repeat(Promotion promotion, int callNumber, Outcome last) {
     CompletableFuture<Void> elapsed = new CompletableFuture<>();
     workers.schedule(RETRY_DELAY, () -> elapsed.complete(null));
     return elapsed
@@ -95,7 +101,7 @@
         .thenCompose(
             leads ->
                 leads
-                    ? call(promotion, beforeCall, callNumber + 1)
+                    ? call(promotion, callNumber + 1, last.executable())
                     : CompletableFuture.completedFuture(last));
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.alderyard.backend.session.ReplicationClient;
 import org.alderyard.common.concurrent.Futures;
@@ -34,6 +35,7 @@
 import org.alderyard.protocol.generated.control.PrimarySighting;
 import org.alderyard.protocol.generated.control.PromotionIntent;
 import org.alderyard.protocol.generated.control.PromotionIntentReply;
+import org.alderyard.protocol.generated.control.PromotionWithdrawal;
 import org.alderyard.protocol.generated.control.ReportPrimariesReply;
 import org.alderyard.protocol.generated.control.ReportPrimariesRequest;
 import org.alderyard.protocol.wire.Dispatcher;
@@ -48,9 +50,11 @@
  * repeated with the same arguments, so that the result is the same whether or not the first call
  * was executed.
  *
- * <p>A group without synchronous replicas gets the replica with the highest position among those
- * that respond at once. In a group with synchronous replicas, a {@link SynchronousReplicaSearch}
- * finds a replica that holds all acknowledged commits; without one, the primary is not replaced.
+ * <p>A {@link ReplicaSearch} chooses the replica: the newest that responds, or, in a group with
+ * synchronous replicas, one that holds all acknowledged commits; without one, the primary is not
+ * replaced. A call without a response may be executed at any later time. In a group with
+ * synchronous replicas the failover therefore goes on until the group has another primary, also
+ * when the primary responds again or another host leads.
  *
  * <p>Locking: {@code lock} is a leaf lock; calls are made after it is released.
  */
@@ -60,9 +64,6 @@
   /** The interval between checks of the groups, a twentieth of the shortest failover. */
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
 
-  /** The time within which a replica must report its position to be a candidate. */
-  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(350);
-
   /** The time that an appointed server may take until it reports that it is primary. */
   private static final long APPOINTMENT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
@@ -72,6 +73,7 @@
   private final ControlLog controlLog;
   private final HostId self;
   private final Supplier<View> views;
+  private final Function<GroupId, Optional<ServerId>> pendingPromotions;
   private final ReplicationClient replication;
   private final PromotionCalls calls;
   private final WorkerPool workers;
@@ -84,11 +86,16 @@
   private final Set<GroupId> groupsOfTerm = new HashSet<>();
   private long leaderTerm;
 
-  /** Creates a service that is idle until {@link #start()}. */
+  /**
+   * Creates a service that is idle until {@link #start()}.
+   *
+   * @param pendingPromotions returns the server that a call of any leader may still promote
+   */
   public PromotionService(
       ControlLog controlLog,
       HostId self,
       Supplier<View> views,
+      Function<GroupId, Optional<ServerId>> pendingPromotions,
       ReplicationClient replication,
       PrimaryPromoter promoter,
       WorkerPool workers,
@@ -96,6 +103,7 @@
     this.controlLog = controlLog;
     this.self = self;
     this.views = views;
+    this.pendingPromotions = pendingPromotions;
     this.replication = replication;
     calls = new PromotionCalls(promoter, controlLog, self, workers, clock);
     this.workers = workers;
@@ -143,7 +151,8 @@
     synchronized (lock) {
       sightings.removeExpired(nowNanos);
       updateSynchronousGroups(view, nowNanos);
-      resumptions = paused.startResuming(view, nowNanos);
+      resumptions =
+          paused.startResuming(view, group -> pendingPromotions.apply(group).isPresent(), nowNanos);
       for (GroupState group : view.groups().values()) {
         Optional<String> reason = failoverReason(view, group, nowNanos);
         if (reason.isEmpty()
@@ -152,11 +161,9 @@
           continue;
         }
         nextAttemptNanos.put(group.id(), nowNanos + APPOINTMENT_TIMEOUT_NANOS);
-        if (syncReplicas(view, group) > 0) {
-          failoversToStart.add(prepareSearch(view, group, reason.get(), nowNanos));
-        } else {
-          failoversToStart.add(() -> startFailover(view, group, reason.get()));
-        }
+        paused.searchStarted(group.id());
+        ReplicaSearch search = createSearch(view, group, nowNanos);
+        failoversToStart.add(() -> startFailover(group, reason.get(), search, nowNanos));
       }
     }
     resumptions.forEach(this::resume);
@@ -186,7 +193,7 @@
             .toList();
     for (GroupState group : groups) {
       if (groupsOfTerm.add(group.id())) {
-        paused.addUnknown(group, ReplicaMembership.replicasOf(view, group), nowNanos);
+        paused.addUnknown(group.id(), ReplicaMembership.replicasOf(view, group), nowNanos);
       }
     }
   }
@@ -221,28 +228,40 @@
     if (primaryLeaving) {
       return Optional.of("leaving");
     }
-    return sightings.isLost(group.id(), primary, nowNanos) ? Optional.of("lost") : Optional.empty();
+    if (sightings.isLost(group.id(), primary, nowNanos)) {
+      return Optional.of("lost");
+    }
+    boolean callPending =
+        syncReplicas(view, group) > 0 && pendingPromotions.apply(group.id()).isPresent();
+    return callPending ? Optional.of("call-pending") : Optional.empty();
   }
 
-  /** Returns the start of a search; called with the lock held. */
-  private Runnable prepareSearch(View view, GroupState group, String reason, long nowNanos) {
+  /** Returns the search for a group; called with the lock held. */
+  private ReplicaSearch createSearch(View view, GroupState group, long nowNanos) {
+    List<ServerState> replicas = ReplicaMembership.replicasOf(view, group);
+    int syncReplicas = syncReplicas(view, group);
+    if (syncReplicas == 0) {
+      return new NewestReplicaSearch(replicas, replication);
+    }
     ServerId primary = group.primary().orElseThrow();
+    Optional<ServerId> calledServer = pendingPromotions.apply(group.id());
     boolean primaryRuns =
         view.server(primary).filter(server -> server.status() == ServerStatus.LEAVING).isPresent()
             && !sightings.isLost(group.id(), primary, nowNanos)
-            && !paused.hasPendingCall(group.id(), nowNanos);
-    SynchronousReplicaSearch search =
-        new SynchronousReplicaSearch(
-            ReplicaMembership.replicasOf(view, group),
-            syncReplicas(view, group),
-            primaryRuns,
-            replication,
-            workers);
-    paused.searchStarted(group);
-    return () -> {
-      logBegin(group, reason);
-      search.run().thenAccept(choice -> handleChoice(group.id(), choice, nowNanos));
-    };
+            && calledServer.isEmpty();
+    return new SynchronousReplicaSearch(
+        replicas, syncReplicas, primaryRuns, calledServer, replication, workers);
+  }
+
+  private void startFailover(
+      GroupState group, String reason, ReplicaSearch search, long startNanos) {
+    log.info(
+        "event=failover-begin group={} primary={} reason={} term={}",
+        group.id(),
+        group.primary().map(ServerId::value).orElse("none"),
+        reason,
+        group.term());
+    search.run().thenAccept(choice -> handleChoice(group.id(), choice, startNanos));
   }
 
   private void handleChoice(GroupId group, ReplicaChoice choice, long startNanos) {
@@ -252,17 +271,10 @@
       return;
     }
     ServerId chosen = choice.server().get();
+    boolean earlierCallPending = pendingPromotions.apply(group).isPresent();
     proposeIntent(group, chosen)
-        .whenComplete(
-            (token, failure) -> {
-              if (failure == null) {
-                synchronized (lock) {
-                  paused.callSent(group, clock.nowNanos());
-                }
-              }
-              endSearch(group, choice);
-            })
-        .thenAccept(token -> callPromoter(group, chosen, token, startNanos))
+        .whenComplete((token, failure) -> endSearch(group, choice))
+        .thenAccept(token -> callPromoter(group, chosen, token, earlierCallPending, startNanos))
         .exceptionally(failure -> handleMissingToken(group, failure));
   }
 
@@ -272,71 +284,6 @@
     }
   }
 
-  private static void logBegin(GroupState group, String reason) {
-    log.info(
-        "event=failover-begin group={} primary={} reason={} term={}",
-        group.id(),
-        group.primary().map(ServerId::value).orElse("none"),
-        reason,
-        group.term());
-  }
-
-  private void startFailover(View view, GroupState group, String reason) {
-    long startNanos = clock.nowNanos();
-    logBegin(group, reason);
-    List<ServerState> replicas =
-        view.serversOf(group.id()).stream()
-            .filter(server -> !group.primary().equals(Optional.of(server.id())))
-            .filter(Candidate::isStaying)
-            .toList();
-    List<CompletableFuture<Optional<Candidate>>> probes =
-        replicas.stream().map(this::probeReplica).toList();
-    CompletableFuture.allOf(probes.toArray(CompletableFuture[]::new))
-        .thenAccept(
-            ignored ->
-                chooseCandidate(
-                    group,
-                    startNanos,
-                    probes.stream()
-                        .map(CompletableFuture::join)
-                        .flatMap(Optional::stream)
-                        .toList()))
-        .exceptionally(
-            failure -> {
-              recordFailedAttempt(group.id(), "choice", Futures.unwrap(failure));
-              return null;
-            });
-  }
-
-  private CompletableFuture<Optional<Candidate>> probeReplica(ServerState server) {
-    return replication
-        .probe(server, PROBE_TIMEOUT)
-        .handle(
-            (status, failure) -> {
-              if (failure != null) {
-                log.info(
-                    "event=failover-candidate server={} reached=false reason={}",
-                    server.id(),
-                    Futures.toAlderyardException(failure).code());
-                return Optional.empty();
-              }
-              SynchronousReplicaSearch.logReport(server, status);
-              return Optional.of(new Candidate(server, status));
-            });
-  }
-
-  private void chooseCandidate(GroupState group, long startNanos, List<Candidate> candidates) {
-    Optional<Candidate> bestCandidate = candidates.stream().max(Candidate.BY_POSITION);
-    if (bestCandidate.isEmpty()) {
-      recordFailedAttempt(group.id(), "no-candidate", null);
-      return;
-    }
-    ServerId chosen = bestCandidate.get().server().id();
-    proposeIntent(group.id(), chosen)
-        .thenAccept(token -> callPromoter(group.id(), chosen, token, startNanos))
-        .exceptionally(failure -> handleMissingToken(group.id(), failure));
-  }
-
   /** Commits the intent to promote a server and returns the fencing token of the call. */
   private CompletableFuture<Token> proposeIntent(GroupId group, ServerId chosen) {
     long term = controlLog.term();
@@ -369,14 +316,16 @@
     }
   }
 
-  private void callPromoter(GroupId group, ServerId server, Token token, long startNanos) {
-    PromotionCalls.Promotion promotion =
-        new PromotionCalls.Promotion(group, server, token.value(), token.term(), startNanos);
+  private void callPromoter(
+      GroupId group, ServerId server, Token token, boolean earlierCallPending, long startNanos) {
     calls
-        .run(promotion, () -> recordCall(group))
+        .run(new PromotionCalls.Promotion(group, server, token.value(), token.term(), startNanos))
         .thenAccept(
-            response -> {
-              switch (response) {
+            outcome -> {
+              if (!outcome.executable() && !earlierCallPending) {
+                withdrawIntent(group, token);
+              }
+              switch (outcome.response()) {
                 case ACCEPTED -> awaitAppointment(group);
                 case REFUSED -> recordFailedAttempt(group, "refused", null);
                 default -> recordFailedAttempt(group, "no-answer", null);
@@ -384,10 +333,24 @@
             });
   }
 
-  private void recordCall(GroupId group) {
-    synchronized (lock) {
-      paused.callSent(group, clock.nowNanos());
-    }
+  /** Withdraws an intent whose calls were not executed, so that paused replicas may resume. */
+  private void withdrawIntent(GroupId group, Token token) {
+    controlLog
+        .propose(
+            Command.newBuilder()
+                .setPromotionWithdrawal(
+                    PromotionWithdrawal.newBuilder()
+                        .setGroup(group.value())
+                        .setFencingToken(token.value()))
+                .build()
+                .toByteString())
+        .whenComplete(
+            (reply, failure) ->
+                log.info(
+                    "event=promotion-withdrawn group={} token={} committed={}",
+                    group,
+                    token.value(),
+                    failure == null));
   }
 
   private void awaitAppointment(GroupId group) {
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
@@ -14,6 +14,7 @@
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.Position;
+import org.alderyard.common.id.ServerId;
 import org.alderyard.common.view.ServerState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,8 +30,11 @@
  *
  * <p>Replicas that leave receive and acknowledge until they end, so they are asked too. One of them
  * is promoted if no other replica reaches its position.
+ *
+ * <p>While an earlier call may still be executed, its server stays the candidate: if another server
+ * were promoted after it, the commits that it acknowledged in between could be missing.
  */
-final class SynchronousReplicaSearch {
+final class SynchronousReplicaSearch implements ReplicaSearch {
   private static final Logger log = LoggerFactory.getLogger(SynchronousReplicaSearch.class);
 
   static final Duration CALL_TIMEOUT = Duration.ofMillis(350);
@@ -48,6 +52,7 @@
   private final List<ServerState> replicas;
   private final int syncReplicas;
   private final boolean primaryRuns;
+  private final Optional<ServerId> calledServer;
   private final ReplicationClient client;
   private final WorkerPool workers;
   // Written by one step of the search at a time.
@@ -61,22 +66,25 @@
    *     least 1
    * @param primaryRuns whether the primary still sends commits, so that a replica that stays can
    *     catch up with one that leaves
+   * @param calledServer the server that a pending call promotes, if there is one
    */
   SynchronousReplicaSearch(
       List<ServerState> replicas,
       int syncReplicas,
       boolean primaryRuns,
+      Optional<ServerId> calledServer,
       ReplicationClient client,
       WorkerPool workers) {
     this.replicas = replicas;
     this.syncReplicas = syncReplicas;
     this.primaryRuns = primaryRuns;
+    this.calledServer = calledServer;
     this.client = client;
     this.workers = workers;
   }
 
-  /** Runs the search. The future never fails. */
-  CompletableFuture<ReplicaChoice> run() {
+  @Override
+  public CompletableFuture<ReplicaChoice> run() {
     return callAll(replicas, server -> client.probe(server, CALL_TIMEOUT))
         .thenCompose(this::pauseOthers)
         .exceptionally(
@@ -93,8 +101,10 @@
     if (!isEnough(responding.size())) {
       return CompletableFuture.completedFuture(fail("replica-not-reached"));
     }
-    Candidate candidate =
-        Collections.max(responding, primaryRuns ? Candidate.STAYING_FIRST : Candidate.BY_POSITION);
+    if (isMissing(calledServer, responding)) {
+      return CompletableFuture.completedFuture(fail("called-replica-not-reached"));
+    }
+    Candidate candidate = chooseCandidate(responding);
     long newestTerm =
         responding.stream()
             .map(Candidate::status)
@@ -114,6 +124,26 @@
                     : CompletableFuture.completedFuture(fail("replica-not-paused")));
   }
 
+  /** Returns whether a replica of the group has not reported its state. */
+  private boolean isMissing(Optional<ServerId> replica, List<Candidate> responding) {
+    return replicas.stream().map(ServerState::id).anyMatch(id -> replica.equals(Optional.of(id)))
+        && find(replica, responding).isEmpty();
+  }
+
+  private static Optional<Candidate> find(Optional<ServerId> id, List<Candidate> candidates) {
+    return candidates.stream()
+        .filter(candidate -> id.equals(Optional.of(candidate.server().id())))
+        .findFirst();
+  }
+
+  private Candidate chooseCandidate(List<Candidate> responding) {
+    return find(calledServer, responding)
+        .orElseGet(
+            () ->
+                Collections.max(
+                    responding, primaryRuns ? Candidate.STAYING_FIRST : Candidate.BY_POSITION));
+  }
+
   /** Returns whether each set of acknowledging replicas contains one of this number of replicas. */
   private boolean isEnough(int count) {
     return replicas.size() - count < syncReplicas;
@@ -188,33 +218,21 @@
         .handle(
             (status, failure) -> {
               if (failure == null) {
-                logReport(server, status);
-                return CompletableFuture.completedFuture(
-                    Optional.of(new Candidate(server, status)));
+                Candidate candidate = new Candidate(server, status);
+                candidate.logReport();
+                return CompletableFuture.completedFuture(Optional.of(candidate));
               }
               ErrorCode code = Futures.toAlderyardException(failure).code();
               if (code == ErrorCode.OVERLOADED && retries < MAX_BUSY_RETRIES) {
                 return delay(BUSY_RETRY_DELAY)
                     .thenCompose(ignored -> call(server, request, retries + 1));
               }
-              log.info(
-                  "event=failover-candidate server={} reached=false reason={}", server.id(), code);
+              Candidate.logMissing(server, code);
               return CompletableFuture.completedFuture(Optional.<Candidate>empty());
             })
         .thenCompose(result -> result);
   }
 
-  static void logReport(ServerState server, ReplicationStatus status) {
-    log.info(
-        "event=failover-candidate server={} reached=true primary={} term={} received={}"
-            + " lag-millis={}",
-        server.id(),
-        status.primary(),
-        status.term(),
-        status.received(),
-        status.lagMillis());
-  }
-
   private CompletableFuture<Void> delay(Duration duration) {
     CompletableFuture<Void> elapsed = new CompletableFuture<>();
     workers.schedule(duration, () -> elapsed.complete(null));
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
@@ -10,6 +10,7 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.FieldFault;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.ServerId;
 import org.alderyard.common.view.Bytes;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.GroupState;
@@ -47,6 +48,7 @@
   private final TicketTable tickets;
   private final ServerRegistry servers = new ServerRegistry();
   private final HostRegistry hosts = new HostRegistry();
+  private final PromotionTable promotions = new PromotionTable();
 
   /**
    * Creates an empty state.
@@ -138,8 +140,14 @@
       }
       case REPLACE_CONFIGURATION ->
           applyConfiguration(index, command.getReplaceConfiguration()).toByteString();
-      case PROMOTION_INTENT ->
-          PromotionIntentReply.newBuilder().setFencingToken(index).build().toByteString();
+      case PROMOTION_INTENT -> {
+        promotions.add(index, command.getPromotionIntent(), view());
+        yield PromotionIntentReply.newBuilder().setFencingToken(index).build().toByteString();
+      }
+      case PROMOTION_WITHDRAWAL -> {
+        promotions.withdraw(command.getPromotionWithdrawal());
+        yield ByteString.EMPTY;
+      }
       case COMMAND_NOT_SET -> ByteString.EMPTY;
     };
   }
@@ -228,6 +236,14 @@
     return servers.reportsPrimaryRole(server);
   }
 
+  /**
+   * Returns the server that a call of this or an earlier leader may still promote; empty once the
+   * group has another primary. Doesn't take the lock.
+   */
+  public Optional<ServerId> pendingPromotion(GroupId group) {
+    return promotions.find(group, view());
+  }
+
   private static TicketFault faultMessage(FieldFault fault) {
     return TicketFault.newBuilder()
         .setObject(fault.object())
@@ -312,6 +328,7 @@
             .setFailover(failovers.snapshot());
     hosts.store(snapshot);
     servers.store(snapshot);
+    promotions.store(snapshot);
     return snapshot.build().toByteString();
   }
 
@@ -328,6 +345,7 @@
     tickets.restore(snapshot.getTicketsList(), snapshot.getTicketFloor());
     hosts.restore(snapshot);
     servers.restore(snapshot);
+    promotions.restore(snapshot);
     failovers.restore(snapshot.getFailover());
     onChange.accept(current());
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PausedReplicasTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PausedReplicasTest.java
@@ -23,6 +23,7 @@
   private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final PausedReplicas paused = new PausedReplicas();
+  private boolean callPending;
 
   private static ServerState server(String id, ServerStatus status) {
     return new ServerState(
@@ -46,13 +47,13 @@
   }
 
   private List<ServerState> startResuming(String primary, long nowNanos) {
-    return paused.startResuming(view(primary, REPLICA), nowNanos).stream()
+    return paused.startResuming(view(primary, REPLICA), group -> callPending, nowNanos).stream()
         .map(PausedReplicas.Resumption::server)
         .toList();
   }
 
   private void pauseDuringSearch() {
-    paused.searchStarted(group("s1"));
+    paused.searchStarted(GROUP);
     assertThat(startResuming("s1", 0)).isEmpty();
   }
 
@@ -68,21 +69,13 @@
   @Test
   void replicaStaysPausedWhileCallMayBeExecuted() {
     pauseDuringSearch();
-    paused.callSent(GROUP, 0);
+    callPending = true;
     paused.searchEnded(GROUP, List.of(REPLICA), 0);
 
     assertThat(startResuming("s1", SECOND)).isEmpty();
-    assertThat(paused.hasPendingCall(GROUP, SECOND)).isTrue();
-    assertThat(startResuming("s1", PausedReplicas.CALL_LIFETIME_NANOS)).containsExactly(REPLICA);
-  }
-
-  @Test
-  void replicaResumesWhenGroupHasAnotherPrimary() {
-    pauseDuringSearch();
-    paused.callSent(GROUP, 0);
-    paused.searchEnded(GROUP, List.of(REPLICA), 0);
-
-    assertThat(startResuming("s2", SECOND)).containsExactly(REPLICA);
+    assertThat(startResuming("s1", 3_600 * SECOND)).isEmpty();
+    callPending = false;
+    assertThat(startResuming("s1", 3_601 * SECOND)).containsExactly(REPLICA);
   }
 
   @Test
@@ -106,15 +99,25 @@
     paused.searchEnded(GROUP, List.of(REPLICA), 0);
     ServerState expired = server("s3", ServerStatus.EXPIRED);
 
-    assertThat(paused.startResuming(view("s1", expired), 0)).isEmpty();
+    assertThat(paused.startResuming(view("s1", expired), group -> false, 0)).isEmpty();
     assertThat(startResuming("s1", SECOND)).containsExactly(REPLICA);
   }
 
   @Test
-  void replicasOfEarlierLeaderResumeOnceItsCallsAreTooOld() {
-    paused.addUnknown(group("s1"), List.of(REPLICA), 0);
+  void replicasOfEarlierLeaderResumeOnceItsSearchHasEnded() {
+    paused.addUnknown(GROUP, List.of(REPLICA), 0);
+
+    assertThat(startResuming("s1", PausedReplicas.EARLIER_SEARCH_NANOS - 1)).isEmpty();
+    assertThat(startResuming("s1", PausedReplicas.EARLIER_SEARCH_NANOS)).containsExactly(REPLICA);
+  }
+
+  // Guards against a commit that a resumed replica acknowledges before the call of an earlier
+  // leader is executed.
+  @Test
+  void replicasOfEarlierLeaderStayPausedWhileItsCallMayBeExecuted() {
+    paused.addUnknown(GROUP, List.of(REPLICA), 0);
+    callPending = true;
 
-    assertThat(startResuming("s1", PausedReplicas.CALL_LIFETIME_NANOS - 1)).isEmpty();
-    assertThat(startResuming("s1", PausedReplicas.CALL_LIFETIME_NANOS)).containsExactly(REPLICA);
+    assertThat(startResuming("s1", PausedReplicas.EARLIER_SEARCH_NANOS)).isEmpty();
   }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -27,7 +28,6 @@
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
-import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.Bytes;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.GroupState;
@@ -37,6 +37,7 @@
 import org.alderyard.common.view.View;
 import org.alderyard.common.view.ViewVersion;
 import org.alderyard.control.log.ControlLog;
+import org.alderyard.protocol.generated.control.Command;
 import org.alderyard.protocol.generated.control.PromotionIntentReply;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -47,6 +48,9 @@
 
   private record Call(String server, long token) {}
 
+  /** The last intent in the log, and the primary at that time. */
+  private record Intent(String server, String replacedPrimary) {}
+
   private final WorkerPool workers = new WorkerPool("test", 2);
   private final List<Call> calls = Collections.synchronizedList(new ArrayList<>());
   private final List<PromotionResponse> scriptedResponses =
@@ -58,6 +62,8 @@
   private volatile String primary = "s1";
   private volatile int syncReplicas;
   private volatile boolean leadershipConfirmed = true;
+  private volatile Optional<Intent> intent = Optional.empty();
+  private final AtomicLong clockOffsetNanos = new AtomicLong();
 
   @AfterEach
   void close() {
@@ -106,6 +112,7 @@
             new LeaderLog(),
             new HostId("h1"),
             this::view,
+            group -> pendingPromotion(),
             new ScriptedReplication(),
             (group, server, controlLeader, token) -> {
               calls.add(new Call(server.value(), token));
@@ -115,10 +122,16 @@
                       : scriptedResponses.remove(0));
             },
             workers,
-            MonotonicClock.system());
+            () -> System.nanoTime() + clockOffsetNanos.get());
     service.start();
   }
 
+  private Optional<ServerId> pendingPromotion() {
+    return intent
+        .filter(last -> last.replacedPrimary().equals(primary))
+        .map(last -> new ServerId(last.server()));
+  }
+
   private static void awaitTrue(BooleanSupplier condition) throws InterruptedException {
     long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
     while (!condition.getAsBoolean()) {
@@ -244,6 +257,101 @@
     awaitTrue(pausedServers::isEmpty);
   }
 
+  /**
+   * Guards against the loss of commits that a resumed replica acknowledges before a call without a
+   * response is executed, however late that is.
+   */
+  @Test
+  void replicasStayPausedUntilCallWithoutResponseIsSettled() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(10, 0));
+    primaryStatus = ServerStatus.LEAVING;
+    scriptedResponses.addAll(Collections.nCopies(1_000, PromotionResponse.UNKNOWN));
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    primaryStatus = ServerStatus.ACTIVE;
+    awaitTrue(() -> calls.size() >= 6);
+    clockOffsetNanos.addAndGet(TimeUnit.MINUTES.toNanos(1));
+    TimeUnit.MILLISECONDS.sleep(300);
+    assertThat(pausedServers).containsExactly("s3");
+  }
+
+  // Guards against an old call that promotes a replica long after the primary has returned.
+  @Test
+  void failoverWithPendingCallGoesOnWhenPrimaryReturns() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(12, 0));
+    primaryStatus = ServerStatus.LEAVING;
+    scriptedResponses.addAll(Collections.nCopies(6, PromotionResponse.UNKNOWN));
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    primaryStatus = ServerStatus.ACTIVE;
+    awaitTrue(() -> calls.size() > 6);
+    assertThat(calls.get(6).server()).isEqualTo(calls.get(0).server());
+    assertThat(calls.get(6).token()).isGreaterThan(calls.get(0).token());
+  }
+
+  // Guards against a call of an earlier leader, which may be executed after replicas have resumed.
+  @Test
+  void promotionOfEarlierLeaderIsCompleted() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(12, 0));
+    intent = Optional.of(new Intent("s3", "s1"));
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s3");
+    assertThat(pausedServers).containsExactly("s2");
+  }
+
+  // Guards against replicas that stay paused for a call that was never executed.
+  @Test
+  void refusedCallIsWithdrawnSoThatReplicasResume() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(12, 0));
+    primaryStatus = ServerStatus.LEAVING;
+    scriptedResponses.addAll(Collections.nCopies(1_000, PromotionResponse.REFUSED));
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    primaryStatus = ServerStatus.ACTIVE;
+    awaitTrue(() -> pausedServers.isEmpty() && intent.isEmpty());
+    TimeUnit.MILLISECONDS.sleep(500);
+    int callsSoFar = calls.size();
+    TimeUnit.MILLISECONDS.sleep(500);
+    assertThat(calls).hasSize(callsSoFar);
+  }
+
+  // Guards against the withdrawal of an intent while an older call may still be executed.
+  @Test
+  void intentIsNotWithdrawnAfterEarlierCallWithoutResponse() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(12, 0));
+    primaryStatus = ServerStatus.LEAVING;
+    scriptedResponses.add(PromotionResponse.UNKNOWN);
+    scriptedResponses.addAll(Collections.nCopies(1_000, PromotionResponse.REFUSED));
+    startService();
+
+    awaitTrue(() -> calls.size() >= 4);
+    assertThat(intent).isPresent();
+    assertThat(pausedServers).hasSize(1);
+  }
+
+  private static Command parseCommand(ByteString bytes) {
+    try {
+      return Command.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException malformed) {
+      throw new AssertionError(malformed);
+    }
+  }
+
   private final class ScriptedReplication implements ReplicationClient {
     @Override
     public CompletableFuture<ReplicationStatus> probe(ServerState server, Duration timeout) {
@@ -275,7 +383,13 @@
     private final AtomicLong index = new AtomicLong();
 
     @Override
-    public CompletableFuture<ByteString> propose(ByteString command) {
+    public CompletableFuture<ByteString> propose(ByteString bytes) {
+      Command command = parseCommand(bytes);
+      if (command.hasPromotionWithdrawal()) {
+        intent = Optional.empty();
+        return CompletableFuture.completedFuture(ByteString.EMPTY);
+      }
+      intent = Optional.of(new Intent(command.getPromotionIntent().getServer(), primary));
       return CompletableFuture.completedFuture(
           PromotionIntentReply.newBuilder()
               .setFencingToken(index.incrementAndGet())
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
@@ -35,6 +35,7 @@
   private final WorkerPool workers = new WorkerPool("test", 1);
   private final List<Replica> replicas = new ArrayList<>();
   private Runnable beforeCall = () -> {};
+  private Optional<ServerId> calledServer = Optional.empty();
 
   @AfterEach
   void close() {
@@ -74,6 +75,7 @@
             replicas.stream().map(replica -> replica.server).toList(),
             syncReplicas,
             primaryRuns,
+            calledServer,
             new ModelReplication(),
             workers)
         .run()
@@ -164,6 +166,28 @@
     assertThat(search(1, false).failure()).isEqualTo("replica-not-paused");
   }
 
+  // Guards against a second promotion that loses what the first promoted server acknowledges: its
+  // call had no response and is executed late.
+  @Test
+  void serverOfPendingCallStaysCandidate() throws Exception {
+    add("s2", ServerStatus.ACTIVE, 12);
+    Replica called = add("s3", ServerStatus.LEAVING, 12);
+    calledServer = Optional.of(id(called));
+
+    assertThat(search(1, false).server()).hasValue(id(called));
+    add("s4", ServerStatus.ACTIVE, 12);
+    called.reachable = false;
+    assertThat(search(2, false).failure()).isEqualTo("called-replica-not-reached");
+  }
+
+  @Test
+  void serverOfPendingCallIsNotChosenWithoutAcknowledgedCommits() throws Exception {
+    Replica ahead = add("s2", ServerStatus.ACTIVE, 12);
+    calledServer = Optional.of(id(add("s3", ServerStatus.ACTIVE, 10)));
+
+    assertThat(search(1, false).server()).hasValue(id(ahead));
+  }
+
   /**
    * Replicas receive, and acknowledge, at random between the calls of the search and after it. The
    * chosen replica must hold each acknowledged commit at any later time.
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -144,6 +144,7 @@
                       controlLog,
                       host.settings.host(),
                       state::view,
+                      state::pendingPromotion,
                       new WireReplicationClient(new WireSessionConnector(host.loops)),
                       new PlatformPromoter(address, appointer),
                       host.workers,
