Pause replicas only while a quorum confirms the leader

A control host that is stopped during the search for a replica, wakes after another host leads, and goes on with the search pauses replicas that only a leader resumes. The new leader resumes all replicas once, 10 s after it takes over; a pause after that holds for good. The group's writes then wait for the one replica that is not paused, and for ever if that one ends.

Cause: the pauses relied on the leadership at the beginning of the search.

Change: the search confirms the leadership by a read barrier before the first pause, and fails otherwise.

Conclusion: a stop between the confirmation and the pauses, some milliseconds, is not excluded.

--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -250,7 +250,13 @@
             && !sightings.isLost(group.id(), primary, nowNanos)
             && calledServer.isEmpty();
     return new SynchronousReplicaSearch(
-        replicas, syncReplicas, primaryRuns, calledServer, replication, workers);
+        replicas,
+        syncReplicas,
+        primaryRuns,
+        calledServer,
+        controlLog::readBarrier,
+        replication,
+        workers);
   }
 
   private void startFailover(
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
@@ -53,6 +53,7 @@
   private final int syncReplicas;
   private final boolean primaryRuns;
   private final Optional<ServerId> calledServer;
+  private final Supplier<CompletableFuture<Void>> confirmLeadership;
   private final ReplicationClient client;
   private final WorkerPool workers;
   // Written by one step of the search at a time.
@@ -67,18 +68,22 @@
    * @param primaryRuns whether the primary still sends commits, so that a replica that stays can
    *     catch up with one that leaves
    * @param calledServer the server that a pending call promotes, if there is one
+   * @param confirmLeadership fails if this host no longer leads; a replica that a former leader
+   *     pauses would stay paused
    */
   SynchronousReplicaSearch(
       List<ServerState> replicas,
       int syncReplicas,
       boolean primaryRuns,
       Optional<ServerId> calledServer,
+      Supplier<CompletableFuture<Void>> confirmLeadership,
       ReplicationClient client,
       WorkerPool workers) {
     this.replicas = replicas;
     this.syncReplicas = syncReplicas;
     this.primaryRuns = primaryRuns;
     this.calledServer = calledServer;
+    this.confirmLeadership = confirmLeadership;
     this.client = client;
     this.workers = workers;
   }
@@ -116,11 +121,23 @@
             .map(Candidate::server)
             .filter(server -> !server.equals(candidate.server()))
             .toList();
-    return pause(others, newestTerm + 1)
+    return confirmLeadership
+        .get()
+        .handle((confirmed, failure) -> failure == null)
+        .thenCompose(
+            leads ->
+                leads
+                    ? pauseAndCheck(candidate.server(), others, newestTerm + 1)
+                    : CompletableFuture.completedFuture(fail("leadership-not-confirmed")));
+  }
+
+  private CompletableFuture<ReplicaChoice> pauseAndCheck(
+      ServerState candidate, List<ServerState> others, long pauseTerm) {
+    return pause(others, pauseTerm)
         .thenCompose(
             stopped ->
                 isEnough(stopped.size() + 1)
-                    ? check(candidate.server(), stopped, newestTerm + 1, 0)
+                    ? check(candidate, stopped, pauseTerm, 0)
                     : CompletableFuture.completedFuture(fail("replica-not-paused")));
   }
 
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
@@ -36,6 +36,7 @@
   private final List<Replica> replicas = new ArrayList<>();
   private Runnable beforeCall = () -> {};
   private Optional<ServerId> calledServer = Optional.empty();
+  private boolean leadershipConfirmed = true;
 
   @AfterEach
   void close() {
@@ -76,6 +77,11 @@
             syncReplicas,
             primaryRuns,
             calledServer,
+            () ->
+                leadershipConfirmed
+                    ? CompletableFuture.completedFuture(null)
+                    : CompletableFuture.failedFuture(
+                        AlderyardException.notRun(ErrorCode.NOT_LEADER, "model")),
             new ModelReplication(),
             workers)
         .run()
@@ -188,6 +194,19 @@
     assertThat(search(1, false).server()).hasValue(id(ahead));
   }
 
+  // Guards against replicas that stay paused: only the leader resumes them.
+  @Test
+  void hostThatDoesNotLeadPausesNoReplica() throws Exception {
+    add("s2", ServerStatus.ACTIVE, 12);
+    add("s3", ServerStatus.ACTIVE, 12);
+    leadershipConfirmed = false;
+
+    ReplicaChoice choice = search(1, false);
+
+    assertThat(choice.failure()).isEqualTo("leadership-not-confirmed");
+    assertThat(replicas.stream().noneMatch(replica -> replica.paused)).isTrue();
+  }
+
   /**
    * Replicas receive, and acknowledge, at random between the calls of the search and after it. The
    * chosen replica must hold each acknowledged commit at any later time.
