Refuse writes at once while no replica can be promoted

Cause: a host knows that the primary does not respond, but not that the leader has found no replica.

Change: the leader answers a report of primaries with the groups whose last search failed. A report counts for 1 s. Reads on replicas go on.

Evidence: PromotionServiceTest.groupWithoutReplicaToPromoteIsReportedAsBlocked, ServerSearchPolicyTest (two new), StatementRunTest .writeIsRefusedImmediatelyWhileNoReplicaCanBePromoted.

Conclusion: writes on a primary that runs, while its replicas are paused for a pending call, still wait for their timeout.

--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -83,6 +83,8 @@
   private final SightingTable sightings = new SightingTable();
   private final Map<GroupId, Long> nextAttemptNanos = new HashMap<>();
   private final PausedReplicas paused = new PausedReplicas();
+  // Groups whose last search found no replica to promote.
+  private final Set<GroupId> blockedGroups = new HashSet<>();
   private final Set<GroupId> groupsOfTerm = new HashSet<>();
   private long leaderTerm;
 
@@ -120,13 +122,14 @@
     workers.scheduleRepeatedly(CHECK_INTERVAL, this::checkGroups);
   }
 
-  private CompletableFuture<ReportPrimariesReply> handleReport(ReportPrimariesRequest request) {
+  CompletableFuture<ReportPrimariesReply> handleReport(ReportPrimariesRequest request) {
     if (!controlLog.isLeader()) {
       return CompletableFuture.failedFuture(
           AlderyardException.notRun(ErrorCode.NOT_LEADER, "this control host is not the leader"));
     }
     HostId host = new HostId(request.getHost());
     long nowNanos = clock.nowNanos();
+    ReportPrimariesReply.Builder reply = ReportPrimariesReply.newBuilder();
     synchronized (lock) {
       for (PrimarySighting sighting : request.getSightingsList()) {
         sightings.add(
@@ -135,9 +138,12 @@
             new ServerId(sighting.getServer()),
             sighting.getSilentMillis(),
             nowNanos);
+        if (blockedGroups.contains(new GroupId(sighting.getGroup()))) {
+          reply.addBlockedGroups(sighting.getGroup());
+        }
       }
     }
-    return CompletableFuture.completedFuture(ReportPrimariesReply.getDefaultInstance());
+    return CompletableFuture.completedFuture(reply.build());
   }
 
   private void checkGroups() {
@@ -155,8 +161,11 @@
           paused.startResuming(view, group -> pendingPromotions.apply(group).isPresent(), nowNanos);
       for (GroupState group : view.groups().values()) {
         Optional<String> reason = failoverReason(view, group, nowNanos);
-        if (reason.isEmpty()
-            || nextAttemptNanos.getOrDefault(group.id(), nowNanos) - nowNanos > 0
+        if (reason.isEmpty()) {
+          blockedGroups.remove(group.id());
+          continue;
+        }
+        if (nextAttemptNanos.getOrDefault(group.id(), nowNanos) - nowNanos > 0
             || paused.isResuming(group.id())) {
           continue;
         }
@@ -287,6 +296,11 @@
   private void endSearch(GroupId group, ReplicaChoice choice) {
     synchronized (lock) {
       paused.searchEnded(group, choice.paused(), clock.nowNanos());
+      if (choice.server().isEmpty()) {
+        blockedGroups.add(group);
+      } else {
+        blockedGroups.remove(group);
+      }
     }
   }
 
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -38,7 +38,9 @@
 import org.alderyard.common.view.ViewVersion;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.protocol.generated.control.Command;
+import org.alderyard.protocol.generated.control.PrimarySighting;
 import org.alderyard.protocol.generated.control.PromotionIntentReply;
+import org.alderyard.protocol.generated.control.ReportPrimariesRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -106,7 +108,7 @@
     return editor.at(new ViewVersion(1, 1));
   }
 
-  private void startService() {
+  private PromotionService startService() {
     PromotionService service =
         new PromotionService(
             new LeaderLog(),
@@ -124,6 +126,7 @@
             workers,
             () -> System.nanoTime() + clockOffsetNanos.get());
     service.start();
+    return service;
   }
 
   private Optional<ServerId> pendingPromotion() {
@@ -344,6 +347,31 @@
     assertThat(pausedServers).hasSize(1);
   }
 
+  // Guards against callers that wait for a primary which can't come before a server is back.
+  @Test
+  void groupWithoutReplicaToPromoteIsReportedAsBlocked() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s3", status(10, 0));
+    primaryStatus = ServerStatus.GONE;
+    PromotionService service = startService();
+
+    awaitTrue(() -> blockedGroups(service).contains(GROUP.value()));
+    statuses.put("s2", status(10, 0));
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(blockedGroups(service)).isEmpty();
+  }
+
+  private static List<String> blockedGroups(PromotionService service) {
+    return service
+        .handleReport(
+            ReportPrimariesRequest.newBuilder()
+                .setHost("h2")
+                .addSightings(PrimarySighting.newBuilder().setGroup(GROUP.value()).setServer("s1"))
+                .build())
+        .join()
+        .getBlockedGroupsList();
+  }
+
   private static Command parseCommand(ByteString bytes) {
     try {
       return Command.parseFrom(bytes);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
@@ -12,6 +12,7 @@
 final class GroupRoutings {
   private final ZoneName zone;
   private final Map<GroupId, GroupRouting> routings = new ConcurrentHashMap<>();
+  private final BlockedPromotions blockedPromotions = new BlockedPromotions();
   private volatile Consumer<GroupState> primarySearch = group -> {};
 
   GroupRoutings(ZoneName zone) {
@@ -37,6 +38,11 @@
     primarySearch.accept(group);
   }
 
+  /** Returns the groups whose lost primary the control leader can't replace at present. */
+  BlockedPromotions blockedPromotions() {
+    return blockedPromotions;
+  }
+
   /** Returns the number of queued statements with the given need. */
   int queuedCount(WaitingStatements.Need need) {
     return routings.values().stream()
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.protocol.control.ControlClient;
@@ -89,7 +90,14 @@
               if (failure != null) {
                 log.debug(
                     "event=report-failed reason={}", Futures.toAlderyardException(failure).code());
+                return;
               }
+              context
+                  .routings()
+                  .blockedPromotions()
+                  .update(
+                      reply.getBlockedGroupsList().stream().map(GroupId::new).toList(),
+                      context.clock().nowNanos());
             });
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerSearchPolicy.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerSearchPolicy.java
@@ -11,9 +11,13 @@
  * @param viewConfirmed whether the control hosts have recently confirmed this host's view
  * @param primaryUnresponsiveNanos how long requests to the primary have gone unanswered, {@code
  *     Long.MAX_VALUE} if no primary is known; empty if the primary answers
+ * @param promotionBlocked whether the control leader has found no replica to promote
  */
 record ServerSearchPolicy(
-    boolean needsPrimary, boolean viewConfirmed, OptionalLong primaryUnresponsiveNanos) {
+    boolean needsPrimary,
+    boolean viewConfirmed,
+    OptionalLong primaryUnresponsiveNanos,
+    boolean promotionBlocked) {
   /**
    * Fraction of a statement's timeout that may be spent searching for a server; the rest is for
    * running the statement.
@@ -47,6 +51,15 @@
 
   private static final long MIN_FAILOVER_RETRY_MILLIS = 100;
 
+  /** Retry delay while no replica can be promoted. A missing server takes seconds to return. */
+  private static final long BLOCKED_RETRY_MILLIS = 1_000;
+
+  /** Creates a policy for a group whose primary can be replaced. */
+  ServerSearchPolicy(
+      boolean needsPrimary, boolean viewConfirmed, OptionalLong primaryUnresponsiveNanos) {
+    this(needsPrimary, viewConfirmed, primaryUnresponsiveNanos, false);
+  }
+
   private boolean primaryFailed() {
     return primaryUnresponsiveNanos.isPresent()
         && primaryUnresponsiveNanos.getAsLong() >= PRIMARY_FAILED_NANOS;
@@ -65,10 +78,19 @@
   /** Returns whether the search for a server ends now. */
   boolean isSearchOver(long elapsedNanos, long timeoutNanos, long objectiveNanos) {
     return isIsolated()
+        || isFailoverStuck()
         || failoverExceedsDeadline(timeoutNanos - elapsedNanos)
         || elapsedNanos >= searchNanos(timeoutNanos, objectiveNanos);
   }
 
+  /**
+   * Returns whether the time of a usual failover has passed and no replica can be promoted. Callers
+   * are then refused immediately, as the end of the failover can't be estimated.
+   */
+  private boolean isFailoverStuck() {
+    return needsPrimary && promotionBlocked && primaryFailed() && remainingFailoverMillis() == 0;
+  }
+
   /**
    * Returns whether the primary has failed and its successor is expected only after the statement's
    * deadline.
@@ -111,6 +133,9 @@
     if (isIsolated()) {
       return ISOLATED_RETRY_MILLIS;
     }
+    if (isFailoverStuck()) {
+      return BLOCKED_RETRY_MILLIS;
+    }
     if (needsPrimary && primaryFailed()) {
       return Math.max(MIN_FAILOVER_RETRY_MILLIS, remainingFailoverMillis());
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -200,7 +200,8 @@
             .view()
             .group(task.database().group())
             .map(group -> routing.primaryUnresponsiveNanos(group, now))
-            .orElse(OptionalLong.empty()));
+            .orElse(OptionalLong.empty()),
+        context.routings().blockedPromotions().contains(task.database().group(), now));
   }
 
   private void refuse(long now, ServerSearchPolicy searchPolicy) {
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ServerSearchPolicyTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ServerSearchPolicyTest.java
@@ -36,6 +36,24 @@
         .isEqualTo(100);
   }
 
+  // Guards against callers that wait for half of their timeout although no replica can be promoted.
+  @Test
+  void writesAreRefusedImmediatelyOnceFailoverIsStuck() {
+    ServerSearchPolicy policy = new ServerSearchPolicy(true, true, unresponsiveMillis(2_400), true);
+    assertThat(policy.isSearchOver(0, TIMEOUT, OBJECTIVE)).isTrue();
+    assertThat(policy.retryAfterMillis()).isEqualTo(1_000);
+  }
+
+  @Test
+  void searchContinuesDuringUsualFailoverAlthoughOneAttemptFailed() {
+    ServerSearchPolicy policy = new ServerSearchPolicy(true, true, unresponsiveMillis(2_000), true);
+    assertThat(policy.isSearchOver(0, TIMEOUT, OBJECTIVE)).isFalse();
+    assertThat(
+            new ServerSearchPolicy(true, true, OptionalLong.empty(), true)
+                .isSearchOver(0, TIMEOUT, OBJECTIVE))
+        .isFalse();
+  }
+
   @Test
   void brokenConnectionDoesNotCountAsFailedPrimary() {
     ServerSearchPolicy policy = new ServerSearchPolicy(true, false, unresponsiveMillis(50));
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.RefusalCode;
@@ -140,6 +142,38 @@
     assertThat(routing.inBackoff(fixture.group.states().get(0), nowNanos)).isFalse();
   }
 
+  // Guards against callers that wait for half of their timeout although no replica can be promoted.
+  @Test
+  void writeIsRefusedImmediatelyWhileNoReplicaCanBePromoted() {
+    fixture.timeout(4_000);
+    fixture.group.server("s1").setUnreachable(true);
+    SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
+    caller.write("a", "1");
+    fixture.advance(2_500);
+    GroupRoutings routings = fixture.context().routings();
+    routings
+        .blockedPromotions()
+        .update(List.of(fixture.group.id()), fixture.context().clock().nowNanos());
+
+    long startNanos = System.nanoTime();
+    SessionReply reply = caller.write("a", "2");
+
+    assertThat(reply.refusedWith(RefusalCode.BUSY)).isTrue();
+    assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.SECONDS.toNanos(1));
+    assertThat(fixture.group.server("s1").ran()).isEmpty();
+  }
+
+  @Test
+  void blockedPromotionCountsForLimitedTime() {
+    BlockedPromotions blocked = new BlockedPromotions();
+    blocked.update(List.of(fixture.group.id()), 0);
+
+    assertThat(blocked.contains(fixture.group.id(), TimeUnit.SECONDS.toNanos(1))).isTrue();
+    assertThat(blocked.contains(fixture.group.id(), TimeUnit.SECONDS.toNanos(1) + 1)).isFalse();
+    blocked.update(List.of(), 0);
+    assertThat(blocked.contains(fixture.group.id(), 0)).isFalse();
+  }
+
   @Test
   void writeNearItsDeadlineIsRefusedAsNotRun() throws Exception {
     // All connections were in use until shortly before the deadline of a write. Sending the write
