Run no commit outside of its transaction when the transaction ends meanwhile

A transaction is ended by another thread (idle time, shutdown, restart of the caller's host) after its commit was admitted and before the commit looks up the connection. The commit then runs as the first statement of a new transaction, on any connection, and is confirmed by the server, although the writes were rolled back: an acknowledged commit is lost, and a statement runs outside its transaction (PINNED).

Cause: beginStatement() and location() are two steps, and end() took the location away between them. The same step also rolled back, and returned to the pool, a connection on which a statement was still running.

Change: a statement keeps the location until it ends. Transactions held for other hosts do the same.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -79,7 +79,9 @@
             reply -> {
               state = reply.state();
               long now = context.clock().nowNanos();
-              transaction.ifPresent(open -> open.endStatement(now));
+              transaction
+                  .flatMap(open -> open.endStatement(now))
+                  .ifPresent(TransactionLocation::rollBack);
               access
                   .database()
                   .ifPresent(
@@ -208,11 +210,7 @@
   private void rollBack() {
     Optional<OpenTransaction> open = transaction;
     transaction = Optional.empty();
-    open.ifPresent(CallerSession::rollBack);
-  }
-
-  private static void rollBack(OpenTransaction open) {
-    open.end().ifPresent(TransactionLocation::rollBack);
+    open.flatMap(OpenTransaction::end).ifPresent(TransactionLocation::rollBack);
   }
 
   private CompletableFuture<SessionReply> commit(String id) {
@@ -383,13 +381,13 @@
             .orElse(Long.MAX_VALUE / 2_000_000);
     if (open.get().isIdleFor(nowNanos, TimeUnit.MILLISECONDS.toNanos(idleMillis))) {
       log.info("event=transaction-ended database={} reason=idle", open.get().database().name());
-      rollBack(open.get());
+      open.get().requestEnd().ifPresent(TransactionLocation::rollBack);
     }
   }
 
   /** Rolls back the open transaction without a request of the caller, when this host shuts down. */
   public void rollBackTransaction() {
-    transaction.ifPresent(CallerSession::rollBack);
+    transaction.flatMap(OpenTransaction::requestEnd).ifPresent(TransactionLocation::rollBack);
   }
 
   /** Returns whether no transaction is open and no statement is running. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -109,7 +109,7 @@
 
   CompletableFuture<EndHeldTransactionReply> end(EndHeldTransactionRequest request) {
     Key key = Key.of(request.getHost(), request.getIncarnation(), request.getTransaction());
-    Optional.ofNullable(transactions.get(key)).ifPresent(HeldTransaction::rollBack);
+    Optional.ofNullable(transactions.get(key)).ifPresent(HeldTransaction::requestEnd);
     return CompletableFuture.completedFuture(EndHeldTransactionReply.getDefaultInstance());
   }
 
@@ -132,7 +132,7 @@
         (key, transaction) -> {
           if (transaction.isIdleFor(nowNanos, idleNanos) || callerHostRestarted(key)) {
             log.info("event=held-transaction-ended host={} reason=abandoned", key.host());
-            transaction.rollBack();
+            transaction.requestEnd();
           }
         });
   }
@@ -149,7 +149,7 @@
 
   /** Rolls back all open transactions, when this host shuts down. */
   void rollBackAll() {
-    transactions.values().forEach(HeldTransaction::rollBack);
+    transactions.values().forEach(HeldTransaction::requestEnd);
   }
 
   int openTransactionCount() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldTransaction.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldTransaction.java
@@ -43,7 +43,8 @@
         .run(StatementForwarder.NONE, lastWrite)
         .whenComplete(
             (reply, failure) -> {
-              open.endStatement(local.context().clock().nowNanos());
+              open.endStatement(local.context().clock().nowNanos())
+                  .ifPresent(TransactionLocation::rollBack);
               if (failure != null || reply.state() != TransactionState.OPEN) {
                 rollBack();
               }
@@ -58,6 +59,12 @@
         task.endsTransaction() ? TransactionState.NONE : TransactionState.FAILED);
   }
 
+  /** Rolls the transaction back, after its running statement if there is one. */
+  void requestEnd() {
+    open.requestEnd().ifPresent(TransactionLocation::rollBack);
+    onEnd.run();
+  }
+
   boolean isIdleFor(long nowNanos, long idleNanos) {
     return open.isIdleFor(nowNanos, idleNanos);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OpenTransaction.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OpenTransaction.java
@@ -8,6 +8,10 @@
  * A caller's transaction. The first statement assigns its location and acquires a connection there,
  * so that no connection is held before the caller sends a statement.
  *
+ * <p>A statement that runs keeps the location until its end: if another thread ends the transaction
+ * meanwhile, the rollback follows the statement. Otherwise the statement could run outside of its
+ * transaction, or on a connection that another session uses already.
+ *
  * <p>Locking: guarded by the object's own lock; no other lock is acquired while it is held.
  */
 final class OpenTransaction {
@@ -74,9 +78,14 @@
     return true;
   }
 
-  synchronized void endStatement(long nowNanos) {
+  /**
+   * Marks the running statement as ended. Returns the location to roll back if the transaction was
+   * ended while the statement ran.
+   */
+  synchronized Optional<TransactionLocation> endStatement(long nowNanos) {
     running = false;
     idleSinceNanos = nowNanos;
+    return ended ? takeLocation() : Optional.empty();
   }
 
   synchronized boolean isIdleFor(long nowNanos, long idleNanos) {
@@ -84,11 +93,25 @@
   }
 
   /**
-   * Ends the transaction. The first call after a location was assigned returns that location, for
-   * the rollback; further calls return empty.
+   * Ends the transaction on behalf of its own statement, or while no statement runs. The first call
+   * after a location was assigned returns that location, for the rollback; further calls return
+   * empty.
    */
   synchronized Optional<TransactionLocation> end() {
     ended = true;
+    return takeLocation();
+  }
+
+  /**
+   * Ends the transaction on behalf of any thread. Returns the location to roll back; empty while a
+   * statement runs, whose end then returns it.
+   */
+  synchronized Optional<TransactionLocation> requestEnd() {
+    ended = true;
+    return running ? Optional.empty() : takeLocation();
+  }
+
+  private Optional<TransactionLocation> takeLocation() {
     Optional<TransactionLocation> last = location;
     location = Optional.empty();
     return last;
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -61,10 +61,12 @@
   final WorkerPool workers = new WorkerPool("test", 2);
   final SessionService service;
   private final AtomicLong advancedMillis = new AtomicLong();
-  private final MonotonicClock clock =
-      () -> System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(advancedMillis.get());
+  private final MonotonicClock clock = this::readClock;
   volatile boolean viewConfirmed = true;
 
+  /** Runs each time the clock is read, before the time is returned. */
+  volatile Runnable onClockRead = () -> {};
+
   /** Runs each time the state of the view lease is read, before it is returned. */
   volatile Runnable onLeaseRead = () -> {};
 
@@ -107,6 +109,11 @@
     publish("s1", group.states());
   }
 
+  private long readClock() {
+    onClockRead.run();
+    return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(advancedMillis.get());
+  }
+
   private boolean readLease() {
     onLeaseRead.run();
     return viewConfirmed;
