Reset a connection after a rollback of changed values

A session changes a value, or prepares a statement, inside a transaction that is rolled back, and the server takes the change back with it. Later reads of the session on that connection run with the old value, or get NOSTMT for a statement whose preparing was acknowledged (PINNED).

Cause: the host took a change as kept whatever became of its transaction.

Change: a connection on which a value or a prepared statement was sent inside a transaction that did not commit is reset before its next use, so that the outcome does not depend on the server. A change sent before the transaction, or committed with it, is kept as before.

Evidence: the model of a server can now take changes back.

Conclusion: costs one RESET, and the statements prepared again, only after such a rollback.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PooledSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PooledSession.java
@@ -18,9 +18,12 @@
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionRequest;
 import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.backend.session.SessionStatement.Begin;
+import org.alderyard.backend.session.SessionStatement.Commit;
 import org.alderyard.backend.session.SessionStatement.Execute;
 import org.alderyard.backend.session.SessionStatement.Prepare;
 import org.alderyard.backend.session.SessionStatement.Reset;
+import org.alderyard.backend.session.SessionStatement.Rollback;
 import org.alderyard.backend.session.SessionStatement.SetValue;
 import org.apache.commons.codec.digest.DigestUtils;
 
@@ -30,6 +33,8 @@
  *
  * <p>A value or prepared statement counts as present only once the server has accepted it. After a
  * refusal or a lost reply it is unknown, and is sent again before the next statement that needs it.
+ * The connection is reset after a transaction in which one was sent and which did not commit, as
+ * the rollback may or may not have taken it back.
  *
  * <p>Prepared statements are named by their shape, so that sessions with colliding names can share
  * a connection and each shape is prepared once per connection. Only one session at a time may use
@@ -50,6 +55,8 @@
   private final Map<String, Optional<String>> values = new HashMap<>();
   private final Set<String> prepared = new HashSet<>();
   private boolean resetRequired;
+  private boolean inTransaction;
+  private boolean changedInTransaction;
 
   PooledSession(SessionConnection connection, ConnectionOwner owner) {
     this.connection = connection;
@@ -112,6 +119,7 @@
 
   private void record(SessionStatement statement, Optional<SessionReply> reply) {
     boolean accepted = reply.filter(SessionReply::succeeded).isPresent();
+    recordTransaction(statement, accepted);
     if (statement instanceof SetValue set) {
       values.put(set.name(), accepted ? Optional.of(set.value()) : Optional.empty());
     } else if (statement instanceof Prepare prepare) {
@@ -125,6 +133,19 @@
     }
   }
 
+  private void recordTransaction(SessionStatement statement, boolean accepted) {
+    if (statement instanceof Begin) {
+      inTransaction |= accepted;
+    } else if (statement instanceof SetValue || statement instanceof Prepare) {
+      changedInTransaction |= inTransaction;
+    } else if (statement instanceof Commit || statement instanceof Rollback) {
+      boolean committed = statement instanceof Commit && accepted;
+      resetRequired |= changedInTransaction && !committed;
+      inTransaction = false;
+      changedInTransaction = false;
+    }
+  }
+
   private void recordPrepared(String name, boolean accepted) {
     if (accepted) {
       prepared.add(name);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
@@ -142,6 +142,42 @@
     assertThat(fixture.group.server("s1").refusals(RefusalCode.NOT_PREPARED)).isEqualTo(0);
   }
 
+  // Guards against reads with an old value on servers whose rollback takes back a change of it.
+  @Test
+  void valueOfRolledBackTransactionIsSetBeforeNextStatement() {
+    fixture.group.server("s1").setRollbackRestoresVariables(true);
+    SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
+    caller.set("colour", "red");
+    caller.begin();
+    caller.write("kit", "1");
+    caller.set("colour", "blue");
+    caller.read("kit");
+    caller.rollback();
+
+    caller.read("kit");
+
+    List<RanStatement> ran = statementsRun("s1");
+    assertThat(ran.get(ran.size() - 1).values()).containsExactly("colour", "blue");
+    assertThat(fixture.group.connectionCount()).isEqualTo(1);
+  }
+
+  // Guards against a prepared statement that is unknown after a rollback has taken it back.
+  @Test
+  void statementPreparedInRolledBackTransactionIsPreparedAgain() {
+    fixture.group.server("s1").setRollbackRestoresVariables(true);
+    SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
+    caller.begin();
+    caller.write("kit", "1");
+    caller.prepare("p", StatementKind.READ, "shape");
+    caller.execute("p", "kit");
+    caller.rollback();
+    caller.begin();
+    caller.write("kit", "2");
+
+    assertThat(caller.execute("p", "kit").rows()).containsExactly("2");
+    assertThat(fixture.group.server("s1").refusals(RefusalCode.NOT_PREPARED)).isEqualTo(0);
+  }
+
   @Test
   void transactionRunsOnOneConnectionThatOtherSessionsDoNotUse() {
     // Another caller's statement arrives while a transaction is open. On the same connection the
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/PooledSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/PooledSessionTest.java
@@ -17,9 +17,12 @@
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionRequest;
 import org.alderyard.backend.session.SessionStatement;
+import org.alderyard.backend.session.SessionStatement.Begin;
+import org.alderyard.backend.session.SessionStatement.Commit;
 import org.alderyard.backend.session.SessionStatement.Execute;
 import org.alderyard.backend.session.SessionStatement.Prepare;
 import org.alderyard.backend.session.SessionStatement.Reset;
+import org.alderyard.backend.session.SessionStatement.Rollback;
 import org.alderyard.backend.session.SessionStatement.SetValue;
 import org.alderyard.backend.session.TransactionState;
 import org.alderyard.common.error.AlderyardException;
@@ -122,6 +125,45 @@
     assertThat(setUp(Map.of(), Optional.of(SHAPE), false)).hasSize(1);
   }
 
+  private void run(SessionStatement statement) {
+    session.run(List.of(SessionRequest.internal(statement)), Duration.ofSeconds(1));
+  }
+
+  // Guards against values whose state after a rollback depends on the server.
+  @Test
+  void connectionIsResetAfterRollbackOfTransactionThatChangedValues() {
+    run(new Begin(false));
+    setUp(BLUE, Optional.of(SHAPE), false);
+    run(new Rollback());
+
+    assertThat(setUpBlue()).containsExactly(new Reset(), new SetValue("colour", "blue")).inOrder();
+    assertThat(setUpBlue()).isEmpty();
+  }
+
+  @Test
+  void connectionIsResetAfterRefusedCommitOfTransactionThatChangedValues() {
+    run(new Begin(false));
+    setUp(BLUE, Optional.empty(), false);
+    refused.add(Commit.class);
+    run(new Commit());
+
+    assertThat(setUpBlue()).contains(new Reset());
+  }
+
+  @Test
+  void valuesSetBeforeOrCommittedWithTransactionStay() {
+    setUpBlue();
+    run(new Begin(false));
+    run(new Rollback());
+    assertThat(setUpBlue()).isEmpty();
+
+    Map<String, String> red = Map.of("colour", "red");
+    run(new Begin(false));
+    setUp(red, Optional.empty(), false);
+    run(new Commit());
+    assertThat(setUp(red, Optional.empty(), true)).isEmpty();
+  }
+
   /** Refuses the statements of some types, or loses all replies. */
   private final class ScriptedConnection implements SessionConnection {
     @Override
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelConnection.java
@@ -40,6 +40,9 @@
   private final Map<String, String> values = new TreeMap<>();
   private final Map<String, Prepare> prepared = new HashMap<>();
   private final Map<String, String> written = new TreeMap<>();
+  // The values and prepared statements at the beginning of the transaction.
+  private Map<String, String> earlierValues = Map.of();
+  private Map<String, Prepare> earlierPrepared = Map.of();
   private TransactionState state = TransactionState.NONE;
   private boolean readOnly;
   private boolean closed;
@@ -112,6 +115,9 @@
         .isPresent()) {
       return refuse(RefusalCode.BEHIND);
     }
+    if (statement instanceof Execute execute && server.consumeLostPreparedStatement()) {
+      prepared.remove(execute.name());
+    }
     if (statement instanceof Execute execute && !prepared.containsKey(execute.name())) {
       return refuse(RefusalCode.NOT_PREPARED);
     }
@@ -158,15 +164,27 @@
     } else if (statement instanceof Begin begin) {
       state = TransactionState.OPEN;
       readOnly = begin.readOnly();
+      earlierValues = Map.copyOf(values);
+      earlierPrepared = Map.copyOf(prepared);
     } else if (statement instanceof Rollback) {
-      state = TransactionState.NONE;
-      written.clear();
+      rollBack();
     } else {
       return runInSlot(request, rows);
     }
     return Optional.empty();
   }
 
+  private void rollBack() {
+    state = TransactionState.NONE;
+    written.clear();
+    if (server.rollbackRestoresVariables()) {
+      values.clear();
+      values.putAll(earlierValues);
+      prepared.clear();
+      prepared.putAll(earlierPrepared);
+    }
+  }
+
   private Optional<Refusal> runInSlot(SessionRequest request, List<String> rows) {
     server.addRun(
         new ModelServer.RanStatement(
--- a/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
+++ b/alderyard-testkit/src/main/java/org/alderyard/testkit/session/ModelServer.java
@@ -47,6 +47,8 @@
   private int busy;
   private int lostResponses;
   private int failures;
+  private int lostPreparedStatements;
+  private boolean rollbackRestoresVariables;
   private CompletableFuture<Void> released = CompletableFuture.completedFuture(null);
 
   ModelServer(ServerState state) {
@@ -95,6 +97,30 @@
     failures = statements;
   }
 
+  /** Forgets the prepared statement before each of the given number of executions. */
+  public synchronized void losePreparedStatements(int executions) {
+    lostPreparedStatements = executions;
+  }
+
+  /**
+   * Sets whether a rollback also takes back the values and prepared statements of its transaction.
+   */
+  public synchronized void setRollbackRestoresVariables(boolean value) {
+    rollbackRestoresVariables = value;
+  }
+
+  synchronized boolean rollbackRestoresVariables() {
+    return rollbackRestoresVariables;
+  }
+
+  synchronized boolean consumeLostPreparedStatement() {
+    if (lostPreparedStatements == 0) {
+      return false;
+    }
+    lostPreparedStatements--;
+    return true;
+  }
+
   /** Returns the statements of callers that ran at this server, in order. */
   public synchronized List<RanStatement> ran() {
     return List.copyOf(ran);
