Abort an operation whose prepared statement the server keeps losing

Cause: after the two retries the server's answer was handed on.

Change: the caller gets ABORTED, a promise that nothing is kept, as inside transactions, and sends the operation again.

Conclusion: NOSTMT now goes only to callers whose session has no such name.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedStatement.java
@@ -30,6 +30,9 @@
 
   private static final Duration BUSY_RETRY_DELAY = Duration.ofMillis(12);
 
+  /** The text for callers whose prepared statement exists, while the server does not know it. */
+  static final String PREPARED_STATEMENT_LOST = "the server has lost a prepared statement";
+
   private final SessionContext context;
   private final ServerState server;
   private final PooledSession connection;
@@ -161,8 +164,7 @@
   private SessionReply abortedIfLost(SessionReply reply) {
     boolean lost = reply.refusedWith(RefusalCode.NOT_PREPARED) && task.prepared().isPresent();
     return lost
-        ? SessionReply.refused(
-            RefusalCode.ABORTED, "the server has lost a prepared statement", reply.state())
+        ? SessionReply.refused(RefusalCode.ABORTED, PREPARED_STATEMENT_LOST, reply.state())
         : reply;
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -307,10 +307,17 @@
     } else {
       endAttempt();
       log.failed(code, now, sentNanos, run.attemptCount());
-      run.complete(reply.withState(stateAfterRefusal()), Optional.empty());
+      SessionReply visible = preparedStatementLost ? preparedStatementLost() : reply;
+      run.complete(visible.withState(stateAfterRefusal()), Optional.empty());
     }
   }
 
+  /** Returns the reply to a caller whose prepared statement a server loses again and again. */
+  private SessionReply preparedStatementLost() {
+    return SessionReply.refused(
+        RefusalCode.ABORTED, PinnedStatement.PREPARED_STATEMENT_LOST, stateAfterRefusal());
+  }
+
   /** Returns whether the server refused the statement before assigning it a slot. */
   static boolean refusedBeforeRun(SessionReply reply) {
     return reply.refusedWith(RefusalCode.BUSY)
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/CallerSessionTest.java
@@ -178,6 +178,21 @@
     assertThat(fixture.group.server("s1").refusals(RefusalCode.NOT_PREPARED)).isEqualTo(0);
   }
 
+  // Guards against an unknown name although its preparing was acknowledged.
+  @Test
+  void statementThatServerLosesEachTimeIsAborted() {
+    fixture.group.server("s1").losePreparedStatements(100);
+    SessionFixture.Caller caller = fixture.caller(SessionFixture.NEWEST);
+    caller.prepare("p", StatementKind.READ, "shape");
+
+    assertRefused(caller.execute("p", "kit"), RefusalCode.ABORTED);
+    caller.begin();
+    assertRefused(caller.execute("p", "kit"), RefusalCode.ABORTED);
+    caller.rollback();
+    fixture.group.server("s1").losePreparedStatements(0);
+    assertThat(caller.execute("p", "kit").succeeded()).isTrue();
+  }
+
   @Test
   void transactionRunsOnOneConnectionThatOtherSessionsDoNotUse() {
     // Another caller's statement arrives while a transaction is open. On the same connection the
