--- a/alderyard-cli/src/test/java/org/alderyard/cli/local/SuspendableCluster.java
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/local/SuspendableCluster.java
@@ -1,6 +1,7 @@
 package org.alderyard.cli.local;
 
 import java.io.BufferedReader;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
@@ -43,7 +44,12 @@
   private static final Pattern LEADING =
       Pattern.compile("event=term-changed term=(\\d+) leading=true");
   private static final Pattern EVIDENCE =
-      Pattern.compile("event=proposal-replaced|event=database-unknown.*current-view-has-it=true");
+      Pattern.compile(
+          "event=proposal-replaced|event=database-unknown.*current-view-has-it=true"
+              + "|event=view-fetch-overtaken|event=host-suspended");
+
+  private static final Pattern CONFIRMATION =
+      Pattern.compile("event=configuration number=(\\d+) in-force=(\\d+)");
 
   private final Path folder;
   private final int[][] ports = new int[HOSTS][];
@@ -64,14 +70,26 @@
     for (int host = 0; host < HOSTS; host++) {
       Path file = folder.resolve(name(host) + ".ini");
       Files.writeString(file, settings(host));
-      Set<Long> before = children();
-      processes.start(name(host), "96m", DaemonMain.class, List.of("--settings", file.toString()));
-      Set<Long> started = children();
-      started.removeAll(before);
-      processIds[host] = started.iterator().next();
+      start(host);
     }
   }
 
+  private void start(int host) {
+    Path file = folder.resolve(name(host) + ".ini");
+    Set<Long> before = children();
+    processes.start(name(host), "96m", DaemonMain.class, List.of("--settings", file.toString()));
+    Set<Long> started = children();
+    started.removeAll(before);
+    processIds[host] = started.iterator().next();
+  }
+
+  /** Kills a host and starts it again with its disk. */
+  void killAndRestart(int host, Duration pause) {
+    processes.kill(name(host));
+    sleep(pause);
+    start(host);
+  }
+
   static String name(int host) {
     return host < CONTROL_HOSTS ? "control-" + host : "entry";
   }
@@ -183,7 +201,7 @@
     for (int host = 0; host < HOSTS; host++) {
       List<String> lines = log(host);
       for (String line : lines.subList(readLines.getOrDefault(host, 0), lines.size())) {
-        if (EVIDENCE.matcher(line).find()) {
+        if (EVIDENCE.matcher(line).find() || confirmsMoreThanInForce(line)) {
           evidence.add(name(host) + ": " + line);
         }
       }
@@ -192,6 +210,11 @@
     return evidence;
   }
 
+  private static boolean confirmsMoreThanInForce(String line) {
+    Matcher matcher = CONFIRMATION.matcher(line);
+    return matcher.find() && Long.parseLong(matcher.group(2)) < Long.parseLong(matcher.group(1));
+  }
+
   Optional<Response> replace(int host, OperatorChange change) {
     return exchange(ports[host][OPERATOR], "POST", "/api/Config.Replace", change.json());
   }
@@ -255,6 +278,65 @@
     }
   }
 
+  /** A session that stays open. */
+  static final class HeldSession implements AutoCloseable {
+    private final Socket socket;
+    private final BufferedReader reader;
+
+    private HeldSession(Socket socket) throws IOException {
+      this.socket = socket;
+      reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    }
+
+    private void send(String line) throws IOException {
+      socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private String readLine() throws IOException {
+      return Optional.ofNullable(reader.readLine()).orElseThrow(EOFException::new);
+    }
+
+    /** Begins a transaction, and rolls it back; returns the first line of the response. */
+    String beginAndRollBack() throws IOException {
+      send("QUERY 1 BEGIN READ");
+      String answer = readLine();
+      readLine();
+      if (answer.startsWith("COMPLETE")) {
+        send("QUERY 2 ROLLBACK");
+        readLine();
+        readLine();
+      }
+      return answer;
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  /**
+   * Opens a session that stays open.
+   *
+   * @throws IOException if the host does not open it
+   */
+  HeldSession holdSession(int host, String database, Duration timeout) throws IOException {
+    Socket socket = connect(ports[host][CALLER], timeout);
+    try {
+      HeldSession session = new HeldSession(socket);
+      session.send("START " + database + " me");
+      if (!session.readLine().startsWith("READY")) {
+        throw new IOException("the host does not open the session");
+      }
+      return session;
+    } catch (IOException failure) {
+      socket.close();
+      throw failure;
+    }
+  }
+
   /** Copies the logs to a folder that outlives the test. */
   void copyLogs(Path target) throws IOException {
     Files.createDirectories(target);
