Log the name of an unknown database safely and at a limited rate

Cause: only operators' text was sanitized, by a method of the platform's adapter.

The name is quoted, cut at 64 characters, and control characters, separators and quotes in it are replaced. A host logs at most 50 such lines a second; the next line says how many were left out.

Conclusion: the fields that tell the causes of a wrong refusal apart are unchanged.

--- /dev/null
+++ b/alderyard-common/src/main/java/org/alderyard/common/log/LogText.java
@@ -0,0 +1,17 @@
+package org.alderyard.common.log;
+
+/** Makes text from outside of the system safe to log. */
+public final class LogText {
+
+  private LogText() {}
+
+  /**
+   * Truncates a sender's text and replaces characters that would end the line or its quotes.
+   *
+   * @param maxChars the number of characters that are kept
+   */
+  public static String sanitize(String text, int maxChars) {
+    String truncated = text.length() <= maxChars ? text : text.substring(0, maxChars) + "...";
+    return truncated.replaceAll("[\\p{Cntrl}\\p{Zl}\\p{Zp}\"]", "?");
+  }
+}
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -1,10 +1,12 @@
 package org.alderyard.proxy.callersession;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.common.log.LogText;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.DatabaseState;
 import org.alderyard.common.view.View;
@@ -18,6 +20,7 @@
  */
 final class SessionAccess {
   private static final Logger log = LoggerFactory.getLogger(SessionAccess.class);
+  private static final int MAX_LOGGED_NAME_CHARS = 64;
 
   private final SessionContext context;
   private final String databaseName;
@@ -99,15 +102,20 @@
 
   /** Logs the view of the lookup beside the view that is current when the refusal is decided. */
   private void logUnknownDatabase(View view, Refusal refusal) {
+    OptionalLong suppressed = context.refusalLog().tryLog(context.clock().nowNanos());
+    if (suppressed.isEmpty()) {
+      return;
+    }
     log.info(
-        "event=database-unknown database={} refusal={} configuration={} view={} current-view={}"
-            + " current-view-has-it={}",
-        databaseName,
+        "event=database-unknown database=\"{}\" refusal={} configuration={} view={}"
+            + " current-view={} current-view-has-it={} suppressed={}",
+        LogText.sanitize(databaseName, MAX_LOGGED_NAME_CHARS),
         refusal.code(),
         view.configuration().map(ConfigurationState::number).orElse(0L),
         view.version(),
         context.views().current().version(),
-        database().isPresent());
+        database().isPresent(),
+        suppressed.getAsLong());
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
@@ -10,6 +10,7 @@
 import org.alderyard.backend.session.TransactionState;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.log.LogLimiter;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
@@ -29,6 +30,7 @@
  * @param metrics the session metrics
  * @param leasedViews the current view with its lease, for refusals that depend on the lease
  * @param routineLog selects the successful statements that are logged
+ * @param refusalLog bounds the logged refusals of databases that are not in the view
  */
 record SessionContext(
     ViewHolder views,
@@ -39,7 +41,8 @@
     InstantSource wallClock,
     SessionMetrics metrics,
     LeasedView.Source leasedViews,
-    LogSampler routineLog) {
+    LogSampler routineLog,
+    LogLimiter refusalLog) {
   /**
    * Timeout of a rollback, after which the connection is closed. A rollback needs no slot on the
    * server, so that it does not wait for other statements.
@@ -57,6 +60,7 @@
     Objects.requireNonNull(metrics);
     Objects.requireNonNull(leasedViews);
     Objects.requireNonNull(routineLog);
+    Objects.requireNonNull(refusalLog);
   }
 
   List<ServerState> servers(GroupId group) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -17,6 +17,7 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.log.LogLimiter;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.HostState;
@@ -32,6 +33,8 @@
 
 /** Opens and closes caller sessions, and rolls back their idle transactions. */
 public final class SessionService {
+  private static final int MAX_REFUSAL_LINES_PER_SECOND = 50;
+
   /** Interval of the check for idle transactions: a tenth of the usual idle limit of 3 s. */
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(300);
 
@@ -87,7 +90,8 @@
             wallClock,
             metrics,
             LeasedView.Source.of(views::current, viewConfirmed),
-            new LogSampler(limits.routineLogSample()));
+            new LogSampler(limits.routineLogSample()),
+            new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND));
     refresher = new SampleRefresher(context);
     operationLimiter = new OperationLimiter(views);
     local = new LocalStatements(context, new ReadFloors(context, refresher), operationLimiter);
