Log callers' statement ids without control characters

What operators saw: nothing yet; found while the line of an unknown database was mended. The id of a statement is logged as it came in seven events: a bare CR or NEL in it looks like another line in many viewers, and it may be as long as a message, 1 MiB. A LF can't come in, as the wire's decoder ends the connection at one.

Cause: ids were taken for words of the protocol, which forbids only blanks and CR LF in them.

Change: StatementTask.loggedId() cuts the id at 64 characters and replaces control characters; servers get it unchanged. LogText covers NEL too.

Conclusion: reasons of failures that hold a server's text are logged as they come.

--- a/alderyard-common/src/main/java/org/alderyard/common/log/LogText.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/log/LogText.java
@@ -12,6 +12,6 @@
    */
   public static String sanitize(String text, int maxChars) {
     String truncated = text.length() <= maxChars ? text : text.substring(0, maxChars) + "...";
-    return truncated.replaceAll("[\\p{Cntrl}\\p{Zl}\\p{Zp}\"]", "?");
+    return truncated.replaceAll("[\\p{IsControl}\\p{Zl}\\p{Zp}\"]", "?");
   }
 }
--- a/alderyard-common/src/test/java/org/alderyard/common/log/LogTextTest.java
+++ b/alderyard-common/src/test/java/org/alderyard/common/log/LogTextTest.java
@@ -9,12 +9,13 @@
 class LogTextTest {
   private static final int MAX_CHARS = 20;
   private static final char LINE_SEPARATOR = (char) 0x2028;
+  private static final char NEXT_LINE = (char) 0x85;
 
   // Guards against a forged log line in a name that a caller sends.
   @Test
   void textThatEndsLineOrQuotesIsReplaced() {
-    assertThat(LogText.sanitize("a\r\nevent=x \"b\"" + LINE_SEPARATOR + "c", MAX_CHARS))
-        .isEqualTo("a??event=x ?b??c");
+    assertThat(LogText.sanitize("a\r\nevent=x \"b\"" + LINE_SEPARATOR + NEXT_LINE + "c", MAX_CHARS))
+        .isEqualTo("a??event=x ?b???c");
   }
 
   @Test
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/AttemptLog.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/AttemptLog.java
@@ -28,7 +28,7 @@
   }
 
   private String id() {
-    return task.request().id().orElse("-");
+    return task.loggedId();
   }
 
   /** Logs a statement that succeeded, or leaves it out of the sample of such statements. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -96,7 +96,10 @@
   }
 
   private SessionReply internalError(String id, Throwable failure) {
-    log.error("event=statement-failed id={} outcome=OUTCOME_UNKNOWN", id, Futures.unwrap(failure));
+    log.error(
+        "event=statement-failed id={} outcome=OUTCOME_UNKNOWN",
+        StatementTask.loggedId(id),
+        Futures.unwrap(failure));
     rollBack();
     return SessionReply.refused(RefusalCode.IN_DOUBT, "internal error", failedState());
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -266,7 +266,7 @@
     log.info(
         "event=statement-not-forwarded id={} database={} holder={} kind={} transaction={} reason={}"
             + " outcome={}",
-        task.request().id().orElse("-"),
+        task.loggedId(),
         task.database().name(),
         holder.id(),
         task.kind(),
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldElsewhere.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldElsewhere.java
@@ -78,7 +78,7 @@
     log.warn(
         "event=transaction-lost id={} database={} holder={} commit={} wrote={} reason={}"
             + " outcome={}",
-        task.request().id().orElse("-"),
+        task.loggedId(),
         open.database().name(),
         holder.id(),
         task.endsTransaction(),
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -101,7 +101,7 @@
     }
     log.info(
         "event=held-transaction-unknown id={} host={} commit={} outcome=NOT_KEPT",
-        task.request().id().orElse("-"),
+        task.loggedId(),
         key.host(),
         task.endsTransaction());
     return CompletableFuture.completedFuture(HeldTransaction.abortedReply(task));
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PinnedStatement.java
@@ -88,7 +88,7 @@
     log.warn(
         "event=transaction-lost id={} database={} server={} incarnation={} commit={} wrote={}"
             + " reason={} outcome={}",
-        task.request().id().orElse("-"),
+        task.loggedId(),
         open.database().name(),
         server.id(),
         server.incarnation(),
@@ -130,7 +130,7 @@
     }
     log.info(
         "event=transaction-refused id={} database={} server={} commit={} code={}",
-        task.request().id().orElse("-"),
+        task.loggedId(),
         open.database().name(),
         server.id(),
         task.endsTransaction(),
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -216,7 +216,7 @@
         "event=statement-refused id={} database={} group={} kind={} needs-lead={} floor={}"
             + " sample-age-millis={} view={} view-confirmed={} primary-lost-millis={}"
             + " waited-millis={} retry-after-millis={} tried=\"{}\" outcome=NOT_RUN",
-        task.request().id().orElse("-"),
+        task.loggedId(),
         task.database().name(),
         task.database().group(),
         task.kind(),
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementTask.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementTask.java
@@ -7,6 +7,7 @@
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.SessionRequest;
 import org.alderyard.backend.session.SessionStatement.Prepare;
+import org.alderyard.common.log.LogText;
 import org.alderyard.common.view.DatabaseState;
 
 /**
@@ -30,6 +31,7 @@
     DatabaseState database,
     Map<String, String> values,
     long deadlineNanos) {
+  private static final int MAX_LOGGED_ID_CHARS = 64;
 
   /** Rejects null components and copies the values. */
   StatementTask {
@@ -40,4 +42,14 @@
     Objects.requireNonNull(database);
     values = Map.copyOf(values);
   }
+
+  /** Returns the id of the caller's request as it may be logged. */
+  String loggedId() {
+    return request.id().map(StatementTask::loggedId).orElse("-");
+  }
+
+  /** Returns a caller's request id as it may be logged. */
+  static String loggedId(String id) {
+    return LogText.sanitize(id, MAX_LOGGED_ID_CHARS);
+  }
 }
