Move the intents of promotions out of the promotion service

Result: no change of behaviour; PromotionServiceTest, PromotionTableTest and the tests of the searches pass.

--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -1,7 +1,5 @@
 package org.alderyard.control.promotion;
 
-import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,11 +29,7 @@
 import org.alderyard.common.view.View;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.protocol.control.ControlMethods;
-import org.alderyard.protocol.generated.control.Command;
 import org.alderyard.protocol.generated.control.PrimarySighting;
-import org.alderyard.protocol.generated.control.PromotionIntent;
-import org.alderyard.protocol.generated.control.PromotionIntentReply;
-import org.alderyard.protocol.generated.control.PromotionWithdrawal;
 import org.alderyard.protocol.generated.control.ReportPrimariesReply;
 import org.alderyard.protocol.generated.control.ReportPrimariesRequest;
 import org.alderyard.protocol.wire.Dispatcher;
@@ -71,10 +65,10 @@
   private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   private final ControlLog controlLog;
-  private final HostId self;
   private final Supplier<View> views;
   private final Function<GroupId, Optional<ServerId>> pendingPromotions;
   private final ReplicationClient replication;
+  private final PromotionIntents intents;
   private final PromotionCalls calls;
   private final WorkerPool workers;
   private final MonotonicClock clock;
@@ -103,10 +97,10 @@
       WorkerPool workers,
       MonotonicClock clock) {
     this.controlLog = controlLog;
-    this.self = self;
     this.views = views;
     this.pendingPromotions = pendingPromotions;
     this.replication = replication;
+    intents = new PromotionIntents(controlLog, self);
     calls = new PromotionCalls(promoter, controlLog, self, workers, clock);
     this.workers = workers;
     this.clock = clock;
@@ -287,7 +281,8 @@
     }
     ServerId chosen = choice.server().get();
     boolean earlierCallPending = pendingPromotions.apply(group).isPresent();
-    proposeIntent(group, chosen)
+    intents
+        .propose(group, chosen)
         .whenComplete((token, failure) -> endSearch(group, choice))
         .thenAccept(token -> callPromoter(group, chosen, token, earlierCallPending, startNanos))
         .exceptionally(failure -> handleMissingToken(group, failure));
@@ -304,46 +299,23 @@
     }
   }
 
-  /** Commits the intent to promote a server and returns the fencing token of the call. */
-  private CompletableFuture<Token> proposeIntent(GroupId group, ServerId chosen) {
-    long term = controlLog.term();
-    return controlLog
-        .propose(
-            Command.newBuilder()
-                .setPromotionIntent(
-                    PromotionIntent.newBuilder()
-                        .setGroup(group.value())
-                        .setServer(chosen.value())
-                        .setHolder(self.value()))
-                .build()
-                .toByteString())
-        .thenApply(reply -> new Token(parseToken(reply), term));
-  }
-
-  /** A fencing token and the term of the control log in which it was requested. */
-  private record Token(long value, long term) {}
-
   private Void handleMissingToken(GroupId group, Throwable failure) {
     recordFailedAttempt(group, "no-token", Futures.unwrap(failure));
     return null;
   }
 
-  private static long parseToken(ByteString reply) {
-    try {
-      return PromotionIntentReply.parseFrom(reply).getFencingToken();
-    } catch (InvalidProtocolBufferException malformed) {
-      throw AlderyardException.notRun(ErrorCode.INTERNAL, "failed to parse the fencing token");
-    }
-  }
-
   private void callPromoter(
-      GroupId group, ServerId server, Token token, boolean earlierCallPending, long startNanos) {
+      GroupId group,
+      ServerId server,
+      PromotionIntents.Token token,
+      boolean earlierCallPending,
+      long startNanos) {
     calls
         .run(new PromotionCalls.Promotion(group, server, token.value(), token.term(), startNanos))
         .thenAccept(
             outcome -> {
               if (!outcome.executable() && !earlierCallPending) {
-                withdrawIntent(group, token);
+                intents.withdraw(group, token);
               }
               switch (outcome.response()) {
                 case ACCEPTED -> awaitAppointment(group);
@@ -353,26 +325,6 @@
             });
   }
 
-  /** Withdraws an intent whose calls were not executed, so that paused replicas may resume. */
-  private void withdrawIntent(GroupId group, Token token) {
-    controlLog
-        .propose(
-            Command.newBuilder()
-                .setPromotionWithdrawal(
-                    PromotionWithdrawal.newBuilder()
-                        .setGroup(group.value())
-                        .setFencingToken(token.value()))
-                .build()
-                .toByteString())
-        .whenComplete(
-            (reply, failure) ->
-                log.info(
-                    "event=promotion-withdrawn group={} token={} committed={}",
-                    group,
-                    token.value(),
-                    failure == null));
-  }
-
   private void awaitAppointment(GroupId group) {
     synchronized (lock) {
       nextAttemptNanos.put(group, clock.nowNanos() + APPOINTMENT_TIMEOUT_NANOS);
