Count the time of a leaving primary from the view

What callers saw: nothing yet; a remark of the review by reading. A host that was idle when a primary announced that it leaves used it for 5 s from its own first statement, however late (DRAIN).

Cause: the time began at the first statement that asked for the server.

Change: it begins with the view in which the server leaves.

Conclusion: a host that learns of it late still counts from then.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -359,8 +359,11 @@
     return tracker(server).latencyMillis();
   }
 
-  /** Removes the state of servers that are no longer in the view. */
-  synchronized void retainServers(List<ServerState> servers) {
+  /**
+   * Removes the state of servers that are no longer in the view, and records since when servers
+   * leave: a host without statements must not use one for longer than others.
+   */
+  synchronized void updateServers(List<ServerState> servers, long nowNanos) {
     leavingSinceNanos
         .keySet()
         .removeIf(
@@ -369,6 +372,9 @@
                     .noneMatch(
                         server ->
                             server.id().equals(id) && server.status() == ServerStatus.LEAVING));
+    servers.stream()
+        .filter(server -> server.status() == ServerStatus.LEAVING)
+        .forEach(server -> leavingSinceNanos.putIfAbsent(server.id(), nowNanos));
     trackers.keySet().removeIf(id -> servers.stream().noneMatch(server -> server.id().equals(id)));
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
@@ -50,9 +50,9 @@
         .sum();
   }
 
-  /** Removes the groups and servers that are no longer in the view. */
-  void onViewChange(View view) {
+  /** Updates the groups and servers to those of a view. */
+  void onViewChange(View view, long nowNanos) {
     routings.keySet().removeIf(group -> view.group(group).isEmpty());
-    routings.forEach((group, routing) -> routing.retainServers(view.serversOf(group)));
+    routings.forEach((group, routing) -> routing.updateServers(view.serversOf(group), nowNanos));
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -101,7 +101,7 @@
     maxSessions = limits.maxSessions();
     admissionTimeoutMillis = limits.admissionTimeout().toMillis();
     delaysServing = !limits.servingDelay().isZero();
-    views.onChange(routings::onViewChange);
+    views.onChange(view -> routings.onViewChange(view, clock.nowNanos()));
     views.onChange(
         view -> {
           if (view.configuration().isPresent() && firstView.complete(null)) {
