Send no lower fencing token after a higher one of the same host

What callers saw: nothing yet; seen with processes in a trial of late promotion calls. Where the service does not check fences that breaks ONE; where it does, the lower ones are refused.

Cause: the time until the next attempt was taken for the end of the one before.

Change: a call is repeated only while its token is the newest that this host has for the group.

Evidence: PromotionServiceTest.slowServiceReceivesNoLowerTokenAfterHigherOne; without the condition it fails, "expected to be in order", 1 of 16.

Conclusion: with a service that answers, nothing changes.

--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionCalls.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionCalls.java
@@ -1,7 +1,9 @@
 package org.alderyard.control.promotion;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.id.GroupId;
@@ -17,7 +19,9 @@
  *
  * <p>A call is repeated only while a quorum confirms that this host still leads in the term in
  * which it obtained the token. A host that was stopped between two calls would otherwise send a
- * token that is lower than the one that the next leader has used.
+ * token that is lower than the one that the next leader has used. It is not repeated either once
+ * this host has a newer token for the group, as the next attempt begins while a slow service still
+ * delays the calls of the one before.
  */
 final class PromotionCalls {
   private static final Logger log = LoggerFactory.getLogger(PromotionCalls.class);
@@ -33,6 +37,7 @@
   private final HostId self;
   private final WorkerPool workers;
   private final MonotonicClock clock;
+  private final Map<GroupId, Long> newestTokens = new ConcurrentHashMap<>();
 
   PromotionCalls(
       PrimaryPromoter promoter,
@@ -67,6 +72,7 @@
 
   /** Calls the promoter until it responds definitely. The future never fails. */
   CompletableFuture<Outcome> run(Promotion promotion) {
+    newestTokens.merge(promotion.group(), promotion.token(), Math::max);
     return call(promotion, 1, false);
   }
 
@@ -97,14 +103,19 @@
     workers.schedule(RETRY_DELAY, () -> elapsed.complete(null));
     return elapsed
         .thenCompose(ignored -> controlLog.readBarrier())
-        .handle((confirmed, failure) -> failure == null && controlLog.term() == promotion.term())
+        .handle((confirmed, failure) -> failure == null && mayRepeat(promotion))
         .thenCompose(
-            leads ->
-                leads
+            mayRepeat ->
+                mayRepeat
                     ? call(promotion, callNumber + 1, last.executable())
                     : CompletableFuture.completedFuture(last));
   }
 
+  private boolean mayRepeat(Promotion promotion) {
+    return controlLog.term() == promotion.term()
+        && newestTokens.get(promotion.group()) == promotion.token();
+  }
+
   private void logResponse(Promotion promotion, int callNumber, PromotionResponse response) {
     log.info(
         "event=promotion-call group={} server={} token={} call={} answer={} after-millis={}",
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -64,6 +64,7 @@
   private volatile String primary = "s1";
   private volatile int syncReplicas;
   private volatile boolean leadershipConfirmed = true;
+  private volatile Duration responseDelay = Duration.ZERO;
   private volatile Optional<Intent> intent = Optional.empty();
   private final AtomicLong clockOffsetNanos = new AtomicLong();
 
@@ -118,10 +119,13 @@
             new ScriptedReplication(),
             (group, server, controlLeader, token) -> {
               calls.add(new Call(server.value(), token));
-              return CompletableFuture.completedFuture(
+              PromotionResponse response =
                   scriptedResponses.isEmpty()
                       ? PromotionResponse.ACCEPTED
-                      : scriptedResponses.remove(0));
+                      : scriptedResponses.remove(0);
+              CompletableFuture<PromotionResponse> delayed = new CompletableFuture<>();
+              workers.schedule(responseDelay, () -> delayed.complete(response));
+              return delayed;
             },
             workers,
             () -> System.nanoTime() + clockOffsetNanos.get());
@@ -331,6 +335,21 @@
     assertThat(calls).hasSize(callsSoFar);
   }
 
+  // Guards against a token that is lower than one that the service has seen from this host, when
+  // calls take longer than the time until the next attempt.
+  @Test
+  void slowServiceReceivesNoLowerTokenAfterHigherOne() throws Exception {
+    statuses.put("s2", status(10, 0));
+    primaryStatus = ServerStatus.GONE;
+    responseDelay = Duration.ofMillis(900);
+    scriptedResponses.addAll(Collections.nCopies(1_000, PromotionResponse.UNKNOWN));
+    startService();
+
+    awaitTrue(() -> calls.size() >= 8);
+    assertThat(calls.stream().map(Call::token).toList()).isInOrder();
+    assertThat(calls.get(7).token()).isGreaterThan(calls.get(0).token());
+  }
+
   // Guards against the withdrawal of an intent while an older call may still be executed.
   @Test
   void intentIsNotWithdrawnAfterEarlierCallWithoutResponse() throws Exception {
