Lose no violation between two rounds of the change tests

Cause: ChangeObserver.check copied the violations and then cleared them in two steps, while the probes add to them; one that was added in between was lost.

Change: both steps hold the list's lock.

--- a/alderyard-cli/src/test/java/org/alderyard/cli/local/ChangeObserver.java
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/local/ChangeObserver.java
@@ -269,9 +269,12 @@
     checkFetchedChanges();
     checkSessions(fromVersion);
     violations.addAll(ledger.contradictions());
-    List<String> found = new ArrayList<>(violations);
-    violations.clear();
-    return found;
+    // The probes add violations meanwhile; none may fall between the copy and the removal.
+    synchronized (violations) {
+      List<String> found = List.copyOf(violations);
+      violations.clear();
+      return found;
+    }
   }
 
   /** Returns what was observed since the last call, for the log. */
