--- a/review/standins-2/Bed.java
+++ b/review/standins-2/Bed.java
@@ -101,9 +101,12 @@
   }
 
   private HostProcess host(Path root, int i, String seeds) throws IOException {
+    // The first three hosts have a zone each; a fourth one is beside the first.
+    String zone = "z" + i % 3;
+    String name = "front-" + zone + "-" + (i / 3 + 1);
     Map<String, String> values = new HashMap<>();
-    values.put("node_name", "front-z" + i + "-1");
-    values.put("zone", "z" + i);
+    values.put("node_name", name);
+    values.put("zone", zone);
     values.put("ip", ip(i));
     values.put("bind_addrs.front", ip(i) + ":" + ports.get("front"));
     values.put("bind_addrs.ready", ip(i) + ":" + ports.get("ready"));
@@ -118,7 +121,7 @@
     Path data = folder.resolve("data-" + i);
     Files.createDirectories(data);
     values.put("data_dir", data.toString());
-    return new HostProcess("front-z" + i + "-1", ip(i), root, folder, values);
+    return new HostProcess(name, ip(i), root, folder, values);
   }
 
   DbGroup group() {
--- a/review/standins-2/LostCommitCase.java
+++ b/review/standins-2/LostCommitCase.java
@@ -1,7 +1,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.Collections;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 
