Send each call to the platform at most once

Cause: HttpURLConnection sends a POST again by itself when the connection ends without a response. The thread for blocking calls is gone.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -4,7 +4,6 @@
 import java.security.SecureRandom;
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
-import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.control.failover.DirectorOptions;
 import org.alderyard.control.failover.FailoverObserver;
@@ -137,8 +136,6 @@
         .flatMap(SessionOptions::appointerAddress)
         .ifPresent(
             address -> {
-              // Dedicated thread: calls to the appointer block and must not delay other work.
-              WorkerPool appointer = host.register(new WorkerPool("appointer", 1));
               PromotionService service =
                   new PromotionService(
                       controlLog,
@@ -146,7 +143,7 @@
                       state::view,
                       state::pendingPromotion,
                       new WireReplicationClient(new WireSessionConnector(host.loops)),
-                      new PlatformPromoter(address, appointer),
+                      new PlatformPromoter(address, host::ioWorker, host.workers, host.clock),
                       host.workers,
                       host.clock);
               service.serve(host.dispatcher);
