Count a replica that started again only once it holds its primary's log

Cause: with synchronous replicas a replica counted by its response, also after a restart without its log. Change: the control state keeps restarted servers of such groups; they count like replicas that don't respond until they have reached the position of their primary. A choice waits until each counted replica has announced its known incarnation after its last report, and a restarted replica is paused again while a call may still be executed.

--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -67,6 +67,7 @@
   private final ControlLog controlLog;
   private final Supplier<View> views;
   private final Function<GroupId, Optional<ServerId>> pendingPromotions;
+  private final ReplicaStarts starts;
   private final ReplicationClient replication;
   private final PromotionIntents intents;
   private final PromotionCalls calls;
@@ -74,6 +75,7 @@
   private final MonotonicClock clock;
   private final Object lock = new Object();
   // Guarded by lock.
+  private final CatchUpMonitor catchUps;
   private final SightingTable sightings = new SightingTable();
   private final Map<GroupId, Long> nextAttemptNanos = new HashMap<>();
   private final PausedReplicas paused = new PausedReplicas();
@@ -86,12 +88,14 @@
    * Creates a service that is idle until {@link #start()}.
    *
    * @param pendingPromotions returns the server that a call of any leader may still promote
+   * @param starts what is known of the starts of replicas
    */
   public PromotionService(
       ControlLog controlLog,
       HostId self,
       Supplier<View> views,
       Function<GroupId, Optional<ServerId>> pendingPromotions,
+      ReplicaStarts starts,
       ReplicationClient replication,
       PrimaryPromoter promoter,
       WorkerPool workers,
@@ -99,7 +103,9 @@
     this.controlLog = controlLog;
     this.views = views;
     this.pendingPromotions = pendingPromotions;
+    this.starts = starts;
     this.replication = replication;
+    catchUps = new CatchUpMonitor(controlLog, replication, starts);
     intents = new PromotionIntents(controlLog, self);
     calls = new PromotionCalls(promoter, controlLog, self, workers, clock);
     this.workers = workers;
@@ -198,6 +204,7 @@
       if (groupsOfTerm.add(group.id())) {
         paused.addUnknown(group.id(), ReplicaMembership.replicasOf(view, group), nowNanos);
       }
+      catchUps.check(view, group, nowNanos);
     }
   }
 
@@ -254,12 +261,14 @@
             && calledServer.isEmpty();
     return new SynchronousReplicaSearch(
         replicas,
+        starts,
         syncReplicas,
         primaryRuns,
         calledServer,
         controlLog::readBarrier,
         replication,
-        workers);
+        workers,
+        clock);
   }
 
   private void startFailover(
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -15,7 +17,9 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
+import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.ServerStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,6 +32,11 @@
  * reached, or by the candidate itself. A commit that is acknowledged after the search was received
  * by the candidate, because the replicas that are neither paused nor the candidate are too few.
  *
+ * <p>A replica that started again counts like one that does not respond, until it is known to hold
+ * the log of its primary: it may have lost commits that it acknowledged. A choice is final only
+ * once each counted replica has announced its known incarnation after its last report, as a restart
+ * in between would be unknown.
+ *
  * <p>Replicas that leave receive and acknowledge until they end, so they are asked too. One of them
  * is promoted if no other replica reaches its position.
  *
@@ -49,13 +58,20 @@
 
   private static final Duration CATCH_UP_CHECK_DELAY = Duration.ofMillis(40);
 
+  /** Longer than the interval of the announcements of a server. */
+  static final long ANNOUNCEMENT_TIMEOUT_MILLIS = 2_000;
+
+  private static final Duration ANNOUNCEMENT_CHECK_DELAY = Duration.ofMillis(25);
+
   private final List<ServerState> replicas;
+  private final ReplicaStarts starts;
   private final int syncReplicas;
   private final boolean primaryRuns;
   private final Optional<ServerId> calledServer;
   private final Supplier<CompletableFuture<Void>> confirmLeadership;
   private final ReplicationClient client;
   private final WorkerPool workers;
+  private final MonotonicClock clock;
   // Written by one step of the search at a time.
   private final List<ServerState> paused = Collections.synchronizedList(new ArrayList<>());
 
@@ -63,6 +79,7 @@
    * Creates a search.
    *
    * @param replicas all replicas that may have acknowledged a commit
+   * @param starts what is known of the starts of the replicas
    * @param syncReplicas the replicas that have received a commit before it is acknowledged; at
    *     least 1
    * @param primaryRuns whether the primary still sends commits, so that a replica that stays can
@@ -73,19 +90,23 @@
    */
   SynchronousReplicaSearch(
       List<ServerState> replicas,
+      ReplicaStarts starts,
       int syncReplicas,
       boolean primaryRuns,
       Optional<ServerId> calledServer,
       Supplier<CompletableFuture<Void>> confirmLeadership,
       ReplicationClient client,
-      WorkerPool workers) {
+      WorkerPool workers,
+      MonotonicClock clock) {
     this.replicas = replicas;
+    this.starts = starts;
     this.syncReplicas = syncReplicas;
     this.primaryRuns = primaryRuns;
     this.calledServer = calledServer;
     this.confirmLeadership = confirmLeadership;
     this.client = client;
     this.workers = workers;
+    this.clock = clock;
   }
 
   @Override
@@ -99,23 +120,23 @@
             });
   }
 
-  private CompletableFuture<ReplicaChoice> pauseOthers(List<Candidate> responding) {
+  private CompletableFuture<ReplicaChoice> pauseOthers(List<Candidate> all) {
+    long pauseTerm = newestTerm(all) + 1;
+    List<Candidate> responding = all.stream().filter(this::holdsAcknowledged).toList();
+    if (calledServer.isPresent()) {
+      pauseRestarted(all, pauseTerm);
+    }
     if (responding.isEmpty()) {
       return CompletableFuture.completedFuture(fail("no-candidate"));
     }
     if (!isEnough(responding.size())) {
-      return CompletableFuture.completedFuture(fail("replica-not-reached"));
+      return CompletableFuture.completedFuture(
+          fail(isEnough(all.size()) ? "replica-restarted" : "replica-not-reached"));
     }
     if (isMissing(calledServer, responding)) {
       return CompletableFuture.completedFuture(fail("called-replica-not-reached"));
     }
     Candidate candidate = chooseCandidate(responding);
-    long newestTerm =
-        responding.stream()
-            .map(Candidate::status)
-            .mapToLong(status -> Math.max(status.term(), status.received().term()))
-            .max()
-            .orElseThrow();
     List<ServerState> others =
         responding.stream()
             .map(Candidate::server)
@@ -127,10 +148,43 @@
         .thenCompose(
             leads ->
                 leads
-                    ? pauseAndCheck(candidate.server(), others, newestTerm + 1)
+                    ? pauseAndCheck(candidate.server(), others, pauseTerm)
                     : CompletableFuture.completedFuture(fail("leadership-not-confirmed")));
   }
 
+  private static long newestTerm(List<Candidate> candidates) {
+    return candidates.stream()
+        .map(Candidate::status)
+        .mapToLong(status -> Math.max(status.term(), status.received().term()))
+        .max()
+        .orElse(0);
+  }
+
+  private boolean holdsAcknowledged(Candidate candidate) {
+    boolean holds = !starts.mayLackCommits(candidate.server().id());
+    if (!holds) {
+      log.info(
+          "event=failover-candidate server={} reached=true restarted=true received={}",
+          candidate.server().id(),
+          candidate.received());
+    }
+    return holds;
+  }
+
+  /**
+   * Pauses the replicas whose pause a restart has ended, while a call may still be executed: the
+   * server that it promotes would lack what they acknowledge.
+   */
+  private void pauseRestarted(List<Candidate> all, long pauseTerm) {
+    pause(
+        all.stream()
+            .map(Candidate::server)
+            .filter(server -> !calledServer.equals(Optional.of(server.id())))
+            .filter(server -> starts.mayLackCommits(server.id()))
+            .toList(),
+        pauseTerm);
+  }
+
   private CompletableFuture<ReplicaChoice> pauseAndCheck(
       ServerState candidate, List<ServerState> others, long pauseTerm) {
     return pause(others, pauseTerm)
@@ -183,8 +237,8 @@
                 return CompletableFuture.completedFuture(fail("candidate-not-reached"));
               }
               if (reported.get(0).received().compareTo(highest) >= 0) {
-                return CompletableFuture.completedFuture(
-                    ReplicaChoice.of(candidate.id(), List.copyOf(paused)));
+                return confirmIncarnations(
+                    candidate, counted(candidate, stopped), clock.nowMillis());
               }
               if (!primaryRuns) {
                 return choosePaused(candidate, stopped, pauseTerm);
@@ -200,18 +254,51 @@
   private CompletableFuture<ReplicaChoice> choosePaused(
       ServerState candidate, List<Candidate> stopped, long pauseTerm) {
     return pause(List.of(candidate), pauseTerm)
-        .thenApply(
+        .thenCompose(
             reported -> {
               List<Candidate> all = new ArrayList<>(stopped);
               all.addAll(reported);
-              return isEnough(all.size())
-                  ? ReplicaChoice.of(
-                      Collections.max(all, Candidate.BY_POSITION).server().id(),
-                      List.copyOf(paused))
-                  : fail("replica-not-paused");
+              if (!isEnough(all.size())) {
+                return CompletableFuture.completedFuture(fail("replica-not-paused"));
+              }
+              ServerState newest = Collections.max(all, Candidate.BY_POSITION).server();
+              return confirmIncarnations(newest, counted(newest, all), clock.nowMillis());
             });
   }
 
+  private static Set<ServerState> counted(ServerState candidate, List<Candidate> stopped) {
+    Set<ServerState> counted = new LinkedHashSet<>();
+    counted.add(candidate);
+    stopped.forEach(paused -> counted.add(paused.server()));
+    return counted;
+  }
+
+  /**
+   * Chooses the server once each counted replica has announced its known incarnation after its last
+   * report. A server that has said goodbye makes no more announcements.
+   *
+   * @param reportedMillis when the last of the reports had arrived
+   */
+  private CompletableFuture<ReplicaChoice> confirmIncarnations(
+      ServerState chosen, Set<ServerState> counted, long reportedMillis) {
+    Optional<ServerState> unconfirmed =
+        counted.stream()
+            .filter(server -> server.status() != ServerStatus.GONE)
+            .filter(server -> !starts.isAnnouncedSince(server, reportedMillis))
+            .findFirst();
+    if (unconfirmed.isEmpty()) {
+      return CompletableFuture.completedFuture(ReplicaChoice.of(chosen.id(), List.copyOf(paused)));
+    }
+    if (starts.mayLackCommits(unconfirmed.get().id())) {
+      return CompletableFuture.completedFuture(fail("replica-restarted"));
+    }
+    if (clock.nowMillis() - reportedMillis > ANNOUNCEMENT_TIMEOUT_MILLIS) {
+      return CompletableFuture.completedFuture(fail("replica-not-announced"));
+    }
+    return delay(ANNOUNCEMENT_CHECK_DELAY)
+        .thenCompose(ignored -> confirmIncarnations(chosen, counted, reportedMillis));
+  }
+
   private ReplicaChoice fail(String reason) {
     return ReplicaChoice.failed(reason, List.copyOf(paused));
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.view.ServerState;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.control.state.ControlState;
 import org.alderyard.protocol.control.ControlMethods;
@@ -70,6 +71,14 @@
     return tickets.submit(request);
   }
 
+  /**
+   * Returns whether this host, as the leader, has received an announcement of this incarnation of a
+   * server after the given time of its monotonic clock.
+   */
+  public boolean isAnnouncedSince(ServerState server, long millis) {
+    return registry.leases().isAnnouncedSince(server, millis);
+  }
+
   /** Returns the control state that requests are answered from. */
   public ControlState state() {
     return state;
--- a/alderyard-control/src/main/java/org/alderyard/control/service/LeaderLeases.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/LeaderLeases.java
@@ -48,6 +48,7 @@
   private final LeaseTable<HostId> hostLeases = new LeaseTable<>();
   private final Map<HostId, ViewVersion> acknowledgedVersions = new HashMap<>();
   private final Map<ServerId, LastAnnouncement> lastAnnouncements = new HashMap<>();
+  private final Map<ServerId, Renewal> renewals = new HashMap<>();
   private long leaseTerm = NO_TERM;
   private ViewVersion leaseViewVersion = ViewVersion.NONE;
 
@@ -59,6 +60,8 @@
 
   private record LastAnnouncement(long incarnation, long sequence) {}
 
+  private record Renewal(long incarnation, long receivedMillis) {}
+
   /**
    * Number of hosts on which a version is in force, out of the hosts that may hold a view lease.
    */
@@ -90,10 +93,23 @@
     }
   }
 
-  void renewServer(ServerState server, long endMillis) {
+  /** Renews the lease of a server whose announcement was received at the given time. */
+  void renewServer(ServerState server, long receivedMillis, int leaseMillis) {
+    synchronized (lock) {
+      clearLeasesOfEarlierTerm();
+      serverLeases.renew(server.id(), server.incarnation(), receivedMillis + leaseMillis);
+      renewals.put(server.id(), new Renewal(server.incarnation(), receivedMillis));
+    }
+  }
+
+  /** Returns whether this incarnation of a server was announced after the given time. */
+  boolean isAnnouncedSince(ServerState server, long millis) {
     synchronized (lock) {
       clearLeasesOfEarlierTerm();
-      serverLeases.renew(server.id(), server.incarnation(), endMillis);
+      Renewal last = renewals.get(server.id());
+      return last != null
+          && last.incarnation() == server.incarnation()
+          && last.receivedMillis() > millis;
     }
   }
 
@@ -171,6 +187,7 @@
     hostLeases.clear();
     acknowledgedVersions.clear();
     lastAnnouncements.clear();
+    renewals.clear();
   }
 
   private static boolean hasEnded(ServerStatus status) {
@@ -190,6 +207,7 @@
     serverLeases.retainHolders(
         id -> view.server(id).filter(s -> !hasEnded(s.status())).isPresent());
     lastAnnouncements.keySet().retainAll(view.servers().keySet());
+    renewals.keySet().retainAll(view.servers().keySet());
     hostLeases.retainHolders(id -> view.hosts().containsKey(id));
     acknowledgedVersions.keySet().retainAll(view.hosts().keySet());
     for (ServerState server : view.servers().values()) {
--- a/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
@@ -99,7 +99,7 @@
             announcement.getSequence());
         continue;
       }
-      leases.renewServer(server, receivedMillis + announcement.getLeaseMillis());
+      leases.renewServer(server, receivedMillis, announcement.getLeaseMillis());
       if (changesState(announcement, server, known)) {
         log.info(
             "event=announcement server={} incarnation={} leaving={}",
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
@@ -148,6 +148,10 @@
         promotions.withdraw(command.getPromotionWithdrawal());
         yield ByteString.EMPTY;
       }
+      case REPLICA_CAUGHT_UP -> {
+        servers.restarts().recordCaughtUp(command.getReplicaCaughtUp());
+        yield ByteString.EMPTY;
+      }
       case COMMAND_NOT_SET -> ByteString.EMPTY;
     };
   }
@@ -244,6 +248,14 @@
     return promotions.find(group, view());
   }
 
+  /**
+   * Returns whether a server started again since it may have acknowledged commits, and is not known
+   * to hold the log of its primary. Doesn't take the lock.
+   */
+  public boolean mayLackCommits(ServerId server) {
+    return servers.restarts().mayLackCommits(server);
+  }
+
   private static TicketFault faultMessage(FieldFault fault) {
     return TicketFault.newBuilder()
         .setObject(fault.object())
--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/RestartTable.java
@@ -0,0 +1,80 @@
+package org.alderyard.control.state;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.View;
+import org.alderyard.protocol.generated.control.ControlSnapshot;
+import org.alderyard.protocol.generated.control.ReplicaCaughtUp;
+import org.alderyard.protocol.generated.control.RestartedServer;
+
+/**
+ * The servers of groups with synchronous replicas that started again, until they are known to hold
+ * the log of their primary.
+ *
+ * <p>A server may start again without its log, under the same id. The commits that it acknowledged
+ * before may then be in the log of the primary alone.
+ *
+ * <p>Changes come one at a time; {@link #mayLackCommits} takes no lock.
+ */
+final class RestartTable {
+  // The incarnation of each restarted server.
+  private volatile Map<String, Long> restarted = Map.of();
+
+  /**
+   * Records the restart of a server, if its group has synchronous replicas.
+   *
+   * @param known the server as it was before
+   * @param incarnation the announced incarnation
+   */
+  void recordAnnouncement(ServerState known, long incarnation, View view) {
+    if (incarnation > known.incarnation() && isSynchronous(known.group(), view)) {
+      update(next -> next.put(known.id().value(), incarnation));
+    }
+  }
+
+  private static boolean isSynchronous(GroupId group, View view) {
+    return view.configuration().filter(c -> c.syncReplicasOf(group) > 0).isPresent();
+  }
+
+  /** Removes a server that holds the log of its primary, unless it has started again since. */
+  void recordCaughtUp(ReplicaCaughtUp caughtUp) {
+    update(next -> next.remove(caughtUp.getServer(), caughtUp.getIncarnation()));
+  }
+
+  /** Removes a server that was removed from the view. */
+  void remove(String server) {
+    update(next -> next.remove(server));
+  }
+
+  private void update(Consumer<Map<String, Long>> change) {
+    Map<String, Long> next = new HashMap<>(restarted);
+    change.accept(next);
+    restarted = Map.copyOf(next);
+  }
+
+  boolean mayLackCommits(ServerId server) {
+    return restarted.containsKey(server.value());
+  }
+
+  void store(ControlSnapshot.Builder snapshot) {
+    new TreeMap<>(restarted)
+        .forEach(
+            (server, incarnation) ->
+                snapshot.addRestartedServers(
+                    RestartedServer.newBuilder().setServer(server).setIncarnation(incarnation)));
+  }
+
+  void restore(ControlSnapshot snapshot) {
+    restarted =
+        snapshot.getRestartedServersList().stream()
+            .collect(
+                Collectors.toUnmodifiableMap(
+                    RestartedServer::getServer, RestartedServer::getIncarnation));
+  }
+}
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
@@ -39,6 +39,7 @@
   // Whether a server last reported that it is the primary; holds only servers that report their
   // role.
   private final Map<String, Boolean> reportsPrimaryRole = new TreeMap<>();
+  private final RestartTable restarts = new RestartTable();
 
   /** Records an announcement and returns the objects that it changes. */
   List<ObjectState> announce(Announcement announcement, View view) {
@@ -55,6 +56,8 @@
       return List.of();
     }
     endedServers.remove(announced.getId());
+    known.ifPresent(
+        server -> restarts.recordAnnouncement(server, announced.getIncarnation(), view));
     leaseMillis.put(announced.getId(), announcement.getLeaseMillis());
     changed.add(ObjectState.newBuilder().setServer(announced).build());
     if (announcement.getReportsRole()) {
@@ -209,6 +212,12 @@
     endedServers.remove(server);
     leaseMillis.remove(server);
     reportsPrimaryRole.remove(server);
+    restarts.remove(server);
+  }
+
+  /** Returns the servers that started again and may lack commits that they acknowledged before. */
+  RestartTable restarts() {
+    return restarts;
   }
 
   int leaseMillis(String server) {
@@ -217,6 +226,7 @@
 
   void store(ControlSnapshot.Builder snapshot) {
     snapshot.addAllDeadServers(endedServers);
+    restarts.store(snapshot);
     leaseMillis.forEach(
         (server, millis) ->
             snapshot.addServerLeases(
@@ -228,6 +238,7 @@
   }
 
   void restore(ControlSnapshot snapshot) {
+    restarts.restore(snapshot);
     leaseMillis.clear();
     endedServers.clear();
     endedServers.addAll(snapshot.getDeadServersList());
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -63,6 +63,7 @@
   private volatile ServerStatus primaryStatus = ServerStatus.ACTIVE;
   private volatile String primary = "s1";
   private volatile int syncReplicas;
+  private final Set<String> restartedServers = ConcurrentHashMap.newKeySet();
   private volatile boolean leadershipConfirmed = true;
   private volatile Duration responseDelay = Duration.ZERO;
   private volatile Optional<Intent> intent = Optional.empty();
@@ -116,6 +117,7 @@
             new HostId("h1"),
             this::view,
             group -> pendingPromotion(),
+            new AnnouncedStarts(),
             new ScriptedReplication(),
             (group, server, controlLeader, token) -> {
               calls.add(new Call(server.value(), token));
@@ -237,6 +239,39 @@
     assertThat(calls.get(0).server()).isEqualTo("s2");
   }
 
+  // Guards against the loss of commits that a replica acknowledged before it started again empty.
+  @Test
+  void groupWithSynchronousReplicaWaitsForOneThatStartedAgain() throws Exception {
+    syncReplicas = 1;
+    restartedServers.add("s2");
+    statuses.put("s2", status(0, 0));
+    statuses.put("s3", status(10, 0));
+    primaryStatus = ServerStatus.GONE;
+    startService();
+
+    TimeUnit.MILLISECONDS.sleep(700);
+    assertThat(calls).isEmpty();
+  }
+
+  // Guards against a group that is never promoted again after the restart of a replica.
+  @Test
+  void replicaThatStartedAgainCountsOnceItHoldsTheLogOfItsPrimary() throws Exception {
+    syncReplicas = 1;
+    restartedServers.add("s2");
+    statuses.put("s1", new ReplicationStatus(true, 3, new Position(3, 12), 0));
+    statuses.put("s2", status(8, 0));
+    statuses.put("s3", status(10, 0));
+    startService();
+
+    TimeUnit.MILLISECONDS.sleep(700);
+    assertThat(restartedServers).containsExactly("s2");
+    statuses.put("s2", status(12, 0));
+    awaitTrue(restartedServers::isEmpty);
+    primaryStatus = ServerStatus.GONE;
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s2");
+  }
+
   @Test
   void groupWithoutSynchronousReplicasDoesNotWaitForUnreachableReplica() throws Exception {
     statuses.put("s3", status(10, 0));
@@ -399,6 +434,18 @@
     }
   }
 
+  private final class AnnouncedStarts implements ReplicaStarts {
+    @Override
+    public boolean mayLackCommits(ServerId server) {
+      return restartedServers.contains(server.value());
+    }
+
+    @Override
+    public boolean isAnnouncedSince(ServerState server, long millis) {
+      return true;
+    }
+  }
+
   private final class ScriptedReplication implements ReplicationClient {
     @Override
     public CompletableFuture<ReplicationStatus> probe(ServerState server, Duration timeout) {
@@ -436,6 +483,10 @@
         intent = Optional.empty();
         return CompletableFuture.completedFuture(ByteString.EMPTY);
       }
+      if (command.hasReplicaCaughtUp()) {
+        restartedServers.remove(command.getReplicaCaughtUp().getServer());
+        return CompletableFuture.completedFuture(ByteString.EMPTY);
+      }
       intent = Optional.of(new Intent(command.getPromotionIntent().getServer(), primary));
       return CompletableFuture.completedFuture(
           PromotionIntentReply.newBuilder()
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.session.ReplicationClient;
 import org.alderyard.backend.session.ReplicationStatus;
@@ -21,6 +23,7 @@
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
 import org.junit.jupiter.api.AfterEach;
@@ -37,6 +40,9 @@
   private Runnable beforeCall = () -> {};
   private Optional<ServerId> calledServer = Optional.empty();
   private boolean leadershipConfirmed = true;
+  // Restarts that the control state learns of only with the replica's next announcement.
+  private final Set<ServerId> unknownRestarts = ConcurrentHashMap.newKeySet();
+  private final Set<ServerId> knownRestarts = ConcurrentHashMap.newKeySet();
 
   @AfterEach
   void close() {
@@ -74,6 +80,7 @@
   private ReplicaChoice search(int syncReplicas, boolean primaryRuns) throws Exception {
     return new SynchronousReplicaSearch(
             replicas.stream().map(replica -> replica.server).toList(),
+            new ModelStarts(),
             syncReplicas,
             primaryRuns,
             calledServer,
@@ -83,7 +90,8 @@
                     : CompletableFuture.failedFuture(
                         AlderyardException.notRun(ErrorCode.NOT_LEADER, "model")),
             new ModelReplication(),
-            workers)
+            workers,
+            MonotonicClock.system())
         .run()
         .get(10, TimeUnit.SECONDS);
   }
@@ -207,6 +215,52 @@
     assertThat(replicas.stream().noneMatch(replica -> replica.paused)).isTrue();
   }
 
+  // Guards against the loss of acknowledged commits: the replica that had acknowledged them started
+  // again without its log while the primary is away, and its position counted as complete.
+  @Test
+  void restartedReplicaCountsAsMissing() throws Exception {
+    Replica restarted = add("s2", ServerStatus.ACTIVE, 0);
+    add("s3", ServerStatus.ACTIVE, 10);
+    knownRestarts.add(id(restarted));
+
+    ReplicaChoice choice = search(1, false);
+
+    assertThat(choice.failure()).isEqualTo("replica-restarted");
+    assertThat(choice.paused()).isEmpty();
+  }
+
+  @Test
+  void restartedReplicaIsNotNeededIfOthersAcknowledgeTogether() throws Exception {
+    knownRestarts.add(id(add("s2", ServerStatus.ACTIVE, 12)));
+    add("s3", ServerStatus.ACTIVE, 11);
+    Replica best = add("s4", ServerStatus.ACTIVE, 12);
+
+    assertThat(search(2, false).server()).hasValue(id(best));
+  }
+
+  // Guards against the same loss where the restart is not announced yet when the replica reports.
+  @Test
+  void restartThatIsAnnouncedAfterTheReportIsNoticed() throws Exception {
+    unknownRestarts.add(id(add("s2", ServerStatus.ACTIVE, 0)));
+    add("s3", ServerStatus.ACTIVE, 10);
+
+    assertThat(search(1, false).failure()).isEqualTo("replica-restarted");
+  }
+
+  // Guards against commits that a late promotion loses: a restart ends the pause of a replica.
+  @Test
+  void restartedReplicaIsPausedAgainWhileCallIsPending() throws Exception {
+    Replica restarted = add("s2", ServerStatus.ACTIVE, 0);
+    knownRestarts.add(id(restarted));
+    calledServer = Optional.of(id(add("s3", ServerStatus.ACTIVE, 10)));
+
+    ReplicaChoice choice = search(1, false);
+
+    assertThat(choice.failure()).isEqualTo("replica-restarted");
+    assertThat(restarted.paused).isTrue();
+    assertThat(choice.paused()).containsExactly(restarted.server);
+  }
+
   /**
    * Replicas receive, and acknowledge, at random between the calls of the search and after it. The
    * chosen replica must hold each acknowledged commit at any later time.
@@ -260,6 +314,22 @@
         .get(syncReplicas - 1);
   }
 
+  private final class ModelStarts implements ReplicaStarts {
+    @Override
+    public boolean mayLackCommits(ServerId server) {
+      return knownRestarts.contains(server);
+    }
+
+    @Override
+    public boolean isAnnouncedSince(ServerState server, long millis) {
+      boolean restarted = unknownRestarts.remove(server.id());
+      if (restarted) {
+        knownRestarts.add(server.id());
+      }
+      return !knownRestarts.contains(server.id());
+    }
+  }
+
   private final class ModelReplication implements ReplicationClient {
     @Override
     public CompletableFuture<ReplicationStatus> probe(ServerState server, Duration timeout) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -5,6 +5,8 @@
 import org.alderyard.backend.http.HttpConnector;
 import org.alderyard.backend.http.HttpServerAdmin;
 import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.id.ServerId;
+import org.alderyard.common.view.ServerState;
 import org.alderyard.control.failover.DirectorOptions;
 import org.alderyard.control.failover.FailoverObserver;
 import org.alderyard.control.failover.FailoverService;
@@ -18,6 +20,7 @@
 import org.alderyard.control.log.ReplicatedLog;
 import org.alderyard.control.log.ReplicatedLogBuilder;
 import org.alderyard.control.promotion.PromotionService;
+import org.alderyard.control.promotion.ReplicaStarts;
 import org.alderyard.control.service.ControlService;
 import org.alderyard.control.service.ViewFeed;
 import org.alderyard.control.state.ControlState;
@@ -52,7 +55,7 @@
     service.start(host.controlWorkers);
     startGrants(controlLog, state);
     if (host.settings.sessions().isPresent()) {
-      startPromotion(controlLog, state);
+      startPromotion(controlLog, service);
     } else {
       startFailover(controlLog, state, failovers);
     }
@@ -130,7 +133,8 @@
     service.start();
   }
 
-  private void startPromotion(ControlLog controlLog, ControlState state) {
+  private void startPromotion(ControlLog controlLog, ControlService control) {
+    ControlState state = control.state();
     host.settings
         .sessions()
         .flatMap(SessionOptions::appointerAddress)
@@ -142,6 +146,7 @@
                       host.settings.host(),
                       state::view,
                       state::pendingPromotion,
+                      replicaStarts(control),
                       new WireReplicationClient(new WireSessionConnector(host.loops)),
                       new PlatformPromoter(address, host::ioWorker, host.workers, host.clock),
                       host.workers,
@@ -150,4 +155,18 @@
               service.start();
             });
   }
+
+  private static ReplicaStarts replicaStarts(ControlService control) {
+    return new ReplicaStarts() {
+      @Override
+      public boolean mayLackCommits(ServerId server) {
+        return control.state().mayLackCommits(server);
+      }
+
+      @Override
+      public boolean isAnnouncedSince(ServerState server, long millis) {
+        return control.isAnnouncedSince(server, millis);
+      }
+    };
+  }
 }
