Keep a SIGHUP that arrives while a host starts

Change: the watch is created and handles the signal before the settings are read; a signal before its start takes effect at the start. Measured: SessionHostTest, with a new test of an early signal, passes.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -1,6 +1,5 @@
 package org.alderyard.daemon;
 
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -105,8 +104,8 @@
   }
 
   /** Applies changes of the settings file that need no restart: the log options and the seeds. */
-  void watchSettings(Path file) {
-    new SettingsWatch(file, host.workers, this::applyReloadable).start();
+  void watchSettings(SettingsWatch watch) {
+    watch.start(host.workers, this::applyReloadable);
   }
 
   private void applyReloadable(DaemonSettings changed) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -46,12 +46,15 @@
       return ExitCode.USAGE;
     }
     try {
-      DaemonSettings settings = DaemonSettings.read(Path.of(line.getOptionValue("settings")));
+      Path file = Path.of(line.getOptionValue("settings"));
+      SettingsWatch watch = new SettingsWatch(file);
+      watch.handleSignal();
+      DaemonSettings settings = DaemonSettings.read(file);
       if (line.hasOption("check")) {
-        out.println("settings are valid: " + line.getOptionValue("settings"));
+        out.println("settings are valid: " + file);
         return ExitCode.OK;
       }
-      runUntilShutdown(settings, Path.of(line.getOptionValue("settings")));
+      runUntilShutdown(settings, watch);
       return ExitCode.OK;
     } catch (AlderyardException failure) {
       err.println(failure.code() + ": " + failure.getMessage());
@@ -60,11 +63,11 @@
   }
 
   /** Runs the daemon until shutdown, or throws the error that made it fail. */
-  private static void runUntilShutdown(DaemonSettings settings, Path file)
+  private static void runUntilShutdown(DaemonSettings settings, SettingsWatch watch)
       throws InterruptedException {
     settings.log().apply();
     Daemon daemon = new Daemon(settings);
-    daemon.watchSettings(file);
+    daemon.watchSettings(watch);
     CompletableFuture<Void> ended = new CompletableFuture<>();
     daemon.failure().thenAccept(ended::completeExceptionally);
     Runtime.getRuntime()
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SettingsWatch.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SettingsWatch.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
@@ -24,24 +25,43 @@
   private static final Duration INTERVAL = Duration.ofSeconds(1);
 
   private final Path file;
-  private final WorkerPool workers;
-  private final Consumer<DaemonSettings> onChange;
   // Guarded by this.
   private byte[] lastContent;
+  private boolean signalPending;
+  // Empty until the watch starts.
+  private Optional<WorkerPool> workers = Optional.empty();
+  private Consumer<DaemonSettings> onChange = settings -> {};
 
-  SettingsWatch(Path file, WorkerPool workers, Consumer<DaemonSettings> onChange) {
+  /**
+   * Creates a watch, which remembers the file's content. Must be created before the settings are
+   * read, so that a change in between is noticed.
+   */
+  SettingsWatch(Path file) {
     this.file = file;
-    this.workers = workers;
-    this.onChange = onChange;
     this.lastContent = readFile();
   }
 
   /**
-   * Starts watching. Without the signal handler, the Java runtime would end the process on SIGHUP.
+   * Handles SIGHUP from now on. Without a handler, the Java runtime ends the process on SIGHUP. A
+   * signal that arrives before the watch starts takes effect when it starts.
    */
-  void start() {
-    Signal.handle(new Signal("HUP"), signal -> workers.execute(() -> reloadIfChanged("signal")));
-    workers.scheduleRepeatedly(INTERVAL, () -> reloadIfChanged("file"));
+  void handleSignal() {
+    Signal.handle(new Signal("HUP"), signal -> onSignal());
+  }
+
+  synchronized void onSignal() {
+    signalPending = workers.isEmpty();
+    workers.ifPresent(pool -> pool.execute(() -> reloadIfChanged("signal")));
+  }
+
+  /** Starts watching; reloads run on the given workers. */
+  synchronized void start(WorkerPool pool, Consumer<DaemonSettings> listener) {
+    workers = Optional.of(pool);
+    onChange = listener;
+    if (signalPending) {
+      onSignal();
+    }
+    pool.scheduleRepeatedly(INTERVAL, () -> reloadIfChanged("file"));
   }
 
   synchronized void reloadIfChanged(String trigger) {
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/SessionHostTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/SessionHostTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.alderyard.common.concurrent.WorkerPool;
@@ -168,11 +169,8 @@
 
   @Test
   void changedSettingsAreReloadedAndInvalidOnesIgnored() throws Exception {
-    SettingsWatch watch =
-        new SettingsWatch(
-            folder.resolve("host.ini"),
-            new WorkerPool("test", 1),
-            changed -> reloadedLevels.add(changed.log().level()));
+    SettingsWatch watch = new SettingsWatch(folder.resolve("host.ini"));
+    watch.start(new WorkerPool("test", 1), changed -> reloadedLevels.add(changed.log().level()));
     watch.reloadIfChanged("file");
     Files.writeString(folder.resolve("host.ini"), settings("warn"));
     watch.reloadIfChanged("file");
@@ -181,4 +179,17 @@
 
     assertThat(reloadedLevels).containsExactly(LogLevel.WARN);
   }
+
+  /** Guards against a change and its signal that are lost while the host starts. */
+  @Test
+  void signalBeforeTheWatchStartsReloadsChangedSettings() throws Exception {
+    SettingsWatch watch = new SettingsWatch(folder.resolve("host.ini"));
+    Files.writeString(folder.resolve("host.ini"), settings("warn"));
+    watch.onSignal();
+
+    CompletableFuture<LogLevel> reloaded = new CompletableFuture<>();
+    watch.start(new WorkerPool("test", 1), changed -> reloaded.complete(changed.log().level()));
+
+    assertThat(reloaded.get(10, TimeUnit.SECONDS)).isEqualTo(LogLevel.WARN);
+  }
 }
