Check a configuration before it is sent

Cause: operators learn of a refused field only from the host, and of entries without effect and contradicting limits not at all.

--- a/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/Main.java
@@ -9,6 +9,7 @@
 import org.alderyard.cli.demo.DemoCommand;
 import org.alderyard.cli.explain.ExplainCommand;
 import org.alderyard.cli.load.LoadCommand;
+import org.alderyard.cli.operator.ConfigurationCheckCommand;
 import org.alderyard.cli.operator.DrainCommand;
 import org.alderyard.cli.operator.ShowCommand;
 import org.alderyard.cli.operator.TicketApplyCommand;
@@ -41,6 +42,7 @@
         new ShowCommand("servers", "list the backend servers", List.of(), "/v1/servers"),
         new ShowCommand("hosts", "list the hosts of the system", List.of(), "/v1/hosts"),
         new DrainCommand(),
+        new ConfigurationCheckCommand(),
         new TokenInspectCommand(),
         new CheckSettingsCommand(),
         new ExplainCommand(),
