Wake threads of an idle host only for due work

Cause: an idle control host woke its threads 780 to 1,240 times a second: the log ticked each 10 ms on two threads, each Raft message passed a worker and two log threads, and each task woke two threads of a pool whose queue also holds delayed tasks. Timeouts, intervals and messages are unchanged.

--- a/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverService.java
@@ -9,9 +9,9 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
 import java.util.function.Supplier;
 import org.alderyard.backend.ServerAdmin;
+import org.alderyard.common.concurrent.RepeatedTask;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
@@ -64,7 +64,7 @@
   private final Map<GroupId, Long> inFlightGrants = new HashMap<>();
   private View scannedView = View.EMPTY;
   private boolean wasLeader;
-  private Optional<ScheduledFuture<?>> tickTimer = Optional.empty();
+  private Optional<RepeatedTask> tickTimer = Optional.empty();
 
   /** Creates a service that is idle until {@link #start()}. */
   public FailoverService(
@@ -340,7 +340,7 @@
   @Override
   public void close() {
     synchronized (lock) {
-      tickTimer.ifPresent(timer -> timer.cancel(false));
+      tickTimer.ifPresent(RepeatedTask::cancel);
     }
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/RaftTransport.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/RaftTransport.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.LongFunction;
 import org.alderyard.protocol.generated.raft.Member;
+import org.alderyard.protocol.generated.raft.RaftBatch;
 import org.alderyard.protocol.generated.raft.RaftMessage;
 import org.alderyard.protocol.wire.PeerLinks;
 
@@ -53,14 +54,17 @@
   private final class Outbox {
     private final long replicaId;
     private final MessageQueue queue = new MessageQueue();
-    private boolean inFlight;
+    // Written on the loop and by the thread that receives an acknowledgement.
+    private volatile boolean inFlight;
+    private volatile boolean queued;
 
     Outbox(long replicaId) {
       this.replicaId = replicaId;
     }
 
     void sendNext() {
-      if (inFlight || queue.isEmpty()) {
+      queued = !queue.isEmpty();
+      if (inFlight || !queued) {
         return;
       }
       Optional<InetSocketAddress> address = addressOf.apply(replicaId);
@@ -69,18 +73,33 @@
         return;
       }
       inFlight = true;
+      RaftBatch batch = queue.removeBatch(self);
+      queued = !queue.isEmpty();
       links
           .linkTo(address.get())
-          .call(RaftMethods.MESSAGES, queue.removeBatch(self), options.sendTimeout())
-          .whenComplete((ack, failure) -> loop.submit(() -> onSent(failure)));
+          .call(RaftMethods.MESSAGES, batch, options.sendTimeout())
+          .whenComplete((ack, failure) -> onSent(failure));
     }
 
+    /**
+     * Ends the batch in flight. Without a queued message the loop has nothing to do. The flags are
+     * written before the other one is read, on either side, so that no message is left behind.
+     */
     private void onSent(Throwable failure) {
-      inFlight = false;
       if (failure != null) {
-        // Messages queued behind a failed send are stale; the next heartbeat resumes replication.
-        queue.clear();
+        loop.submit(this::onFailed);
+        return;
+      }
+      inFlight = false;
+      if (queued) {
+        loop.submit(this::sendNext);
       }
+    }
+
+    private void onFailed() {
+      inFlight = false;
+      // Messages queued behind a failed send are stale; the next heartbeat resumes replication.
+      queue.clear();
       sendNext();
     }
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -86,7 +86,7 @@
       folder.close();
       throw failure;
     }
-    builder.dispatcher.serve(RaftMethods.MESSAGES, this::onMessages);
+    builder.dispatcher.serveOnNetworkThread(RaftMethods.MESSAGES, this::onMessages);
     builder.dispatcher.serve(RaftMethods.JOIN, this::onJoin);
   }
 
@@ -206,6 +206,32 @@
     }
   }
 
+  /**
+   * Returns the time before which {@link #tick(long)} has nothing to do. While the membership may
+   * have to change, that is the next interval of the options, since the reasons have no deadline.
+   */
+  long nextTickMillis() {
+    if (closed) {
+      return Long.MAX_VALUE;
+    }
+    long nextMillis = needsToJoin() ? nextJoinMillis : Long.MAX_VALUE;
+    if (driver == null) {
+      return nextMillis;
+    }
+    nextMillis = Math.min(nextMillis, driver.core().nextTickMillis());
+    boolean membershipPending = !joinRequests.isEmpty() || awaitsAdmission();
+    return membershipPending
+        ? Math.min(nextMillis, nowMillis() + builder.options.tick().toMillis())
+        : nextMillis;
+  }
+
+  /** Dates the proposal or read that follows. */
+  void advanceTo(long nowMillis) {
+    if (driver != null) {
+      driver.core().advanceTo(nowMillis);
+    }
+  }
+
   private long joinIntervalMillis() {
     boolean awaitsPromotion =
         driver != null
@@ -228,16 +254,19 @@
           || driver.core().leader().isEmpty()
           || !driver.core().membership().isVoter(self.getReplicaId());
     }
-    return driver == null || (isNewcomer() && !folder.identity().getAdmitted());
+    return driver == null || awaitsAdmission();
   }
 
   private boolean isNewcomer() {
     return folder.identity().getFounders().getMembersCount() == 0;
   }
 
+  private boolean awaitsAdmission() {
+    return isNewcomer() && !folder.identity().getAdmitted();
+  }
+
   private void recordAdmission() {
-    boolean admitted = folder.identity().getAdmitted() || !isNewcomer();
-    if (!admitted && driver.core().membership().isVoter(self.getReplicaId())) {
+    if (awaitsAdmission() && driver.core().membership().isVoter(self.getReplicaId())) {
       folder.writeIdentity(folder.identity().toBuilder().setAdmitted(true).build());
       log.info("event=admitted replica={}", self.getReplicaId());
     }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -46,14 +46,16 @@
  */
 public final class ReplicatedLog implements ControlLog {
   private static final Logger log = LoggerFactory.getLogger(ReplicatedLog.class);
-  private static final int THREAD_COUNT = 2;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration TRANSFER_POLL_INTERVAL = Duration.ofMillis(5);
 
   private final ReplicatedLogOptions options;
   private final LogListener listener;
-  private final WorkerPool workers = new WorkerPool("log", THREAD_COUNT);
+  // Separate pools of one thread: a task in a pool of two wakes both threads.
+  private final WorkerPool workers = new WorkerPool("log", 1);
+  private final WorkerPool snapshotWorkers = new WorkerPool("log-snapshot", 1);
   private final SerialLoop loop;
+  private final TickTimer tickTimer;
   private final PendingRequests pending;
   private final ReplicaHost replica;
   private final LeaderWaitQueue leaderWaitQueue = new LeaderWaitQueue();
@@ -70,12 +72,14 @@
     pending = new PendingRequests(builder.callbacks);
     loop = new SerialLoop(workers, this::flush, this::fail);
     try {
-      replica = new ReplicaHost(builder, loop, workers, pending);
+      replica = new ReplicaHost(builder, loop, snapshotWorkers, pending);
     } catch (RuntimeException openFailure) {
       workers.close();
+      snapshotWorkers.close();
       throw openFailure;
     }
-    workers.scheduleRepeatedly(options.tick(), this::tick);
+    tickTimer = new TickTimer(workers::schedule, replica::nowMillis, this::tick);
+    loop.submit(() -> {});
   }
 
   /** Returns a builder with default options and the system clock. */
@@ -86,7 +90,11 @@
   /** Reads the clock before the step is queued, so that a slow sync does not count as silence. */
   private void tick() {
     long nowMillis = replica.nowMillis();
-    loop.submit(() -> replica.tick(nowMillis));
+    loop.submitOnExecutor(
+        () -> {
+          tickTimer.clear();
+          replica.tick(nowMillis);
+        });
   }
 
   private void flush() {
@@ -94,6 +102,7 @@
       return;
     }
     replica.performEffects();
+    tickTimer.setNext(replica.nextTickMillis());
     LogStatus before = status;
     LogStatus now = replica.status();
     status = now;
@@ -220,18 +229,20 @@
 
   private <T> CompletableFuture<T> runOnLoop(Consumer<CompletableFuture<T>> step) {
     CompletableFuture<T> future = new CompletableFuture<>();
-    if (!loop.submit(() -> runUnlessClosed(step, future))) {
+    long nowMillis = replica.nowMillis();
+    if (!loop.submit(() -> runUnlessClosed(step, future, nowMillis))) {
       future.completeExceptionally(stopped());
     }
     return future;
   }
 
   private <T> void runUnlessClosed(
-      Consumer<CompletableFuture<T>> step, CompletableFuture<T> future) {
+      Consumer<CompletableFuture<T>> step, CompletableFuture<T> future, long nowMillis) {
     if (closed) {
       future.completeExceptionally(stopped());
       return;
     }
+    replica.advanceTo(nowMillis);
     step.accept(future);
   }
 
@@ -313,7 +324,7 @@
     transferLeadership();
     done.completeOnTimeout(null, options.raft().electionTimeoutMaxMillis(), TimeUnit.MILLISECONDS)
         .join();
-    poll.cancel(false);
+    poll.cancel();
   }
 
   /** Stops immediately without a leadership transfer, as in a crash. */
@@ -325,6 +336,7 @@
       done.completeOnTimeout(null, CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS).join();
     }
     workers.close();
+    snapshotWorkers.close();
   }
 
   private void stopOnLoop(CompletableFuture<Void> done) {
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLogOptions.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLogOptions.java
@@ -8,7 +8,7 @@
  * Options of the replicated log on one host.
  *
  * @param raft options of the Raft protocol
- * @param tick interval at which timeouts are checked
+ * @param tick interval at which a membership that may have to change is checked
  * @param joinInterval interval at which a host that is not a voter yet sends join requests
  * @param sendTimeout timeout for the acknowledgement of a message batch, and for a join request
  * @param snapshotAfter size of the applied entries after which a snapshot is taken; a large state
--- a/alderyard-control/src/main/java/org/alderyard/control/log/SerialLoop.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/SerialLoop.java
@@ -32,6 +32,18 @@
 
   /** Queues a step; returns false if the loop has been stopped. Thread-safe. */
   boolean submit(Runnable step) {
+    return enqueue(step, this::scheduleBatch);
+  }
+
+  /**
+   * Queues a step from a task of the executor and, unless a batch is running, runs it before this
+   * call returns. Saves the wake-up of a second thread. Returns false if the loop has been stopped.
+   */
+  boolean submitOnExecutor(Runnable step) {
+    return enqueue(step, this::runBatch);
+  }
+
+  private boolean enqueue(Runnable step, Runnable startBatch) {
     synchronized (lock) {
       if (stopped) {
         return false;
@@ -42,7 +54,7 @@
       }
       running = true;
     }
-    scheduleBatch();
+    startBatch.run();
     return true;
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -75,6 +75,22 @@
     }
   }
 
+  /**
+   * Returns the time of the next heartbeat, of the end of a handover or of the loss of contact with
+   * a majority, whichever is first.
+   */
+  long nextTickMillis() {
+    long contactEndMillis =
+        state.log.membership().quorumValue(this::lastContactMillis)
+            + state.options.electionTimeoutMaxMillis();
+    long nextMillis = Math.min(nextHeartbeatMillis, contactEndMillis);
+    return isHandingOver() ? Math.min(nextMillis, handOverDeadlineMillis) : nextMillis;
+  }
+
+  private long lastContactMillis(long replicaId) {
+    return replicaId == state.self ? state.nowMillis() : peers.get(replicaId).lastContactMillis();
+  }
+
   /**
    * Starts a heartbeat round by sending a message to every replica. The replies confirm the reads
    * assigned to this round.
@@ -111,10 +127,7 @@
   }
 
   private boolean hasRecentContact(long replicaId) {
-    if (replicaId == state.self) {
-      return true;
-    }
-    long unresponsiveMillis = state.nowMillis() - peers.get(replicaId).lastContactMillis();
+    long unresponsiveMillis = state.nowMillis() - lastContactMillis(replicaId);
     return unresponsiveMillis < state.options.electionTimeoutMaxMillis();
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -87,6 +87,22 @@
     campaign();
   }
 
+  /**
+   * Advances the time without acting on it, so that a proposal or read that follows is dated
+   * correctly between two ticks.
+   */
+  public void advanceTo(long nowMillis) {
+    state.advanceTo(nowMillis);
+  }
+
+  /**
+   * Returns the time in milliseconds before which {@link #tick(long)} has nothing to do. It changes
+   * with each call that changes the state.
+   */
+  public long nextTickMillis() {
+    return role == Role.LEADER ? leadership.nextTickMillis() : state.electionDeadlineMillis();
+  }
+
   private void tickLeader() {
     if (!leadership.hasQuorumContact()) {
       becomeFollower(state.term());
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
@@ -135,6 +135,11 @@
     return nowMillis >= electionDeadlineMillis;
   }
 
+  /** Returns the time at which an election becomes due without contact with a leader. */
+  long electionDeadlineMillis() {
+    return electionDeadlineMillis;
+  }
+
   void restartElectionTimer() {
     electionDeadlineMillis =
         nowMillis
--- a/alderyard-control/src/test/java/org/alderyard/control/log/SerialLoopTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/SerialLoopTest.java
@@ -70,4 +70,17 @@
 
     assertThat(ran).containsExactly("next");
   }
+
+  /** Guards against two batches at the same time: a step that is running must end first. */
+  @Test
+  void stepFromExecutorWaitsForRunningBatch() {
+    List<String> order = new ArrayList<>();
+    loop.submitOnExecutor(
+        () -> {
+          loop.submitOnExecutor(() -> order.add("second"));
+          order.add("first");
+        });
+
+    assertThat(order).containsExactly("first", "second").inOrder();
+  }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftCluster.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftCluster.java
@@ -95,8 +95,20 @@
     nowMillis += millis;
   }
 
+  /** Guards against a heartbeat, step-down or election that a host sleeps through. */
+  private static void checkNothingWasDue(RaftReplica replica, Role role, long nextTickMillis) {
+    if (replica.core().role() != role || replica.core().nextTickMillis() != nextTickMillis) {
+      throw new AssertionError("replica " + replica.id + " acted before " + nextTickMillis);
+    }
+  }
+
   void tick(RaftReplica replica, boolean crashBeforeSync) {
+    long nextTickMillis = replica.core().nextTickMillis();
+    Role role = replica.core().role();
     replica.core().tick(nowMillis);
+    if (nowMillis < nextTickMillis) {
+      checkNothingWasDue(replica, role, nextTickMillis);
+    }
     replica.performEffects(crashBeforeSync);
   }
 
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -132,8 +132,8 @@
       Method<Q, R> method, Q request, Duration timeout, Duration total) {
     RetryingCall<Q, R> retryingCall =
         new RetryingCall<>(method, request, timeout, hostCount() * RETRY_ROUNDS, ROUND_DELAY);
-    workers.schedule(total, retryingCall::stop);
-    return retryingCall.run();
+    var timer = workers.schedule(total, retryingCall::stop);
+    return retryingCall.run().whenComplete((reply, failure) -> timer.cancel(false));
   }
 
   /**
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.MessageLite;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.alderyard.common.error.AlderyardException;
@@ -12,6 +13,7 @@
 /** Dispatches requests to the handlers of the methods that a process serves. */
 public final class Dispatcher {
   private final Map<Integer, RawHandler> handlers = new ConcurrentHashMap<>();
+  private final Set<Integer> networkThreadMethods = ConcurrentHashMap.newKeySet();
 
   /**
    * Registers the handler of a method.
@@ -28,6 +30,26 @@
     return this;
   }
 
+  /**
+   * Registers the handler of a method that runs on the network thread, without a worker.
+   *
+   * <p>The handler must neither block nor compute for long: the thread serves all connections of
+   * the process.
+   *
+   * @throws IllegalStateException if the method number already has a handler
+   */
+  public <Q extends MessageLite, R extends MessageLite> Dispatcher serveOnNetworkThread(
+      Method<Q, R> method, MethodHandler<Q, R> handler) {
+    serve(method, handler);
+    networkThreadMethods.add(method.number());
+    return this;
+  }
+
+  /** Returns whether requests of a method are dispatched on the network thread. */
+  boolean runsOnNetworkThread(int method) {
+    return networkThreadMethods.contains(method);
+  }
+
   /** Handles one request; failures of any kind complete the future exceptionally. */
   CompletableFuture<MessageLite> dispatch(PeerIdentity peer, int method, ByteString payload) {
     RawHandler handler = handlers.get(method);
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/InnerServer.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/InnerServer.java
@@ -130,11 +130,17 @@
       if (unanswered.incrementAndGet() >= options.maxOutstanding()) {
         channel.config().setAutoRead(false);
       }
-      workers.execute(
-          () ->
-              dispatcher
-                  .dispatch(peer, request.getMethod(), request.getPayload())
-                  .whenComplete((reply, failure) -> sendReply(channel, request, reply, failure)));
+      if (dispatcher.runsOnNetworkThread(request.getMethod())) {
+        dispatch(channel, request);
+      } else {
+        workers.execute(() -> dispatch(channel, request));
+      }
+    }
+
+    private void dispatch(Channel channel, Request request) {
+      dispatcher
+          .dispatch(peer, request.getMethod(), request.getPayload())
+          .whenComplete((reply, failure) -> sendReply(channel, request, reply, failure));
     }
 
     private void sendReply(
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/DispatcherTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/DispatcherTest.java
@@ -13,6 +13,7 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.protocol.control.ControlMethods;
 import org.alderyard.protocol.generated.control.AnnounceReply;
+import org.alderyard.protocol.generated.control.ControlStatusReply;
 import org.junit.jupiter.api.Test;
 
 /** Guards against faults between hosts that are reported as faults of the request. */
@@ -36,6 +37,18 @@
             CompletionException.class, () -> dispatcher.dispatch(PEER, method, payload).join()));
   }
 
+  /** Guards against handlers that compute for long on the network thread. */
+  @Test
+  void onlyNamedMethodsRunOnTheNetworkThread() {
+    dispatcher.serveOnNetworkThread(
+        ControlMethods.STATUS,
+        (peer, request) ->
+            CompletableFuture.completedFuture(ControlStatusReply.getDefaultInstance()));
+
+    assertThat(dispatcher.runsOnNetworkThread(ControlMethods.STATUS.number())).isTrue();
+    assertThat(dispatcher.runsOnNetworkThread(ControlMethods.ANNOUNCE.number())).isFalse();
+  }
+
   @Test
   void unservedMethodIsNotFaultOfTheRequest() {
     AlderyardException failure = failure(UNSERVED_METHOD, ByteString.EMPTY);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -177,15 +177,17 @@
         Math.max(
             MIN_UNRESPONSIVE_MILLIS,
             (long) (selector.latencyMillis(holder) * UNRESPONSIVE_LATENCY_FACTOR));
-    context
-        .workers()
-        .schedule(
-            Duration.ofMillis(delayMillis),
-            () -> {
-              if (!result.isDone()) {
-                handleMissingReply(holder, sentNanos);
-              }
-            });
+    var timer =
+        context
+            .workers()
+            .schedule(
+                Duration.ofMillis(delayMillis),
+                () -> {
+                  if (!result.isDone()) {
+                    handleMissingReply(holder, sentNanos);
+                  }
+                });
+    result.whenComplete((reply, failure) -> timer.cancel(false));
   }
 
   private void handleMissingReply(HostState holder, long sentNanos) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -223,18 +223,20 @@
     long millis =
         Math.max(
             MIN_HEDGE_DELAY_MILLIS, (long) (routing.latencyMillis(server) * HEDGE_LATENCY_FACTOR));
-    context
-        .workers()
-        .schedule(
-            Duration.ofMillis(millis),
-            () -> {
-              if (!run.reserveHedge()) {
-                return;
-              }
-              context.metrics().countReadResend();
-              run.recordFailure(server, "slow");
-              run.tryNextServer();
-            });
+    var timer =
+        context
+            .workers()
+            .schedule(
+                Duration.ofMillis(millis),
+                () -> {
+                  if (!run.reserveHedge()) {
+                    return;
+                  }
+                  context.metrics().countReadResend();
+                  run.recordFailure(server, "slow");
+                  run.tryNextServer();
+                });
+    run.whenDone(() -> timer.cancel(false));
   }
 
   private void responseLost(PooledSession session, AlderyardException failure) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -35,17 +35,12 @@
 final class StatementRun {
   private static final Logger log = LoggerFactory.getLogger(StatementRun.class);
 
-  /**
-   * Long enough for a slot to become free, short compared with the smallest latency objective, 100
-   * ms.
-   */
+  /** Long enough for a slot to become free, short against the smallest objective, 100 ms. */
   private static final long INITIAL_BACKOFF_MILLIS = 8;
 
   private static final long MAX_BACKOFF_MILLIS = 64;
 
-  /**
-   * Maximum number of distinct pairs of server and reason in the log line of a refused statement.
-   */
+  /** Maximum number of pairs of server and reason in the log line of a refused statement. */
   private static final int MAX_LOGGED_REASONS = 12;
 
   /**
@@ -292,6 +287,11 @@
     return result.isDone();
   }
 
+  /** Runs a task when the run completes. */
+  void whenDone(Runnable task) {
+    result.thenRun(task);
+  }
+
   synchronized void attemptEnded() {
     activeAttempts--;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/watch/WatcherService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/watch/WatcherService.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ScheduledFuture;
 import org.alderyard.backend.ServerAdmin;
 import org.alderyard.backend.ServerReport;
 import org.alderyard.backend.ServerRole;
 import org.alderyard.common.concurrent.Futures;
+import org.alderyard.common.concurrent.RepeatedTask;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
@@ -52,7 +52,7 @@
   private View assignedView = View.EMPTY;
   private Map<GroupId, String> reported = Map.of();
   private long nextReportMillis;
-  private Optional<ScheduledFuture<?>> timer = Optional.empty();
+  private Optional<RepeatedTask> timer = Optional.empty();
 
   /** Creates a service that sends no probes until {@link #start()}. */
   public WatcherService(
@@ -229,7 +229,7 @@
   @Override
   public void close() {
     synchronized (lock) {
-      timer.ifPresent(scheduled -> scheduled.cancel(false));
+      timer.ifPresent(RepeatedTask::cancel);
     }
   }
 }
