--- a/alderyard-common/src/main/java/org/alderyard/common/id/Names.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/Names.java
@@ -1,20 +1,35 @@
 package org.alderyard.common.id;
 
-import java.util.regex.Pattern;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 
 /** Validates the names of callers, groups, hosts, pools, requests, servers and zones. */
 final class Names {
-  private static final Pattern ACCEPTED = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+  private static final int MAX_CHARS = 128;
+  private static final String ACCEPTED_MARKS = "._:-";
 
   private Names() {}
 
   static void validate(String kind, String value) {
-    if (value == null || !ACCEPTED.matcher(value).matches()) {
+    if (!isAccepted(value)) {
       throw AlderyardException.notRun(
           ErrorCode.BAD_REQUEST,
           kind + " is '" + value + "'; accepted are 1 to 128 characters of [A-Za-z0-9._:-]");
     }
   }
+
+  /** Decides without a regular expression: each message between hosts contains several names. */
+  private static boolean isAccepted(String value) {
+    if (value == null || value.isEmpty() || value.length() > MAX_CHARS) {
+      return false;
+    }
+    for (int i = 0; i < value.length(); i++) {
+      char c = value.charAt(i);
+      boolean alphanumeric = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9';
+      if (!alphanumeric && ACCEPTED_MARKS.indexOf(c) < 0) {
+        return false;
+      }
+    }
+    return true;
+  }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -48,7 +47,7 @@
   private final PendingRequests pending;
   private final DataFolder folder;
   private final Member self;
-  private final Map<String, InetSocketAddress> listedMembers = new LinkedHashMap<>();
+  private final MemberAddresses addresses;
   private final Map<Long, Member> senders = new HashMap<>();
   private final Map<String, PendingJoin> joinRequests = new HashMap<>();
   private final JoinPoller joinPoller;
@@ -67,7 +66,7 @@
     this.loop = loop;
     this.snapshotExecutor = snapshotExecutor;
     this.pending = pending;
-    builder.members.forEach(address -> listedMembers.put(Addresses.text(address), address));
+    addresses = new MemberAddresses(builder.members, builder.openMembership.isPresent());
     folder = DataFolder.open(builder.dataFolder, builder.clusterId, builder.host, builder.random);
     self =
         Member.newBuilder()
@@ -95,7 +94,7 @@
    * known control hosts to join one.
    */
   private Map<String, InetSocketAddress> joinTargets() {
-    Map<String, InetSocketAddress> joinTargets = new LinkedHashMap<>(listedMembers);
+    Map<String, InetSocketAddress> joinTargets = addresses.listed();
     if (!mayFoundCluster()) {
       builder
           .openMembership
@@ -119,7 +118,7 @@
     boolean foundersRecorded = folder.identity().getFounders().getMembersCount() > 0;
     return driver == null
         && (builder.openMembership.get().mayFound() || foundersRecorded)
-        && listedMembers.containsKey(self.getAddress());
+        && addresses.isListed(self.getAddress());
   }
 
   long nowMillis() {
@@ -180,15 +179,7 @@
         .membership()
         .member(replicaId)
         .or(() -> Optional.ofNullable(senders.get(replicaId)))
-        .flatMap(member -> resolve(member.getAddress()));
-  }
-
-  private Optional<InetSocketAddress> resolve(String endpoint) {
-    Optional<InetSocketAddress> known = Optional.ofNullable(listedMembers.get(endpoint));
-    if (known.isPresent() || builder.openMembership.isEmpty()) {
-      return known;
-    }
-    return Addresses.parse(endpoint);
+        .flatMap(member -> addresses.resolve(member.getAddress()));
   }
 
   void tick(long nowMillis) {
@@ -373,8 +364,7 @@
               Member member = request.getSelf();
               boolean fromSender = member.getHostId().equals(peer.host().value());
               boolean permitted =
-                  builder.openMembership.isPresent()
-                      || listedMembers.containsKey(member.getAddress());
+                  builder.openMembership.isPresent() || addresses.isListed(member.getAddress());
               if (request.getNewcomer() && fromSender && permitted) {
                 joinRequests.put(member.getAddress(), new PendingJoin(member, nowMillis));
               }
@@ -411,7 +401,7 @@
         core.role() == Role.LEADER,
         core.hasCommittedInTerm(),
         leader.map(member -> new HostId(member.getHostId())),
-        leader.flatMap(member -> resolve(member.getAddress())),
+        leader.flatMap(member -> addresses.resolve(member.getAddress())),
         driver.appliedIndex(),
         driver.snapshotIndex(),
         core.membership());
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -17,6 +17,13 @@
  * contact with a majority.
  */
 final class Leadership {
+  /**
+   * Minimum interval between heartbeat rounds that only confirm reads; reads that arrive meanwhile
+   * share the next round. Short against the 750 ms between the heartbeats of a host, which with the
+   * announcements of servers are most of the reads.
+   */
+  static final long MIN_READ_ROUND_INTERVAL_MILLIS = 20;
+
   private final ReplicaState state;
   private final Replication replication;
   private final Map<Long, Progress> peers = new HashMap<>();
@@ -24,6 +31,7 @@
   private final long firstIndexOfTerm;
   private long round;
   private long nextHeartbeatMillis;
+  private long nextReadRoundMillis;
   private boolean commitAdvanced;
   private long handOverTarget = ReplicaState.NO_REPLICA;
   private long handOverDeadlineMillis;
@@ -76,14 +84,17 @@
   }
 
   /**
-   * Returns the time of the next heartbeat, of the end of a handover or of the loss of contact with
-   * a majority, whichever is first.
+   * Returns the time of the next heartbeat, of the next round for reads, of the end of a handover
+   * or of the loss of contact with a majority, whichever is first.
    */
   long nextTickMillis() {
     long contactEndMillis =
         state.log.membership().quorumValue(this::lastContactMillis)
             + state.options.electionTimeoutMaxMillis();
     long nextMillis = Math.min(nextHeartbeatMillis, contactEndMillis);
+    if (reads.hasNewReads()) {
+      nextMillis = Math.min(nextMillis, nextReadRoundMillis);
+    }
     return isHandingOver() ? Math.min(nextMillis, handOverDeadlineMillis) : nextMillis;
   }
 
@@ -103,9 +114,13 @@
     commitAdvanced = false;
   }
 
-  /** Sends what has changed since the last call: new reads, a higher commit index, new entries. */
+  /**
+   * Sends what has changed since the last call: new reads, a higher commit index, new entries.
+   * Reads that follow a round of others too soon are sent by a later call.
+   */
   void flush() {
-    if (reads.hasNewReads()) {
+    if (reads.hasNewReads() && state.nowMillis() >= nextReadRoundMillis) {
+      nextReadRoundMillis = state.nowMillis() + MIN_READ_ROUND_INTERVAL_MILLIS;
       startHeartbeatRound();
       return;
     }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -57,6 +57,18 @@
   /** Two threads, so that one can work while the other one waits for a lock or the disk. */
   private static final int CONTROL_THREADS = 2;
 
+  /**
+   * Property of the metrics library. Exemplars need trace contexts, which this program does not
+   * have; for each sampled value their scheduler wakes a thread.
+   */
+  private static final String EXEMPLARS_ENABLED = "io.prometheus.metrics.exemplars_enabled";
+
+  static {
+    if (System.getProperty(EXEMPLARS_ENABLED) == null) {
+      System.setProperty(EXEMPLARS_ENABLED, "false");
+    }
+  }
+
   final DaemonSettings settings;
   final MonotonicClock clock = MonotonicClock.system();
   final InstantSource wallClock = InstantSource.system();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -54,8 +54,10 @@
   }
 
   void registerMethods(Dispatcher dispatcher) {
-    dispatcher.serve(DataMethods.RUN_HELD_STATEMENT, (peer, request) -> run(request));
-    dispatcher.serve(DataMethods.END_HELD_TRANSACTION, (peer, request) -> end(request));
+    dispatcher.serveOnNetworkThread(
+        DataMethods.RUN_HELD_STATEMENT, (peer, request) -> run(request));
+    dispatcher.serveOnNetworkThread(
+        DataMethods.END_HELD_TRANSACTION, (peer, request) -> end(request));
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
@@ -1,6 +1,8 @@
 package org.alderyard.proxy.callersession;
 
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.alderyard.common.concurrent.Futures;
@@ -54,36 +56,20 @@
 
   private void reportIfDue() {
     long now = context.clock().nowNanos();
-    ReportPrimariesRequest.Builder report =
-        ReportPrimariesRequest.newBuilder().setHost(self.value());
-    boolean anyUnresponsive = false;
-    for (GroupState group : context.views().current().groups().values()) {
-      GroupRouting routing = context.routings().of(group.id());
-      var observed = routing.observedPrimary(group, now);
-      if (observed.isEmpty()) {
-        continue;
-      }
-      if (observed.get().unresponsiveMillis() > 0) {
-        anyUnresponsive = true;
-        refresher.probePrimary(group, now);
-      }
-      report.addSightings(
-          PrimarySighting.newBuilder()
-              .setGroup(group.id().value())
-              .setServer(observed.get().server().value())
-              .setSilentMillis((int) observed.get().unresponsiveMillis()));
-    }
+    Map<GroupId, GroupRouting.ObservedPrimary> observed = observe(now);
+    boolean anyUnresponsive =
+        observed.values().stream().anyMatch(primary -> primary.unresponsiveMillis() > 0);
     boolean due =
         anyUnresponsive
             || lastReportHadUnresponsive
             || now - lastReportNanos >= STEADY_STATE_REPORT_NANOS;
-    if (!due || report.getSightingsCount() == 0 || !reportInFlight.compareAndSet(false, true)) {
+    if (!due || observed.isEmpty() || !reportInFlight.compareAndSet(false, true)) {
       return;
     }
     lastReportHadUnresponsive = anyUnresponsive;
     lastReportNanos = now;
     control
-        .callIdempotent(ControlMethods.REPORT_PRIMARIES, report.build(), TIMEOUT)
+        .callIdempotent(ControlMethods.REPORT_PRIMARIES, report(observed), TIMEOUT)
         .whenComplete(
             (reply, failure) -> {
               reportInFlight.set(false);
@@ -100,4 +86,38 @@
                       context.clock().nowNanos());
             });
   }
+
+  /**
+   * Returns the primaries that this host has used recently, and probes those without a response.
+   */
+  private Map<GroupId, GroupRouting.ObservedPrimary> observe(long nowNanos) {
+    Map<GroupId, GroupRouting.ObservedPrimary> observed = new LinkedHashMap<>();
+    for (GroupState group : context.views().current().groups().values()) {
+      context
+          .routings()
+          .of(group.id())
+          .observedPrimary(group, nowNanos)
+          .ifPresent(
+              primary -> {
+                observed.put(group.id(), primary);
+                if (primary.unresponsiveMillis() > 0) {
+                  refresher.probePrimary(group, nowNanos);
+                }
+              });
+    }
+    return observed;
+  }
+
+  private ReportPrimariesRequest report(Map<GroupId, GroupRouting.ObservedPrimary> observed) {
+    ReportPrimariesRequest.Builder report =
+        ReportPrimariesRequest.newBuilder().setHost(self.value());
+    observed.forEach(
+        (group, primary) ->
+            report.addSightings(
+                PrimarySighting.newBuilder()
+                    .setGroup(group.value())
+                    .setServer(primary.server().value())
+                    .setSilentMillis((int) primary.unresponsiveMillis())));
+    return report.build();
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -126,7 +126,7 @@
 
   /** Serves the requests of other hosts. */
   public void serve(Dispatcher dispatcher) {
-    dispatcher.serve(
+    dispatcher.serveOnNetworkThread(
         DataMethods.TAKE_QUOTA,
         (peer, request) -> CompletableFuture.completedFuture(counter.take(request)));
   }
