--- /dev/null
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -0,0 +1,119 @@
+package org.alderyard.control.log;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.alderyard.control.raft.MembershipChange;
+import org.alderyard.control.raft.MembershipChange.Verdict;
+import org.alderyard.control.raft.RaftCore;
+import org.alderyard.control.raft.Role;
+import org.alderyard.protocol.generated.raft.Member;
+import org.alderyard.protocol.generated.raft.Replacement;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the requests of replicas that join and of voters that stop, and makes the membership changes
+ * of the leader. Used only on the serial loop.
+ */
+final class MembershipRepair {
+  private static final Logger log = LoggerFactory.getLogger(MembershipRepair.class);
+  private static final int JOIN_REQUEST_RETENTION_ROUNDS = 20;
+  // Short enough that a learner takes the vote of a host that is gone before the next host may be
+  // lost. A voter that returns later joins as a learner.
+  private static final long VOTER_LOST_AFTER_MILLIS = 2_000;
+  // Several intervals of the requests of a voter that stops.
+  private static final long LEAVING_RETENTION_MILLIS = 1_000;
+
+  private final Optional<OpenMembership> openMembership;
+  private final long joinRetentionMillis;
+  private final Map<String, PendingJoin> joinRequests = new HashMap<>();
+  // The time of the last request of each voter that stops.
+  private final Map<Long, Long> leavingVoters = new HashMap<>();
+
+  MembershipRepair(Optional<OpenMembership> openMembership, Duration joinInterval) {
+    this.openMembership = openMembership;
+    joinRetentionMillis = JOIN_REQUEST_RETENTION_ROUNDS * joinInterval.toMillis();
+  }
+
+  private record PendingJoin(Member member, long receivedMillis) {}
+
+  /** Records the request of a replica to join. */
+  void recordJoin(Member member, long nowMillis) {
+    joinRequests.put(member.getAddress(), new PendingJoin(member, nowMillis));
+  }
+
+  /** Returns whether replicas ask to join, or voters stop, so that a change may become due. */
+  boolean isPending() {
+    return !joinRequests.isEmpty() || !leavingVoters.isEmpty();
+  }
+
+  /** Makes the next membership change if this host is the leader and one is due. */
+  void repair(RaftCore core, long nowMillis) {
+    if (core.role() != Role.LEADER) {
+      return;
+    }
+    joinRequests
+        .values()
+        .removeIf(
+            join ->
+                nowMillis - join.receivedMillis() > joinRetentionMillis
+                    || core.membership().isVoter(join.member().getReplicaId()));
+    leavingVoters.values().removeIf(since -> nowMillis - since > LEAVING_RETENTION_MILLIS);
+    Optional<MembershipChange> change = plan(core).nextChange(candidates(core));
+    if (change.isPresent() && core.changeMembership(change.get()) == Verdict.ACCEPTED) {
+      log.info("event=membership-repair change=\"{}\" term={}", change.get(), core.term());
+    }
+  }
+
+  private MembershipRepairPlan plan(RaftCore core) {
+    if (openMembership.isEmpty()) {
+      return new MembershipRepairPlan(core.membership(), core::hasCaughtUp);
+    }
+    return new MembershipRepairPlan(
+        core.membership(),
+        core::hasCaughtUp,
+        openMembership.get().voterCount(),
+        replicaId -> core.unresponsiveMillis(replicaId) > VOTER_LOST_AFTER_MILLIS,
+        leavingVoters::containsKey);
+  }
+
+  /**
+   * Returns the replicas that may become voters: those that ask to join, and, with an open
+   * membership, the learners. A new leader has not received the requests of the learners yet.
+   */
+  private Collection<Member> candidates(RaftCore core) {
+    Map<Long, Member> candidates = new LinkedHashMap<>();
+    if (openMembership.isPresent()) {
+      core.membership().members().stream()
+          .filter(member -> !member.getVoter())
+          .forEach(member -> candidates.put(member.getReplicaId(), member));
+    }
+    joinRequests
+        .values()
+        .forEach(join -> candidates.put(join.member().getReplicaId(), join.member()));
+    return candidates.values();
+  }
+
+  /** Handles the request of a voter that stops, and returns how far its replacement is. */
+  Replacement replace(RaftCore core, long replicaId, long nowMillis) {
+    if (core.role() != Role.LEADER || openMembership.isEmpty()) {
+      return Replacement.REPLACEMENT_UNKNOWN;
+    }
+    if (!core.membership().isVoter(replicaId)) {
+      return core.isMembershipCommitted()
+          ? Replacement.REPLACEMENT_DONE
+          : Replacement.REPLACEMENT_IN_PROGRESS;
+    }
+    boolean begun = core.membership().voters().size() > openMembership.get().voterCount();
+    if (!begun && !plan(core).hasSuccessor(candidates(core))) {
+      return Replacement.REPLACEMENT_IMPOSSIBLE;
+    }
+    leavingVoters.put(replicaId, nowMillis);
+    repair(core, nowMillis);
+    return Replacement.REPLACEMENT_IN_PROGRESS;
+  }
+}
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -1,9 +1,7 @@
 package org.alderyard.control.log;
 
 import java.net.InetSocketAddress;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,7 +14,6 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.Membership;
 import org.alderyard.control.raft.MembershipChange;
-import org.alderyard.control.raft.MembershipChange.Verdict;
 import org.alderyard.control.raft.RaftCore;
 import org.alderyard.control.raft.Role;
 import org.alderyard.control.store.DataFolder;
@@ -40,12 +37,6 @@
  */
 final class ReplicaHost {
   private static final Logger log = LoggerFactory.getLogger(ReplicaHost.class);
-  private static final int JOIN_REQUEST_RETENTION_ROUNDS = 20;
-  // Short enough that a learner takes the vote of a host that is gone before the next host may be
-  // lost. A voter that returns later joins as a learner.
-  private static final long VOTER_LOST_AFTER_MILLIS = 2_000;
-  // Several intervals of the requests of a voter that stops.
-  private static final long LEAVING_RETENTION_MILLIS = 1_000;
   // A learner that waits to become a voter repeats its request only so that the leader keeps it.
   private static final long LEARNER_JOIN_INTERVAL_MILLIS = 2_000;
 
@@ -55,11 +46,9 @@
   private final PendingRequests pending;
   private final DataFolder folder;
   private final Member self;
-  private final Map<String, InetSocketAddress> listedMembers = new LinkedHashMap<>();
+  private final MemberAddresses addresses;
   private final Map<Long, Member> senders = new HashMap<>();
-  private final Map<String, PendingJoin> joinRequests = new HashMap<>();
-  // The time of the last request of each voter that stops.
-  private final Map<Long, Long> leavingVoters = new HashMap<>();
+  private final MembershipRepair repair;
   private final JoinPoller joinPoller;
   private long nextJoinMillis;
   private String lastLoggedReason = "";
@@ -76,7 +65,7 @@
     this.loop = loop;
     this.snapshotExecutor = snapshotExecutor;
     this.pending = pending;
-    builder.members.forEach(address -> listedMembers.put(Addresses.text(address), address));
+    addresses = new MemberAddresses(builder.members, builder.openMembership.isPresent());
     folder = DataFolder.open(builder.dataFolder, builder.clusterId, builder.host, builder.random);
     self =
         Member.newBuilder()
@@ -84,6 +73,7 @@
             .setHostId(builder.host.value())
             .setAddress(Addresses.text(builder.address))
             .build();
+    repair = new MembershipRepair(builder.openMembership, builder.options.joinInterval());
     joinPoller =
         new JoinPoller(
             builder.links, loop, builder.options, self, this::joinTargets, this::onJoinRound);
@@ -95,7 +85,7 @@
       folder.close();
       throw failure;
     }
-    builder.dispatcher.serve(RaftMethods.MESSAGES, this::onMessages);
+    builder.dispatcher.serveOnNetworkThread(RaftMethods.MESSAGES, this::onMessages);
     builder.dispatcher.serve(RaftMethods.JOIN, this::onJoin);
   }
 
@@ -104,7 +94,7 @@
    * known control hosts to join one.
    */
   private Map<String, InetSocketAddress> joinTargets() {
-    Map<String, InetSocketAddress> joinTargets = new LinkedHashMap<>(listedMembers);
+    Map<String, InetSocketAddress> joinTargets = addresses.listed();
     if (!mayFoundCluster()) {
       builder
           .openMembership
@@ -128,7 +118,7 @@
     boolean foundersRecorded = folder.identity().getFounders().getMembersCount() > 0;
     return driver == null
         && (builder.openMembership.get().mayFound() || foundersRecorded)
-        && listedMembers.containsKey(self.getAddress());
+        && addresses.isListed(self.getAddress());
   }
 
   long nowMillis() {
@@ -189,15 +179,7 @@
         .membership()
         .member(replicaId)
         .or(() -> Optional.ofNullable(senders.get(replicaId)))
-        .flatMap(member -> resolve(member.getAddress()));
-  }
-
-  private Optional<InetSocketAddress> resolve(String endpoint) {
-    Optional<InetSocketAddress> known = Optional.ofNullable(listedMembers.get(endpoint));
-    if (known.isPresent() || builder.openMembership.isEmpty()) {
-      return known;
-    }
-    return Addresses.parse(endpoint);
+        .flatMap(member -> addresses.resolve(member.getAddress()));
   }
 
   void tick(long nowMillis) {
@@ -206,7 +188,7 @@
     }
     if (driver != null) {
       driver.core().tick(nowMillis);
-      repairMembership(nowMillis);
+      repair.repair(driver.core(), nowMillis);
       recordAdmission();
     }
     if (needsToJoin() && nowMillis >= nextJoinMillis) {
@@ -215,6 +197,32 @@
     }
   }
 
+  /**
+   * Returns the time before which {@link #tick(long)} has nothing to do. While the membership may
+   * have to change, that is the next interval of the options, since the reasons have no deadline.
+   */
+  long nextTickMillis() {
+    if (closed) {
+      return Long.MAX_VALUE;
+    }
+    long nextMillis = needsToJoin() ? nextJoinMillis : Long.MAX_VALUE;
+    if (driver == null) {
+      return nextMillis;
+    }
+    nextMillis = Math.min(nextMillis, driver.core().nextTickMillis());
+    boolean membershipPending = repair.isPending() || awaitsAdmission();
+    return membershipPending
+        ? Math.min(nextMillis, nowMillis() + builder.options.tick().toMillis())
+        : nextMillis;
+  }
+
+  /** Dates the proposal or read that follows. */
+  void advanceTo(long nowMillis) {
+    if (driver != null) {
+      driver.core().advanceTo(nowMillis);
+    }
+  }
+
   private long joinIntervalMillis() {
     boolean awaitsPromotion =
         driver != null
@@ -237,16 +245,19 @@
           || driver.core().leader().isEmpty()
           || !driver.core().membership().isVoter(self.getReplicaId());
     }
-    return driver == null || (isNewcomer() && !folder.identity().getAdmitted());
+    return driver == null || awaitsAdmission();
   }
 
   private boolean isNewcomer() {
     return folder.identity().getFounders().getMembersCount() == 0;
   }
 
+  private boolean awaitsAdmission() {
+    return isNewcomer() && !folder.identity().getAdmitted();
+  }
+
   private void recordAdmission() {
-    boolean admitted = folder.identity().getAdmitted() || !isNewcomer();
-    if (!admitted && driver.core().membership().isVoter(self.getReplicaId())) {
+    if (awaitsAdmission() && driver.core().membership().isVoter(self.getReplicaId())) {
       folder.writeIdentity(folder.identity().toBuilder().setAdmitted(true).build());
       log.info("event=admitted replica={}", self.getReplicaId());
     }
@@ -285,75 +296,6 @@
         folder.identity().toBuilder().setFounders(founders).setFormed(formed).build());
   }
 
-  private void repairMembership(long nowMillis) {
-    RaftCore core = driver.core();
-    if (core.role() != Role.LEADER) {
-      return;
-    }
-    long retentionMillis =
-        JOIN_REQUEST_RETENTION_ROUNDS * builder.options.joinInterval().toMillis();
-    joinRequests
-        .values()
-        .removeIf(
-            entry ->
-                nowMillis - entry.receivedMillis > retentionMillis
-                    || core.membership().isVoter(entry.member.getReplicaId()));
-    leavingVoters.values().removeIf(since -> nowMillis - since > LEAVING_RETENTION_MILLIS);
-    Optional<MembershipChange> change = repairPlan(core).nextChange(candidates(core));
-    if (change.isPresent() && core.changeMembership(change.get()) == Verdict.ACCEPTED) {
-      log.info("event=membership-repair change=\"{}\" term={}", change.get(), core.term());
-    }
-  }
-
-  private MembershipRepairPlan repairPlan(RaftCore core) {
-    if (builder.openMembership.isEmpty()) {
-      return new MembershipRepairPlan(core.membership(), core::hasCaughtUp);
-    }
-    return new MembershipRepairPlan(
-        core.membership(),
-        core::hasCaughtUp,
-        builder.openMembership.get().voterCount(),
-        replicaId -> core.unresponsiveMillis(replicaId) > VOTER_LOST_AFTER_MILLIS,
-        leavingVoters::containsKey);
-  }
-
-  /**
-   * Returns the replicas that may become voters: those that ask to join, and, with an open
-   * membership, the learners. A new leader has not received the requests of the learners yet.
-   */
-  private Collection<Member> candidates(RaftCore core) {
-    Map<Long, Member> candidates = new LinkedHashMap<>();
-    if (builder.openMembership.isPresent()) {
-      core.membership().members().stream()
-          .filter(member -> !member.getVoter())
-          .forEach(member -> candidates.put(member.getReplicaId(), member));
-    }
-    joinRequests
-        .values()
-        .forEach(join -> candidates.put(join.member().getReplicaId(), join.member()));
-    return candidates.values();
-  }
-
-  /** Handles the request of a voter that stops, and returns how far its replacement is. */
-  private Replacement replace(Member voter, long nowMillis) {
-    Optional<RaftCore> leading = core().filter(core -> core.role() == Role.LEADER);
-    if (leading.isEmpty() || builder.openMembership.isEmpty()) {
-      return Replacement.REPLACEMENT_UNKNOWN;
-    }
-    RaftCore core = leading.get();
-    if (!core.membership().isVoter(voter.getReplicaId())) {
-      return core.isMembershipCommitted()
-          ? Replacement.REPLACEMENT_DONE
-          : Replacement.REPLACEMENT_IN_PROGRESS;
-    }
-    boolean begun = core.membership().voters().size() > builder.openMembership.get().voterCount();
-    if (!begun && !repairPlan(core).hasSuccessor(candidates(core))) {
-      return Replacement.REPLACEMENT_IMPOSSIBLE;
-    }
-    leavingVoters.put(voter.getReplicaId(), nowMillis);
-    return Replacement.REPLACEMENT_IN_PROGRESS;
-  }
-
   /**
    * Hands the vote of this replica over to a learner. Completes at once if this replica has no vote
    * or the voters are fixed by the settings; never fails.
@@ -369,7 +311,7 @@
     List<InetSocketAddress> others =
         driver.core().membership().members().stream()
             .filter(member -> member.getReplicaId() != self.getReplicaId())
-            .flatMap(member -> resolve(member.getAddress()).stream())
+            .flatMap(member -> addresses.resolve(member.getAddress()).stream())
             .toList();
     return new VoteHandOver(builder.links, workers, self, builder.options)
         .run(others, timeoutMillis);
@@ -411,14 +353,13 @@
               Member member = request.getSelf();
               boolean fromSender = member.getHostId().equals(peer.host().value());
               boolean permitted =
-                  builder.openMembership.isPresent()
-                      || listedMembers.containsKey(member.getAddress());
+                  builder.openMembership.isPresent() || addresses.isListed(member.getAddress());
               if (request.getNewcomer() && fromSender && permitted) {
-                joinRequests.put(member.getAddress(), new PendingJoin(member, nowMillis));
+                repair.recordJoin(member, nowMillis);
               }
               Replacement replacement =
-                  request.getLeaving() && fromSender
-                      ? replace(member, nowMillis)
+                  request.getLeaving() && fromSender && driver != null
+                      ? repair.replace(driver.core(), member.getReplicaId(), nowMillis)
                       : Replacement.REPLACEMENT_UNKNOWN;
               reply.complete(
                   JoinReply.newBuilder()
@@ -454,7 +395,7 @@
         core.role() == Role.LEADER,
         core.hasCommittedInTerm(),
         leader.map(member -> new HostId(member.getHostId())),
-        leader.flatMap(member -> resolve(member.getAddress())),
+        leader.flatMap(member -> addresses.resolve(member.getAddress())),
         driver.appliedIndex(),
         driver.snapshotIndex(),
         core.membership());
@@ -468,6 +409,4 @@
     }
     folder.close();
   }
-
-  private record PendingJoin(Member member, long receivedMillis) {}
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/VoteHandOver.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/VoteHandOver.java
@@ -53,7 +53,7 @@
             Duration.ofMillis(REQUEST_INTERVAL_MILLIS), () -> requestFrom(hosts));
     return result.whenComplete(
         (replacement, failure) -> {
-          requests.cancel(false);
+          requests.cancel();
           log.info("event=vote-handed-over replica={} result={}", self.getReplicaId(), replacement);
         });
   }
