Log the stages of a start with their processor time

After a loss of power the time to the first served statement was read from lines of different kinds, and no line gave the processor time, which binds hosts with 0.12 to 0.9 of a core.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/Daemon.java
@@ -1,10 +1,13 @@
 package org.alderyard.daemon;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.start.StartLog;
+import org.alderyard.common.start.StartStage;
 import org.alderyard.control.log.ControlLog;
 import org.alderyard.protocol.control.ControlDiscovery;
 import org.alderyard.protocol.wire.InnerServer;
@@ -15,6 +18,9 @@
 public final class Daemon implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(Daemon.class);
 
+  /** A leader that is found later is not a matter of the start. */
+  private static final Duration MAX_RECORDED_LEADER_WAIT = Duration.ofSeconds(30);
+
   private final HostContext host;
   private final CompletableFuture<Void> whenOperatorPortsOpen = new CompletableFuture<>();
   private Optional<Drainable> drainable = Optional.empty();
@@ -26,8 +32,13 @@
    * @throws RuntimeException if a component fails to start
    */
   public Daemon(DaemonSettings settings) {
+    this(settings, new StartLog());
+  }
+
+  /** Starts all components as above and records the stages of the start. */
+  Daemon(DaemonSettings settings, StartLog startLog) {
     log.info("event=starting host={} roles={}", settings.host(), settings.roles());
-    host = new HostContext(settings);
+    host = new HostContext(settings, startLog);
     try {
       start(settings);
       log.info(
@@ -84,6 +95,7 @@
             host.controlWorkers,
             host.viewClient::leaseValid,
             () -> controlLog.map(ControlLog::memberAddresses).orElse(List.of()));
+    controlLog.ifPresent(this::recordLeader);
     discovery.serve(host.dispatcher);
     host.register(
         new InnerServer(
@@ -92,6 +104,7 @@
             host.longTimeoutProtocol,
             host.dispatcher,
             host.controlWorkers));
+    host.startLog.reached(StartStage.INNER_PORT);
     // Closed before the inner port: a leader hands over while other hosts can still reach it.
     controlLog.ifPresent(host::register);
     host.register(host.viewClient);
@@ -104,6 +117,13 @@
             });
   }
 
+  private void recordLeader(ControlLog controlLog) {
+    host.startLog.reached(StartStage.CONTROL_LOG);
+    controlLog
+        .whenLeaderKnown(MAX_RECORDED_LEADER_WAIT)
+        .thenRun(() -> host.startLog.reached(StartStage.LEADER));
+  }
+
   /** Applies changes of the settings file that need no restart: the log options and the seeds. */
   void watchSettings(Path file) {
     new SettingsWatch(file, host.workers, this::applyReloadable).start();
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonMain.java
@@ -2,11 +2,15 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.start.ProcessUse;
+import org.alderyard.common.start.StartLog;
+import org.alderyard.common.start.StartStage;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -27,15 +31,17 @@
    * Runs the daemon until the process is asked to stop; exits with an {@link ExitCode} on failure.
    */
   public static void main(String[] args) throws InterruptedException {
+    Optional<ProcessUse> useAtStart = ProcessUse.read();
     LogProvider.install();
     DisabledMbeanServerBuilder.install();
-    ExitCode code = run(args, System.out, System.err);
+    ExitCode code = run(args, System.out, System.err, useAtStart);
     if (code != ExitCode.OK) {
       System.exit(code.number());
     }
   }
 
-  private static ExitCode run(String[] args, PrintStream out, PrintStream err)
+  private static ExitCode run(
+      String[] args, PrintStream out, PrintStream err, Optional<ProcessUse> useAtStart)
       throws InterruptedException {
     CommandLine line;
     try {
@@ -51,7 +57,7 @@
         out.println("settings are valid: " + line.getOptionValue("settings"));
         return ExitCode.OK;
       }
-      runUntilShutdown(settings, Path.of(line.getOptionValue("settings")));
+      runUntilShutdown(settings, Path.of(line.getOptionValue("settings")), useAtStart);
       return ExitCode.OK;
     } catch (AlderyardException failure) {
       err.println(failure.code() + ": " + failure.getMessage());
@@ -60,10 +66,14 @@
   }
 
   /** Runs the daemon until shutdown, or throws the error that made it fail. */
-  private static void runUntilShutdown(DaemonSettings settings, Path file)
+  private static void runUntilShutdown(
+      DaemonSettings settings, Path file, Optional<ProcessUse> useAtStart)
       throws InterruptedException {
     settings.log().apply();
-    Daemon daemon = new Daemon(settings);
+    StartLog startLog = new StartLog();
+    startLog.reached(StartStage.PROGRAM, useAtStart);
+    startLog.reached(StartStage.SETTINGS);
+    Daemon daemon = new Daemon(settings, startLog);
     daemon.watchSettings(file);
     CompletableFuture<Void> ended = new CompletableFuture<>();
     daemon.failure().thenAccept(ended::completeExceptionally);
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -16,6 +16,7 @@
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.http.HttpPort;
+import org.alderyard.common.start.StartLog;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
 import org.alderyard.protocol.control.ControlClient;
@@ -58,6 +59,7 @@
   private static final int CONTROL_THREADS = 2;
 
   final DaemonSettings settings;
+  final StartLog startLog;
   final MonotonicClock clock = MonotonicClock.system();
   final InstantSource wallClock = InstantSource.system();
   final PrometheusRegistry registry = new PrometheusRegistry();
@@ -94,8 +96,9 @@
   private final Deque<AutoCloseable> components = new ArrayDeque<>();
   private Optional<XnioWorker> ioWorker = Optional.empty();
 
-  HostContext(DaemonSettings settings) {
+  HostContext(DaemonSettings settings, StartLog startLog) {
     this.settings = settings;
+    this.startLog = startLog;
     LogOptions.registerDroppedCounter(registry);
     workers = register(new WorkerPool("worker", settings.workerThreads()));
     controlWorkers =
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -8,6 +8,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.http.MetricsHandler;
 import org.alderyard.common.id.ServerId;
+import org.alderyard.common.start.StartStage;
 import org.alderyard.platform.CallerPort;
 import org.alderyard.platform.ControlPort;
 import org.alderyard.platform.WireSessionConnector;
@@ -93,7 +94,8 @@
                 host.settings.roles().contains(Role.CONTROL)
                     ? CONTROL_HOST_SERVING_DELAY
                     : Duration.ZERO,
-                host.settings.readOptions().routingLogSample()));
+                host.settings.readOptions().routingLogSample()),
+            host.startLog);
     quota =
         new QuotaService(
             host.self,
@@ -105,14 +107,17 @@
             options.quotaTolerance(),
             host.registry);
     host.views.onChange(quota::onViewChange);
-    new LeaseClient(
+    host.viewClient.onLeaseConfirmed(() -> host.startLog.reached(StartStage.VIEW_LEASE));
+    LeaseClient leaseClient =
+        new LeaseClient(
             host.control,
             host.self,
             host.views,
             leases,
             sessions.pools(),
-            new SmoothedConnectionTarget(sessions.pools()::takeMeanDemand))
-        .start(host.workers, LEASE_INTERVAL);
+            new SmoothedConnectionTarget(sessions.pools()::takeMeanDemand));
+    leaseClient.onGrants(() -> host.startLog.reached(StartStage.CONNECTION_LEASE));
+    leaseClient.start(host.workers, LEASE_INTERVAL);
   }
 
   private int initialConnections(ServerId server) {
@@ -137,6 +142,7 @@
                     sessions,
                     host.workers,
                     host.clock)));
+    host.startLog.reached(StartStage.CALLER_PORT);
     log.info("event=listening port=callers address={}", host.settings.callerAddress());
     quota.serve(host.dispatcher);
     sessions.limitOperations(quota);
@@ -169,6 +175,7 @@
     }
     try {
       openHttpPorts();
+      host.startLog.reached(StartStage.HTTP_PORTS);
       whenOperatorPortsOpen.complete(null);
     } catch (AlderyardException bindFailure) {
       host.failure.complete(bindFailure);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -14,6 +14,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.Outcome;
 import org.alderyard.common.id.HostId;
+import org.alderyard.common.start.StartStage;
 import org.alderyard.common.view.HostState;
 import org.alderyard.protocol.generated.statement.HeldStatementReply;
 import org.slf4j.Logger;
@@ -222,6 +223,9 @@
             ? Optional.of(new HeldElsewhere(forwarder, holder, transaction))
             : Optional.empty();
     context.metrics().countForwarded("answered");
+    if (reply.succeeded()) {
+      context.startLog().reached(StartStage.STATEMENT);
+    }
     StatementForwarder.ForwardedReply forwarded =
         new StatementForwarder.ForwardedReply(reply, location);
     synchronized (this) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -14,6 +14,8 @@
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.start.StartLog;
+import org.alderyard.common.start.StartStage;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
@@ -39,6 +41,7 @@
   private static final long RECENT_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final ReadScores scores;
+  private final StartLog startLog;
   // Guarded by this.
   private final Map<ServerId, ServerTracker> trackers = new HashMap<>();
   private final PositionSamples samples = new PositionSamples();
@@ -47,7 +50,8 @@
   private final PrimaryEstimate primaryEstimate = new PrimaryEstimate();
   private final Map<ServerId, Long> leavingSinceNanos = new HashMap<>();
 
-  GroupRouting(ZoneName zone) {
+  GroupRouting(ZoneName zone, StartLog startLog) {
+    this.startLog = startLog;
     scores = new ReadScores(zone);
   }
 
@@ -117,6 +121,7 @@
 
   /** Adds a position that came with a proof that the server is the primary. */
   void addSample(long requestedNanos, Position position) {
+    startLog.reached(StartStage.SAMPLE);
     List<CompletableFuture<Void>> futures;
     synchronized (this) {
       samples.add(requestedNanos, position);
@@ -238,6 +243,7 @@
 
   /** Records that a server accepted a statement that only a primary accepts. */
   void confirmPrimary(ServerState server) {
+    startLog.reached(StartStage.PRIMARY_PROOF);
     boolean changed;
     synchronized (this) {
       changed = primaryEstimate.confirm(server.id());
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
@@ -5,22 +5,25 @@
 import java.util.function.Consumer;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.start.StartLog;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.View;
 
 /** Routing state of all database groups. */
 final class GroupRoutings {
   private final ZoneName zone;
+  private final StartLog startLog;
   private final Map<GroupId, GroupRouting> routings = new ConcurrentHashMap<>();
   private final BlockedPromotions blockedPromotions = new BlockedPromotions();
   private volatile Consumer<GroupState> primarySearch = group -> {};
 
-  GroupRoutings(ZoneName zone) {
+  GroupRoutings(ZoneName zone, StartLog startLog) {
     this.zone = zone;
+    this.startLog = startLog;
   }
 
   GroupRouting of(GroupId group) {
-    return routings.computeIfAbsent(group, id -> new GroupRouting(zone));
+    return routings.computeIfAbsent(group, id -> new GroupRouting(zone, startLog));
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
@@ -11,6 +11,7 @@
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.log.LogLimiter;
+import org.alderyard.common.start.StartLog;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
@@ -31,6 +32,7 @@
  * @param leasedViews the current view with its lease, for refusals that depend on the lease
  * @param routineLog selects the successful statements that are logged
  * @param refusalLog bounds the logged refusals of databases that are not in the view
+ * @param startLog records the first proof of a primary, sample and statement of this process
  */
 record SessionContext(
     ViewHolder views,
@@ -42,7 +44,8 @@
     SessionMetrics metrics,
     LeasedView.Source leasedViews,
     LogSampler routineLog,
-    LogLimiter refusalLog) {
+    LogLimiter refusalLog,
+    StartLog startLog) {
   /**
    * Timeout of a rollback, after which the connection is closed. A rollback needs no slot on the
    * server, so that it does not wait for other statements.
@@ -61,6 +64,7 @@
     Objects.requireNonNull(leasedViews);
     Objects.requireNonNull(routineLog);
     Objects.requireNonNull(refusalLog);
+    Objects.requireNonNull(startLog);
   }
 
   List<ServerState> servers(GroupId group) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -18,6 +18,8 @@
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.log.LogLimiter;
+import org.alderyard.common.start.StartLog;
+import org.alderyard.common.start.StartStage;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.HostState;
@@ -58,6 +60,7 @@
    *
    * @param zone the availability zone of this host
    * @param viewConfirmed whether the control hosts have recently confirmed this host's view
+   * @param startLog records the stages up to the first statement
    */
   public SessionService(
       ViewHolder views,
@@ -69,7 +72,8 @@
       InstantSource wallClock,
       PrometheusRegistry registry,
       BooleanSupplier viewConfirmed,
-      SessionLimits limits) {
+      SessionLimits limits,
+      StartLog startLog) {
     ConnectionPools<PooledSession> pools =
         new ConnectionPools<>(
             (server, owner, timeout) ->
@@ -78,7 +82,7 @@
                     .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
             clock);
-    GroupRoutings routings = new GroupRoutings(zone);
+    GroupRoutings routings = new GroupRoutings(zone, startLog);
     SessionMetrics metrics = new SessionMetrics(registry);
     context =
         new SessionContext(
@@ -91,7 +95,8 @@
             metrics,
             LeasedView.Source.of(views::current, viewConfirmed),
             new LogSampler(limits.routineLogSample()),
-            new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND));
+            new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND),
+            startLog);
     refresher = new SampleRefresher(context);
     operationLimiter = new OperationLimiter(views);
     local = new LocalStatements(context, new ReadFloors(context, refresher), operationLimiter);
@@ -105,6 +110,7 @@
     views.onChange(
         view -> {
           if (view.configuration().isPresent() && firstView.complete(null)) {
+            startLog.reached(StartStage.VIEW);
             startServing(limits.servingDelay());
           }
         });
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -17,6 +17,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.ServerId;
+import org.alderyard.common.start.StartStage;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.proxy.view.LeasedView;
@@ -241,6 +242,9 @@
     boolean first = result.complete(new Result(reply, pinned));
     if (first) {
       context.metrics().recordTriedServers(attemptCount());
+      if (reply.succeeded()) {
+        context.startLog().reached(StartStage.STATEMENT);
+      }
     }
     return first;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/lease/LeaseClient.java
@@ -40,6 +40,7 @@
   private final ConnectionPools<?> pools;
   private final ConnectionTarget target;
   private final AtomicLong sequence = new AtomicLong();
+  private volatile Runnable grantListener = () -> {};
   private final AtomicBoolean requestPending = new AtomicBoolean();
 
   /**
@@ -62,6 +63,11 @@
     this.target = Objects.requireNonNull(target);
   }
 
+  /** Sets a listener that is called after each reply with grants. */
+  public void onGrants(Runnable listener) {
+    grantListener = listener;
+  }
+
   /** Starts renewing leases at the default interval. */
   public void start(WorkerPool workers) {
     start(workers, DEFAULT_INTERVAL);
@@ -136,5 +142,8 @@
       leases.reply(server, reply.getSequence(), grant.getConnections(), leaseNanos);
     }
     pools.enforceAllowances(views.current().servers().values());
+    if (reply.getGrantsCount() > 0) {
+      grantListener.run();
+    }
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -58,6 +58,7 @@
   private HostTime lastHeartbeat;
   private final DependencyLog heartbeats = new DependencyLog(log, "heartbeat");
   private final List<Runnable> leaseLapseListeners = new CopyOnWriteArrayList<>();
+  private final List<Runnable> leaseConfirmedListeners = new CopyOnWriteArrayList<>();
   // Whether a heartbeat was sent because the time of day ended the lease.
   private final AtomicBoolean renewing = new AtomicBoolean();
   private volatile boolean closed;
@@ -151,6 +152,11 @@
     leaseLapseListeners.add(listener);
   }
 
+  /** Adds a listener that is notified of each reply after which the lease is valid. */
+  public void onLeaseConfirmed(Runnable listener) {
+    leaseConfirmedListeners.add(listener);
+  }
+
   private void notifyIfInterrupted(ViewVersion newest) {
     if (lease.interrupted(newest, now())) {
       leaseLapseListeners.forEach(Runnable::run);
@@ -211,6 +217,7 @@
       lease.recordConfirmation(current, sent, reply.getLeaseMillis(), now());
       if (lease.valid(now())) {
         renewing.set(false);
+        leaseConfirmedListeners.forEach(Runnable::run);
       }
       overtakeIfStillBehind();
     } else {
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/LeavingPrimaryTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/LeavingPrimaryTest.java
@@ -9,6 +9,7 @@
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.start.StartLog;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
@@ -30,7 +31,7 @@
               new InetSocketAddress("127.0.0.1", 1),
               ServerStatus.LEAVING));
 
-  private final GroupRouting routing = new GroupRouting(ZONE);
+  private final GroupRouting routing = new GroupRouting(ZONE, new StartLog());
 
   private boolean isUsedAfterMillis(long millis) {
     return !routing
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -27,6 +27,7 @@
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.start.StartLog;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.Bytes;
 import org.alderyard.common.view.ConfigurationState;
@@ -105,7 +106,8 @@
             () -> Instant.ofEpochMilli(clock.nowMillis()),
             new PrometheusRegistry(),
             this::readLease,
-            new SessionLimits(100, servingDelay, 1));
+            new SessionLimits(100, servingDelay, 1),
+            new StartLog());
     publish("s1", group.states());
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
@@ -13,6 +13,7 @@
 import org.alderyard.backend.session.SessionRequest;
 import org.alderyard.backend.session.SessionStatement.Write;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.start.StartLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -137,7 +138,7 @@
 
     long nowNanos = System.nanoTime();
     assertThat(caller.write("a", "2").succeeded()).isTrue();
-    GroupRouting routing = new GroupRouting(new ZoneName("z1"));
+    GroupRouting routing = new GroupRouting(new ZoneName("z1"), new StartLog());
     routing.responseLost(fixture.group.states().get(0), nowNanos);
     assertThat(routing.inBackoff(fixture.group.states().get(0), nowNanos)).isFalse();
   }
