--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
@@ -32,6 +32,8 @@
   private final ControlLog controlLog;
   private final ControlState state;
   private final ViewFeed feed;
+  private final SnapshotReplies wholeViews =
+      new SnapshotReplies(current -> snapshotReply(current, Set.of()));
 
   ViewService(ControlLog controlLog, ControlState state, ViewFeed feed) {
     this.controlLog = controlLog;
@@ -64,20 +66,23 @@
         .whenLeaderKnown(leaderWait)
         .thenCompose(done -> controlLog.readBarrier())
         .thenApply(
-            done -> {
-              ViewChange current = state.current();
-              ViewSnapshot all = ViewCodec.snapshot(current.view());
-              ViewSnapshot filtered =
-                  all.toBuilder()
-                      .clearObjects()
-                      .addAllObjects(
-                          filter(withoutSources(all.getObjectsList()).objects(), groupFilter))
-                      .build();
-              return FetchViewReply.newBuilder()
-                  .setSnapshot(filtered)
-                  .setChainHash(current.chainHash())
-                  .build();
-            });
+            done ->
+                groupFilter.isEmpty()
+                    ? wholeViews.of(state.current())
+                    : snapshotReply(state.current(), groupFilter));
+  }
+
+  private static FetchViewReply snapshotReply(ViewChange current, Set<String> groupFilter) {
+    ViewSnapshot all = ViewCodec.snapshot(current.view());
+    ViewSnapshot filtered =
+        all.toBuilder()
+            .clearObjects()
+            .addAllObjects(filter(withoutSources(all.getObjectsList()).objects(), groupFilter))
+            .build();
+    return FetchViewReply.newBuilder()
+        .setSnapshot(filtered)
+        .setChainHash(current.chainHash())
+        .build();
   }
 
   private static FetchViewReply deltas(List<ViewDelta> deltas, Set<String> groupFilter) {
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Frames.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Frames.java
@@ -1,7 +1,6 @@
 package org.alderyard.protocol.wire;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.MessageLite;
 import java.time.Duration;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
@@ -30,10 +29,9 @@
         .build();
   }
 
-  static Envelope reply(long correlationId, MessageLite payload) {
+  static Envelope reply(long correlationId, ByteString payload) {
     return Envelope.newBuilder()
-        .setReply(
-            Reply.newBuilder().setCorrelationId(correlationId).setPayload(payload.toByteString()))
+        .setReply(Reply.newBuilder().setCorrelationId(correlationId).setPayload(payload))
         .build();
   }
 
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/InnerServer.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/InnerServer.java
@@ -30,6 +30,7 @@
   private final Dispatcher dispatcher;
   private final Executor workers;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final SharedEncoding encoding = new SharedEncoding();
   private final Channel listener;
 
   /**
@@ -146,7 +147,8 @@
         channel.config().setAutoRead(true);
       }
       long id = request.getCorrelationId();
-      channel.writeAndFlush(failure == null ? Frames.reply(id, reply) : Frames.error(id, failure));
+      channel.writeAndFlush(
+          failure == null ? Frames.reply(id, encoding.encode(reply)) : Frames.error(id, failure));
     }
 
     @Override
--- /dev/null
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/SharedEncoding.java
@@ -0,0 +1,34 @@
+package org.alderyard.protocol.wire;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.MessageLite;
+
+/**
+ * Encodes replies and keeps the bytes of the last large one, so that a message that many peers wait
+ * for is encoded once.
+ *
+ * <p>After a loss of power all hosts fetch the same view from a leader whose code is not compiled
+ * yet. Thread-safe; a lost race only repeats an encoding.
+ */
+final class SharedEncoding {
+  /** Size from which a reply is kept, in bytes; smaller ones would only displace it. */
+  static final int MIN_KEPT_BYTES = 1_024;
+
+  private volatile Kept kept = new Kept(null, ByteString.EMPTY);
+
+  /** A message, compared by identity, and its bytes. */
+  private record Kept(MessageLite message, ByteString bytes) {}
+
+  /** Returns the bytes of a message. */
+  ByteString encode(MessageLite message) {
+    Kept last = kept;
+    if (last.message() == message) {
+      return last.bytes();
+    }
+    ByteString bytes = message.toByteString();
+    if (bytes.size() >= MIN_KEPT_BYTES) {
+      kept = new Kept(message, bytes);
+    }
+    return bytes;
+  }
+}
