Refuse openings at once on a host that has just started, by a setting

After a loss of power a host without a view holds openings for up to 1 s. A caller with an objective of 254 ms and 1.2 s in all is then late or has no time for another host, and the refusal names no time to come back.

StartAdmission decides the wait and the retry time. The preset, wait, keeps wait and text.

Not measured in a fleet.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -21,6 +21,7 @@
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.SettingsSpec;
+import org.alderyard.proxy.callersession.StartOpenings;
 
 /** Specification of all daemon settings. */
 public final class DaemonSpec {
@@ -239,6 +240,14 @@
           "5min",
           "maximum idle time of a caller's connection");
 
+  static final Setting<StartOpenings> START_OPENINGS =
+      Setting.preset(
+          "load",
+          "start-openings",
+          word(StartOpenings.class),
+          "wait",
+          "session openings before a started host has its first view: wait up to 1 s, or refuse");
+
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
           "tls",
@@ -302,6 +311,7 @@
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
               IDLE_TIMEOUT,
+              START_OPENINGS,
               TLS_KEYSTORE_FILE,
               TLS_PASSWORD_FILE,
               TLS_PORTS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -94,7 +94,8 @@
                 host.settings.roles().contains(Role.CONTROL)
                     ? CONTROL_HOST_SERVING_DELAY
                     : Duration.ZERO,
-                host.settings.readOptions().routingLogSample()),
+                host.settings.readOptions().routingLogSample(),
+                options.startOpenings()),
             host.startLog);
     quota =
         new QuotaService(
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.alderyard.common.settings.SettingsException;
+import org.alderyard.proxy.callersession.StartOpenings;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -51,6 +52,15 @@
     assertThat(settings.tls().forPort(TlsPort.OPERATOR)).isEmpty();
   }
 
+  /** Guards deployments that set nothing against refusals where openings waited before. */
+  @Test
+  void startOpeningsWaitUnlessSet() throws IOException {
+    String sessions = validSettings + "[sessions]\nready-address = 127.0.0.1:7002\n";
+    assertThat(read(sessions).sessions().get().startOpenings()).isEqualTo(StartOpenings.WAIT);
+    String refusing = sessions + "[load]\nstart-openings = refuse\n";
+    assertThat(read(refusing).sessions().get().startOpenings()).isEqualTo(StartOpenings.REFUSE);
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
@@ -12,9 +12,14 @@
  * @param servingDelay how long after its first view the host begins to serve callers; not zero on
  *     hosts that all other hosts depend on at that time
  * @param routineLogSample one of this many successful statements is logged
+ * @param startOpenings what happens to openings before the first view
  */
 public record SessionLimits(
-    int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
+    int maxSessions,
+    Duration admissionTimeout,
+    Duration servingDelay,
+    int routineLogSample,
+    StartOpenings startOpenings) {
   /**
    * Covers the duration of an election, and is half of the time after which callers give up opening
    * a session.
@@ -25,10 +30,18 @@
   public SessionLimits {
     Objects.requireNonNull(admissionTimeout);
     Objects.requireNonNull(servingDelay);
+    Objects.requireNonNull(startOpenings);
+  }
+
+  /** Creates limits under which openings wait for the first view. */
+  public SessionLimits(
+      int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
+    this(maxSessions, admissionTimeout, servingDelay, routineLogSample, StartOpenings.WAIT);
   }
 
   /** Creates limits with the default admission timeout. */
-  public SessionLimits(int maxSessions, Duration servingDelay, int routineLogSample) {
-    this(maxSessions, DEFAULT_ADMISSION_TIMEOUT, servingDelay, routineLogSample);
+  public SessionLimits(
+      int maxSessions, Duration servingDelay, int routineLogSample, StartOpenings startOpenings) {
+    this(maxSessions, DEFAULT_ADMISSION_TIMEOUT, servingDelay, routineLogSample, startOpenings);
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.alderyard.backend.session.Refusal;
@@ -47,6 +48,8 @@
   private final OperationLimiter operationLimiter;
   private final int maxSessions;
   private final long admissionTimeoutMillis;
+  private final StartAdmission startAdmission;
+  private final long startMillis;
   private final boolean delaysServing;
   private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> firstView = new CompletableFuture<>();
@@ -105,6 +108,8 @@
     registerGauges(metrics);
     maxSessions = limits.maxSessions();
     admissionTimeoutMillis = limits.admissionTimeout().toMillis();
+    startAdmission = new StartAdmission(limits.startOpenings(), limits.admissionTimeout());
+    startMillis = clock.nowMillis();
     delaysServing = !limits.servingDelay().isZero();
     views.onChange(view -> routings.onViewChange(view, clock.nowNanos()));
     views.onChange(
@@ -238,13 +243,12 @@
     if (draining || servingStarted.isDone()) {
       return CompletableFuture.completedFuture(refusal(database, identity));
     }
-    return awaitServing().thenApply(ignored -> refusal(database, identity));
+    return awaitServing(startAdmission.maxWait().toMillis())
+        .thenApply(ignored -> refusal(database, identity));
   }
 
-  private CompletableFuture<Void> awaitServing() {
-    return servingStarted
-        .copy()
-        .completeOnTimeout(null, admissionTimeoutMillis, TimeUnit.MILLISECONDS);
+  private CompletableFuture<Void> awaitServing(long timeoutMillis) {
+    return servingStarted.copy().completeOnTimeout(null, timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -253,7 +257,7 @@
    */
   public void whenServing(Runnable task) {
     if (delaysServing) {
-      awaitServing().thenRun(task);
+      awaitServing(admissionTimeoutMillis).thenRun(task);
     } else {
       task.run();
     }
@@ -270,7 +274,8 @@
     Optional<ConfigurationState> configuration = context.views().current().configuration();
     if (configuration.isEmpty()) {
       return Optional.of(
-          new Refusal(RefusalCode.BUSY, "this host has not received a configuration yet"));
+          startAdmission.refusal(
+              context.clock().nowMillis() - startMillis, ThreadLocalRandom.current().nextDouble()));
     }
     return new SessionAccess(context, database, identity).decide().refusal();
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -106,7 +106,7 @@
             () -> Instant.ofEpochMilli(clock.nowMillis()),
             new PrometheusRegistry(),
             this::readLease,
-            new SessionLimits(100, servingDelay, 1),
+            new SessionLimits(100, servingDelay, 1, StartOpenings.WAIT),
             new StartLog());
     publish("s1", group.states());
   }
