--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.alderyard.backend.session.Refusal;
@@ -18,6 +19,8 @@
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.log.LogLimiter;
+import org.alderyard.common.start.StartLog;
+import org.alderyard.common.start.StartStage;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.HostState;
@@ -45,6 +48,8 @@
   private final OperationLimiter operationLimiter;
   private final int maxSessions;
   private final long admissionTimeoutMillis;
+  private final StartAdmission startAdmission;
+  private final long startMillis;
   private final boolean delaysServing;
   private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> firstView = new CompletableFuture<>();
@@ -58,6 +63,7 @@
    *
    * @param zone the availability zone of this host
    * @param viewConfirmed whether the control hosts have recently confirmed this host's view
+   * @param startLog records the stages up to the first statement
    */
   public SessionService(
       ViewHolder views,
@@ -69,7 +75,8 @@
       InstantSource wallClock,
       PrometheusRegistry registry,
       BooleanSupplier viewConfirmed,
-      SessionLimits limits) {
+      SessionLimits limits,
+      StartLog startLog) {
     ConnectionPools<PooledSession> pools =
         new ConnectionPools<>(
             (server, owner, timeout) ->
@@ -78,7 +85,7 @@
                     .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
             clock);
-    GroupRoutings routings = new GroupRoutings(zone);
+    GroupRoutings routings = new GroupRoutings(zone, startLog);
     SessionMetrics metrics = new SessionMetrics(registry);
     context =
         new SessionContext(
@@ -91,7 +98,8 @@
             metrics,
             LeasedView.Source.of(views::current, viewConfirmed),
             new LogSampler(limits.routineLogSample()),
-            new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND));
+            new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND),
+            startLog);
     refresher = new SampleRefresher(context);
     operationLimiter = new OperationLimiter(views);
     local = new LocalStatements(context, new ReadFloors(context, refresher), operationLimiter);
@@ -100,11 +108,14 @@
     registerGauges(metrics);
     maxSessions = limits.maxSessions();
     admissionTimeoutMillis = limits.admissionTimeout().toMillis();
+    startAdmission = new StartAdmission(limits.startOpenings(), limits.admissionTimeout());
+    startMillis = clock.nowMillis();
     delaysServing = !limits.servingDelay().isZero();
     views.onChange(view -> routings.onViewChange(view, clock.nowNanos()));
     views.onChange(
         view -> {
           if (view.configuration().isPresent() && firstView.complete(null)) {
+            startLog.reached(StartStage.VIEW);
             startServing(limits.servingDelay());
           }
         });
@@ -232,13 +243,12 @@
     if (draining || servingStarted.isDone()) {
       return CompletableFuture.completedFuture(refusal(database, identity));
     }
-    return awaitServing().thenApply(ignored -> refusal(database, identity));
+    return awaitServing(startAdmission.maxWait().toMillis())
+        .thenApply(ignored -> refusal(database, identity));
   }
 
-  private CompletableFuture<Void> awaitServing() {
-    return servingStarted
-        .copy()
-        .completeOnTimeout(null, admissionTimeoutMillis, TimeUnit.MILLISECONDS);
+  private CompletableFuture<Void> awaitServing(long timeoutMillis) {
+    return servingStarted.copy().completeOnTimeout(null, timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -247,7 +257,7 @@
    */
   public void whenServing(Runnable task) {
     if (delaysServing) {
-      awaitServing().thenRun(task);
+      awaitServing(admissionTimeoutMillis).thenRun(task);
     } else {
       task.run();
     }
@@ -264,7 +274,8 @@
     Optional<ConfigurationState> configuration = context.views().current().configuration();
     if (configuration.isEmpty()) {
       return Optional.of(
-          new Refusal(RefusalCode.BUSY, "this host has not received a configuration yet"));
+          startAdmission.refusal(
+              context.clock().nowMillis() - startMillis, ThreadLocalRandom.current().nextDouble()));
     }
     return new SessionAccess(context, database, identity).decide().refusal();
   }
