Add server health decisions: outlier ejection and an adaptive pace

Cause: each host estimates a server's few slots on its own, so that all hosts pay for a failing server again, and a server that has just started is flooded, or ignored for good once cold answers have spoilt its score.

Change: proxy.serverhealth decides per group which servers get no reads, and bounds the concurrent statements of a server that has just started; its answers determine the bound. protocol.health sums the reports of hosts.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
@@ -18,6 +19,11 @@
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
 import org.alderyard.proxy.callersession.WaitingStatements.Need;
+import org.alderyard.proxy.serverhealth.FleetSize;
+import org.alderyard.proxy.serverhealth.GroupHealth;
+import org.alderyard.proxy.serverhealth.HealthOptions;
+import org.alderyard.proxy.serverhealth.ReadOutcome;
+import org.alderyard.proxy.serverhealth.ReadReport;
 
 /**
  * Routing state of one database group: ranks its servers by what this host has observed of them.
@@ -38,8 +44,17 @@
   /** Age up to which a response of the primary still shows that it is available. */
   private static final long RECENT_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /**
+   * Latency of a server that has recovered, as a multiple of the best other one: half of the hosts
+   * prefer it at once, and the others once their servers become slower.
+   */
+  private static final double MIN_RECOVERED_LATENCY_FACTOR = 0.8;
+
+  private static final double RECOVERED_LATENCY_SPREAD = 0.4;
+
   private final ReadScores scores;
   // Guarded by this.
+  private final GroupHealth health;
   private final Map<ServerId, ServerTracker> trackers = new HashMap<>();
   private final PositionSamples samples = new PositionSamples();
   private final Set<CompletableFuture<Void>> sampleFutures = new LinkedHashSet<>();
@@ -48,7 +63,12 @@
   private final Map<ServerId, Long> leavingSinceNanos = new HashMap<>();
 
   GroupRouting(ZoneName zone) {
+    this(zone, new GroupHealth(HealthOptions.DEFAULT, 0, () -> FleetSize.SINGLE));
+  }
+
+  GroupRouting(ZoneName zone, GroupHealth health) {
     scores = new ReadScores(zone);
+    this.health = health;
   }
 
   /**
@@ -156,7 +176,17 @@
           new ScoredServer(server, scores.millis(server, tracker, isPrimary, floor, nowNanos)));
     }
     scored.sort(Comparator.comparingDouble(ScoredServer::millis));
-    return scored.stream().map(ScoredServer::server).toList();
+    List<ServerState> ranked = scored.stream().map(ScoredServer::server).toList();
+    return health.arrange(
+        ranked,
+        server ->
+            primary.filter(server.id()::equals).isEmpty() && likelyHolds(server, floor, nowNanos),
+        server -> !tracker(server).inBackoff(nowNanos),
+        nowNanos);
+  }
+
+  private boolean likelyHolds(ServerState server, Floor floor, long nowNanos) {
+    return tracker(server).likelyHolds(floor.position(), nowNanos - floor.sinceNanos());
   }
 
   /**
@@ -263,6 +293,7 @@
   synchronized void started(ServerState server, long nowNanos) {
     tracker(server).started();
     tracker(server).refusals().recordAttempt(nowNanos);
+    health.started(server);
   }
 
   /**
@@ -272,6 +303,7 @@
   void ended(ServerState server) {
     synchronized (this) {
       tracker(server).ended();
+      health.ended(server);
     }
     waitingStatements.notifyFirst(Need.LEAD, 1);
     waitingStatements.notifyFirst(Need.READ, 1);
@@ -289,6 +321,43 @@
     ServerTracker tracker = tracker(server);
     tracker.answered(nowNanos, tookNanos, ran);
     shown.ifPresent(tracker::recordPosition);
+    health.answered(server, nowNanos);
+  }
+
+  /** Records what came back for a read that any server of the group may run. */
+  synchronized void recordRead(
+      ServerState server, ReadOutcome outcome, long tookNanos, long nowNanos) {
+    health.read(server, outcome, tookNanos, nowNanos);
+    resetLatencies();
+  }
+
+  /** Applies what other hosts reported of the group's servers. */
+  synchronized void applyReports(Map<Integer, ReadReport> reports, long nowNanos) {
+    health.applyReports(reports, nowNanos);
+    resetLatencies();
+  }
+
+  /**
+   * Lets servers that have recovered take part in the choice again. Their scores stem from the time
+   * before, and a host only learns about the servers that it chooses.
+   */
+  private void resetLatencies() {
+    double factor = MIN_RECOVERED_LATENCY_FACTOR + RECOVERED_LATENCY_SPREAD * health.phase();
+    for (ServerId recovered : health.takeRecovered()) {
+      trackers.entrySet().stream()
+          .filter(entry -> !entry.getKey().equals(recovered))
+          .mapToDouble(entry -> entry.getValue().latencyMillis())
+          .min()
+          .ifPresent(
+              best ->
+                  Optional.ofNullable(trackers.get(recovered))
+                      .ifPresent(tracker -> tracker.resetLatency(best * factor)));
+    }
+  }
+
+  /** Queries the health of the group's servers under the lock of this object. */
+  synchronized <T> T queryHealth(Function<GroupHealth, T> query) {
+    return query.apply(health);
   }
 
   /** Records that a server ran a statement and answered that it failed. */
@@ -308,6 +377,7 @@
 
   synchronized void failed(ServerState server, long nowNanos) {
     tracker(server).failed(nowNanos);
+    health.unanswered(server);
   }
 
   /**
@@ -376,6 +446,7 @@
         .filter(server -> server.status() == ServerStatus.LEAVING)
         .forEach(server -> leavingSinceNanos.putIfAbsent(server.id(), nowNanos));
     trackers.keySet().removeIf(id -> servers.stream().noneMatch(server -> server.id().equals(id)));
+    health.retain(servers.stream().map(ServerState::id).toList());
   }
 
   private ServerTracker tracker(ServerState server) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ResponseTracker.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ResponseTracker.java
@@ -112,6 +112,11 @@
     return latencyMillis;
   }
 
+  /** Replaces the latency of earlier responses, which no longer tell of the peer. */
+  void resetLatency(double millis) {
+    latencyMillis = millis;
+  }
+
   boolean answeredWithin(long nowNanos, long nanos) {
     return answered && nowNanos - lastAnswerNanos <= nanos;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -14,6 +14,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.view.ServerState;
+import org.alderyard.proxy.serverhealth.ReadOutcome;
 
 /**
  * One attempt to run a statement on one server: acquires a connection, applies the session values,
@@ -80,6 +81,7 @@
       routing.recordReplaced(server);
     } else if (!StatementRun.isConnectionLimit(failure)) {
       routing.failed(server, context.clock().nowNanos());
+      recordRead(ReadOutcome.FAILED, 0, context.clock().nowNanos());
     }
     run.recordFailure(server, Futures.toAlderyardException(failure).code());
     retryElsewhere();
@@ -166,6 +168,13 @@
     retryElsewhere();
   }
 
+  /** Records what came back, unless only the primary could run the statement. */
+  private void recordRead(ReadOutcome outcome, long tookNanos, long nowNanos) {
+    if (!requirement.needsPrimary() && task.kind() == StatementKind.READ) {
+      routing.recordRead(server, outcome, tookNanos, nowNanos);
+    }
+  }
+
   /** Records why a server refused. */
   private void recordRefusal(SessionReply refused) {
     RefusalCode code = refused.refusal().orElseThrow().code();
@@ -244,6 +253,7 @@
     } else {
       routing.responseLost(server, now);
     }
+    recordRead(ReadOutcome.FAILED, now - sentNanos, now);
     context.metrics().countLostReply();
     run.recordFailure(server, "lost-after-sending");
     context.discard(server, session);
@@ -282,6 +292,7 @@
     routing.answered(server, now, now - sentNanos, !refusedBeforeRun(reply), reply.position());
     context.metrics().recordServerTime(now - sentNanos);
     if (reply.succeeded()) {
+      recordRead(ReadOutcome.ANSWERED, now - sentNanos, now);
       log.succeeded(now, sentNanos, run.attemptCount());
       handleSuccess(session, reply);
       return;
@@ -296,6 +307,9 @@
     }
     if (code == RefusalCode.FAILED) {
       routing.recordFailed(server, now);
+      recordRead(ReadOutcome.FAILED, now - sentNanos, now);
+    } else if (code == RefusalCode.BUSY) {
+      recordRead(ReadOutcome.REFUSED, now - sentNanos, now);
     }
     // The first read of a transaction too: the server rolls back, and the caller knows of nothing.
     boolean mayRetryFailure = code == RefusalCode.FAILED && isRepeatable();
