Share server health with heartbeats and add the settings of section [load]

Cause: the decisions on server health need the settings, and the reports of other hosts.

Change: `server-knowledge = local | shared` and `server-pace = none | adaptive`, by default local and none. Hosts add what they observed to the heartbeats that they send anyway; the leader sums it in memory, and its replies hold the sums of the others. `cold_remaining_ms` of a server's heartbeat is decoded into Announcement.cold_remaining_millis and travels in the same replies, without a view change. A wrong value of it is ignored, as it is only a hint.

--- a/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
@@ -7,6 +7,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ServerFingerprint;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
@@ -25,6 +26,7 @@
 import org.alderyard.protocol.generated.control.ServerExpiry;
 import org.alderyard.protocol.generated.state.Server;
 import org.alderyard.protocol.generated.state.Status;
+import org.alderyard.protocol.health.ReadReportTable;
 import org.alderyard.protocol.view.StateCodec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,6 +50,7 @@
   private final Proposer proposer;
   private final MonotonicClock clock;
   private final LeaderLeases leases;
+  private final ReadReportTable readReports = new ReadReportTable();
 
   RegistryService(
       ControlLog controlLog, ControlState state, Proposer proposer, MonotonicClock clock) {
@@ -99,6 +102,10 @@
             announcement.getSequence());
         continue;
       }
+      readReports.recordCold(
+          ServerFingerprint.of(server.id(), server.incarnation()),
+          announcement.getColdRemainingMillis(),
+          clock.nowNanos());
       leases.renewServer(server, receivedMillis + announcement.getLeaseMillis());
       if (changesState(announcement, server, known)) {
         log.info(
@@ -160,10 +167,18 @@
               if (!request.getLeaving()) {
                 leases.renewHost(host, StateCodec.version(request.getRunning()), receivedMillis);
               }
-              return HeartbeatReply.newBuilder()
-                  .setCurrent(StateCodec.versionMessage(state.view().version()))
-                  .setLeaseMillis(LeaderLeases.VIEW_LEASE_MILLIS)
-                  .build();
+              HeartbeatReply.Builder reply =
+                  HeartbeatReply.newBuilder()
+                      .setCurrent(StateCodec.versionMessage(state.view().version()))
+                      .setLeaseMillis(LeaderLeases.VIEW_LEASE_MILLIS);
+              if (request.getWantsReads()) {
+                reply
+                    .setHasReads(true)
+                    .addAllReads(
+                        readReports.exchange(
+                            host.id().value(), request.getReadsList(), clock.nowNanos()));
+              }
+              return reply.build();
             });
   }
 
--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlHost.java
@@ -17,6 +17,7 @@
 import org.alderyard.protocol.generated.control.FetchViewRequest;
 import org.alderyard.protocol.generated.control.HeartbeatReply;
 import org.alderyard.protocol.generated.control.HeartbeatRequest;
+import org.alderyard.protocol.generated.control.ServerReads;
 import org.alderyard.protocol.generated.control.SubmitTicketReply;
 import org.alderyard.protocol.generated.control.SubmitTicketRequest;
 import org.alderyard.protocol.generated.state.Endpoint;
@@ -97,22 +98,31 @@
   }
 
   HeartbeatReply heartbeat(String host, long incarnation, ViewFollower follower, boolean leaving) {
-    return service
-        .registry()
-        .heartbeat(
-            HeartbeatRequest.newBuilder()
-                .setHost(
-                    Host.newBuilder()
-                        .setId(host)
-                        .setIncarnation(incarnation)
-                        .setZone("z")
-                        .setInnerAddress(ADDRESS)
-                        .setCallerAddress(ADDRESS)
-                        .setProxy(true))
-                .setRunning(StateCodec.versionMessage(follower.view().version()))
-                .setLeaving(leaving)
-                .build())
-        .join();
+    HeartbeatRequest.Builder request =
+        heartbeatRequest(host, incarnation)
+            .setRunning(StateCodec.versionMessage(follower.view().version()))
+            .setLeaving(leaving);
+    return service.registry().heartbeat(request.build()).join();
+  }
+
+  private static HeartbeatRequest.Builder heartbeatRequest(String host, long incarnation) {
+    return HeartbeatRequest.newBuilder()
+        .setHost(
+            Host.newBuilder()
+                .setId(host)
+                .setIncarnation(incarnation)
+                .setZone("z")
+                .setInnerAddress(ADDRESS)
+                .setCallerAddress(ADDRESS)
+                .setProxy(true));
+  }
+
+  /** Sends a heartbeat of a host that shares what it observes of servers. */
+  HeartbeatReply heartbeat(String host, ServerReads reads) {
+    HeartbeatRequest.Builder request = heartbeatRequest(host, 1);
+    request.setRunning(StateCodec.versionMessage(ViewFollower.EMPTY.view().version()));
+    request.setWantsReads(true).addReads(reads);
+    return service.registry().heartbeat(request.build()).join();
   }
 
   HeartbeatReply heartbeatOfOldIncarnation(String host) {
--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
@@ -14,12 +14,16 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.ServerFingerprint;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.ManualClock;
 import org.alderyard.common.view.ServerStatus;
+import org.alderyard.common.view.ViewVersion;
 import org.alderyard.control.state.TicketObjects;
 import org.alderyard.protocol.generated.control.FetchConfigurationRequest;
+import org.alderyard.protocol.generated.control.HeartbeatReply;
 import org.alderyard.protocol.generated.control.ReplaceConfigurationRequest;
+import org.alderyard.protocol.generated.control.ServerReads;
 import org.alderyard.protocol.generated.control.SubmitTicketRequest;
 import org.alderyard.protocol.generated.control.Ticket;
 import org.alderyard.protocol.generated.control.TicketStatusRequest;
@@ -314,6 +318,30 @@
         .isEqualTo(ErrorCode.PEER_REJECTED);
   }
 
+  /**
+   * Guards against a view change for each cold heartbeat, and against replies without a request.
+   */
+  @Test
+  void heartbeatsCarryReadsOfOtherHostsAndColdServers() {
+    first.announce(announcement("s1", 5).setColdRemainingMillis(900));
+    ViewVersion announced = first.state.view().version();
+    first.announce(announcement("s1", 5).setColdRemainingMillis(400));
+    assertThat(first.state.view().version()).isEqualTo(announced);
+
+    int server = ServerFingerprint.of(new ServerId("s1"), 5);
+    first.heartbeat("h1", ServerReads.newBuilder().setServer(server).setFailed(3).build());
+    HeartbeatReply reply =
+        first.heartbeat("h2", ServerReads.newBuilder().setServer(server).setFailed(1).build());
+    assertThat(reply.getReadsList())
+        .containsExactly(
+            ServerReads.newBuilder()
+                .setServer(server)
+                .setFailed(3)
+                .setColdRemainingMillis(400)
+                .build());
+    assertThat(first.heartbeat("h3", 1, ViewFollower.EMPTY, false).getHasReads()).isFalse();
+  }
+
   /** A proxy that lags by 300 changes gets all of them in one reply. */
   @Test
   void laggingHostGetsAllDeltasInOneReply() {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -20,6 +20,7 @@
 import org.alderyard.protocol.wire.ClusterKey;
 import org.alderyard.proxy.quota.QuotaTolerance;
 import org.alderyard.proxy.read.ReadOptions;
+import org.alderyard.proxy.serverhealth.HealthOptions;
 
 /**
  * Validated settings of one daemon process.
@@ -207,7 +208,10 @@
                     settings.find(DaemonSpec.APPOINTER_ADDRESS),
                     settings.get(DaemonSpec.GRACE),
                     settings.get(DaemonSpec.MAX_SESSIONS),
-                    quotaTolerance(settings)));
+                    quotaTolerance(settings),
+                    new HealthOptions(
+                        settings.get(DaemonSpec.SERVER_KNOWLEDGE),
+                        settings.get(DaemonSpec.SERVER_PACE))));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -21,6 +21,8 @@
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.SettingsSpec;
+import org.alderyard.proxy.serverhealth.PaceMode;
+import org.alderyard.proxy.serverhealth.ServerKnowledge;
 
 /** Specification of all daemon settings. */
 public final class DaemonSpec {
@@ -239,6 +241,21 @@
           "5min",
           "maximum idle time of a caller's connection");
 
+  static final Setting<ServerKnowledge> SERVER_KNOWLEDGE =
+      Setting.preset(
+          "load",
+          "server-knowledge",
+          word(ServerKnowledge.class),
+          "local",
+          "shared: hosts exchange what they observe of servers, and eject outliers for reads");
+  static final Setting<PaceMode> SERVER_PACE =
+      Setting.preset(
+          "load",
+          "server-pace",
+          word(PaceMode.class),
+          "none",
+          "adaptive: bounds the concurrent statements of a server that has just started");
+
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
           "tls",
@@ -302,6 +319,8 @@
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
               IDLE_TIMEOUT,
+              SERVER_KNOWLEDGE,
+              SERVER_PACE,
               TLS_KEYSTORE_FILE,
               TLS_PASSWORD_FILE,
               TLS_PORTS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -94,6 +94,8 @@
                     ? CONTROL_HOST_SERVING_DELAY
                     : Duration.ZERO,
                 host.settings.readOptions().routingLogSample()));
+    host.viewClient.extendHeartbeats(
+        sessions.useServerHealth(options.health(), host.settings.host()));
     quota =
         new QuotaService(
             host.self,
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
@@ -7,6 +7,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.alderyard.common.settings.SettingsException;
+import org.alderyard.proxy.serverhealth.HealthOptions;
+import org.alderyard.proxy.serverhealth.PaceMode;
+import org.alderyard.proxy.serverhealth.ServerKnowledge;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -51,6 +54,16 @@
     assertThat(settings.tls().forPort(TlsPort.OPERATOR)).isEmpty();
   }
 
+  /** Guards against server health that changes a deployment that does not set it. */
+  @Test
+  void serverHealthIsOffUnlessSet() throws IOException {
+    String sessions = validSettings + "[sessions]\nready-address = 127.0.0.1:7002\n";
+    assertThat(read(sessions).sessions().get().health()).isEqualTo(HealthOptions.DEFAULT);
+    String set = sessions + "[load]\nserver-knowledge = shared\nserver-pace = adaptive\n";
+    assertThat(read(set).sessions().get().health())
+        .isEqualTo(new HealthOptions(ServerKnowledge.SHARED, PaceMode.ADAPTIVE));
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
@@ -1,26 +1,66 @@
 package org.alderyard.proxy.callersession;
 
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.alderyard.common.id.GroupId;
+import org.alderyard.common.id.HostId;
+import org.alderyard.common.id.RendezvousScores;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.view.GroupState;
+import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.View;
+import org.alderyard.proxy.serverhealth.FleetSize;
+import org.alderyard.proxy.serverhealth.GroupHealth;
+import org.alderyard.proxy.serverhealth.HealthOptions;
 
 /** Routing state of all database groups. */
 final class GroupRoutings {
   private final ZoneName zone;
   private final Map<GroupId, GroupRouting> routings = new ConcurrentHashMap<>();
   private final BlockedPromotions blockedPromotions = new BlockedPromotions();
+  private final HolderAssignment assignment = new HolderAssignment();
   private volatile Consumer<GroupState> primarySearch = group -> {};
+  private volatile Function<GroupId, GroupHealth> healthFactory =
+      group -> new GroupHealth(HealthOptions.DEFAULT, 0, () -> FleetSize.SINGLE);
+  private volatile boolean tracksFleet;
+  private volatile Map<GroupId, FleetSize> fleets = Map.of();
 
   GroupRoutings(ZoneName zone) {
     this.zone = zone;
   }
 
   GroupRouting of(GroupId group) {
-    return routings.computeIfAbsent(group, id -> new GroupRouting(zone));
+    return routings.computeIfAbsent(group, id -> new GroupRouting(zone, healthFactory.apply(id)));
+  }
+
+  /**
+   * Applies settings of server health; called before the first statement.
+   *
+   * @param self this host, whose name spreads trials and first statements among the hosts
+   */
+  void useHealth(HealthOptions options, HostId self) {
+    tracksFleet = options.enabled();
+    healthFactory =
+        group ->
+            new GroupHealth(
+                options,
+                fraction(RendezvousScores.nameHash(self + "/" + group)),
+                () -> fleets.getOrDefault(group, FleetSize.SINGLE));
+  }
+
+  /** Maps a hash to a number from 0 to 1. */
+  private static double fraction(long hash) {
+    return (hash >>> 11) * 0x1.0p-53;
+  }
+
+  /** Returns the routing state of all groups that had statements. */
+  Collection<GroupRouting> all() {
+    return routings.values();
   }
 
   /**
@@ -52,7 +92,21 @@
 
   /** Updates the groups and servers to those of a view. */
   void onViewChange(View view, long nowNanos) {
+    if (tracksFleet) {
+      fleets = fleets(view);
+    }
     routings.keySet().removeIf(group -> view.group(group).isEmpty());
     routings.forEach((group, routing) -> routing.updateServers(view.serversOf(group), nowNanos));
   }
+
+  /** The hosts that send statements to a group's servers: its holders, or all. */
+  private Map<GroupId, FleetSize> fleets(View view) {
+    int hosts = (int) view.hosts().values().stream().filter(HostState::acceptsNewWork).count();
+    Map<GroupId, FleetSize> sizes = new HashMap<>();
+    for (GroupState group : view.groups().values()) {
+      int senders = assignment.holders(view, group.id()).map(List::size).orElse(hosts);
+      sizes.put(group.id(), new FleetSize(senders, group.slotsPerServer()));
+    }
+    return Map.copyOf(sizes);
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
@@ -32,6 +32,7 @@
   private final Counter forwarded;
   private final Counter readResends;
   private final Counter lostReplies;
+  private final Counter healthChanges;
   private final Map<SessionReads, DistributionDataPoint> durations =
       new EnumMap<>(SessionReads.class);
   private final DistributionDataPoint atServer;
@@ -68,6 +69,12 @@
     readResends = counter("alderyard_session_reads_sent_twice", "Reads sent to a second server.");
     lostReplies =
         counter("alderyard_session_answers_lost", "Answers of servers that did not arrive.");
+    healthChanges =
+        Counter.builder()
+            .name("alderyard_server_health_changes")
+            .help("Decisions about the health of servers, by what changed.")
+            .labelNames("change")
+            .register(registry);
     Histogram total =
         histogram("alderyard_session_statement", "From a statement's arrival to its answer.");
     for (SessionReads reads : SessionReads.values()) {
@@ -138,6 +145,10 @@
     lostReplies.inc();
   }
 
+  void countHealthChange(String change) {
+    healthChanges.labelValues(change).inc();
+  }
+
   private static double seconds(long nanos) {
     return nanos / (double) TimeUnit.SECONDS.toNanos(1);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -28,6 +28,8 @@
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ConnectionPools;
 import org.alderyard.proxy.quota.OrganisationLimiter;
+import org.alderyard.proxy.serverhealth.HealthOptions;
+import org.alderyard.proxy.view.HeartbeatExtension;
 import org.alderyard.proxy.view.LeasedView;
 import org.alderyard.proxy.view.ViewHolder;
 
@@ -38,6 +40,9 @@
   /** Interval of the check for idle transactions: a tenth of the usual idle limit of 3 s. */
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(300);
 
+  /** Time in which decisions about servers may wait for their log lines. */
+  private static final Duration HEALTH_LOG_INTERVAL = Duration.ofMillis(500);
+
   private final SessionContext context;
   private final SampleRefresher refresher;
   private final LocalStatements local;
@@ -144,6 +149,23 @@
     }
   }
 
+  /**
+   * Selects servers by their health; called before {@link #start()}.
+   *
+   * @return the part of heartbeats in which hosts share what they observe of servers
+   */
+  public HeartbeatExtension useServerHealth(HealthOptions options, HostId self) {
+    context.routings().useHealth(options, self);
+    if (options.enabled()) {
+      HealthLog healthLog = new HealthLog(context.routings(), context.metrics());
+      healthLog.registerGauges();
+      context.workers().scheduleRepeatedly(HEALTH_LOG_INTERVAL, healthLog::drain);
+    }
+    return options.shared()
+        ? new HealthExchange(context.routings()::all, context.clock())
+        : HeartbeatExtension.NONE;
+  }
+
   /** Starts the periodic check for idle transactions. */
   public void start() {
     context.workers().scheduleRepeatedly(IDLE_CHECK_INTERVAL, this::endIdleTransactions);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/serverhealth/HealthEvent.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/serverhealth/HealthEvent.java
@@ -1,6 +1,5 @@
 package org.alderyard.proxy.serverhealth;
 
-import java.util.Locale;
 import org.alderyard.common.id.ServerId;
 
 /**
@@ -36,20 +35,4 @@
     /** The bound is gone. */
     FULL_PACE
   }
-
-  /** Returns the line of the log. */
-  public String logLine() {
-    return String.format(
-        Locale.ROOT,
-        "event=server-health change=%s server=%s incarnation=%d reason=%s failed-share=%.2f"
-            + " mean-millis=%.1f peer-millis=%.1f span-millis=%d",
-        kind.name().toLowerCase(Locale.ROOT).replace('_', '-'),
-        server,
-        incarnation,
-        reason,
-        failedShare,
-        meanMillis,
-        peerMillis,
-        spanMillis);
-  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -60,6 +60,7 @@
   private final List<Runnable> leaseLapseListeners = new CopyOnWriteArrayList<>();
   // Whether a heartbeat was sent because the time of day ended the lease.
   private final AtomicBoolean renewing = new AtomicBoolean();
+  private volatile HeartbeatExtension extension = HeartbeatExtension.NONE;
   private volatile boolean closed;
 
   /** Creates a client that sends nothing until {@link #start()}. */
@@ -100,6 +101,11 @@
         new ViewFetcher(control, sourceIndex, timer, clock, this::onView, this::behindTooLong);
   }
 
+  /** Adds data to the heartbeats and receives that of the replies. */
+  public void extendHeartbeats(HeartbeatExtension newExtension) {
+    extension = newExtension;
+  }
+
   /**
    * Starts to fetch views and to send heartbeats.
    *
@@ -224,6 +230,9 @@
     if (sendAnother) {
       timer.schedule(Duration.ZERO, this::heartbeat);
     }
+    if (failure == null) {
+      extension.onReply(reply);
+    }
   }
 
   /** Fetches from the leader unless the fetch in flight brings the overdue version in time. */
@@ -242,13 +251,15 @@
   }
 
   private CompletableFuture<HeartbeatReply> send(boolean leaving) {
-    HeartbeatRequest request =
+    HeartbeatRequest.Builder request =
         HeartbeatRequest.newBuilder()
             .setHost(StateCodec.hostMessage(self))
             .setRunning(StateCodec.versionMessage(holder.current().version()))
-            .setLeaving(leaving)
-            .build();
-    return control.heartbeat(request);
+            .setLeaving(leaving);
+    if (!leaving) {
+      extension.addTo(request);
+    }
+    return control.heartbeat(request.build());
   }
 
   @Override
