--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -20,6 +20,7 @@
 import org.alderyard.protocol.wire.ClusterKey;
 import org.alderyard.proxy.quota.QuotaTolerance;
 import org.alderyard.proxy.read.ReadOptions;
+import org.alderyard.proxy.serverhealth.HealthOptions;
 
 /**
  * Validated settings of one daemon process.
@@ -208,7 +209,10 @@
                     settings.get(DaemonSpec.GRACE),
                     settings.get(DaemonSpec.MAX_SESSIONS),
                     quotaTolerance(settings),
-                    settings.get(DaemonSpec.START_OPENINGS)));
+                    settings.get(DaemonSpec.START_OPENINGS),
+                    new HealthOptions(
+                        settings.get(DaemonSpec.SERVER_KNOWLEDGE),
+                        settings.get(DaemonSpec.SERVER_PACE))));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -22,6 +22,8 @@
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.SettingsSpec;
 import org.alderyard.proxy.callersession.StartOpenings;
+import org.alderyard.proxy.serverhealth.PaceMode;
+import org.alderyard.proxy.serverhealth.ServerKnowledge;
 
 /** Specification of all daemon settings. */
 public final class DaemonSpec {
@@ -247,6 +249,20 @@
           word(StartOpenings.class),
           "wait",
           "session openings before a started host has its first view: wait up to 1 s, or refuse");
+  static final Setting<ServerKnowledge> SERVER_KNOWLEDGE =
+      Setting.preset(
+          "load",
+          "server-knowledge",
+          word(ServerKnowledge.class),
+          "local",
+          "shared: hosts exchange what they observe of servers, and eject outliers for reads");
+  static final Setting<PaceMode> SERVER_PACE =
+      Setting.preset(
+          "load",
+          "server-pace",
+          word(PaceMode.class),
+          "none",
+          "adaptive: bounds the concurrent statements of a server that has just started");
 
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
@@ -312,6 +328,8 @@
               REQUEST_TIMEOUT,
               IDLE_TIMEOUT,
               START_OPENINGS,
+              SERVER_KNOWLEDGE,
+              SERVER_PACE,
               TLS_KEYSTORE_FILE,
               TLS_PASSWORD_FILE,
               TLS_PORTS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.alderyard.proxy.callersession.StartOpenings;
 import org.alderyard.proxy.quota.QuotaTolerance;
+import org.alderyard.proxy.serverhealth.HealthOptions;
 
 /**
  * Settings of a host whose callers open sessions.
@@ -16,6 +17,7 @@
  * @param maxSessions maximum number of concurrent sessions
  * @param quotaTolerance how far an organisation may exceed its limit in a window
  * @param startOpenings what happens to session openings before the first view
+ * @param health how the health of servers influences what they get
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
@@ -24,4 +26,5 @@
     Duration grace,
     int maxSessions,
     QuotaTolerance quotaTolerance,
-    StartOpenings startOpenings) {}
+    StartOpenings startOpenings,
+    HealthOptions health) {}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -97,6 +97,8 @@
                 host.settings.readOptions().routingLogSample(),
                 options.startOpenings()),
             host.startLog);
+    host.viewClient.extendHeartbeats(
+        sessions.useServerHealth(options.health(), host.settings.host()));
     quota =
         new QuotaService(
             host.self,
