Quotas whose counters follow demand (quota-counters = demand)

Cause: with three counters an organisation with rate 5 is refused below its limit, because each counter holds a third of rate and burst. Change: setting [load] quota-counters, default zones. With demand, six counters share rate and burst and the room that the bound of the window leaves; hosts ask the counters that have tokens; each operation is counted before it begins; an operation over the limit is refused at once with a retry time of its own. A counter that starts, joins or was interrupted begins with no tokens.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -21,6 +21,7 @@
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.SettingsSpec;
+import org.alderyard.proxy.quota.QuotaCounters;
 
 /** Specification of all daemon settings. */
 public final class DaemonSpec {
@@ -214,6 +215,13 @@
           decimal(0, 1_000_000),
           "20",
           "operations of an organisation in a window that may exceed its limit in addition");
+  static final Setting<QuotaCounters> QUOTA_COUNTERS =
+      Setting.preset(
+          "load",
+          "quota-counters",
+          word(QuotaCounters.class),
+          "zones",
+          "how the limits of organisations are divided among hosts; the same on all hosts");
   static final Setting<Long> MAX_HEADER_BYTES =
       Setting.preset(
           "limits",
@@ -298,6 +306,7 @@
               QUOTA_WINDOW,
               QUOTA_OVERRUN,
               QUOTA_SLACK,
+              QUOTA_COUNTERS,
               MAX_HEADER_BYTES,
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -103,6 +103,7 @@
             host.workers::schedule,
             host.viewClient::leaseValid,
             options.quotaTolerance(),
+            options.quotaCounters(),
             host.registry);
     host.views.onChange(quota::onViewChange);
     new LeaseClient(
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.alderyard.common.settings.SettingsException;
+import org.alderyard.proxy.quota.QuotaCounters;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -51,6 +52,19 @@
     assertThat(settings.tls().forPort(TlsPort.OPERATOR)).isEmpty();
   }
 
+  /** Guards against a change of how limits are divided where nothing is set. */
+  @Test
+  void limitsAreDividedAmongZonesUnlessDemandIsSet() throws IOException {
+    String sessions = "[sessions]\nready-address = 127.0.0.1:7002\n";
+    String load = "[load]\nquota-counters = demand\n";
+    assertThat(quotaCounters(validSettings + sessions)).isEqualTo(QuotaCounters.ZONES);
+    assertThat(quotaCounters(validSettings + sessions + load)).isEqualTo(QuotaCounters.DEMAND);
+  }
+
+  private QuotaCounters quotaCounters(String text) throws IOException {
+    return read(text).sessions().orElseThrow().quotaCounters();
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterAssignment.java
@@ -21,12 +21,19 @@
   /** Hosts of an availability zone for each counter in it. */
   private static final int HOSTS_PER_COUNTER = 8;
 
-  /** Minimum number of counters of one organisation, so that the others grant while one fails. */
-  private static final int MIN_PARTS = 3;
-
   private static final long POOL_HASH = RendezvousScores.nameHash("quota counters");
 
   private final RendezvousScores scores = new RendezvousScores();
+  private final int minCounters;
+
+  /**
+   * Creates an assignment.
+   *
+   * @param minCounters minimum number of counters of one organisation, if there are as many hosts
+   */
+  CounterAssignment(int minCounters) {
+    this.minCounters = minCounters;
+  }
 
   private record ScoredHost(HostState host, long score) {}
 
@@ -62,8 +69,8 @@
     return zones;
   }
 
-  private static int countersPerZone(int zones) {
-    return Math.max(1, (MIN_PARTS + zones - 1) / Math.max(1, zones));
+  private int countersPerZone(int zones) {
+    return Math.max(1, (minCounters + zones - 1) / Math.max(1, zones));
   }
 
   /** Returns the counters of one organisation, the best of each availability zone first. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/HeldOperations.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/HeldOperations.java
@@ -24,7 +24,11 @@
   /** The weight of a new interval in the mean interval between operations. */
   private static final double INTERVAL_WEIGHT = 0.2;
 
+  /** The time whose operations tell how many are expected, beyond bursts. */
+  private static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   // Guarded by this.
+  private final RecentCount recent = new RecentCount(RECENT_NANOS);
   private final Deque<Long> expiries = new ArrayDeque<>();
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private int startOperations;
@@ -95,6 +99,7 @@
   }
 
   private void recordOperation(long nowNanos) {
+    recent.add(1, nowNanos);
     if (lastOperationNanos != 0) {
       double interval = Math.max(1, nowNanos - lastOperationNanos);
       meanIntervalNanos =
@@ -123,12 +128,26 @@
 
   /** Begins a request; empty if none is needed or one is in flight. */
   synchronized Optional<Request> beginRequest() {
+    return newRequest((int) (HOLD_NANOS / meanIntervalNanos / 2));
+  }
+
+  /**
+   * Begins a request for operations that are counted before they begin; empty if none is needed or
+   * one is in flight.
+   *
+   * @param ahead whether to request some of the operations that are expected; those that expire
+   *     unused are lost to the organisation
+   */
+  synchronized Optional<Request> beginCountedRequest(boolean ahead, long nowNanos) {
+    return newRequest(ahead ? (int) (recent.sum(nowNanos) * HOLD_NANOS / RECENT_NANOS / 2) : 0);
+  }
+
+  private Optional<Request> newRequest(int expected) {
     if (asking || waiting.isEmpty() && !begunUncounted) {
       return Optional.empty();
     }
     asking = true;
-    int operations =
-        waiting.isEmpty() ? 0 : waiting.size() + (int) (HOLD_NANOS / meanIntervalNanos / 2);
+    int operations = waiting.isEmpty() ? 0 : waiting.size() + expected;
     int maxWaitMillis = waiting.isEmpty() ? 0 : waiting.peekFirst().maxWaitMillis();
     return Optional.of(new Request(operations, begunUncounted ? 1 : 0, maxWaitMillis));
   }
@@ -162,6 +181,11 @@
     return admitted;
   }
 
+  /** Forgets that the limit was reached, as it has changed. */
+  synchronized void limitChanged() {
+    exhausted = false;
+  }
+
   /**
    * Ends a request with a reserved token; returns the decision to complete as admitted at its time.
    */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaLedger.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.alderyard.common.view.OrganisationQuota;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,16 +21,13 @@
 final class QuotaLedger {
   private static final Logger log = LoggerFactory.getLogger(QuotaLedger.class);
 
-  /** Longest time that callers are told to wait. */
-  static final int MAX_RETRY_MILLIS = 2_000;
-
   /**
    * The longest time for which a token is reserved. It limits what a successor, which doesn't know
    * of reservations, can grant twice.
    */
   static final int MAX_RESERVE_MILLIS = 250;
 
-  private final QuotaTolerance tolerance;
+  private final LimitShares shares;
   private final long windowNanos;
   // Guarded by this.
   private final Map<String, Account> accounts = new HashMap<>();
@@ -62,8 +60,8 @@
     }
   }
 
-  QuotaLedger(QuotaTolerance tolerance) {
-    this.tolerance = tolerance;
+  QuotaLedger(QuotaTolerance tolerance, LimitShares shares) {
+    this.shares = shares;
     windowNanos = (long) (tolerance.windowSeconds() * TimeUnit.SECONDS.toNanos(1));
   }
 
@@ -78,7 +76,7 @@
     if (account == null) {
       return Optional.empty();
     }
-    int beginsInMillis = account.bucket.millisUntilToken(MAX_RETRY_MILLIS);
+    int beginsInMillis = account.bucket.millisUntilToken(shares.maxRetryMillis());
     if (beginsInMillis > Math.min(withinMillis, MAX_RESERVE_MILLIS)) {
       return Optional.empty();
     }
@@ -104,12 +102,11 @@
       int begun,
       long sinceNanos,
       long nowNanos) {
-    double rate = quota.ratePerSecond() / parts;
-    // A bucket that holds less than one token would never grant any.
-    double capacity = Math.max(1, quota.burst() / parts);
+    double rate = shares.ratePerSecond(quota, parts);
+    double capacity = shares.capacity(quota, parts);
     Account account = accounts.get(organisation);
     if (account == null) {
-      double initial = tolerance.initialOperations(quota) / parts;
+      double initial = shares.initialTokens(quota, parts);
       account =
           new Account(
               new TokenBucket(rate, capacity, initial, sinceNanos),
@@ -128,12 +125,10 @@
     if (wanted > 0 && granted == 0) {
       logExhausted(organisation, account, nowNanos);
     }
-    // If each host begins one more, the bucket owes no more than the tolerance allows.
-    double plentifulTokens = askingHosts - tolerance.unaskedOperations(quota) / parts;
     return new Grant(
         granted,
-        granted > 0 ? 0 : account.bucket.millisUntilToken(MAX_RETRY_MILLIS),
-        account.bucket.tokens() >= Math.max(0, plentifulTokens));
+        granted > 0 ? 0 : account.bucket.millisUntilToken(shares.maxRetryMillis()),
+        shares.plentiful(account.bucket.tokens(), quota, parts, askingHosts));
   }
 
   private void logExhausted(String organisation, Account account, long nowNanos) {
@@ -152,4 +147,9 @@
   synchronized void forget(String organisation) {
     accounts.remove(organisation);
   }
+
+  /** Forgets the organisations that this host does not count. */
+  synchronized void retain(Predicate<String> counted) {
+    accounts.keySet().removeIf(counted.negate());
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaRequest.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaRequest.java
@@ -37,7 +37,7 @@
   private Optional<HostState> lastCounter = Optional.empty();
   private Optional<HostState> soonestCounter = Optional.empty();
   private final int reserveWithinMillis;
-  private int retryAfterMillis = QuotaLedger.MAX_RETRY_MILLIS;
+  private int retryAfterMillis;
 
   /**
    * Result of the request.
@@ -54,24 +54,33 @@
       long sentNanos,
       Optional<HostState> counter,
       boolean plentiful,
-      int beginsInMillis) {}
+      int beginsInMillis) {
+
+    /** Returns this result with another decision. */
+    Result withDecision(QuotaDecision changed) {
+      return new Result(changed, operations, sentNanos, counter, plentiful, beginsInMillis);
+    }
+  }
 
   /**
    * Creates a request.
    *
    * @param message what to request of each counter
    * @param reserveWithinMillis reserves a token that is available within this time; 0 for none
+   * @param maxRetryMillis the longest time that callers are told to wait
    */
   QuotaRequest(
       CounterClient client,
       MonotonicClock clock,
       TakeQuotaRequest message,
       int reserveWithinMillis,
+      int maxRetryMillis,
       List<HostState> counters) {
     this.client = client;
     this.clock = clock;
     this.message = message;
     this.reserveWithinMillis = reserveWithinMillis;
+    this.retryAfterMillis = maxRetryMillis;
     this.remaining = new ArrayDeque<>(counters);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/QuotaService.java
@@ -3,8 +3,6 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,13 +12,13 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.alderyard.common.concurrent.Timer;
-import org.alderyard.common.id.HostId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.OrganisationQuota;
 import org.alderyard.common.view.OrganisationState;
 import org.alderyard.common.view.View;
 import org.alderyard.protocol.data.DataMethods;
+import org.alderyard.protocol.generated.quota.TakeQuotaReply;
 import org.alderyard.protocol.generated.quota.TakeQuotaRequest;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.PeerLinks;
@@ -32,9 +30,6 @@
 public final class QuotaService implements OrganisationLimiter {
   private static final Logger log = LoggerFactory.getLogger(QuotaService.class);
 
-  /** How long a counter that did not reply is asked after the others. */
-  private static final long SILENT_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   /** Time after the first view in which a host may begin its part of the start operations. */
   private static final long START_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -44,9 +39,11 @@
   private final QuotaCounter counter;
   private final CounterClient client;
   private final Map<String, HeldOperations> held = new ConcurrentHashMap<>();
-  private final Map<HostId, Long> silentSinceNanos = new ConcurrentHashMap<>();
+  private final CounterOrder order;
   private final Counter decisions;
   private final QuotaTolerance tolerance;
+  private final LimitShares shares;
+  private final Map<String, OrganisationDemand> demand = new ConcurrentHashMap<>();
   private final Timer timer;
   private final long startNanos;
   private volatile Optional<Long> firstViewNanos = Optional.empty();
@@ -57,6 +54,7 @@
    * @param timer begins operations that have reserved a token
    * @param viewConfirmed whether the control hosts have recently confirmed this host's view
    * @param tolerance how far a limit may be exceeded in a window
+   * @param division how limits are divided among counters, the same on all hosts
    */
   public QuotaService(
       HostState self,
@@ -66,6 +64,7 @@
       Timer timer,
       BooleanSupplier viewConfirmed,
       QuotaTolerance tolerance,
+      QuotaCounters division,
       PrometheusRegistry registry) {
     this(
         self,
@@ -76,6 +75,7 @@
         timer,
         viewConfirmed,
         tolerance,
+        division,
         registry);
   }
 
@@ -87,26 +87,31 @@
       Timer timer,
       BooleanSupplier viewConfirmed,
       QuotaTolerance tolerance,
+      QuotaCounters division,
       PrometheusRegistry registry) {
     this.self = self;
     this.clock = clock;
     this.timer = timer;
     startNanos = clock.nowNanos();
     this.tolerance = tolerance;
-    counters = new CounterView(self, clock);
+    order = new CounterOrder(self, clock);
+    shares = division.shares(tolerance);
+    counters = new CounterView(self, clock, shares);
     counter =
         new QuotaCounter(
             LeasedView.Source.of(views, viewConfirmed),
             counters,
-            new QuotaLedger(tolerance),
+            new QuotaLedger(tolerance, shares),
+            shares,
             clock);
     client =
         (host, request, timeout) ->
-            host.id().equals(self.id())
-                ? CompletableFuture.completedFuture(counter.take(request))
-                : remote
-                    .take(host, request, timeout)
-                    .whenComplete((reply, failure) -> recordReply(host, failure != null));
+            (host.id().equals(self.id())
+                    ? CompletableFuture.completedFuture(counter.take(request))
+                    : remote.take(host, request, timeout))
+                .whenComplete(
+                    (reply, failure) ->
+                        recordReply(request.getOrganisation(), host, Optional.ofNullable(reply)));
     decisions =
         Counter.builder()
             .name("alderyard_operations")
@@ -117,11 +122,20 @@
 
   /** Records a new view. Must be called for each view, in order. */
   public void onViewChange(View view) {
-    if (firstViewNanos.isEmpty()) {
+    boolean first = firstViewNanos.isEmpty();
+    if (first) {
       firstViewNanos = Optional.of(clock.nowNanos());
     }
     counters.update(view);
     counter.onViewChange();
+    if (first && shares.countsBeforeBegin()) {
+      observeConfirmation();
+    }
+  }
+
+  private void observeConfirmation() {
+    counter.observeConfirmation();
+    timer.schedule(Duration.ofNanos(ConfirmationGap.OBSERVATION_NANOS), this::observeConfirmation);
   }
 
   /** Serves the requests of other hosts. */
@@ -140,12 +154,14 @@
     return counter;
   }
 
-  private void recordReply(HostState host, boolean silent) {
-    if (silent) {
-      silentSinceNanos.put(host.id(), clock.nowNanos());
-    } else {
-      silentSinceNanos.remove(host.id());
-    }
+  private void recordReply(String organisation, HostState host, Optional<TakeQuotaReply> reply) {
+    long now = clock.nowNanos();
+    order.recordReply(host, reply.isEmpty());
+    Optional.ofNullable(demand.get(organisation))
+        .ifPresent(
+            known ->
+                reply.ifPresentOrElse(
+                    received -> known.replied(host, received, now), () -> known.silent(host, now)));
   }
 
   @Override
@@ -155,11 +171,56 @@
     }
     HeldOperations operations =
         held.computeIfAbsent(organisation.name(), name -> newOperations(organisation));
+    if (shares.countsBeforeBegin()) {
+      return beginCounted(organisation, operations);
+    }
     CompletableFuture<QuotaDecision> decision = operations.begin(maxWaitMillis, clock.nowNanos());
-    requestOperations(organisation.name(), operations);
+    requestOperations(organisation, operations);
     return decision.thenApply(made -> record(organisation, made));
   }
 
+  /** Begins an operation once it is counted, or refuses it at once. */
+  private CompletableFuture<QuotaDecision> beginCounted(
+      OrganisationState organisation, HeldOperations operations) {
+    OrganisationQuota quota = organisation.quota().orElseThrow();
+    OrganisationDemand known =
+        demand.computeIfAbsent(organisation.name(), name -> new OrganisationDemand(quota));
+    if (known.limitChanged(quota)) {
+      operations.limitChanged();
+    }
+    CompletableFuture<QuotaDecision> decision = operations.begin(0, clock.nowNanos());
+    requestCounted(organisation, operations, known);
+    return decision.thenApply(made -> record(organisation, known.spread(made, clock.nowNanos())));
+  }
+
+  private void requestCounted(
+      OrganisationState organisation, HeldOperations operations, OrganisationDemand known) {
+    List<HostState> all =
+        counters.countersOf(organisation.name(), organisation.quota().orElseThrow());
+    List<HostState> candidates = known.candidates(order.nearestFirst(all), clock.nowNanos());
+    boolean ahead = !candidates.isEmpty() && known.plentiful(candidates.get(0));
+    Optional<HeldOperations.Request> request =
+        operations.beginCountedRequest(ahead, clock.nowNanos());
+    if (request.isEmpty()) {
+      return;
+    }
+    TakeQuotaRequest message =
+        TakeQuotaRequest.newBuilder()
+            .setOrganisation(organisation.name())
+            .setOperations(request.get().operations())
+            .build();
+    new QuotaRequest(client, clock, message, 0, shares.maxRetryMillis(), candidates)
+        .run()
+        .thenAccept(
+            result -> {
+              QuotaDecision decision = known.refusal(result.decision(), all, clock.nowNanos());
+              complete(operations, result.withDecision(decision));
+              if (result.operations() > 0) {
+                requestCounted(organisation, operations, known);
+              }
+            });
+  }
+
   private QuotaDecision record(OrganisationState organisation, QuotaDecision decision) {
     decisions.labelValues(decision.verdict().name()).inc();
     if (decision.verdict() != QuotaDecision.Verdict.ADMITTED) {
@@ -170,7 +231,7 @@
           decision.verdict(),
           organisation.quota().orElseThrow().ratePerSecond(),
           organisation.quota().orElseThrow().burst(),
-          counters.countersOf(organisation.name()).size(),
+          counters.countersOf(organisation.name(), organisation.quota().orElseThrow()).size(),
           decision.retryAfterMillis());
     }
     return decision;
@@ -183,7 +244,7 @@
   private HeldOperations newOperations(OrganisationState organisation) {
     long now = clock.nowNanos();
     long startEndNanos = firstViewNanos.map(first -> first + START_PERIOD_NANOS).orElse(now);
-    if (startEndNanos - now <= 0) {
+    if (shares.countsBeforeBegin() || startEndNanos - now <= 0) {
       return new HeldOperations(0, now);
     }
     OrganisationQuota quota = organisation.quota().orElseThrow();
@@ -198,19 +259,22 @@
     return new HeldOperations(ownUncounted, ownTotal > ownUncounted ? startEndNanos : now);
   }
 
-  private void requestOperations(String organisation, HeldOperations operations) {
+  private void requestOperations(OrganisationState organisation, HeldOperations operations) {
     Optional<HeldOperations.Request> request = operations.beginRequest();
     if (request.isEmpty()) {
       return;
     }
     TakeQuotaRequest message =
         TakeQuotaRequest.newBuilder()
-            .setOrganisation(organisation)
+            .setOrganisation(organisation.name())
             .setOperations(request.get().operations())
             .setBegun(request.get().begun())
             .build();
-    List<HostState> candidates = nearestFirst(counters.countersOf(organisation));
-    new QuotaRequest(client, clock, message, request.get().maxWaitMillis(), candidates)
+    List<HostState> candidates =
+        order.nearestFirst(
+            counters.countersOf(organisation.name(), organisation.quota().orElseThrow()));
+    int maxWaitMillis = request.get().maxWaitMillis();
+    new QuotaRequest(client, clock, message, maxWaitMillis, shares.maxRetryMillis(), candidates)
         .run()
         .thenAccept(
             result -> {
@@ -222,21 +286,6 @@
             });
   }
 
-  /** Sorts counters: this host, then those in its availability zone; silent ones last. */
-  private List<HostState> nearestFirst(List<HostState> all) {
-    List<HostState> sorted = new ArrayList<>(all);
-    sorted.sort(
-        Comparator.comparing(this::isSilent)
-            .thenComparing(host -> !host.id().equals(self.id()))
-            .thenComparing(host -> !host.zone().equals(self.zone())));
-    return sorted;
-  }
-
-  private boolean isSilent(HostState host) {
-    Long since = silentSinceNanos.get(host.id());
-    return since != null && clock.nowNanos() - since < SILENT_BACKOFF_NANOS;
-  }
-
   /** Only a counter of this availability zone keeps tokens for the hosts of the zone. */
   private void recordCounted(
       HeldOperations operations, HeldOperations.Request request, QuotaRequest.Result result) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/package-info.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/package-info.java
@@ -9,5 +9,9 @@
  *
  * <p>Where the limit is far, an operation begins before it is counted, so that it does not wait for
  * a counter. How many may do so at a time is bounded by the tolerance of the limit.
+ *
+ * <p>With {@link org.alderyard.proxy.quota.QuotaCounters#DEMAND}, each operation is counted before
+ * it begins, the tolerance raises the rate and the burst that counters grant, and hosts ask the
+ * counters that have enough tokens. See docs/design/demand-based-quotas.md.
  */
 package org.alderyard.proxy.quota;
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/CounterAssignmentTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/CounterAssignmentTest.java
@@ -15,7 +15,7 @@
 
 class CounterAssignmentTest {
   private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 7_000);
-  private final CounterAssignment assignment = new CounterAssignment();
+  private final CounterAssignment assignment = new CounterAssignment(3);
 
   private static List<HostState> hosts(int zones, int perZone, int controlPerZone) {
     List<HostState> all = new ArrayList<>();
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaCounterTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaCounterTest.java
@@ -29,6 +29,8 @@
   private static final String ORGANISATION = "a";
   private static final OrganisationQuota SMALL = new OrganisationQuota(1, 1);
   private static final OrganisationQuota LARGE = new OrganisationQuota(1_000, 1_000);
+  private static final QuotaTolerance TOLERANCE = new QuotaTolerance(0, 0, 1);
+  private static final LimitShares SHARES = new ZoneShares(TOLERANCE);
   private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 7_000);
 
   /** Long enough for the start of a host, in which less is granted, to be over. */
@@ -38,7 +40,7 @@
       new HostState(new HostId("h1"), 1, new ZoneName("z0"), ADDRESS, ADDRESS, true, false, false);
   private final ManualClock clock = new ManualClock();
   private final ViewHolder views = new ViewHolder();
-  private final CounterView counters = new CounterView(self, clock);
+  private final CounterView counters = new CounterView(self, clock, SHARES);
 
   private View view(long version, OrganisationQuota quota) {
     View.Editor editor = View.EMPTY.edit();
@@ -69,7 +71,8 @@
         new QuotaCounter(
             LeasedView.Source.of(views::current, leaseValid),
             counters,
-            new QuotaLedger(new QuotaTolerance(0, 0, 1)),
+            new QuotaLedger(TOLERANCE, SHARES),
+            SHARES,
             clock);
     clock.advance(SINCE_START);
     return counter;
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaFleet.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/QuotaFleet.java
@@ -14,8 +14,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.alderyard.common.error.AlderyardException;
-import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.view.Bytes;
@@ -45,9 +43,11 @@
   private long nowMillis = 1_000_000;
   private long version;
   private OrganisationQuota quota;
+  private final QuotaCounters division;
   private View controlView = View.EMPTY;
   final List<Host> hosts = new ArrayList<>();
   final List<Long> admittedMillis = new ArrayList<>();
+  LateReplies replies = LateReplies.NONE;
   private final PriorityQueue<Timed> timers = new PriorityQueue<>();
   int refusedOverLimit;
   int refusedWithoutCounter;
@@ -71,6 +71,7 @@
     private long incarnation;
     private boolean running;
     private boolean cut;
+    private boolean frozen;
     private long lostMillis;
     private long confirmedMillis;
     private View view = View.EMPTY;
@@ -97,16 +98,17 @@
     void start() {
       incarnation = nowMillis;
       running = true;
+      frozen = false;
       service =
           new QuotaService(
               state(),
               () -> view,
               this::call,
               () -> TimeUnit.MILLISECONDS.toNanos(nowMillis),
-              (delay, task) ->
-                  timers.add(new Timed(nowMillis + delay.toMillis(), timers.size(), this, task)),
+              (delay, task) -> runLater(task, delay.toMillis()),
               () -> nowMillis - confirmedMillis < LEASE_MILLIS,
               TOLERANCE,
+              division,
               new PrometheusRegistry());
       confirmedMillis = Long.MIN_VALUE / 2;
       receive(controlView);
@@ -128,6 +130,20 @@
       lostMillis = nowMillis;
     }
 
+    /** Stops the process for some time; it serves nobody and begins nothing meanwhile. */
+    void freeze() {
+      frozen = running;
+      lostMillis = nowMillis;
+    }
+
+    /** Continues a frozen process with the state that it had. */
+    void resume() {
+      frozen = false;
+      if (running && !cut) {
+        join();
+      }
+    }
+
     void join() {
       cut = false;
       if (running && !controlView.hosts().containsKey(new HostId(name))) {
@@ -136,7 +152,7 @@
     }
 
     boolean connected() {
-      return running && !cut;
+      return running && !cut && !frozen;
     }
 
     boolean running() {
@@ -149,9 +165,19 @@
       Host counter =
           hosts.stream().filter(host -> host.name.equals(target.id().value())).findFirst().get();
       return connected() && counter.connected()
-          ? CompletableFuture.completedFuture(counter.service.counter().take(request))
-          : CompletableFuture.failedFuture(
-              AlderyardException.notRun(ErrorCode.CONNECTION_LOST, "no reply"));
+          ? replies.deliver(counter.service.counter().take(request), this::runLater)
+          : CompletableFuture.failedFuture(LateReplies.noReply());
+    }
+
+    private void runLater(Runnable task, long delayMillis) {
+      timers.add(new Timed(nowMillis + delayMillis, timers.size(), this, task));
+    }
+
+    /** Begins an operation, unless this host is down or frozen. */
+    void beginIfRunning() {
+      if (running && !frozen) {
+        begin();
+      }
     }
 
     void begin() {
@@ -178,7 +204,13 @@
 
   /** Starts a fleet and lets the delay of its first counters pass. */
   QuotaFleet(int zones, int hostsPerZone, OrganisationQuota quota) {
+    this(zones, hostsPerZone, quota, QuotaCounters.ZONES);
+  }
+
+  /** Starts a fleet whose limits are divided as given. */
+  QuotaFleet(int zones, int hostsPerZone, OrganisationQuota quota, QuotaCounters division) {
     this.quota = quota;
+    this.division = division;
     configure(quota);
     for (int zone = 0; zone < zones; zone++) {
       for (int number = 0; number < hostsPerZone; number++) {
@@ -187,7 +219,7 @@
         host.start();
       }
     }
-    for (int i = 0; i < 40; i++) {
+    for (int i = 0; i < (division == QuotaCounters.ZONES ? 40 : 200); i++) {
       advance(100);
     }
   }
@@ -233,7 +265,9 @@
     while (!timers.isEmpty() && timers.peek().atMillis() <= endMillis) {
       Timed due = timers.poll();
       nowMillis = Math.max(nowMillis, due.atMillis());
-      if (due.host().running()) {
+      if (due.host().frozen) {
+        timers.add(new Timed(endMillis + 1, timers.size(), due.host(), due.task()));
+      } else if (due.host().running()) {
         due.task().run();
       }
     }
@@ -282,12 +316,10 @@
 
   /** Returns the hosts by name whose counters this fleet uses for the organisation. */
   Set<String> counters() {
-    Map<ZoneName, List<HostState>> counters =
-        new CounterAssignment().counters(controlView.hosts().values());
+    CounterAssignment assignment = new CounterAssignment(division.shares(TOLERANCE).minCounters());
+    Map<ZoneName, List<HostState>> counters = assignment.counters(controlView.hosts().values());
     Set<String> names = new HashSet<>();
-    new CounterAssignment()
-        .countersOf(ORGANISATION, counters)
-        .forEach(host -> names.add(host.id().value()));
+    assignment.countersOf(ORGANISATION, counters).forEach(host -> names.add(host.id().value()));
     return names;
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/TokenReservationTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/TokenReservationTest.java
@@ -53,7 +53,8 @@
   /** Guards against operations that overtake those that have reserved a token. */
   @Test
   void reservedTokenIsNotGrantedToLaterOperation() {
-    QuotaLedger ledger = new QuotaLedger(QuotaFleet.TOLERANCE);
+    QuotaLedger ledger =
+        new QuotaLedger(QuotaFleet.TOLERANCE, new ZoneShares(QuotaFleet.TOLERANCE));
     int granted = take(ledger, 100, 0);
     assertThat(take(ledger, 1, 0)).isEqualTo(0);
     assertThat(ledger.reserve("a", 125, 0)).isPresent();
