Fewer replaced connections (connection-sharing = weighted)

Cause: a connection belongs to one organisation, and nearly each statement of a host with one or two connections to a server opens a new one. Change: setting [load] connection-sharing, default recency. With weighted, the idle connection of the owner with the fewest recent uses is replaced, and statements of organisations meet at holders where a host has fewer connections than there are organisations.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -208,7 +208,8 @@
                     settings.get(DaemonSpec.GRACE),
                     settings.get(DaemonSpec.MAX_SESSIONS),
                     quotaTolerance(settings),
-                    settings.get(DaemonSpec.QUOTA_COUNTERS)));
+                    settings.get(DaemonSpec.QUOTA_COUNTERS),
+                    settings.get(DaemonSpec.CONNECTION_SHARING)));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -21,6 +21,7 @@
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.SettingsSpec;
+import org.alderyard.proxy.pool.ConnectionSharing;
 import org.alderyard.proxy.quota.QuotaCounters;
 
 /** Specification of all daemon settings. */
@@ -222,6 +223,13 @@
           word(QuotaCounters.class),
           "zones",
           "how the limits of organisations are divided among hosts; the same on all hosts");
+  static final Setting<ConnectionSharing> CONNECTION_SHARING =
+      Setting.preset(
+          "load",
+          "connection-sharing",
+          word(ConnectionSharing.class),
+          "recency",
+          "how organisations share connections to a server; the same on all hosts");
   static final Setting<Long> MAX_HEADER_BYTES =
       Setting.preset(
           "limits",
@@ -307,6 +315,7 @@
               QUOTA_OVERRUN,
               QUOTA_SLACK,
               QUOTA_COUNTERS,
+              CONNECTION_SHARING,
               MAX_HEADER_BYTES,
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import org.alderyard.proxy.pool.ConnectionSharing;
 import org.alderyard.proxy.quota.QuotaCounters;
 import org.alderyard.proxy.quota.QuotaTolerance;
 
@@ -16,6 +17,7 @@
  * @param maxSessions maximum number of concurrent sessions
  * @param quotaTolerance how far an organisation may exceed its limit in a window
  * @param quotaCounters how limits are divided among the hosts that count
+ * @param connectionSharing how organisations share the connections to a server
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
@@ -24,4 +26,5 @@
     Duration grace,
     int maxSessions,
     QuotaTolerance quotaTolerance,
-    QuotaCounters quotaCounters) {}
+    QuotaCounters quotaCounters,
+    ConnectionSharing connectionSharing) {}
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.alderyard.common.settings.SettingsException;
+import org.alderyard.proxy.pool.ConnectionSharing;
 import org.alderyard.proxy.quota.QuotaCounters;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -61,6 +62,20 @@
     assertThat(quotaCounters(validSettings + sessions + load)).isEqualTo(QuotaCounters.DEMAND);
   }
 
+  /** Guards against a change of who holds connections where nothing is set. */
+  @Test
+  void connectionsAreSharedByRecencyUnlessWeightedIsSet() throws IOException {
+    String sessions = "[sessions]\nready-address = 127.0.0.1:7002\n";
+    String load = "[load]\nconnection-sharing = weighted\n";
+    assertThat(connectionSharing(validSettings + sessions)).isEqualTo(ConnectionSharing.RECENCY);
+    assertThat(connectionSharing(validSettings + sessions + load))
+        .isEqualTo(ConnectionSharing.WEIGHTED);
+  }
+
+  private ConnectionSharing connectionSharing(String text) throws IOException {
+    return read(text).sessions().orElseThrow().connectionSharing();
+  }
+
   private QuotaCounters quotaCounters(String text) throws IOException {
     return read(text).sessions().orElseThrow().quotaCounters();
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderAssignment.java
@@ -12,6 +12,7 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.View;
+import org.alderyard.proxy.pool.ConnectionSharing;
 
 /**
  * Selects the hosts that hold the connections to a group's servers and track the state of those
@@ -48,6 +49,17 @@
 
   private final RendezvousScores scores = new RendezvousScores();
 
+  private final ConnectionSharing sharing;
+
+  /** Creates an assignment in which all hosts hold connections if servers accept them. */
+  HolderAssignment() {
+    this(ConnectionSharing.RECENCY);
+  }
+
+  HolderAssignment(ConnectionSharing sharing) {
+    this.sharing = sharing;
+  }
+
   private record ScoredHost(HostState host, long score) {}
 
   private static final Comparator<ScoredHost> BEST_FIRST =
@@ -65,7 +77,9 @@
     List<HostState> hosts =
         view.hosts().values().stream().filter(HostState::acceptsNewWork).toList();
     int steadyStateConnections = acceptedConnections / STEADY_STATE_DIVISOR;
-    if (acceptedConnections == 0 || hosts.size() * CONNECTIONS_PER_HOST <= acceptedConnections) {
+    boolean enoughForAll = hosts.size() * CONNECTIONS_PER_HOST <= acceptedConnections;
+    if (acceptedConnections == 0
+        || enoughForAll && !meetAtHolders(view, hosts, acceptedConnections)) {
       return Optional.empty();
     }
     Map<ZoneName, List<ScoredHost>> zones = new TreeMap<>();
@@ -91,6 +105,17 @@
     return Optional.of(holders);
   }
 
+  /**
+   * Returns whether a host with its part of the connections would open one for most statements,
+   * because there are more organisations than connections.
+   */
+  private boolean meetAtHolders(View view, List<HostState> hosts, int acceptedConnections) {
+    int organisations =
+        view.configuration().map(current -> current.organisations().all().size()).orElse(0);
+    return sharing == ConnectionSharing.WEIGHTED
+        && organisations > acceptedConnections / Math.max(1, hosts.size());
+  }
+
   private static int ceilDiv(int dividend, int divisor) {
     return (dividend + divisor - 1) / Math.max(1, divisor);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderSelector.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderSelector.java
@@ -12,9 +12,11 @@
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.View;
+import org.alderyard.proxy.pool.ConnectionSharing;
 
 /**
  * Selects holders for the statements of this host by their recent replies.
@@ -53,11 +55,12 @@
   private final HostId self;
   private final ZoneName zone;
   private final Predicate<HostState> isConnected;
-  private final HolderAssignment assignment = new HolderAssignment();
+  private final HolderAssignment assignment;
   private final HolderAffinity affinity = new HolderAffinity();
   // Guarded by this.
   private Map<HostId, HostState> cachedHosts = Map.of();
   private Map<GroupId, GroupState> cachedGroups = Map.of();
+  private Optional<ConfigurationState> cachedConfiguration = Optional.empty();
   private final Map<GroupId, GroupHolders> cache = new HashMap<>();
   private final Map<HostId, HolderTracker> trackers = new HashMap<>();
 
@@ -76,6 +79,12 @@
    * @param isConnected whether this host has an open link to a host
    */
   HolderSelector(HostId self, ZoneName zone, Predicate<HostState> isConnected) {
+    this(self, zone, isConnected, ConnectionSharing.RECENCY);
+  }
+
+  HolderSelector(
+      HostId self, ZoneName zone, Predicate<HostState> isConnected, ConnectionSharing sharing) {
+    assignment = new HolderAssignment(sharing);
     this.self = self;
     this.zone = zone;
     this.isConnected = isConnected;
@@ -114,7 +123,10 @@
   }
 
   private GroupHolders groupHolders(View view, GroupId group) {
-    if (view.hosts() != cachedHosts || view.groups() != cachedGroups) {
+    if (view.hosts() != cachedHosts
+        || view.groups() != cachedGroups
+        || !view.configuration().equals(cachedConfiguration)) {
+      cachedConfiguration = view.configuration();
       cachedHosts = view.hosts();
       cachedGroups = view.groups();
       cache.clear();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.alderyard.proxy.pool.ConnectionSharing;
 
 /**
  * Limits of the sessions of a host.
@@ -12,9 +13,14 @@
  * @param servingDelay how long after its first view the host begins to serve callers; not zero on
  *     hosts that all other hosts depend on at that time
  * @param routineLogSample one of this many successful statements is logged
+ * @param connectionSharing how organisations share the connections to a server
  */
 public record SessionLimits(
-    int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
+    int maxSessions,
+    Duration admissionTimeout,
+    Duration servingDelay,
+    int routineLogSample,
+    ConnectionSharing connectionSharing) {
   /**
    * Covers the duration of an election, and is half of the time after which callers give up opening
    * a session.
@@ -25,10 +31,23 @@
   public SessionLimits {
     Objects.requireNonNull(admissionTimeout);
     Objects.requireNonNull(servingDelay);
+    Objects.requireNonNull(connectionSharing);
+  }
+
+  /** Creates limits with the default sharing of connections. */
+  public SessionLimits(
+      int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
+    this(maxSessions, admissionTimeout, servingDelay, routineLogSample, ConnectionSharing.RECENCY);
   }
 
   /** Creates limits with the default admission timeout. */
   public SessionLimits(int maxSessions, Duration servingDelay, int routineLogSample) {
     this(maxSessions, DEFAULT_ADMISSION_TIMEOUT, servingDelay, routineLogSample);
   }
+
+  /** Returns these limits with another sharing of connections. */
+  public SessionLimits withConnectionSharing(ConnectionSharing sharing) {
+    return new SessionLimits(
+        maxSessions, admissionTimeout, servingDelay, routineLogSample, sharing);
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -27,6 +27,7 @@
 import org.alderyard.protocol.wire.PeerLinks;
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ConnectionPools;
+import org.alderyard.proxy.pool.ConnectionSharing;
 import org.alderyard.proxy.quota.OrganisationLimiter;
 import org.alderyard.proxy.view.LeasedView;
 import org.alderyard.proxy.view.ViewHolder;
@@ -38,6 +39,7 @@
   /** Interval of the check for idle transactions: a tenth of the usual idle limit of 3 s. */
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(300);
 
+  private final ConnectionSharing connectionSharing;
   private final SessionContext context;
   private final SampleRefresher refresher;
   private final LocalStatements local;
@@ -77,7 +79,9 @@
                     .connect(server, owner, timeout)
                     .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
-            clock);
+            clock,
+            limits.connectionSharing());
+    connectionSharing = limits.connectionSharing();
     GroupRoutings routings = new GroupRoutings(zone);
     SessionMetrics metrics = new SessionMetrics(registry);
     context =
@@ -174,7 +178,8 @@
         new HolderSelector(
             self.id(),
             self.zone(),
-            host -> statementLinks.linkTo(host.innerAddress()).isConnected());
+            host -> statementLinks.linkTo(host.innerAddress()).isConnected(),
+            connectionSharing);
     PeerSamples peerSamples = new PeerSamples(links, selector, context);
     peerSamples.serve(dispatcher);
     refresher.setPeerSamples(peerSamples);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -15,8 +15,6 @@
 import org.alderyard.backend.session.ConnectRefusedException;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.common.concurrent.Futures;
-import org.alderyard.common.error.AlderyardException;
-import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ServerState;
@@ -30,12 +28,12 @@
  * lock is released.
  */
 public class ConnectionPools<C extends PooledConnection> implements AutoCloseable {
-  private static final long RETRY_AFTER_MILLIS = 100;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
   private final ConnectionSource<C> source;
   private final ConnectionAllowance allowance;
   private final MonotonicClock clock;
+  private final ConnectionSharing sharing;
   // Guarded by this.
   private final Map<ServerId, ServerPool<C>> pools = new HashMap<>();
   private final List<C> retired = new ArrayList<>();
@@ -54,6 +52,16 @@
   /** Creates pools that are limited by an allowance and use the given clock. */
   public ConnectionPools(
       ConnectionSource<C> source, ConnectionAllowance allowance, MonotonicClock clock) {
+    this(source, allowance, clock, ConnectionSharing.RECENCY);
+  }
+
+  /** Creates pools whose connections organisations share in the given way. */
+  public ConnectionPools(
+      ConnectionSource<C> source,
+      ConnectionAllowance allowance,
+      MonotonicClock clock,
+      ConnectionSharing sharing) {
+    this.sharing = Objects.requireNonNull(sharing);
     this.source = Objects.requireNonNull(source);
     this.allowance = Objects.requireNonNull(allowance);
     this.clock = Objects.requireNonNull(clock);
@@ -94,10 +102,10 @@
         return CompletableFuture.completedFuture(idle.get());
       }
       if (allowance.allowed(server.id()) == 0) {
-        return CompletableFuture.failedFuture(noLeaseError(server));
+        return CompletableFuture.failedFuture(PoolErrors.noLeaseError(server));
       }
       if (pool.isUnavailable(clock.nowNanos())) {
-        return CompletableFuture.failedFuture(connectionLimitError(server));
+        return CompletableFuture.failedFuture(PoolErrors.connectionLimitError(server));
       }
       if (!mayOpen(server, pool)) {
         replaced = takeReplaceable(pool);
@@ -156,20 +164,6 @@
     }
   }
 
-  private static AlderyardException noLeaseError(ServerState server) {
-    return AlderyardException.notRun(
-        ErrorCode.NO_ELIGIBLE_SERVER,
-        "this proxy holds no connection lease for server " + server.id(),
-        RETRY_AFTER_MILLIS);
-  }
-
-  private static AlderyardException connectionLimitError(ServerState server) {
-    return AlderyardException.notRun(
-        ErrorCode.NO_ELIGIBLE_SERVER,
-        "server " + server.id() + " recently refused a connection at its connection limit",
-        RETRY_AFTER_MILLIS);
-  }
-
   private CompletableFuture<C> withTimeout(
       ServerState server, CompletableFuture<C> request, Duration timeout) {
     return request
@@ -180,17 +174,11 @@
                 pool(server).removeRequest(request);
               }
               boolean timedOut = Futures.unwrap(failure) instanceof TimeoutException;
-              return CompletableFuture.failedFuture(timedOut ? allInUseError(server) : failure);
+              return CompletableFuture.failedFuture(
+                  timedOut ? PoolErrors.allInUseError(server) : failure);
             });
   }
 
-  private static AlderyardException allInUseError(ServerState server) {
-    return AlderyardException.notRun(
-        ErrorCode.OVERLOADED,
-        "all leased connections to server " + server.id() + " are in use",
-        RETRY_AFTER_MILLIS);
-  }
-
   private CompletableFuture<C> open(
       ServerState server, ServerPool<C> pool, ConnectionOwner owner, Duration timeout) {
     CompletableFuture<C> opened;
@@ -281,7 +269,8 @@
         newOwner = Optional.of(pool.beginOpening(request.get().owner()));
       }
     }
-    unserved.forEach(pending -> pending.completeExceptionally(connectionLimitError(server)));
+    unserved.forEach(
+        pending -> pending.completeExceptionally(PoolErrors.connectionLimitError(server)));
     if (newOwner.isPresent()) {
       openFor(server, pool, newOwner.get(), request.get().connection());
     }
@@ -339,7 +328,7 @@
     if (pool != null && pool.incarnation() >= server.incarnation()) {
       return pool;
     }
-    ServerPool<C> successor = new ServerPool<>(server.incarnation(), clock);
+    ServerPool<C> successor = new ServerPool<>(server.incarnation(), clock, sharing);
     if (pool != null) {
       retired.addAll(pool.transferRequestsTo(successor));
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -57,11 +57,18 @@
   private long refusalBackoffNanos;
   private long backoffEndNanos;
   private final MonotonicClock clock;
+  private final ConnectionSharing sharing;
+  private final OwnerReturns returns = new OwnerReturns();
   private final TimeWeightedMean meanDemand;
 
   ServerPool(long incarnation, MonotonicClock clock) {
+    this(incarnation, clock, ConnectionSharing.RECENCY);
+  }
+
+  ServerPool(long incarnation, MonotonicClock clock, ConnectionSharing sharing) {
     this.incarnation = incarnation;
     this.clock = clock;
+    this.sharing = sharing;
     this.meanDemand = new TimeWeightedMean(clock);
   }
 
@@ -110,9 +117,17 @@
     return Optional.empty();
   }
 
-  /** Takes the least recently used idle connection, to replace it by one of another owner. */
+  /**
+   * Takes an idle connection to replace it by one of another owner: the least recently used one, or
+   * the one whose owner is expected back last.
+   */
   Optional<C> takeReplaceable() {
-    return Optional.ofNullable(idle.pollFirst());
+    if (sharing == ConnectionSharing.RECENCY) {
+      return Optional.ofNullable(idle.pollFirst());
+    }
+    Optional<C> replaced = returns.lastExpected(idle, clock.nowNanos());
+    replaced.ifPresent(idle::remove);
+    return replaced;
   }
 
   private void markInUse(C connection) {
@@ -120,6 +135,9 @@
     inUse.put(connection, now);
     if (connection.owner().isOrganisation()) {
       ownerUses.put(connection.owner(), now);
+      if (sharing == ConnectionSharing.WEIGHTED) {
+        returns.used(connection.owner(), now);
+      }
     }
     meanDemand.update(demand());
     peakInUse = Math.max(peakInUse, inUse.size() + opening);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/HolderAssignmentTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/HolderAssignmentTest.java
@@ -3,18 +3,25 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.view.Bytes;
+import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.HostState;
+import org.alderyard.common.view.OrganisationState;
+import org.alderyard.common.view.Organisations;
 import org.alderyard.common.view.View;
 import org.alderyard.common.view.ViewVersion;
+import org.alderyard.proxy.pool.ConnectionSharing;
 import org.junit.jupiter.api.Test;
 
 class HolderAssignmentTest {
@@ -29,6 +36,38 @@
     assertThat(assignment.holders(view(CONNECTIONS_PER_SERVER * 2 / 3, 1), group(0))).isEmpty();
   }
 
+  /** Guards against a new connection for nearly each statement of a host with few of them. */
+  @Test
+  void organisationsMeetAtHoldersIfSharedByWeight() {
+    View.Editor editor = view(CONNECTIONS_PER_SERVER / 2, 1).edit();
+    editor.configuration(configuration(CONNECTIONS_PER_SERVER));
+    View view = editor.at(new ViewVersion(1, 2));
+    HolderAssignment weighted = new HolderAssignment(ConnectionSharing.WEIGHTED);
+
+    assertThat(weighted.holders(view, group(0)).orElseThrow().size()).isAtMost(2 * ZONES);
+    assertThat(assignment.holders(view, group(0))).isEmpty();
+    assertThat(weighted.holders(view(CONNECTIONS_PER_SERVER / 2, 1), group(0))).isEmpty();
+  }
+
+  private static ConfigurationState configuration(int organisations) {
+    List<OrganisationState> all = new ArrayList<>();
+    for (int i = 0; i < organisations; i++) {
+      all.add(new OrganisationState("o" + i, List.of(), 1, Optional.empty()));
+    }
+    Bytes none = Bytes.of(new byte[0]);
+    return new ConfigurationState(
+        1,
+        List.of(),
+        new TreeMap<>(),
+        new TreeMap<>(),
+        0,
+        0,
+        Organisations.of(all),
+        none,
+        false,
+        none);
+  }
+
   @Test
   void eachZoneHasHolders() {
     List<HostState> holders = assignment.holders(view(100, 5), group(0)).orElseThrow();
