--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -212,7 +212,9 @@
                     settings.get(DaemonSpec.START_OPENINGS),
                     new HealthOptions(
                         settings.get(DaemonSpec.SERVER_KNOWLEDGE),
-                        settings.get(DaemonSpec.SERVER_PACE))));
+                        settings.get(DaemonSpec.SERVER_PACE)),
+                    settings.get(DaemonSpec.QUOTA_COUNTERS),
+                    settings.get(DaemonSpec.CONNECTION_SHARING)));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -24,6 +24,8 @@
 import org.alderyard.proxy.callersession.StartOpenings;
 import org.alderyard.proxy.serverhealth.PaceMode;
 import org.alderyard.proxy.serverhealth.ServerKnowledge;
+import org.alderyard.proxy.pool.ConnectionSharing;
+import org.alderyard.proxy.quota.QuotaCounters;
 
 /** Specification of all daemon settings. */
 public final class DaemonSpec {
@@ -217,6 +219,20 @@
           decimal(0, 1_000_000),
           "20",
           "operations of an organisation in a window that may exceed its limit in addition");
+  static final Setting<QuotaCounters> QUOTA_COUNTERS =
+      Setting.preset(
+          "load",
+          "quota-counters",
+          word(QuotaCounters.class),
+          "zones",
+          "how the limits of organisations are divided among hosts; the same on all hosts");
+  static final Setting<ConnectionSharing> CONNECTION_SHARING =
+      Setting.preset(
+          "load",
+          "connection-sharing",
+          word(ConnectionSharing.class),
+          "recency",
+          "how organisations share connections to a server; the same on all hosts");
   static final Setting<Long> MAX_HEADER_BYTES =
       Setting.preset(
           "limits",
@@ -323,6 +339,8 @@
               QUOTA_WINDOW,
               QUOTA_OVERRUN,
               QUOTA_SLACK,
+              QUOTA_COUNTERS,
+              CONNECTION_SHARING,
               MAX_HEADER_BYTES,
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.alderyard.proxy.callersession.StartOpenings;
+import org.alderyard.proxy.pool.ConnectionSharing;
+import org.alderyard.proxy.quota.QuotaCounters;
 import org.alderyard.proxy.quota.QuotaTolerance;
 import org.alderyard.proxy.serverhealth.HealthOptions;
 
@@ -18,6 +20,8 @@
  * @param quotaTolerance how far an organisation may exceed its limit in a window
  * @param startOpenings what happens to session openings before the first view
  * @param health how the health of servers influences what they get
+ * @param quotaCounters how limits are divided among the hosts that count
+ * @param connectionSharing how organisations share the connections to a server
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
@@ -27,4 +31,6 @@
     int maxSessions,
     QuotaTolerance quotaTolerance,
     StartOpenings startOpenings,
-    HealthOptions health) {}
+    HealthOptions health,
+    QuotaCounters quotaCounters,
+    ConnectionSharing connectionSharing) {}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -90,12 +90,13 @@
             host.registry,
             host.viewClient::leaseValid,
             new SessionLimits(
-                options.maxSessions(),
-                host.settings.roles().contains(Role.CONTROL)
-                    ? CONTROL_HOST_SERVING_DELAY
-                    : Duration.ZERO,
-                host.settings.readOptions().routingLogSample(),
-                options.startOpenings()),
+                    options.maxSessions(),
+                    host.settings.roles().contains(Role.CONTROL)
+                        ? CONTROL_HOST_SERVING_DELAY
+                        : Duration.ZERO,
+                    host.settings.readOptions().routingLogSample(),
+                    options.startOpenings())
+                .withConnectionSharing(options.connectionSharing()),
             host.startLog);
     host.viewClient.extendHeartbeats(
         sessions.useServerHealth(options.health(), host.settings.host()));
@@ -108,6 +109,7 @@
             host.workers::schedule,
             host.viewClient::leaseValid,
             options.quotaTolerance(),
+            options.quotaCounters(),
             host.registry);
     host.views.onChange(quota::onViewChange);
     host.viewClient.onLeaseConfirmed(() -> host.startLog.reached(StartStage.VIEW_LEASE));
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
@@ -11,6 +11,8 @@
 import org.alderyard.proxy.serverhealth.HealthOptions;
 import org.alderyard.proxy.serverhealth.PaceMode;
 import org.alderyard.proxy.serverhealth.ServerKnowledge;
+import org.alderyard.proxy.pool.ConnectionSharing;
+import org.alderyard.proxy.quota.QuotaCounters;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -74,6 +76,33 @@
         .isEqualTo(new HealthOptions(ServerKnowledge.SHARED, PaceMode.ADAPTIVE));
   }
 
+  /** Guards against a change of how limits are divided where nothing is set. */
+  @Test
+  void limitsAreDividedAmongZonesUnlessDemandIsSet() throws IOException {
+    String sessions = "[sessions]\nready-address = 127.0.0.1:7002\n";
+    String load = "[load]\nquota-counters = demand\n";
+    assertThat(quotaCounters(validSettings + sessions)).isEqualTo(QuotaCounters.ZONES);
+    assertThat(quotaCounters(validSettings + sessions + load)).isEqualTo(QuotaCounters.DEMAND);
+  }
+
+  /** Guards against a change of who holds connections where nothing is set. */
+  @Test
+  void connectionsAreSharedByRecencyUnlessWeightedIsSet() throws IOException {
+    String sessions = "[sessions]\nready-address = 127.0.0.1:7002\n";
+    String load = "[load]\nconnection-sharing = weighted\n";
+    assertThat(connectionSharing(validSettings + sessions)).isEqualTo(ConnectionSharing.RECENCY);
+    assertThat(connectionSharing(validSettings + sessions + load))
+        .isEqualTo(ConnectionSharing.WEIGHTED);
+  }
+
+  private ConnectionSharing connectionSharing(String text) throws IOException {
+    return read(text).sessions().orElseThrow().connectionSharing();
+  }
+
+  private QuotaCounters quotaCounters(String text) throws IOException {
+    return read(text).sessions().orElseThrow().quotaCounters();
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.alderyard.proxy.pool.ConnectionSharing;
 
 /**
  * Limits of the sessions of a host.
@@ -13,13 +14,15 @@
  *     hosts that all other hosts depend on at that time
  * @param routineLogSample one of this many successful statements is logged
  * @param startOpenings what happens to openings before the first view
+ * @param connectionSharing how organisations share the connections to a server
  */
 public record SessionLimits(
     int maxSessions,
     Duration admissionTimeout,
     Duration servingDelay,
     int routineLogSample,
-    StartOpenings startOpenings) {
+    StartOpenings startOpenings,
+    ConnectionSharing connectionSharing) {
   /**
    * Covers the duration of an election, and is half of the time after which callers give up opening
    * a session.
@@ -31,17 +34,36 @@
     Objects.requireNonNull(admissionTimeout);
     Objects.requireNonNull(servingDelay);
     Objects.requireNonNull(startOpenings);
+    Objects.requireNonNull(connectionSharing);
   }
 
   /** Creates limits under which openings wait for the first view. */
   public SessionLimits(
       int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
-    this(maxSessions, admissionTimeout, servingDelay, routineLogSample, StartOpenings.WAIT);
+    this(
+        maxSessions,
+        admissionTimeout,
+        servingDelay,
+        routineLogSample,
+        StartOpenings.WAIT,
+        ConnectionSharing.RECENCY);
   }
 
   /** Creates limits with the default admission timeout. */
   public SessionLimits(
       int maxSessions, Duration servingDelay, int routineLogSample, StartOpenings startOpenings) {
-    this(maxSessions, DEFAULT_ADMISSION_TIMEOUT, servingDelay, routineLogSample, startOpenings);
+    this(
+        maxSessions,
+        DEFAULT_ADMISSION_TIMEOUT,
+        servingDelay,
+        routineLogSample,
+        startOpenings,
+        ConnectionSharing.RECENCY);
+  }
+
+  /** Returns these limits with another sharing of connections. */
+  public SessionLimits withConnectionSharing(ConnectionSharing sharing) {
+    return new SessionLimits(
+        maxSessions, admissionTimeout, servingDelay, routineLogSample, startOpenings, sharing);
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -30,6 +30,7 @@
 import org.alderyard.protocol.wire.PeerLinks;
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.pool.ConnectionPools;
+import org.alderyard.proxy.pool.ConnectionSharing;
 import org.alderyard.proxy.quota.OrganisationLimiter;
 import org.alderyard.proxy.serverhealth.HealthOptions;
 import org.alderyard.proxy.view.HeartbeatExtension;
@@ -46,6 +47,7 @@
   /** Time in which decisions about servers may wait for their log lines. */
   private static final Duration HEALTH_LOG_INTERVAL = Duration.ofMillis(500);
 
+  private final ConnectionSharing connectionSharing;
   private final SessionContext context;
   private final SampleRefresher refresher;
   private final LocalStatements local;
@@ -89,7 +91,9 @@
                     .connect(server, owner, timeout)
                     .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
-            clock);
+            clock,
+            limits.connectionSharing());
+    connectionSharing = limits.connectionSharing();
     GroupRoutings routings = new GroupRoutings(zone, startLog);
     SessionMetrics metrics = new SessionMetrics(registry);
     context =
@@ -207,7 +211,8 @@
         new HolderSelector(
             self.id(),
             self.zone(),
-            host -> statementLinks.linkTo(host.innerAddress()).isConnected());
+            host -> statementLinks.linkTo(host.innerAddress()).isConnected(),
+            connectionSharing);
     PeerSamples peerSamples = new PeerSamples(links, selector, context);
     peerSamples.serve(dispatcher);
     refresher.setPeerSamples(peerSamples);
