Admit statements by their deadlines

Statements that wait for a slot are ordered by priority and deadline, and nothing checks on arrival whether they can be served in time. Under overload the queue grows until most answers are late and callers are refused after their whole search time.

The setting [load] admission = deadline refuses a statement on arrival if its expected start and service time exceed its deadline, and gives a spread retry time. Waits for a primary or for lagging replicas are judged by the expected end of the failover and by the lag. Hedges and resends of a host keep to one retry budget. The default, none, keeps the present behaviour.

--- /dev/null
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmark of the admission decision. */
+package org.alderyard.benchmarks.admission;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -207,7 +207,8 @@
                     settings.find(DaemonSpec.APPOINTER_ADDRESS),
                     settings.get(DaemonSpec.GRACE),
                     settings.get(DaemonSpec.MAX_SESSIONS),
-                    quotaTolerance(settings)));
+                    quotaTolerance(settings),
+                    settings.get(DaemonSpec.ADMISSION)));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -21,6 +21,7 @@
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.SettingsSpec;
+import org.alderyard.proxy.admission.AdmissionMode;
 
 /** Specification of all daemon settings. */
 public final class DaemonSpec {
@@ -239,6 +240,14 @@
           "5min",
           "maximum idle time of a caller's connection");
 
+  static final Setting<AdmissionMode> ADMISSION =
+      Setting.preset(
+          "load",
+          "admission",
+          word(AdmissionMode.class),
+          "none",
+          "deadline refuses statements at once that can't be served before their deadline");
+
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
           "tls",
@@ -302,6 +311,7 @@
               MAX_BODY_BYTES,
               REQUEST_TIMEOUT,
               IDLE_TIMEOUT,
+              ADMISSION,
               TLS_KEYSTORE_FILE,
               TLS_PASSWORD_FILE,
               TLS_PORTS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import org.alderyard.proxy.admission.AdmissionMode;
 import org.alderyard.proxy.quota.QuotaTolerance;
 
 /**
@@ -14,6 +15,7 @@
  * @param grace time between the request to stop the process and its forced termination
  * @param maxSessions maximum number of concurrent sessions
  * @param quotaTolerance how far an organisation may exceed its limit in a window
+ * @param admission how statements are treated that no server can run at once
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
@@ -21,4 +23,5 @@
     Optional<InetSocketAddress> appointerAddress,
     Duration grace,
     int maxSessions,
-    QuotaTolerance quotaTolerance) {}
+    QuotaTolerance quotaTolerance,
+    AdmissionMode admission) {}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -89,11 +89,12 @@
             host.registry,
             host.viewClient::leaseValid,
             new SessionLimits(
-                options.maxSessions(),
-                host.settings.roles().contains(Role.CONTROL)
-                    ? CONTROL_HOST_SERVING_DELAY
-                    : Duration.ZERO,
-                host.settings.readOptions().routingLogSample()));
+                    options.maxSessions(),
+                    host.settings.roles().contains(Role.CONTROL)
+                        ? CONTROL_HOST_SERVING_DELAY
+                        : Duration.ZERO,
+                    host.settings.readOptions().routingLogSample())
+                .withAdmission(options.admission()));
     quota =
         new QuotaService(
             host.self,
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.alderyard.common.settings.SettingsException;
+import org.alderyard.proxy.admission.AdmissionMode;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -69,6 +70,7 @@
           [host]\\nroles = proxy, butler         | one of proxy, control
           [tls]\\nkeystore-file = k.p12          | [tls] keystore-file needs it
           [log]\\nformat = xml                   | one of text, json
+          [load]\\nadmission = always            | one of none, deadline
           """)
   void errorNamesLocationAndAcceptedValues(String addition, String message) {
     SettingsException refused =
@@ -79,6 +81,17 @@
     assertThat(refused).hasMessageThat().contains("test.ini");
   }
 
+  /** Guards against another order of statements on hosts whose settings do not ask for it. */
+  @Test
+  void admissionIsOffUnlessSet() throws IOException {
+    String sessions = validSettings + "[sessions]\nready-address = 127.0.0.1:7002\n";
+
+    assertThat(read(sessions).sessions().orElseThrow().admission()).isEqualTo(AdmissionMode.NONE);
+    assertThat(
+            read(sessions + "[load]\nadmission = deadline\n").sessions().orElseThrow().admission())
+        .isEqualTo(AdmissionMode.DEADLINE);
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"id = entry-1", "inner-address = 127.0.0.1:7001"})
   void missingKeyIsNamed(String line) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ForwardedStatement.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.StatementKind;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
@@ -16,6 +17,8 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.view.HostState;
 import org.alderyard.protocol.generated.statement.HeldStatementReply;
+import org.alderyard.proxy.admission.AdmissionDecision;
+import org.alderyard.proxy.admission.DeadlineAdmission;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -52,6 +55,9 @@
    */
   private static final int MAX_HOLDERS = 2;
 
+  /** Time after which holders that are at their limit have replied to some statements. */
+  private static final long RETRY_MILLIS = 200;
+
   private final HolderForwarder forwarder;
   private final SessionContext context;
   private final HolderSelector selector;
@@ -102,7 +108,8 @@
     long now = context.clock().nowNanos();
     Optional<HostState> holder;
     synchronized (this) {
-      boolean exhausted = task.deadlineNanos() - now <= 0 || triedHolders.size() >= MAX_HOLDERS;
+      boolean exhausted =
+          task.deadlineNanos() - now <= minSendNanos() || triedHolders.size() >= MAX_HOLDERS;
       holder =
           exhausted
               ? Optional.empty()
@@ -123,8 +130,32 @@
     } else {
       refuse(
           RefusalCode.BUSY,
-          "no holder of the group can accept the statement now; retry after 200 ms");
+          "no holder of the group can accept the statement now; retry after "
+              + retryAfterMillis(now)
+              + " ms");
+    }
+  }
+
+  /** Returns the time left from which on a holder could not run the statement any more. */
+  private long minSendNanos() {
+    return context.admission().usesDeadlines() ? DeadlineAdmission.MIN_EXECUTION_NANOS : 0;
+  }
+
+  private long retryAfterMillis(long nowNanos) {
+    if (!context.admission().usesDeadlines()) {
+      return RETRY_MILLIS;
     }
+    AdmissionDecision.Reject reject =
+        new AdmissionDecision.Reject(
+            AdmissionDecision.Reason.OVERLOAD,
+            TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS / 2),
+            TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS),
+            0);
+    return context
+        .routings()
+        .of(task.database().group())
+        .admission()
+        .retryDelayMillis(reject, nowNanos);
   }
 
   private synchronized Optional<StatementForwarder.ForwardedReply> refusedReply() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -17,6 +17,8 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
+import org.alderyard.proxy.admission.DeadlineAdmission;
+import org.alderyard.proxy.admission.GroupAdmission;
 import org.alderyard.proxy.callersession.WaitingStatements.Need;
 
 /**
@@ -43,12 +45,19 @@
   private final Map<ServerId, ServerTracker> trackers = new HashMap<>();
   private final PositionSamples samples = new PositionSamples();
   private final Set<CompletableFuture<Void>> sampleFutures = new LinkedHashSet<>();
-  private final WaitingStatements waitingStatements = new WaitingStatements();
+  private final WaitingStatements waitingStatements;
+  private final GroupAdmission admission;
   private final PrimaryEstimate primaryEstimate = new PrimaryEstimate();
   private final Map<ServerId, Long> leavingSinceNanos = new HashMap<>();
 
   GroupRouting(ZoneName zone) {
-    scores = new ReadScores(zone);
+    this(zone, new WaitingStatements(), new GroupAdmission(new DeadlineAdmission()));
+  }
+
+  GroupRouting(ZoneName zone, WaitingStatements waitingStatements, GroupAdmission admission) {
+    this.scores = new ReadScores(zone);
+    this.waitingStatements = waitingStatements;
+    this.admission = admission;
   }
 
   /**
@@ -260,6 +269,17 @@
     return waitingStatements;
   }
 
+  /** Returns what admission knows of this group. */
+  GroupAdmission admission() {
+    return admission;
+  }
+
+  /** Returns what this host has observed of a server that may run a statement. */
+  synchronized ServerObservation observe(
+      ServerState server, Optional<Floor> floor, boolean isPrimary, long nowNanos) {
+    return ServerObservation.of(tracker(server), floor, isPrimary, nowNanos);
+  }
+
   synchronized void started(ServerState server, long nowNanos) {
     tracker(server).started();
     tracker(server).refusals().recordAttempt(nowNanos);
@@ -376,6 +396,7 @@
         .filter(server -> server.status() == ServerStatus.LEAVING)
         .forEach(server -> leavingSinceNanos.putIfAbsent(server.id(), nowNanos));
     trackers.keySet().removeIf(id -> servers.stream().noneMatch(server -> server.id().equals(id)));
+    admission.retainServers(trackers.keySet());
   }
 
   private ServerTracker tracker(ServerState server) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.view.GroupState;
@@ -10,17 +11,22 @@
 
 /** Routing state of all database groups. */
 final class GroupRoutings {
-  private final ZoneName zone;
+  private final Function<GroupId, GroupRouting> factory;
   private final Map<GroupId, GroupRouting> routings = new ConcurrentHashMap<>();
   private final BlockedPromotions blockedPromotions = new BlockedPromotions();
   private volatile Consumer<GroupState> primarySearch = group -> {};
 
   GroupRoutings(ZoneName zone) {
-    this.zone = zone;
+    this(group -> new GroupRouting(zone));
+  }
+
+  /** Creates routings; the factory creates the one of a group at its first use. */
+  GroupRoutings(Function<GroupId, GroupRouting> factory) {
+    this.factory = factory;
   }
 
   GroupRouting of(GroupId group) {
-    return routings.computeIfAbsent(group, id -> new GroupRouting(zone));
+    return routings.computeIfAbsent(group, factory);
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarder.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HolderForwarder.java
@@ -56,7 +56,7 @@
 
   /** Returns the budget that limits the statements that are sent to a second holder. */
   RetryBudget resendBudget() {
-    return resendBudget;
+    return context.admission().usesDeadlines() ? context.admission().retryBudget() : resendBudget;
   }
 
   @Override
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LocalStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/LocalStatements.java
@@ -6,6 +6,7 @@
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.TransactionState;
+import org.alderyard.common.view.SessionReads;
 
 /** Runs statements over this host's own connections. */
 final class LocalStatements {
@@ -34,8 +35,9 @@
    * @return a future that never completes exceptionally
    */
   CompletableFuture<SessionReply> single(StatementTask task, Optional<GroupRouting.Floor> written) {
-    return limiter
-        .begin(task.owner(), task.database())
+    boolean needsPrimary =
+        task.kind() == StatementKind.WRITE || task.database().reads() == SessionReads.NEWEST;
+    return begin(task, needsPrimary)
         .thenCompose(
             refusal ->
                 refusal
@@ -44,6 +46,18 @@
                     .orElseGet(() -> run(task, written)));
   }
 
+  /**
+   * Begins an operation. One that can't be served takes nothing of its organisation's quota.
+   *
+   * @return empty if the operation may run
+   */
+  private CompletableFuture<Optional<Refusal>> begin(StatementTask task, boolean needsPrimary) {
+    Optional<Refusal> refusal = StatementAdmission.screen(context, task, needsPrimary);
+    return refusal.isPresent()
+        ? CompletableFuture.completedFuture(refusal)
+        : limiter.begin(task.owner(), task.database());
+  }
+
   private static SessionReply refusedReply(Refusal refusal, TransactionState state) {
     return SessionReply.refused(refusal.code(), refusal.text(), state);
   }
@@ -54,8 +68,7 @@
    * @return a future that never completes exceptionally
    */
   CompletableFuture<StatementRun.Result> first(StatementTask task, ServerRequirement requirement) {
-    return limiter
-        .begin(task.owner(), task.database())
+    return begin(task, requirement.needsPrimary())
         .thenCompose(
             refusal ->
                 refusal
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ResponseTracker.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ResponseTracker.java
@@ -90,6 +90,11 @@
     return backingOff && nowNanos - backoffUntilNanos < 0;
   }
 
+  /** Returns how long the current backoff lasts; 0 if there is none. */
+  long backoffRemainingNanos(long nowNanos) {
+    return inBackoff(nowNanos) ? backoffUntilNanos - nowNanos : 0;
+  }
+
   boolean isFailing() {
     return failures > 0;
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerSearchPolicy.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerSearchPolicy.java
@@ -75,10 +75,14 @@
     return needsPrimary && !viewConfirmed && primaryFailed();
   }
 
+  /** Returns whether this host knows of no server that will run the statement soon. */
+  boolean noServerExpected() {
+    return isIsolated() || isFailoverStuck();
+  }
+
   /** Returns whether the search for a server ends now. */
   boolean isSearchOver(long elapsedNanos, long timeoutNanos, long objectiveNanos) {
-    return isIsolated()
-        || isFailoverStuck()
+    return noServerExpected()
         || failoverExceedsDeadline(timeoutNanos - elapsedNanos)
         || elapsedNanos >= searchNanos(timeoutNanos, objectiveNanos);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTracker.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/ServerTracker.java
@@ -90,6 +90,16 @@
     return (long) (lagMillis * TimeUnit.MILLISECONDS.toNanos(1));
   }
 
+  /**
+   * Returns how long it takes until the server is expected to hold a position that it lacked; 0 if
+   * it may hold it now.
+   */
+  long positionExpectedNanos(GroupRouting.Floor floor, long nowNanos) {
+    return refusals.isMissing(floor.position(), nowNanos)
+        ? Math.max(1, floor.sinceNanos() + lagNanos() - nowNanos)
+        : 0;
+  }
+
   /** Returns the recent refusals of the server. */
   ServerRefusals refusals() {
     return refusals;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
@@ -31,6 +31,7 @@
  * @param leasedViews the current view with its lease, for refusals that depend on the lease
  * @param routineLog selects the successful statements that are logged
  * @param refusalLog bounds the logged refusals of databases that are not in the view
+ * @param admission decides which statements are served while servers are short of slots
  */
 record SessionContext(
     ViewHolder views,
@@ -42,7 +43,8 @@
     SessionMetrics metrics,
     LeasedView.Source leasedViews,
     LogSampler routineLog,
-    LogLimiter refusalLog) {
+    LogLimiter refusalLog,
+    HostAdmission admission) {
   /**
    * Timeout of a rollback, after which the connection is closed. A rollback needs no slot on the
    * server, so that it does not wait for other statements.
@@ -61,6 +63,7 @@
     Objects.requireNonNull(leasedViews);
     Objects.requireNonNull(routineLog);
     Objects.requireNonNull(refusalLog);
+    Objects.requireNonNull(admission);
   }
 
   List<ServerState> servers(GroupId group) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.alderyard.proxy.admission.AdmissionMode;
 
 /**
  * Limits of the sessions of a host.
@@ -12,9 +13,14 @@
  * @param servingDelay how long after its first view the host begins to serve callers; not zero on
  *     hosts that all other hosts depend on at that time
  * @param routineLogSample one of this many successful statements is logged
+ * @param admission how statements are treated that no server can run at once
  */
 public record SessionLimits(
-    int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
+    int maxSessions,
+    Duration admissionTimeout,
+    Duration servingDelay,
+    int routineLogSample,
+    AdmissionMode admission) {
   /**
    * Covers the duration of an election, and is half of the time after which callers give up opening
    * a session.
@@ -25,10 +31,22 @@
   public SessionLimits {
     Objects.requireNonNull(admissionTimeout);
     Objects.requireNonNull(servingDelay);
+    Objects.requireNonNull(admission);
+  }
+
+  /** Creates limits without admission by deadlines. */
+  public SessionLimits(
+      int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
+    this(maxSessions, admissionTimeout, servingDelay, routineLogSample, AdmissionMode.NONE);
   }
 
   /** Creates limits with the default admission timeout. */
   public SessionLimits(int maxSessions, Duration servingDelay, int routineLogSample) {
     this(maxSessions, DEFAULT_ADMISSION_TIMEOUT, servingDelay, routineLogSample);
   }
+
+  /** Returns these limits with another admission mode. */
+  public SessionLimits withAdmission(AdmissionMode mode) {
+    return new SessionLimits(maxSessions, admissionTimeout, servingDelay, routineLogSample, mode);
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -78,7 +78,8 @@
                     .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
             clock);
-    GroupRoutings routings = new GroupRoutings(zone);
+    HostAdmission admission = new HostAdmission(limits.admission(), clock, registry);
+    GroupRoutings routings = new GroupRoutings(group -> admission.newRouting(zone, group));
     SessionMetrics metrics = new SessionMetrics(registry);
     context =
         new SessionContext(
@@ -91,7 +92,8 @@
             metrics,
             LeasedView.Source.of(views::current, viewConfirmed),
             new LogSampler(limits.routineLogSample()),
-            new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND));
+            new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND),
+            admission);
     refresher = new SampleRefresher(context);
     operationLimiter = new OperationLimiter(views);
     local = new LocalStatements(context, new ReadFloors(context, refresher), operationLimiter);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -43,6 +43,7 @@
   private final ServerRequirement requirement;
   private final GroupRouting routing;
   private final AttemptLog log;
+  private long startedNanos;
   private long sentNanos;
 
   StatementAttempt(StatementRun run, ServerState server) {
@@ -56,6 +57,7 @@
   }
 
   void start(long now) {
+    startedNanos = now;
     routing.started(server, now);
     context
         .pools()
@@ -180,6 +182,8 @@
       requirement.floor().ifPresent(floor -> routing.recordMissingPosition(server, floor, now));
     } else if (code == RefusalCode.BUSY) {
       routing.recordBusy(server, now);
+      int inFlight = routing.observe(server, Optional.empty(), true, now).inFlight();
+      routing.admission().recordBusy(server.id(), server.incarnation(), inFlight);
     }
   }
 
@@ -245,18 +249,22 @@
       routing.responseLost(server, now);
     }
     context.metrics().countLostReply();
+    run.recordLostReply();
     run.recordFailure(server, "lost-after-sending");
     context.discard(server, session);
     boolean deadlinePassed = task.deadlineNanos() - now <= 0;
-    if (isRepeatable() && !requirement.keepOpen() && deadlinePassed) {
+    boolean mayRepeat = isRepeatable() && !requirement.keepOpen();
+    if (mayRepeat && (deadlinePassed || !context.admission().tryResend())) {
       endAttempt();
       run.complete(
           SessionReply.refused(
               RefusalCode.TIMED_OUT,
-              "the server did not answer before the deadline",
+              deadlinePassed
+                  ? "the server did not answer before the deadline"
+                  : "the connection to the server was lost",
               stateAfterRefusal()),
           Optional.empty());
-    } else if (isRepeatable() && !requirement.keepOpen()) {
+    } else if (mayRepeat) {
       retryElsewhere();
     } else {
       endAttempt();
@@ -281,6 +289,9 @@
     long now = context.clock().nowNanos();
     routing.answered(server, now, now - sentNanos, !refusedBeforeRun(reply), reply.position());
     context.metrics().recordServerTime(now - sentNanos);
+    if (!refusedBeforeRun(reply)) {
+      routing.admission().recordServed(server.id(), server.incarnation(), now - startedNanos);
+    }
     if (reply.succeeded()) {
       log.succeeded(now, sentNanos, run.attemptCount());
       handleSuccess(session, reply);
@@ -302,7 +313,9 @@
     releaseConnection(session, reply);
     if (refusedBeforeRun(reply) && !(task.endsTransaction() && code == RefusalCode.NOT_PRIMARY)) {
       retryElsewhere();
-    } else if (mayRetryFailure && run.storeFailure(reply.withState(stateAfterRefusal()))) {
+    } else if (mayRetryFailure
+        && run.storeFailure(reply.withState(stateAfterRefusal()))
+        && context.admission().tryResend()) {
       retryElsewhere();
     } else {
       endAttempt();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -2,16 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.TransactionState;
 import org.alderyard.common.error.AlderyardException;
@@ -19,7 +14,7 @@
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
-import org.alderyard.proxy.view.LeasedView;
+import org.alderyard.proxy.admission.AdmissionDecision;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,9 +39,10 @@
   private static final long MAX_BACKOFF_MILLIS = 64;
 
   /**
-   * Maximum number of distinct pairs of server and reason in the log line of a refused statement.
+   * Longest time after which a statement that is expected to wait for longer is decided about
+   * again; a quarter of the usual objective of 1 s.
    */
-  private static final int MAX_LOGGED_REASONS = 12;
+  private static final long MAX_EXPECTED_BACKOFF_MILLIS = 250;
 
   /**
    * Minimum time left to send a statement. A statement sent later would be likely to end with an
@@ -62,22 +58,23 @@
   private final ServerRequirement requirement;
   private final GroupRouting routing;
   private final long startNanos;
+  private final StatementAdmission admission;
   private final CompletableFuture<Result> result = new CompletableFuture<>();
   // Guarded by this.
   private final Set<ServerId> triedServers = new HashSet<>();
-  private final Map<String, Integer> failureCounts = new LinkedHashMap<>();
+  private final AttemptFailures failures = new AttemptFailures();
   private int attempts;
   private int activeAttempts;
   private int searchRounds;
   private boolean hedged;
   private int prepareRetries;
-  private Optional<SessionReply> failureReply = Optional.empty();
 
   StatementRun(SessionContext context, StatementTask task, ServerRequirement requirement) {
     this.context = context;
     this.task = task;
     this.requirement = requirement;
     this.routing = context.routings().of(task.database().group());
+    this.admission = new StatementAdmission(context, task, requirement.floor());
     this.startNanos = context.clock().nowNanos();
   }
 
@@ -91,15 +88,37 @@
 
   /** Starts the run; the returned future never completes exceptionally. */
   CompletableFuture<Result> run() {
+    context.admission().recordFirstAttempt();
     tryNextServer();
     return result;
   }
 
   void tryNextServer() {
+    tryNextServer(false);
+  }
+
+  /**
+   * Tries the next server.
+   *
+   * @param itsTurn whether the statement has just left the queue for a free slot
+   */
+  private void tryNextServer(boolean itsTurn) {
     if (result.isDone()) {
       return;
     }
     long now = context.clock().nowNanos();
+    AdmissionDecision decision;
+    synchronized (this) {
+      decision = activeAttempts == 0 ? admission.decide(now, itsTurn) : AdmissionDecision.RUN;
+    }
+    if (decision instanceof AdmissionDecision.Reject reject) {
+      refuse(admission.refusalText(reject, now));
+      return;
+    }
+    if (decision instanceof AdmissionDecision.Wait wait) {
+      waitAndRetry(TimeUnit.NANOSECONDS.toMillis(wait.expectedNanos()));
+      return;
+    }
     Optional<ServerState> selected;
     synchronized (this) {
       boolean deadlineNear = task.deadlineNanos() - now < MIN_EXECUTION_NANOS;
@@ -117,30 +136,39 @@
       new StatementAttempt(this, selected.get()).start(now);
       return;
     }
-    ServerSearchPolicy searchPolicy = searchPolicy(now);
+    ServerSearchPolicy searchPolicy = admission.searchPolicy(now);
     if (searchPolicy.isSearchOver(now - startNanos, timeoutNanos(), objectiveNanos())) {
-      refuse(now, searchPolicy);
+      if (context.admission().usesDeadlines()) {
+        refuse(admission.refusalText(admission.searchEnded(searchPolicy), now));
+      } else {
+        refuse(now, searchPolicy);
+      }
       return;
     }
-    waitAndRetry();
+    waitAndRetry(0);
   }
 
-  /** Retries when a server may have become available, or after a backoff. */
-  private void waitAndRetry() {
+  /**
+   * Retries when a server may have become available, or after a backoff.
+   *
+   * @param expectedMillis how long the statement is expected to wait; 0 if unknown
+   */
+  private void waitAndRetry(long expectedMillis) {
     long backoffMillis;
     synchronized (this) {
       backoffMillis =
           Math.min(MAX_BACKOFF_MILLIS, INITIAL_BACKOFF_MILLIS << Math.min(searchRounds, 3));
+      backoffMillis =
+          Math.max(backoffMillis, Math.min(MAX_EXPECTED_BACKOFF_MILLIS, expectedMillis / 2));
       searchRounds++;
       triedServers.clear();
     }
     WaitingStatements waitingStatements = routing.waitingStatements();
     WaitingStatements.QueuedStatement queued =
         waitingStatements.add(
-            requirement.needsPrimary() ? WaitingStatements.Need.LEAD : WaitingStatements.Need.READ,
-            task.database().priority(),
-            task.deadlineNanos(),
-            () -> context.workers().execute(this::tryNextServer));
+            WaitingStatements.Need.of(admission.request()),
+            admission.request(),
+            () -> context.workers().execute(() -> tryNextServer(true)));
     context
         .workers()
         .schedule(
@@ -191,26 +219,10 @@
     return context.group(task.database().group()).flatMap(routing::presumedPrimary);
   }
 
-  private ServerSearchPolicy searchPolicy(long now) {
-    LeasedView leased = context.leasedViews().read();
-    return new ServerSearchPolicy(
-        requirement.needsPrimary(),
-        leased.leaseValid(),
-        leased
-            .view()
-            .group(task.database().group())
-            .map(group -> routing.primaryUnresponsiveNanos(group, now))
-            .orElse(OptionalLong.empty()),
-        context.routings().blockedPromotions().contains(task.database().group(), now));
-  }
-
   private void refuse(long now, ServerSearchPolicy searchPolicy) {
     String reasons;
     synchronized (this) {
-      reasons =
-          failureCounts.entrySet().stream()
-              .map(entry -> entry.getKey() + "*" + entry.getValue())
-              .collect(Collectors.joining(","));
+      reasons = failures.reasons();
     }
     log.warn(
         "event=statement-refused id={} database={} group={} kind={} needs-lead={} floor={}"
@@ -229,12 +241,17 @@
         TimeUnit.NANOSECONDS.toMillis(now - startNanos),
         searchPolicy.retryAfterMillis(),
         reasons);
+    refuse(searchPolicy.message());
+  }
+
+  private void refuse(String message) {
     TransactionState state =
         requirement.keepOpen() ? TransactionState.FAILED : TransactionState.NONE;
-    complete(
-        failureReply.orElseGet(
-            () -> SessionReply.refused(RefusalCode.BUSY, searchPolicy.message(), state)),
-        Optional.empty());
+    SessionReply reply;
+    synchronized (this) {
+      reply = failures.refusal(message, state, context.admission().usesDeadlines());
+    }
+    complete(reply, Optional.empty());
   }
 
   boolean complete(SessionReply reply, Optional<PinnedConnection> pinned) {
@@ -258,15 +275,9 @@
     return Duration.ofNanos(Math.max(1, capped));
   }
 
-  /**
-   * Records why a server did not run the statement, for the log. Each pair of server and reason is
-   * stored once, which bounds the map.
-   */
+  /** Records why a server did not run the statement, for the log. */
   synchronized void recordFailure(ServerState server, Object reason) {
-    String serverAndReason = server.id() + ":" + reason;
-    if (failureCounts.containsKey(serverAndReason) || failureCounts.size() < MAX_LOGGED_REASONS) {
-      failureCounts.merge(serverAndReason, 1, Integer::sum);
-    }
+    failures.record(server, reason);
   }
 
   Duration timeUntilDeadline() {
@@ -275,8 +286,12 @@
 
   /** Returns how much of the server search time is left, at least 1 ns. */
   Duration remainingSearchTime(long now) {
+    if (context.admission().usesDeadlines()) {
+      return Duration.ofNanos(admission.connectionWaitNanos(now));
+    }
     long nanos =
-        searchPolicy(now).searchNanos(timeoutNanos(), objectiveNanos()) - (now - startNanos);
+        admission.searchPolicy(now).searchNanos(timeoutNanos(), objectiveNanos())
+            - (now - startNanos);
     return Duration.ofNanos(Math.max(1, nanos));
   }
 
@@ -292,6 +307,11 @@
     return result.isDone();
   }
 
+  /** Records that a server may have run the statement without a reply. */
+  synchronized void recordLostReply() {
+    failures.recordLostReply();
+  }
+
   synchronized void attemptEnded() {
     activeAttempts--;
   }
@@ -300,7 +320,7 @@
    * Reserves the hedged attempt; returns false if it is already reserved or the run is complete.
    */
   synchronized boolean reserveHedge() {
-    boolean reserved = !result.isDone() && !hedged;
+    boolean reserved = !result.isDone() && !hedged && context.admission().tryResend();
     hedged |= reserved;
     return reserved;
   }
@@ -320,9 +340,7 @@
    * Returns whether it is the first such reply.
    */
   synchronized boolean storeFailure(SessionReply reply) {
-    boolean first = failureReply.isEmpty();
-    failureReply = first ? Optional.of(reply) : failureReply;
-    return first;
+    return failures.storeReply(reply);
   }
 
   /** Returns the number of attempts, including those that did not get a connection. */
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -40,6 +40,7 @@
 import org.alderyard.common.view.SessionReads;
 import org.alderyard.common.view.View;
 import org.alderyard.common.view.ViewVersion;
+import org.alderyard.proxy.admission.AdmissionMode;
 import org.alderyard.proxy.pool.ConnectionAllowance;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.testkit.session.ModelGroup;
@@ -93,6 +94,16 @@
 
   /** Creates a host that begins to serve callers at this delay after its first view. */
   SessionFixture(String zone, ModelGroup group, Duration servingDelay) {
+    this(zone, group, servingDelay, AdmissionMode.NONE);
+  }
+
+  /** Creates a host with the given admission mode. */
+  SessionFixture(AdmissionMode admission) {
+    this("z1", new ModelGroup("g1", "s1", "s2", "s3"), Duration.ZERO, admission);
+  }
+
+  private SessionFixture(
+      String zone, ModelGroup group, Duration servingDelay, AdmissionMode admission) {
     this.group = group;
     service =
         new SessionService(
@@ -105,7 +116,7 @@
             () -> Instant.ofEpochMilli(clock.nowMillis()),
             new PrometheusRegistry(),
             this::readLease,
-            new SessionLimits(100, servingDelay, 1));
+            new SessionLimits(100, servingDelay, 1).withAdmission(admission));
     publish("s1", group.states());
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
@@ -17,7 +17,12 @@
 import org.junit.jupiter.api.Test;
 
 class StatementRunTest {
-  private final SessionFixture fixture = new SessionFixture("z1");
+  final SessionFixture fixture = newFixture();
+
+  /** Creates the host under test. */
+  SessionFixture newFixture() {
+    return new SessionFixture("z1");
+  }
 
   @AfterEach
   void close() {
