--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -16,8 +16,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps the requests of replicas that join and of voters that stop, and makes the membership changes
- * of the leader. Used only on the serial loop.
+ * Keeps the requests of replicas that join and of voters that stop, and makes the membership
+ * changes of the leader. Used only on the serial loop.
  */
 final class MembershipRepair {
   private static final Logger log = LoggerFactory.getLogger(MembershipRepair.class);
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -13,7 +13,6 @@
 import org.alderyard.common.id.Addresses;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.Membership;
-import org.alderyard.control.raft.MembershipChange;
 import org.alderyard.control.raft.RaftCore;
 import org.alderyard.control.raft.Role;
 import org.alderyard.control.store.DataFolder;
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -214,7 +214,8 @@
                         settings.get(DaemonSpec.SERVER_KNOWLEDGE),
                         settings.get(DaemonSpec.SERVER_PACE)),
                     settings.get(DaemonSpec.QUOTA_COUNTERS),
-                    settings.get(DaemonSpec.CONNECTION_SHARING)));
+                    settings.get(DaemonSpec.CONNECTION_SHARING),
+                    settings.get(DaemonSpec.ADMISSION)));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -21,11 +21,12 @@
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.settings.Setting;
 import org.alderyard.common.settings.SettingsSpec;
+import org.alderyard.proxy.admission.AdmissionMode;
 import org.alderyard.proxy.callersession.StartOpenings;
-import org.alderyard.proxy.serverhealth.PaceMode;
-import org.alderyard.proxy.serverhealth.ServerKnowledge;
 import org.alderyard.proxy.pool.ConnectionSharing;
 import org.alderyard.proxy.quota.QuotaCounters;
+import org.alderyard.proxy.serverhealth.PaceMode;
+import org.alderyard.proxy.serverhealth.ServerKnowledge;
 
 /** Specification of all daemon settings. */
 public final class DaemonSpec {
@@ -279,6 +280,13 @@
           word(PaceMode.class),
           "none",
           "adaptive: bounds the concurrent statements of a server that has just started");
+  static final Setting<AdmissionMode> ADMISSION =
+      Setting.preset(
+          "load",
+          "admission",
+          word(AdmissionMode.class),
+          "none",
+          "deadline refuses statements at once that can't be served before their deadline");
 
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
@@ -348,6 +356,7 @@
               START_OPENINGS,
               SERVER_KNOWLEDGE,
               SERVER_PACE,
+              ADMISSION,
               TLS_KEYSTORE_FILE,
               TLS_PASSWORD_FILE,
               TLS_PORTS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import org.alderyard.proxy.admission.AdmissionMode;
 import org.alderyard.proxy.callersession.StartOpenings;
 import org.alderyard.proxy.pool.ConnectionSharing;
 import org.alderyard.proxy.quota.QuotaCounters;
@@ -22,6 +23,7 @@
  * @param health how the health of servers influences what they get
  * @param quotaCounters how limits are divided among the hosts that count
  * @param connectionSharing how organisations share the connections to a server
+ * @param admission how statements are treated that no server can run at once
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
@@ -33,4 +35,5 @@
     StartOpenings startOpenings,
     HealthOptions health,
     QuotaCounters quotaCounters,
-    ConnectionSharing connectionSharing) {}
+    ConnectionSharing connectionSharing,
+    AdmissionMode admission) {}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -96,7 +96,8 @@
                         : Duration.ZERO,
                     host.settings.readOptions().routingLogSample(),
                     options.startOpenings())
-                .withConnectionSharing(options.connectionSharing()),
+                .withConnectionSharing(options.connectionSharing())
+                .withAdmission(options.admission()),
             host.startLog);
     host.viewClient.extendHeartbeats(
         sessions.useServerHealth(options.health(), host.settings.host()));
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -20,6 +20,8 @@
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
+import org.alderyard.proxy.admission.DeadlineAdmission;
+import org.alderyard.proxy.admission.GroupAdmission;
 import org.alderyard.proxy.callersession.WaitingStatements.Need;
 import org.alderyard.proxy.serverhealth.FleetSize;
 import org.alderyard.proxy.serverhealth.GroupHealth;
@@ -61,7 +63,8 @@
   private final Map<ServerId, ServerTracker> trackers = new HashMap<>();
   private final PositionSamples samples = new PositionSamples();
   private final Set<CompletableFuture<Void>> sampleFutures = new LinkedHashSet<>();
-  private final WaitingStatements waitingStatements = new WaitingStatements();
+  private final WaitingStatements waitingStatements;
+  private final GroupAdmission admission;
   private final PrimaryEstimate primaryEstimate = new PrimaryEstimate();
   private final Map<ServerId, Long> leavingSinceNanos = new HashMap<>();
 
@@ -70,9 +73,25 @@
   }
 
   GroupRouting(ZoneName zone, StartLog startLog, GroupHealth health) {
+    this(
+        zone,
+        startLog,
+        health,
+        new WaitingStatements(),
+        new GroupAdmission(new DeadlineAdmission()));
+  }
+
+  GroupRouting(
+      ZoneName zone,
+      StartLog startLog,
+      GroupHealth health,
+      WaitingStatements waitingStatements,
+      GroupAdmission admission) {
     this.startLog = startLog;
-    scores = new ReadScores(zone);
+    this.scores = new ReadScores(zone);
     this.health = health;
+    this.waitingStatements = waitingStatements;
+    this.admission = admission;
   }
 
   /**
@@ -296,6 +315,17 @@
     return waitingStatements;
   }
 
+  /** Returns what admission knows of this group. */
+  GroupAdmission admission() {
+    return admission;
+  }
+
+  /** Returns what this host has observed of a server that may run a statement. */
+  synchronized ServerObservation observe(
+      ServerState server, Optional<Floor> floor, boolean isPrimary, long nowNanos) {
+    return ServerObservation.of(tracker(server), floor, isPrimary, nowNanos);
+  }
+
   synchronized void started(ServerState server, long nowNanos) {
     tracker(server).started();
     tracker(server).refusals().recordAttempt(nowNanos);
@@ -453,6 +483,7 @@
         .forEach(server -> leavingSinceNanos.putIfAbsent(server.id(), nowNanos));
     trackers.keySet().removeIf(id -> servers.stream().noneMatch(server -> server.id().equals(id)));
     health.retain(servers.stream().map(ServerState::id).toList());
+    admission.retainServers(trackers.keySet());
   }
 
   private ServerTracker tracker(ServerState server) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRoutings.java
@@ -10,8 +10,6 @@
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.RendezvousScores;
-import org.alderyard.common.id.ZoneName;
-import org.alderyard.common.start.StartLog;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.View;
@@ -21,8 +19,7 @@
 
 /** Routing state of all database groups. */
 final class GroupRoutings {
-  private final ZoneName zone;
-  private final StartLog startLog;
+  private final RoutingFactory factory;
   private final Map<GroupId, GroupRouting> routings = new ConcurrentHashMap<>();
   private final BlockedPromotions blockedPromotions = new BlockedPromotions();
   private final HolderAssignment assignment = new HolderAssignment();
@@ -32,14 +29,19 @@
   private volatile boolean tracksFleet;
   private volatile Map<GroupId, FleetSize> fleets = Map.of();
 
-  GroupRoutings(ZoneName zone, StartLog startLog) {
-    this.zone = zone;
-    this.startLog = startLog;
+  /** Creates routings; the factory creates the one of a group at its first use. */
+  GroupRoutings(RoutingFactory factory) {
+    this.factory = factory;
+  }
+
+  /** Creates the routing of a group. */
+  @FunctionalInterface
+  interface RoutingFactory {
+    GroupRouting create(GroupId group, GroupHealth health);
   }
 
   GroupRouting of(GroupId group) {
-    return routings.computeIfAbsent(
-        group, id -> new GroupRouting(zone, startLog, healthFactory.apply(id)));
+    return routings.computeIfAbsent(group, id -> factory.create(id, healthFactory.apply(id)));
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
@@ -33,6 +33,7 @@
  * @param routineLog selects the successful statements that are logged
  * @param refusalLog bounds the logged refusals of databases that are not in the view
  * @param startLog records the first proof of a primary, sample and statement of this process
+ * @param admission decides which statements are served while servers are short of slots
  */
 record SessionContext(
     ViewHolder views,
@@ -45,7 +46,8 @@
     LeasedView.Source leasedViews,
     LogSampler routineLog,
     LogLimiter refusalLog,
-    StartLog startLog) {
+    StartLog startLog,
+    HostAdmission admission) {
   /**
    * Timeout of a rollback, after which the connection is closed. A rollback needs no slot on the
    * server, so that it does not wait for other statements.
@@ -65,6 +67,7 @@
     Objects.requireNonNull(routineLog);
     Objects.requireNonNull(refusalLog);
     Objects.requireNonNull(startLog);
+    Objects.requireNonNull(admission);
   }
 
   List<ServerState> servers(GroupId group) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionLimits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.alderyard.proxy.admission.AdmissionMode;
 import org.alderyard.proxy.pool.ConnectionSharing;
 
 /**
@@ -15,6 +16,7 @@
  * @param routineLogSample one of this many successful statements is logged
  * @param startOpenings what happens to openings before the first view
  * @param connectionSharing how organisations share the connections to a server
+ * @param admission how statements are treated that no server can run at once
  */
 public record SessionLimits(
     int maxSessions,
@@ -22,7 +24,8 @@
     Duration servingDelay,
     int routineLogSample,
     StartOpenings startOpenings,
-    ConnectionSharing connectionSharing) {
+    ConnectionSharing connectionSharing,
+    AdmissionMode admission) {
   /**
    * Covers the duration of an election, and is half of the time after which callers give up opening
    * a session.
@@ -35,9 +38,10 @@
     Objects.requireNonNull(servingDelay);
     Objects.requireNonNull(startOpenings);
     Objects.requireNonNull(connectionSharing);
+    Objects.requireNonNull(admission);
   }
 
-  /** Creates limits under which openings wait for the first view. */
+  /** Creates limits with the default treatment of openings, connections and statements. */
   public SessionLimits(
       int maxSessions, Duration admissionTimeout, Duration servingDelay, int routineLogSample) {
     this(
@@ -46,7 +50,8 @@
         servingDelay,
         routineLogSample,
         StartOpenings.WAIT,
-        ConnectionSharing.RECENCY);
+        ConnectionSharing.RECENCY,
+        AdmissionMode.NONE);
   }
 
   /** Creates limits with the default admission timeout. */
@@ -58,12 +63,31 @@
         servingDelay,
         routineLogSample,
         startOpenings,
-        ConnectionSharing.RECENCY);
+        ConnectionSharing.RECENCY,
+        AdmissionMode.NONE);
   }
 
   /** Returns these limits with another sharing of connections. */
   public SessionLimits withConnectionSharing(ConnectionSharing sharing) {
     return new SessionLimits(
-        maxSessions, admissionTimeout, servingDelay, routineLogSample, startOpenings, sharing);
+        maxSessions,
+        admissionTimeout,
+        servingDelay,
+        routineLogSample,
+        startOpenings,
+        sharing,
+        admission);
+  }
+
+  /** Returns these limits with another admission mode. */
+  public SessionLimits withAdmission(AdmissionMode mode) {
+    return new SessionLimits(
+        maxSessions,
+        admissionTimeout,
+        servingDelay,
+        routineLogSample,
+        startOpenings,
+        connectionSharing,
+        mode);
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -94,7 +94,9 @@
             clock,
             limits.connectionSharing());
     connectionSharing = limits.connectionSharing();
-    GroupRoutings routings = new GroupRoutings(zone, startLog);
+    HostAdmission admission = new HostAdmission(limits.admission(), clock, registry);
+    GroupRoutings routings =
+        new GroupRoutings((group, health) -> admission.newRouting(zone, startLog, health));
     SessionMetrics metrics = new SessionMetrics(registry);
     context =
         new SessionContext(
@@ -108,7 +110,8 @@
             LeasedView.Source.of(views::current, viewConfirmed),
             new LogSampler(limits.routineLogSample()),
             new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND),
-            startLog);
+            startLog,
+            admission);
     refresher = new SampleRefresher(context);
     operationLimiter = new OperationLimiter(views);
     local = new LocalStatements(context, new ReadFloors(context, refresher), operationLimiter);
