--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlHost.java
@@ -105,6 +105,14 @@
     return service.registry().heartbeat(request.build()).join();
   }
 
+  /** Sends a heartbeat of a host that shares what it observes of servers. */
+  HeartbeatReply heartbeat(String host, ServerReads reads) {
+    HeartbeatRequest.Builder request = heartbeatRequest(host, 1);
+    request.setRunning(StateCodec.versionMessage(ViewFollower.EMPTY.view().version()));
+    request.setWantsReads(true).addReads(reads);
+    return service.registry().heartbeat(request.build()).join();
+  }
+
   private static HeartbeatRequest.Builder heartbeatRequest(String host, long incarnation) {
     return HeartbeatRequest.newBuilder()
         .setHost(
@@ -117,14 +125,6 @@
                 .setProxy(true));
   }
 
-  /** Sends a heartbeat of a host that shares what it observes of servers. */
-  HeartbeatReply heartbeat(String host, ServerReads reads) {
-    HeartbeatRequest.Builder request = heartbeatRequest(host, 1);
-    request.setRunning(StateCodec.versionMessage(ViewFollower.EMPTY.view().version()));
-    request.setWantsReads(true).addReads(reads);
-    return service.registry().heartbeat(request.build()).join();
-  }
-
   HeartbeatReply heartbeatOfOldIncarnation(String host) {
     return heartbeat(host, 0, ViewFollower.EMPTY, false);
   }
