--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/PrimaryReporter.java
@@ -1,8 +1,7 @@
 package org.alderyard.proxy.callersession;
 
 import java.time.Duration;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.alderyard.common.concurrent.Futures;
@@ -56,20 +55,22 @@
 
   private void reportIfDue() {
     long now = context.clock().nowNanos();
-    Map<GroupId, GroupRouting.ObservedPrimary> observed = observe(now);
-    boolean anyUnresponsive =
-        observed.values().stream().anyMatch(primary -> primary.unresponsiveMillis() > 0);
+    boolean anyUnresponsive = probeUnresponsive(now);
     boolean due =
         anyUnresponsive
             || lastReportHadUnresponsive
             || now - lastReportNanos >= STEADY_STATE_REPORT_NANOS;
-    if (!due || observed.isEmpty() || !reportInFlight.compareAndSet(false, true)) {
+    if (!due) {
+      return;
+    }
+    ReportPrimariesRequest report = report(now);
+    if (report.getSightingsCount() == 0 || !reportInFlight.compareAndSet(false, true)) {
       return;
     }
     lastReportHadUnresponsive = anyUnresponsive;
     lastReportNanos = now;
     control
-        .callIdempotent(ControlMethods.REPORT_PRIMARIES, report(observed), TIMEOUT)
+        .callIdempotent(ControlMethods.REPORT_PRIMARIES, report, TIMEOUT)
         .whenComplete(
             (reply, failure) -> {
               reportInFlight.set(false);
@@ -87,37 +88,37 @@
             });
   }
 
-  /**
-   * Returns the primaries that this host has used recently, and probes those without a response.
-   */
-  private Map<GroupId, GroupRouting.ObservedPrimary> observe(long nowNanos) {
-    Map<GroupId, GroupRouting.ObservedPrimary> observed = new LinkedHashMap<>();
+  /** Probes the primaries that do not respond; returns whether there are any. */
+  private boolean probeUnresponsive(long nowNanos) {
+    boolean any = false;
     for (GroupState group : context.views().current().groups().values()) {
-      context
-          .routings()
-          .of(group.id())
-          .observedPrimary(group, nowNanos)
-          .ifPresent(
-              primary -> {
-                observed.put(group.id(), primary);
-                if (primary.unresponsiveMillis() > 0) {
-                  refresher.probePrimary(group, nowNanos);
-                }
-              });
+      Optional<GroupRouting.ObservedPrimary> primary = observed(group, nowNanos);
+      if (primary.isPresent() && primary.get().unresponsiveMillis() > 0) {
+        any = true;
+        refresher.probePrimary(group, nowNanos);
+      }
     }
-    return observed;
+    return any;
   }
 
-  private ReportPrimariesRequest report(Map<GroupId, GroupRouting.ObservedPrimary> observed) {
+  private Optional<GroupRouting.ObservedPrimary> observed(GroupState group, long nowNanos) {
+    return context.routings().of(group.id()).observedPrimary(group, nowNanos);
+  }
+
+  /** Returns a report of the primaries that this host has used recently. */
+  private ReportPrimariesRequest report(long nowNanos) {
     ReportPrimariesRequest.Builder report =
         ReportPrimariesRequest.newBuilder().setHost(self.value());
-    observed.forEach(
-        (group, primary) ->
-            report.addSightings(
-                PrimarySighting.newBuilder()
-                    .setGroup(group.value())
-                    .setServer(primary.server().value())
-                    .setSilentMillis((int) primary.unresponsiveMillis())));
+    for (GroupState group : context.views().current().groups().values()) {
+      observed(group, nowNanos)
+          .ifPresent(
+              primary ->
+                  report.addSightings(
+                      PrimarySighting.newBuilder()
+                          .setGroup(group.id().value())
+                          .setServer(primary.server().value())
+                          .setSilentMillis((int) primary.unresponsiveMillis())));
+    }
     return report.build();
   }
 }
