--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/BenchHost.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/log/BenchHost.java
@@ -114,7 +114,7 @@
               }
             });
     reached.join();
-    poll.cancel(false);
+    poll.cancel();
   }
 
   /**
