Let the HTTP ports of a starting host wait for the first view, by a setting

A host without a view opens its HTTP ports 2.5 s after the start. Where processor time is scarce that falls into the election and the first views of all hosts, and takes about 0.4 s of processor time from them.

HttpStart decides. With http-start = after-view under [load], the ports open after the first view, also one without a configuration, or after 15.5 s where no leader is found. The preset, timed, keeps 2.5 s.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -208,7 +208,8 @@
                     settings.get(DaemonSpec.GRACE),
                     settings.get(DaemonSpec.MAX_SESSIONS),
                     quotaTolerance(settings),
-                    settings.get(DaemonSpec.START_OPENINGS)));
+                    settings.get(DaemonSpec.START_OPENINGS),
+                    settings.get(DaemonSpec.HTTP_START)));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -248,6 +248,15 @@
           "wait",
           "session openings before a started host has its first view: wait up to 1 s, or refuse");
 
+  static final Setting<HttpStart> HTTP_START =
+      Setting.preset(
+          "load",
+          "http-start",
+          word(HttpStart.class),
+          "timed",
+          "when the HTTP ports of a host with sessions open: at most 2 s after the start, or"
+              + " after the first view");
+
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
           "tls",
@@ -312,6 +321,7 @@
               REQUEST_TIMEOUT,
               IDLE_TIMEOUT,
               START_OPENINGS,
+              HTTP_START,
               TLS_KEYSTORE_FILE,
               TLS_PASSWORD_FILE,
               TLS_PORTS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -16,6 +16,7 @@
  * @param maxSessions maximum number of concurrent sessions
  * @param quotaTolerance how far an organisation may exceed its limit in a window
  * @param startOpenings what happens to session openings before the first view
+ * @param httpStart when the ports for readiness, operators and metrics open
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
@@ -24,4 +25,5 @@
     Duration grace,
     int maxSessions,
     QuotaTolerance quotaTolerance,
-    StartOpenings startOpenings) {}
+    StartOpenings startOpenings,
+    HttpStart httpStart) {}
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -48,12 +48,6 @@
 
   private static final long POLL_MILLIS = 50;
 
-  /**
-   * Maximum wait for the first view before the HTTP ports open. Hosts that start at the same time
-   * receive their first view earlier, with a margin for slow disks.
-   */
-  private static final Duration MAX_FIRST_VIEW_WAIT = Duration.ofSeconds(2);
-
   /**
    * Delay of the HTTP ports after the first view, in which a host whose code is not yet compiled
    * serves the callers that waited for the view.
@@ -71,6 +65,7 @@
   private final SessionService sessions;
   private final QuotaService quota;
   private Optional<CallerPort> callerPort = Optional.empty();
+  private final CompletableFuture<Void> viewForHttp = new CompletableFuture<>();
   private final CompletableFuture<Void> whenOperatorPortsOpen = new CompletableFuture<>();
   private volatile boolean stopping;
 
@@ -108,6 +103,12 @@
             options.quotaTolerance(),
             host.registry);
     host.views.onChange(quota::onViewChange);
+    host.views.onChange(
+        view -> {
+          if (options.httpStart().mayOpen(view.configuration().isPresent())) {
+            viewForHttp.complete(null);
+          }
+        });
     host.viewClient.onLeaseConfirmed(() -> host.startLog.reached(StartStage.VIEW_LEASE));
     LeaseClient leaseClient =
         new LeaseClient(
@@ -160,8 +161,8 @@
    * its callers.
    */
   void scheduleHttpStart() {
-    sessions
-        .firstView(MAX_FIRST_VIEW_WAIT)
+    viewForHttp
+        .completeOnTimeout(null, options.httpStart().maxWait().toMillis(), TimeUnit.MILLISECONDS)
         .thenRun(() -> host.workers.schedule(HTTP_DELAY_AFTER_VIEW, this::startHttp));
   }
 
--- a/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
+++ b/alderyard-daemon/src/test/java/org/alderyard/daemon/DaemonSettingsTest.java
@@ -52,11 +52,12 @@
     assertThat(settings.tls().forPort(TlsPort.OPERATOR)).isEmpty();
   }
 
-  /** Guards deployments that set nothing against refusals where openings waited before. */
+  /** Guards deployments that set nothing against another start than before. */
   @Test
-  void startOpeningsWaitUnlessSet() throws IOException {
+  void startIsAsBeforeUnlessSet() throws IOException {
     String sessions = validSettings + "[sessions]\nready-address = 127.0.0.1:7002\n";
     assertThat(read(sessions).sessions().get().startOpenings()).isEqualTo(StartOpenings.WAIT);
+    assertThat(read(sessions).sessions().get().httpStart()).isEqualTo(HttpStart.TIMED);
     String refusing = sessions + "[load]\nstart-openings = refuse\n";
     assertThat(read(refusing).sessions().get().startOpenings()).isEqualTo(StartOpenings.REFUSE);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
@@ -52,7 +53,7 @@
   private final long startMillis;
   private final boolean delaysServing;
   private final Set<CallerSession> sessions = ConcurrentHashMap.newKeySet();
-  private final CompletableFuture<Void> firstView = new CompletableFuture<>();
+  private final AtomicBoolean viewReceived = new AtomicBoolean();
   private final CompletableFuture<Void> servingStarted = new CompletableFuture<>();
   private volatile StatementForwarder forwarder = StatementForwarder.NONE;
   private volatile Optional<HolderSelector> holderSelector = Optional.empty();
@@ -114,7 +115,7 @@
     views.onChange(view -> routings.onViewChange(view, clock.nowNanos()));
     views.onChange(
         view -> {
-          if (view.configuration().isPresent() && firstView.complete(null)) {
+          if (view.configuration().isPresent() && viewReceived.compareAndSet(false, true)) {
             startLog.reached(StartStage.VIEW);
             startServing(limits.servingDelay());
           }
@@ -225,11 +226,6 @@
     return context.pools();
   }
 
-  /** Returns a future that completes with the first view, or after the limit. */
-  public CompletableFuture<Void> firstView(Duration limit) {
-    return firstView.copy().completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS);
-  }
-
   /**
    * Returns why a session can't be opened, as soon as that is known.
    *
