--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSettings.java
@@ -215,7 +215,8 @@
                         settings.get(DaemonSpec.SERVER_PACE)),
                     settings.get(DaemonSpec.QUOTA_COUNTERS),
                     settings.get(DaemonSpec.CONNECTION_SHARING),
-                    settings.get(DaemonSpec.ADMISSION)));
+                    settings.get(DaemonSpec.ADMISSION),
+                    settings.get(DaemonSpec.HTTP_START)));
   }
 
   private static QuotaTolerance quotaTolerance(Settings settings) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -288,6 +288,15 @@
           "none",
           "deadline refuses statements at once that can't be served before their deadline");
 
+  static final Setting<HttpStart> HTTP_START =
+      Setting.preset(
+          "load",
+          "http-start",
+          word(HttpStart.class),
+          "timed",
+          "when the HTTP ports of a host with sessions open: at most 2 s after the start, or"
+              + " after the first view");
+
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
           "tls",
@@ -357,6 +366,7 @@
               SERVER_KNOWLEDGE,
               SERVER_PACE,
               ADMISSION,
+              HTTP_START,
               TLS_KEYSTORE_FILE,
               TLS_PASSWORD_FILE,
               TLS_PORTS,
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionOptions.java
@@ -24,6 +24,7 @@
  * @param quotaCounters how limits are divided among the hosts that count
  * @param connectionSharing how organisations share the connections to a server
  * @param admission how statements are treated that no server can run at once
+ * @param httpStart when the ports for readiness, operators and metrics open
  */
 record SessionOptions(
     InetSocketAddress readyAddress,
@@ -36,4 +37,5 @@
     HealthOptions health,
     QuotaCounters quotaCounters,
     ConnectionSharing connectionSharing,
-    AdmissionMode admission) {}
+    AdmissionMode admission,
+    HttpStart httpStart) {}
