--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlHost.java
@@ -118,7 +118,7 @@
   }
 
   /** Sends a heartbeat of a host that shares what it observes of servers. */
-  HeartbeatReply heartbeat(String host, ServerReads reads) {
+  HeartbeatReply share(String host, ServerReads reads) {
     HeartbeatRequest.Builder request = heartbeatRequest(host, 1);
     request.setRunning(StateCodec.versionMessage(ViewFollower.EMPTY.view().version()));
     request.setWantsReads(true).addReads(reads);
--- a/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/ControlServiceTest.java
@@ -329,9 +329,9 @@
     assertThat(first.state.view().version()).isEqualTo(announced);
 
     int server = ServerFingerprint.of(new ServerId("s1"), 5);
-    first.heartbeat("h1", ServerReads.newBuilder().setServer(server).setFailed(3).build());
+    first.share("h1", ServerReads.newBuilder().setServer(server).setFailed(3).build());
     HeartbeatReply reply =
-        first.heartbeat("h2", ServerReads.newBuilder().setServer(server).setFailed(1).build());
+        first.share("h2", ServerReads.newBuilder().setServer(server).setFailed(1).build());
     assertThat(reply.getReadsList())
         .containsExactly(
             ServerReads.newBuilder()
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/FleetModel.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/FleetModel.java
@@ -64,7 +64,7 @@
   final List<Server> servers = List.of(new Server(0), new Server(1), new Server(2));
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparing(Event::atNanos).thenComparing(Event::order));
-  final List<GroupRouting> hosts = new ArrayList<>();
+  private final List<GroupRouting> hosts = new ArrayList<>();
   private final ReadReportTable table = new ReadReportTable();
   private final Random random;
   private long order;
@@ -82,9 +82,10 @@
           new GroupHealth(options, random.nextDouble(), () -> new FleetSize(hostCount, SLOTS));
       GroupRouting routing = new GroupRouting(new ZoneName("z"), health);
       hosts.add(routing);
+      String name = "h" + i;
       HealthExchange exchange = new HealthExchange(() -> List.of(routing), () -> now);
       if (options.shared()) {
-        at((long) (random.nextDouble() * HEARTBEAT), () -> heartbeat("h" + routing, exchange));
+        at((long) (random.nextDouble() * HEARTBEAT), () -> heartbeat(name, exchange));
       }
     }
     at(0, () -> arrive(statementsPerSecond));
