--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HealthExchange.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HealthExchange.java
@@ -12,6 +12,7 @@
 import org.alderyard.protocol.generated.control.ServerReads;
 import org.alderyard.protocol.health.ReadReportLimits;
 import org.alderyard.proxy.serverhealth.GroupHealth;
+import org.alderyard.proxy.serverhealth.HealthOptions;
 import org.alderyard.proxy.serverhealth.ReadReport;
 import org.alderyard.proxy.view.HeartbeatExtension;
 
@@ -34,6 +35,16 @@
     this.clock = clock;
   }
 
+  /** Starts to log decisions about servers, and returns the exchange if hosts share theirs. */
+  static HeartbeatExtension start(SessionContext context, HealthOptions options) {
+    if (options.enabled()) {
+      new HealthLog(context).start();
+    }
+    return options.shared()
+        ? new HealthExchange(context.routings()::all, context.clock())
+        : HeartbeatExtension.NONE;
+  }
+
   @Override
   public void addTo(HeartbeatRequest.Builder request) {
     if (!takeTurn(clock.nowNanos())) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HealthLog.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HealthLog.java
@@ -1,5 +1,6 @@
 package org.alderyard.proxy.callersession;
 
+import java.time.Duration;
 import java.util.Locale;
 import java.util.function.ToIntFunction;
 import org.alderyard.proxy.serverhealth.GroupHealth;
@@ -14,15 +15,26 @@
 final class HealthLog {
   private static final Logger log = LoggerFactory.getLogger(HealthLog.class);
 
+  /** Time that decisions may wait for their lines. */
+  private static final Duration INTERVAL = Duration.ofMillis(500);
+
+  private final SessionContext context;
   private final GroupRoutings routings;
   private final SessionMetrics metrics;
 
-  HealthLog(GroupRoutings routings, SessionMetrics metrics) {
-    this.routings = routings;
-    this.metrics = metrics;
+  HealthLog(SessionContext context) {
+    this.context = context;
+    routings = context.routings();
+    metrics = context.metrics();
+  }
+
+  /** Registers the gauges and starts to log. */
+  void start() {
+    registerGauges();
+    context.workers().scheduleRepeatedly(INTERVAL, this::drain);
   }
 
-  void registerGauges() {
+  private void registerGauges() {
     metrics.gauge(
         "alderyard_servers_ejected",
         "Servers that get no reads from this host.",
@@ -39,8 +51,7 @@
         .sum();
   }
 
-  /** Logs and counts the decisions since the last call. */
-  void drain() {
+  private void drain() {
     for (GroupRouting routing : routings.all()) {
       for (HealthEvent event : routing.queryHealth(GroupHealth::takeEvents)) {
         String change = event.kind().name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -40,9 +40,6 @@
   /** Interval of the check for idle transactions: a tenth of the usual idle limit of 3 s. */
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(300);
 
-  /** Time in which decisions about servers may wait for their log lines. */
-  private static final Duration HEALTH_LOG_INTERVAL = Duration.ofMillis(500);
-
   private final SessionContext context;
   private final SampleRefresher refresher;
   private final LocalStatements local;
@@ -156,14 +153,7 @@
    */
   public HeartbeatExtension useServerHealth(HealthOptions options, HostId self) {
     context.routings().useHealth(options, self);
-    if (options.enabled()) {
-      HealthLog healthLog = new HealthLog(context.routings(), context.metrics());
-      healthLog.registerGauges();
-      context.workers().scheduleRepeatedly(HEALTH_LOG_INTERVAL, healthLog::drain);
-    }
-    return options.shared()
-        ? new HealthExchange(context.routings()::all, context.clock())
-        : HeartbeatExtension.NONE;
+    return HealthExchange.start(context, options);
   }
 
   /** Starts the periodic check for idle transactions. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/serverhealth/GroupHealth.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/serverhealth/GroupHealth.java
@@ -294,14 +294,7 @@
 
   /** Returns the reads of this host since the last call, to be reported to other hosts. */
   public List<ReadReport> takeReports() {
-    List<ReadReport> reports = new ArrayList<>();
-    for (ServerHealth health : servers.all()) {
-      ReadSums sums = health.reads().takeUnreported();
-      if (!sums.equals(ReadSums.NONE)) {
-        reports.add(ReadReport.of(health.id(), health.incarnation(), sums));
-      }
-    }
-    return reports;
+    return servers.takeReports();
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/serverhealth/GroupServers.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/serverhealth/GroupServers.java
@@ -1,6 +1,7 @@
 package org.alderyard.proxy.serverhealth;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -103,4 +104,16 @@
     events.clear();
     return taken;
   }
+
+  /** Returns the reads of this host since the last call. */
+  List<ReadReport> takeReports() {
+    List<ReadReport> reports = new ArrayList<>();
+    for (ServerHealth health : servers.values()) {
+      ReadSums sums = health.reads().takeUnreported();
+      if (!sums.equals(ReadSums.NONE)) {
+        reports.add(ReadReport.of(health.id(), health.incarnation(), sums));
+      }
+    }
+    return reports;
+  }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionHealthTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionHealthTest.java
@@ -29,7 +29,7 @@
   }
 
   private HeartbeatExtension use(ServerKnowledge knowledge) {
-    HeartbeatExtension extension =
+    final HeartbeatExtension extension =
         fixture.service.useServerHealth(new HealthOptions(knowledge, PaceMode.NONE), SELF);
     fixture.publish("s1", fixture.group.states());
     fixture.caller(SessionFixture.NEWEST).write("a", "1");
