Turns at a host's connections by the priority of organisations

Cause: the priority of an organisation is read and stored, but not used. Change: with connection-sharing = weighted, waiting organisations take turns by weight, 1 for priority 0 and half for each next one, an eighth at least. With recency all weights are 1 and the order is that of before.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -80,7 +80,8 @@
                     .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
             clock,
-            limits.connectionSharing());
+            limits.connectionSharing(),
+            PriorityWeights.of(limits.connectionSharing(), views));
     connectionSharing = limits.connectionSharing();
     GroupRoutings routings = new GroupRoutings(zone);
     SessionMetrics metrics = new SessionMetrics(registry);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -34,6 +34,7 @@
   private final ConnectionAllowance allowance;
   private final MonotonicClock clock;
   private final ConnectionSharing sharing;
+  private final OwnerWeights weights;
   // Guarded by this.
   private final Map<ServerId, ServerPool<C>> pools = new HashMap<>();
   private final List<C> retired = new ArrayList<>();
@@ -52,15 +53,17 @@
   /** Creates pools that are limited by an allowance and use the given clock. */
   public ConnectionPools(
       ConnectionSource<C> source, ConnectionAllowance allowance, MonotonicClock clock) {
-    this(source, allowance, clock, ConnectionSharing.RECENCY);
+    this(source, allowance, clock, ConnectionSharing.RECENCY, OwnerWeights.EQUAL);
   }
 
-  /** Creates pools whose connections organisations share in the given way. */
+  /** Creates pools whose connections organisations share in the given way, by their weights. */
   public ConnectionPools(
       ConnectionSource<C> source,
       ConnectionAllowance allowance,
       MonotonicClock clock,
-      ConnectionSharing sharing) {
+      ConnectionSharing sharing,
+      OwnerWeights weights) {
+    this.weights = Objects.requireNonNull(weights);
     this.sharing = Objects.requireNonNull(sharing);
     this.source = Objects.requireNonNull(source);
     this.allowance = Objects.requireNonNull(allowance);
@@ -328,7 +331,7 @@
     if (pool != null && pool.incarnation() >= server.incarnation()) {
       return pool;
     }
-    ServerPool<C> successor = new ServerPool<>(server.incarnation(), clock, sharing);
+    ServerPool<C> successor = new ServerPool<>(server.incarnation(), clock, sharing, weights);
     if (pool != null) {
       retired.addAll(pool.transferRequestsTo(successor));
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/RequestQueue.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/RequestQueue.java
@@ -13,9 +13,9 @@
 /**
  * The requests that wait for a connection to one server.
  *
- * <p>Requests are served in ascending order of priority. Within a priority, owners take turns, so
- * that one with many requests does not delay the others; the requests of one owner are served in
- * order of arrival. Not thread-safe.
+ * <p>Requests are served in ascending order of priority. Within a priority, owners take turns by
+ * their weights, so that one with many requests does not delay the others; the requests of one
+ * owner are served in order of arrival. Not thread-safe.
  */
 final class RequestQueue<C extends PooledConnection> {
   /**
@@ -26,8 +26,18 @@
   private static final long MAX_OVERTAKEN_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
   private final List<QueuedRequest<C>> requests = new ArrayList<>();
-  private final Map<Optional<ConnectionOwner>, Long> lastTurns = new HashMap<>();
-  private long currentTurn;
+  private final OwnerWeights weights;
+  private final Map<Optional<ConnectionOwner>, Double> lastTurns = new HashMap<>();
+  private double currentTurn;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param weights how many turns an owner has in relation to the others
+   */
+  RequestQueue(OwnerWeights weights) {
+    this.weights = weights;
+  }
 
   /**
    * A request for a connection.
@@ -41,7 +51,7 @@
       CompletableFuture<C> connection,
       Optional<ConnectionOwner> owner,
       int priority,
-      long turn,
+      double turn,
       long sinceNanos) {
 
     /** Returns whether a connection belongs to the required owner. */
@@ -62,7 +72,8 @@
     if (requests.isEmpty()) {
       lastTurns.clear();
     }
-    long turn = Math.max(currentTurn, lastTurns.getOrDefault(owner, currentTurn) + 1);
+    double share = 1 / owner.map(weights::weight).orElse(1.0);
+    double turn = Math.max(currentTurn, lastTurns.getOrDefault(owner, currentTurn) + share);
     lastTurns.put(owner, turn);
     QueuedRequest<C> request = new QueuedRequest<>(connection, owner, priority, turn, nowNanos);
     int index = requests.size();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ServerPool.java
@@ -49,7 +49,7 @@
   private final Map<C, Long> inUse = new HashMap<>();
   // The organisations with the time of their last use of a connection.
   private final Map<ConnectionOwner, Long> ownerUses = new HashMap<>();
-  private final RequestQueue<C> requests = new RequestQueue<>();
+  private final RequestQueue<C> requests;
   private ConnectionOwner lastOwner = ConnectionOwner.NONE;
   private int opening;
   private int peakInUse;
@@ -62,10 +62,12 @@
   private final TimeWeightedMean meanDemand;
 
   ServerPool(long incarnation, MonotonicClock clock) {
-    this(incarnation, clock, ConnectionSharing.RECENCY);
+    this(incarnation, clock, ConnectionSharing.RECENCY, OwnerWeights.EQUAL);
   }
 
-  ServerPool(long incarnation, MonotonicClock clock, ConnectionSharing sharing) {
+  ServerPool(
+      long incarnation, MonotonicClock clock, ConnectionSharing sharing, OwnerWeights weights) {
+    requests = new RequestQueue<>(weights);
     this.incarnation = incarnation;
     this.clock = clock;
     this.sharing = sharing;
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ConnectionSharingTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/ConnectionSharingTest.java
@@ -21,6 +21,7 @@
 import org.alderyard.common.view.ServerState;
 import org.alderyard.proxy.pool.ConnectionPools;
 import org.alderyard.proxy.pool.ConnectionSharing;
+import org.alderyard.proxy.pool.OwnerWeights;
 import org.alderyard.testkit.session.ModelGroup;
 import org.junit.jupiter.api.Test;
 
@@ -62,7 +63,8 @@
               },
               server -> connectionsPerServer,
               () -> nowNanos,
-              sharing);
+              sharing,
+              OwnerWeights.EQUAL);
     }
   }
 
