--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -12,8 +12,6 @@
 import java.util.concurrent.TimeoutException;
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.PooledConnection;
-import org.alderyard.backend.session.ConnectRefusedException;
-import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
@@ -197,7 +195,7 @@
               pool.opened(connection);
             } else {
               pool.openingFailed();
-              if (isConnectionLimit(failure)) {
+              if (PoolErrors.isConnectionLimit(failure)) {
                 pool.backOff(clock.nowNanos());
               }
             }
@@ -208,11 +206,6 @@
         });
   }
 
-  private static boolean isConnectionLimit(Throwable failure) {
-    return Futures.unwrap(failure) instanceof ConnectRefusedException refused
-        && refused.refusal() == RefusalCode.CONNECTION_LIMIT;
-  }
-
   /**
    * Returns a connection to its pool. A connection that is unusable or exceeds the allowance is
    * closed.
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/PoolErrors.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/PoolErrors.java
@@ -1,5 +1,8 @@
 package org.alderyard.proxy.pool;
 
+import org.alderyard.backend.session.ConnectRefusedException;
+import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.view.ServerState;
@@ -32,5 +35,11 @@
         RETRY_AFTER_MILLIS);
   }
 
+  /** Returns whether a server has refused a connection at its connection limit. */
+  static boolean isConnectionLimit(Throwable failure) {
+    return Futures.unwrap(failure) instanceof ConnectRefusedException refused
+        && refused.refusal() == RefusalCode.CONNECTION_LIMIT;
+  }
+
   private PoolErrors() {}
 }
