--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -90,7 +90,8 @@
                     .thenApply(connection -> new PooledSession(connection, owner)),
             allowance,
             clock,
-            limits.connectionSharing());
+            limits.connectionSharing(),
+            PriorityWeights.of(limits.connectionSharing(), views));
     connectionSharing = limits.connectionSharing();
     HostAdmission admission = new HostAdmission(limits.admission(), clock, registry);
     GroupRoutings routings =
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/pool/ConnectionPools.java
@@ -12,8 +12,6 @@
 import java.util.concurrent.TimeoutException;
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.PooledConnection;
-import org.alderyard.backend.session.ConnectRefusedException;
-import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
@@ -34,6 +32,7 @@
   private final ConnectionAllowance allowance;
   private final MonotonicClock clock;
   private final ConnectionSharing sharing;
+  private final OwnerWeights weights;
   // Guarded by this.
   private final Map<ServerId, ServerPool<C>> pools = new HashMap<>();
   private final List<C> retired = new ArrayList<>();
@@ -52,15 +51,17 @@
   /** Creates pools that are limited by an allowance and use the given clock. */
   public ConnectionPools(
       ConnectionSource<C> source, ConnectionAllowance allowance, MonotonicClock clock) {
-    this(source, allowance, clock, ConnectionSharing.RECENCY);
+    this(source, allowance, clock, ConnectionSharing.RECENCY, OwnerWeights.EQUAL);
   }
 
-  /** Creates pools whose connections organisations share in the given way. */
+  /** Creates pools whose connections organisations share in the given way, by their weights. */
   public ConnectionPools(
       ConnectionSource<C> source,
       ConnectionAllowance allowance,
       MonotonicClock clock,
-      ConnectionSharing sharing) {
+      ConnectionSharing sharing,
+      OwnerWeights weights) {
+    this.weights = Objects.requireNonNull(weights);
     this.sharing = Objects.requireNonNull(sharing);
     this.source = Objects.requireNonNull(source);
     this.allowance = Objects.requireNonNull(allowance);
@@ -194,7 +195,7 @@
               pool.opened(connection);
             } else {
               pool.openingFailed();
-              if (isConnectionLimit(failure)) {
+              if (PoolErrors.isConnectionLimit(failure)) {
                 pool.backOff(clock.nowNanos());
               }
             }
@@ -205,11 +206,6 @@
         });
   }
 
-  private static boolean isConnectionLimit(Throwable failure) {
-    return Futures.unwrap(failure) instanceof ConnectRefusedException refused
-        && refused.refusal() == RefusalCode.CONNECTION_LIMIT;
-  }
-
   /**
    * Returns a connection to its pool. A connection that is unusable or exceeds the allowance is
    * closed.
@@ -328,7 +324,7 @@
     if (pool != null && pool.incarnation() >= server.incarnation()) {
       return pool;
     }
-    ServerPool<C> successor = new ServerPool<>(server.incarnation(), clock, sharing);
+    ServerPool<C> successor = new ServerPool<>(server.incarnation(), clock, sharing, weights);
     if (pool != null) {
       retired.addAll(pool.transferRequestsTo(successor));
     }
