Estimate a host's share of slots more slowly, and model shared servers

A host that shares servers with others learns of their statements only by refusals. Its share of the slots grew by a slot for as many statements as it had, so that it admitted too much between two refusals. The share now grows by a tenth of that. A failing primary that is tried again between two backoffs no longer ends an outage in the estimate of failovers.

The load model has several hosts before the same servers.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/ServerUse.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/ServerUse.java
@@ -13,6 +13,12 @@
   /** Weight of a new sample; about the last ten statements count. */
   private static final double SAMPLE_WEIGHT = 0.1;
 
+  /**
+   * Growth of the share with each served statement, divided by the share. Slow, since a server that
+   * is full for one host is used by others, whose load changes over many statements.
+   */
+  private static final double SHARE_GROWTH = 0.1;
+
   private final long incarnation;
   private double occupancyNanos = INITIAL_OCCUPANCY_NANOS;
   private double shareSlots = Double.MAX_VALUE;
@@ -29,7 +35,7 @@
   void recordServed(long tookNanos) {
     occupancyNanos += SAMPLE_WEIGHT * (tookNanos - occupancyNanos);
     if (shareSlots < Double.MAX_VALUE) {
-      shareSlots += 1 / shareSlots;
+      shareSlots += SHARE_GROWTH / shareSlots;
     }
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAdmission.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAdmission.java
@@ -149,11 +149,9 @@
       if (primary.isEmpty()) {
         outageNanos = outageNanos(state, nowNanos);
         loads.add(group().successorLoad(slots(state), outageNanos));
-      }
-      if (primary.isPresent()) {
-        group().recordPrimaryPresent(nowNanos);
-      } else {
         state.ifPresent(context.routings()::startPrimarySearch);
+      } else if (unresponsiveNanos(state, nowNanos).isEmpty()) {
+        group().recordPrimaryPresent(nowNanos);
       }
     } else {
       Optional<ServerId> primary = state.flatMap(routing::presumedPrimary);
@@ -186,11 +184,14 @@
   }
 
   private long outageNanos(Optional<GroupState> state, long nowNanos) {
-    OptionalLong unresponsive =
-        state
-            .map(group -> routing.primaryUnresponsiveNanos(group, nowNanos))
-            .orElse(OptionalLong.empty());
-    return group().outageNanos(unresponsive.orElse(Long.MAX_VALUE), nowNanos);
+    long unresponsiveNanos = unresponsiveNanos(state, nowNanos).orElse(Long.MAX_VALUE);
+    return group().outageNanos(unresponsiveNanos, nowNanos);
+  }
+
+  private OptionalLong unresponsiveNanos(Optional<GroupState> state, long nowNanos) {
+    return state
+        .map(group -> routing.primaryUnresponsiveNanos(group, nowNanos))
+        .orElse(OptionalLong.empty());
   }
 
   /** Returns what is known of the primary and of this host's view. */
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/AdmissionLoadModel.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/AdmissionLoadModel.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.ManualClock;
@@ -20,9 +22,9 @@
 import org.alderyard.proxy.callersession.WaitingStatements.Need;
 
 /**
- * Discrete simulation of one host before three servers with five slots each, one of them the
- * primary. Callers send the three kinds of statements of the first deployment and retry refused
- * operations twice at most.
+ * Discrete simulation of hosts before three servers with five slots each, one of them the primary.
+ * Callers send the three kinds of statements of the first deployment and retry refused operations
+ * twice at most.
  */
 final class AdmissionLoadModel {
   private static final int SERVERS = 3;
@@ -78,6 +80,7 @@
     int unserved;
     int refusals;
     int lateRefusals;
+    int serverRefusals;
     int refusedWithFreeSlot;
     double longestWaitPastUse;
     final Map<Kind, Integer> served = new EnumMap<>(Kind.class);
@@ -92,7 +95,7 @@
     public String toString() {
       return String.format(
           "value=%.1f share=%.3f operations=%d in-time=%d late=%d unserved=%d refusals=%d"
-              + " late-refusals=%d %s served=%s in-time=%s",
+              + " late-refusals=%d server-refusals=%d %s served=%s in-time=%s",
           value,
           share(),
           operations,
@@ -101,6 +104,7 @@
           unserved,
           refusals,
           lateRefusals,
+          serverRefusals,
           refusedLate,
           served,
           servedInTime);
@@ -118,20 +122,46 @@
               a.atNanos() == b.atNanos()
                   ? Long.compare(a.number(), b.number())
                   : Long.compare(a.atNanos(), b.atNanos()));
-  private final GroupAdmission admission = new GroupAdmission(new DeadlineAdmission());
-  private final WaitingStatements waiting;
-  private final int[] inFlight = new int[SERVERS];
+  private final List<Host> hosts = new ArrayList<>();
+  private final int[] slotsInUse = new int[SERVERS];
   private final Result result = new Result();
   private long eventNumber;
 
-  AdmissionLoadModel(AdmissionMode mode, long seed) {
+  /**
+   * Creates a model.
+   *
+   * @param hostCount how many hosts share the servers; each knows its own statements only
+   */
+  AdmissionLoadModel(AdmissionMode mode, long seed, int hostCount) {
     this.mode = mode;
     this.random = new Random(seed);
-    this.waiting =
+    for (int i = 0; i < hostCount; i++) {
+      hosts.add(new Host());
+    }
+  }
+
+  /** What one host knows. */
+  private final class Host {
+    private final GroupAdmission admission = new GroupAdmission(new DeadlineAdmission());
+    private final WaitingStatements waiting =
         mode == AdmissionMode.DEADLINE
             ? new WaitingStatements(
                 new DeadlineStatementQueue(clock, admission::serviceNanos, () -> false))
             : new WaitingStatements();
+    private final int[] inFlight = new int[SERVERS];
+    private final ServerRefusals[] refusals = new ServerRefusals[SERVERS];
+
+    Host() {
+      for (int server = 0; server < SERVERS; server++) {
+        refusals[server] = new ServerRefusals();
+      }
+    }
+
+    void ended(int server) {
+      inFlight[server]--;
+      waiting.notifyFirst(Need.LEAD, 1);
+      waiting.notifyFirst(Need.READ, 1);
+    }
   }
 
   /** Returns the operations per second at which all slots are in use. */
@@ -210,7 +240,8 @@
 
     void send() {
       sends++;
-      new Statement(this, clock.nowNanos()).attempt(false);
+      Host host = hosts.get(random.nextInt(hosts.size()));
+      new Statement(this, host, clock.nowNanos()).attempt(false);
     }
 
     void refused(long retryAfterMillis) {
@@ -240,11 +271,15 @@
   /** A statement at the host; mirrors {@link StatementRun}. */
   private final class Statement {
     private final Operation operation;
+    private final Host host;
     private final AdmissionRequest request;
+    private final Set<Integer> triedServers = new HashSet<>();
     private int rounds;
+    private boolean decided;
 
-    Statement(Operation operation, long arrivedNanos) {
+    Statement(Operation operation, Host host, long arrivedNanos) {
       this.operation = operation;
+      this.host = host;
       Kind kind = operation.kind;
       this.request =
           AdmissionRequest.of(
@@ -267,20 +302,24 @@
       long now = clock.nowNanos();
       GroupAdmission.Situation situation =
           new GroupAdmission.Situation(
-              loads(),
-              waiting.countBefore(request, rounds == 0),
-              waiting.size(Need.of(request)),
+              loads(now),
+              host.waiting.countBefore(request, !decided),
+              host.waiting.size(Need.of(request)),
               0);
       AdmissionDecision decision =
-          rounds == 0
-              ? admission.decide(request, situation, now)
-              : admission.decideAgain(request, itsTurn ? situation.atItsTurn() : situation, now);
+          !decided
+              ? host.admission.decide(request, situation, now)
+              : host.admission.decideAgain(
+                  request, itsTurn ? situation.atItsTurn() : situation, now);
+      decided = true;
       if (decision instanceof AdmissionDecision.Reject reject) {
-        refuse(admission.retryDelayMillis(reject, now));
+        refuse(host.admission.retryDelayMillis(reject, now));
       } else if (decision instanceof AdmissionDecision.Wait wait) {
         await(Math.min(250, wait.expectedNanos() / MILLI / 2));
+      } else if (freeServer(now) < 0) {
+        await(0);
       } else {
-        start();
+        start(freeServer(now));
       }
     }
 
@@ -288,8 +327,8 @@
       long now = clock.nowNanos();
       ServerSearchPolicy policy =
           new ServerSearchPolicy(operation.needsPrimary, true, OptionalLong.empty());
-      if (freeServer() >= 0 && request.deadlineNanos() - now >= 10 * MILLI) {
-        start();
+      if (freeServer(now) >= 0 && request.deadlineNanos() - now >= 10 * MILLI) {
+        start(freeServer(now));
       } else if (policy.isSearchOver(
           request.waitedNanos(now),
           request.deadlineNanos() - request.arrivedNanos(),
@@ -310,7 +349,7 @@
       }
       boolean useful = request.deadlineNanos() - now >= 10 * MILLI;
       result.refusedWithFreeSlot +=
-          useful && freeServer() >= 0 && waiting.size(Need.of(request)) == 0 ? 1 : 0;
+          useful && freeServer(now) >= 0 && host.waiting.size(Need.of(request)) == 0 ? 1 : 0;
       result.longestWaitPastUse =
           Math.max(
               result.longestWaitPastUse,
@@ -321,54 +360,70 @@
     private void await(long expectedMillis) {
       long backoffMillis = Math.max(expectedMillis, Math.min(64, 8L << Math.min(rounds, 3)));
       rounds++;
+      triedServers.clear();
       WaitingStatements.QueuedStatement queued =
-          waiting.add(Need.of(request), request, () -> attempt(true));
+          host.waiting.add(Need.of(request), request, () -> attempt(true));
       schedule(
           clock.nowNanos() + backoffMillis * MILLI,
           () -> {
-            if (waiting.remove(queued)) {
+            if (host.waiting.remove(queued)) {
               attempt(false);
             }
           });
     }
 
-    private List<ServerLoad> loads() {
+    private List<ServerLoad> loads(long now) {
       List<ServerLoad> loads = new ArrayList<>();
       for (int server = 0; server < (operation.needsPrimary ? 1 : SERVERS); server++) {
-        loads.add(admission.serverLoad(id(server), 1, SLOTS, inFlight[server], false, 0));
+        boolean busy = host.refusals[server].isBusy(now);
+        loads.add(host.admission.serverLoad(id(server), 1, SLOTS, host.inFlight[server], busy, 0));
       }
       return loads;
     }
 
-    /** Returns the least loaded server with a free slot, replicas first; -1 if there is none. */
-    private int freeServer() {
+    /** Returns the server to try, by what the host knows; -1 if there is none. */
+    private int freeServer(long now) {
       int best = -1;
       for (int server = operation.needsPrimary ? 0 : SERVERS - 1; server >= 0; server--) {
-        boolean free = inFlight[server] < SLOTS;
-        if (free && (best < 0 || inFlight[server] < inFlight[best])) {
+        boolean free =
+            host.inFlight[server] < SLOTS
+                && !host.refusals[server].isBusy(now)
+                && !triedServers.contains(server);
+        if (free && (best < 0 || host.inFlight[server] < host.inFlight[best])) {
           best = server;
         }
       }
       return best;
     }
 
-    private void start() {
-      int server = freeServer();
-      long startedNanos = clock.nowNanos();
-      inFlight[server]++;
-      schedule(
-          startedNanos + (long) (operation.serviceMillis * MILLI),
-          () -> {
-            inFlight[server]--;
-            admission.recordServed(id(server), 1, clock.nowNanos() - startedNanos);
-            if (clock.nowNanos() - request.deadlineNanos() > 0) {
-              result.unserved++;
-            } else {
-              operation.answered();
-            }
-            waiting.notifyFirst(Need.LEAD, 1);
-            waiting.notifyFirst(Need.READ, 1);
-          });
+    private void start(int server) {
+      long now = clock.nowNanos();
+      triedServers.add(server);
+      host.inFlight[server]++;
+      host.refusals[server].recordAttempt(now);
+      if (slotsInUse[server] == SLOTS) {
+        host.refusals[server].recordBusy(now);
+        host.admission.recordBusy(id(server), 1, host.inFlight[server]);
+        result.serverRefusals++;
+        host.ended(server);
+        attempt(false);
+        return;
+      }
+      slotsInUse[server]++;
+      schedule(now + (long) (operation.serviceMillis * MILLI), () -> finish(server, now));
+    }
+
+    private void finish(int server, long startedNanos) {
+      long now = clock.nowNanos();
+      slotsInUse[server]--;
+      host.refusals[server].recordAccepted();
+      host.admission.recordServed(id(server), 1, now - startedNanos);
+      if (now - request.deadlineNanos() > 0) {
+        result.unserved++;
+      } else {
+        operation.answered();
+      }
+      host.ended(server);
     }
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/AdmissionLoadModelTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/AdmissionLoadModelTest.java
@@ -12,7 +12,7 @@
 
   private static AdmissionLoadModel.Result run(
       AdmissionMode mode, long seed, double load, boolean burst) {
-    return new AdmissionLoadModel(mode, seed).run(load, burst, SECONDS);
+    return new AdmissionLoadModel(mode, seed, 1).run(load, burst, SECONDS);
   }
 
   /** Load: twice the capacity for good. Callers get at least what they get at the capacity. */
@@ -54,4 +54,21 @@
       assertThat(result.longestWaitPastUse).isAtMost(0.0);
     }
   }
+
+  /**
+   * Load: six hosts share the servers, so that each sees a part of the queue and is refused by full
+   * servers.
+   */
+  @ParameterizedTest
+  @CsvSource({"0.5, 0.995", "1, 1.01", "2, 1.35"})
+  void hostsThatShareServersGiveMoreValueThanWithoutAdmission(double load, double factor) {
+    for (boolean burst : new boolean[] {false, true}) {
+      double none =
+          new AdmissionLoadModel(AdmissionMode.NONE, 6, 6).run(load, burst, SECONDS).value;
+
+      assertThat(
+              new AdmissionLoadModel(AdmissionMode.DEADLINE, 6, 6).run(load, burst, SECONDS).value)
+          .isAtLeast(factor * none);
+    }
+  }
 }
