Let a hedge in flight decide when the budget forbids a resend

With admission by deadlines a read whose reply was lost, or that failed, ended at once if the retry budget was used up, also while its other attempt was still in flight. Such an attempt now ends without a result, and the other one decides. The new test fails without the change.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -254,7 +254,9 @@
     context.discard(server, session);
     boolean deadlinePassed = task.deadlineNanos() - now <= 0;
     boolean mayRepeat = isRepeatable() && !requirement.keepOpen();
-    if (mayRepeat && (deadlinePassed || !context.admission().tryResend())) {
+    if (mayRepeat && !deadlinePassed && run.tryEndBesideOther()) {
+      routing.ended(server);
+    } else if (mayRepeat && (deadlinePassed || !context.admission().tryResend())) {
       endAttempt();
       run.complete(
           SessionReply.refused(
@@ -309,13 +311,16 @@
       routing.recordFailed(server, now);
     }
     // The first read of a transaction too: the server rolls back, and the caller knows of nothing.
-    boolean mayRetryFailure = code == RefusalCode.FAILED && isRepeatable();
+    boolean mayRetryFailure =
+        code == RefusalCode.FAILED
+            && isRepeatable()
+            && run.storeFailure(reply.withState(stateAfterRefusal()));
     releaseConnection(session, reply);
     if (refusedBeforeRun(reply) && !(task.endsTransaction() && code == RefusalCode.NOT_PRIMARY)) {
       retryElsewhere();
-    } else if (mayRetryFailure
-        && run.storeFailure(reply.withState(stateAfterRefusal()))
-        && context.admission().tryResend()) {
+    } else if (mayRetryFailure && run.tryEndBesideOther()) {
+      routing.ended(server);
+    } else if (mayRetryFailure && context.admission().tryResend()) {
       retryElsewhere();
     } else {
       endAttempt();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -312,6 +312,18 @@
     failures.recordLostReply();
   }
 
+  /**
+   * Ends an attempt whose read is not to be sent again while another attempt is in flight, which
+   * then decides the result. Returns false if there is no other attempt.
+   */
+  synchronized boolean tryEndBesideOther() {
+    if (!context.admission().usesDeadlines() || activeAttempts < 2) {
+      return false;
+    }
+    activeAttempts--;
+    return true;
+  }
+
   synchronized void attemptEnded() {
     activeAttempts--;
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/DeadlineStatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/DeadlineStatementRunTest.java
@@ -8,12 +8,14 @@
 import java.util.concurrent.TimeUnit;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionReply;
+import org.alderyard.backend.session.SessionStatement.Read;
 import org.alderyard.backend.session.SessionStatement.Write;
 import org.alderyard.proxy.admission.AdmissionMode;
 import org.junit.jupiter.api.Test;
 
 /** Runs the tests of {@link StatementRun} with deadline-based admission, and tests its refusals. */
 class DeadlineStatementRunTest extends StatementRunTest {
+  private static final List<String> SERVERS = List.of("s1", "s2", "s3");
 
   @Override
   SessionFixture newFixture() {
@@ -60,7 +62,7 @@
   @Test
   void readThatMayHaveRunIsNotRefusedAsNotRun() {
     writeOneRow();
-    for (String server : List.of("s1", "s2", "s3")) {
+    for (String server : SERVERS) {
       fixture.group.server(server).loseResponses(100);
     }
 
@@ -70,11 +72,50 @@
     assertThat(reply.refusedWith(RefusalCode.BUSY)).isFalse();
   }
 
+  /** Guards against a read that ends with a lost reply although its hedge is still in flight. */
+  @Test
+  void lostReplyDoesNotEndReadWhoseOtherAttemptIsInFlight() throws Exception {
+    writeOneRow();
+    while (fixture.context().admission().tryResend()) {
+      // Leaves no budget for a third attempt; the hedge takes what the statements below add.
+    }
+    for (int i = 0; i < 10; i++) {
+      fixture.caller(SessionFixture.BOUNDED).read("room");
+    }
+    SERVERS.forEach(server -> fixture.group.server(server).holdResponses());
+    final CompletableFuture<SessionReply> reply =
+        fixture.caller(SessionFixture.BOUNDED).session.handle("held", new Read("room"));
+    awaitHeldReads(1);
+    SERVERS.stream()
+        .filter(server -> heldReads(server) == 0)
+        .forEach(server -> fixture.group.server(server).loseResponses(1));
+    awaitHeldReads(2);
+
+    SERVERS.forEach(server -> fixture.group.server(server).releaseResponses());
+
+    assertThat(reply.get(5, TimeUnit.SECONDS).rows()).containsExactly("old");
+  }
+
+  private void awaitHeldReads(int count) throws InterruptedException {
+    long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (SERVERS.stream().mapToLong(this::heldReads).sum() < count
+        && System.nanoTime() < endNanos) {
+      Thread.sleep(5);
+    }
+    assertThat(SERVERS.stream().mapToLong(this::heldReads).sum()).isEqualTo(count);
+  }
+
+  private long heldReads(String server) {
+    return fixture.group.server(server).ran().stream()
+        .filter(ran -> ran.id().filter("held"::equals).isPresent())
+        .count();
+  }
+
   /** Load: every server fails its statements. Guards against a fleet that doubles the load. */
   @Test
   void failedReadsAreRepeatedWithinBudget() {
     writeOneRow();
-    for (String server : List.of("s1", "s2", "s3")) {
+    for (String server : SERVERS) {
       fixture.group.server(server).fail(1_000);
     }
     int before = statementsRun();
@@ -87,8 +128,6 @@
   }
 
   private int statementsRun() {
-    return List.of("s1", "s2", "s3").stream()
-        .mapToInt(server -> fixture.group.server(server).ran().size())
-        .sum();
+    return SERVERS.stream().mapToInt(server -> fixture.group.server(server).ran().size()).sum();
   }
 }
