Mend what the reviews of the merged parts found

Cause, by reading: a restarted replica that lags under steady writes never counted again; the successor at a flagged server's address got no flag; restarted replicas were paused before the leadership was confirmed, and not awaited; two searches of one group could overlap, since the wait for announcements is longer than the gate; the close of the log had no bound while the disk hangs; followers kept join requests and ticked each 10 ms; the HTTP start and the settings file ran on the timer thread; with server health on, a read that only an ejected primary could serve found no server; cold reports of ended servers stayed in memory. Change: each as the review proposed, the read by asking whether a regular server holds its position. The event of the hand-over says that it ended. Measured: three new tests of the promotions; the tests of control.log, promotion, state, serverhealth and SessionHostTest pass.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -46,16 +46,13 @@
     joinRequests.put(member.getAddress(), new PendingJoin(member, nowMillis));
   }
 
-  /** Returns whether replicas ask to join, or voters stop, so that a change may become due. */
-  boolean isPending() {
-    return !joinRequests.isEmpty() || !leavingVoters.isEmpty();
+  /** Returns whether replicas ask this leader to join, or voters stop, so that a change is due. */
+  boolean isPending(RaftCore core) {
+    return core.role() == Role.LEADER && (!joinRequests.isEmpty() || !leavingVoters.isEmpty());
   }
 
   /** Makes the next membership change if this host is the leader and one is due. */
   void repair(RaftCore core, long nowMillis) {
-    if (core.role() != Role.LEADER) {
-      return;
-    }
     joinRequests
         .values()
         .removeIf(
@@ -63,6 +60,9 @@
                 nowMillis - join.receivedMillis() > joinRetentionMillis
                     || core.membership().isVoter(join.member().getReplicaId()));
     leavingVoters.values().removeIf(since -> nowMillis - since > LEAVING_RETENTION_MILLIS);
+    if (core.role() != Role.LEADER) {
+      return;
+    }
     Optional<MembershipChange> change = plan(core).nextChange(candidates(core));
     if (change.isPresent() && core.changeMembership(change.get()) == Verdict.ACCEPTED) {
       log.info("event=membership-repair change=\"{}\" term={}", change.get(), core.term());
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -209,7 +209,7 @@
       return nextMillis;
     }
     nextMillis = Math.min(nextMillis, driver.core().nextTickMillis());
-    boolean membershipPending = repair.isPending() || awaitsAdmission();
+    boolean membershipPending = repair.isPending(driver.core()) || awaitsAdmission();
     return membershipPending
         ? Math.min(nextMillis, nowMillis() + builder.options.tick().toMillis())
         : nextMillis;
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -324,8 +324,11 @@
     CompletableFuture<CompletableFuture<Replacement>> handOver =
         runOnLoop(
             future -> future.complete(replica.handOverVote(workers, HAND_OVER_TIMEOUT_MILLIS)));
+    // Bounded from outside too: the step does not run while the disk hangs.
     handOver
         .thenCompose(result -> result)
+        .completeOnTimeout(
+            Replacement.REPLACEMENT_UNKNOWN, 2 * HAND_OVER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .exceptionally(failure -> Replacement.REPLACEMENT_UNKNOWN)
         .join();
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/VoteHandOver.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/VoteHandOver.java
@@ -54,7 +54,8 @@
     return result.whenComplete(
         (replacement, failure) -> {
           requests.cancel();
-          log.info("event=vote-handed-over replica={} result={}", self.getReplicaId(), replacement);
+          log.info(
+              "event=vote-hand-over-ended replica={} result={}", self.getReplicaId(), replacement);
         });
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PausedReplicas.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PausedReplicas.java
@@ -49,6 +49,12 @@
     return entry != null && !entry.resuming.isEmpty();
   }
 
+  /** Returns whether a search of the group has not ended; a second one would undo its pauses. */
+  boolean isSearching(GroupId group) {
+    Entry entry = entries.get(group);
+    return entry != null && entry.searching;
+  }
+
   /** Records the start of a search; no replica of the group resumes before its end. */
   void searchStarted(GroupId group) {
     entries.computeIfAbsent(group, id -> new Entry()).searching = true;
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -166,6 +166,7 @@
           continue;
         }
         if (nextAttemptNanos.getOrDefault(group.id(), nowNanos) - nowNanos > 0
+            || paused.isSearching(group.id())
             || paused.isResuming(group.id())) {
           continue;
         }
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
@@ -121,11 +121,24 @@
   }
 
   private CompletableFuture<ReplicaChoice> pauseOthers(List<Candidate> all) {
-    long pauseTerm = newestTerm(all) + 1;
     List<Candidate> responding = all.stream().filter(this::holdsAcknowledged).toList();
-    if (calledServer.isPresent()) {
-      pauseRestarted(all, pauseTerm);
+    List<ServerState> restarted = restartedWithPendingCall(all);
+    if (restarted.isEmpty()) {
+      return pauseOthers(all, responding);
     }
+    return confirmLeadership
+        .get()
+        .handle((confirmed, failure) -> failure == null)
+        .thenCompose(
+            leads ->
+                leads
+                    ? pause(restarted, newestTerm(all) + 1)
+                        .thenCompose(ignored -> pauseOthers(all, responding))
+                    : CompletableFuture.completedFuture(fail("leadership-not-confirmed")));
+  }
+
+  private CompletableFuture<ReplicaChoice> pauseOthers(
+      List<Candidate> all, List<Candidate> responding) {
     if (responding.isEmpty()) {
       return CompletableFuture.completedFuture(fail("no-candidate"));
     }
@@ -136,6 +149,7 @@
     if (isMissing(calledServer, responding)) {
       return CompletableFuture.completedFuture(fail("called-replica-not-reached"));
     }
+    long pauseTerm = newestTerm(all) + 1;
     Candidate candidate = chooseCandidate(responding);
     List<ServerState> others =
         responding.stream()
@@ -172,17 +186,18 @@
   }
 
   /**
-   * Pauses the replicas whose pause a restart has ended, while a call may still be executed: the
-   * server that it promotes would lack what they acknowledge.
+   * Returns the replicas whose pause a restart has ended while a call may still be executed: the
+   * server that it promotes would lack what they acknowledge. Empty if no call is pending.
    */
-  private void pauseRestarted(List<Candidate> all, long pauseTerm) {
-    pause(
-        all.stream()
-            .map(Candidate::server)
-            .filter(server -> !calledServer.equals(Optional.of(server.id())))
-            .filter(server -> starts.mayLackCommits(server.id()))
-            .toList(),
-        pauseTerm);
+  private List<ServerState> restartedWithPendingCall(List<Candidate> all) {
+    if (calledServer.isEmpty()) {
+      return List.of();
+    }
+    return all.stream()
+        .map(Candidate::server)
+        .filter(server -> !calledServer.equals(Optional.of(server.id())))
+        .filter(server -> starts.mayLackCommits(server.id()))
+        .toList();
   }
 
   private CompletableFuture<ReplicaChoice> pauseAndCheck(
--- a/alderyard-control/src/main/java/org/alderyard/control/state/RestartTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/RestartTable.java
@@ -42,6 +42,16 @@
     return view.configuration().filter(c -> c.syncReplicasOf(group) > 0).isPresent();
   }
 
+  /**
+   * Records the first announcement of a server. It receives the log of the server that was at its
+   * address before, so that it lacks what that one lacks.
+   */
+  void recordFirstAnnouncement(ServerId server, long incarnation, ServerState predecessor) {
+    if (mayLackCommits(predecessor.id())) {
+      update(next -> next.put(server.value(), incarnation));
+    }
+  }
+
   /** Removes a server that holds the log of its primary, unless it has started again since. */
   void recordCaughtUp(ReplicaCaughtUp caughtUp) {
     update(next -> next.remove(caughtUp.getServer(), caughtUp.getIncarnation()));
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
@@ -1,5 +1,6 @@
 package org.alderyard.control.state;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -52,7 +53,13 @@
       return List.of();
     }
     List<ObjectState> changed = new ArrayList<>();
+    List<ServerState> predecessors = known.isPresent() ? List.of() : atAddressOf(announced, view);
+    predecessors.forEach(
+        predecessor ->
+            restarts.recordFirstAnnouncement(
+                new ServerId(announced.getId()), announced.getIncarnation(), predecessor));
     if (announcement.getReportsRole() && !claimAddress(announced, view, changed)) {
+      restarts.remove(announced.getId());
       return List.of();
     }
     endedServers.remove(announced.getId());
@@ -68,6 +75,14 @@
     return changed;
   }
 
+  private static List<ServerState> atAddressOf(Server announced, View view) {
+    InetSocketAddress address = StateCodec.address(announced.getAddress());
+    return view.servers().values().stream()
+        .filter(other -> other.address().equals(address))
+        .filter(other -> !other.id().value().equals(announced.getId()))
+        .toList();
+  }
+
   /**
    * Removes other servers with the same address. Returns false if one of them has a greater
    * incarnation than the announcing server.
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -272,6 +272,22 @@
     assertThat(calls.get(0).server()).isEqualTo("s2");
   }
 
+  // Guards against a replica that never counts again, as it lags while commits go on.
+  @Test
+  void laggingReplicaCountsOnceItHasReachedAnEarlierPositionOfItsPrimary() throws Exception {
+    syncReplicas = 1;
+    restartedServers.add("s2");
+    statuses.put("s1", new ReplicationStatus(true, 3, new Position(3, 12), 0));
+    statuses.put("s2", status(8, 0));
+    startService();
+
+    TimeUnit.MILLISECONDS.sleep(700);
+    assertThat(restartedServers).containsExactly("s2");
+    statuses.put("s1", new ReplicationStatus(true, 3, new Position(3, 20), 0));
+    statuses.put("s2", status(16, 0));
+    awaitTrue(restartedServers::isEmpty);
+  }
+
   @Test
   void groupWithoutSynchronousReplicasDoesNotWaitForUnreachableReplica() throws Exception {
     statuses.put("s3", status(10, 0));
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
@@ -261,6 +261,18 @@
     assertThat(choice.paused()).containsExactly(restarted.server);
   }
 
+  // Guards against replicas that a former leader pauses and nobody resumes.
+  @Test
+  void hostThatDoesNotLeadPausesNoRestartedReplica() throws Exception {
+    Replica restarted = add("s2", ServerStatus.ACTIVE, 0);
+    knownRestarts.add(id(restarted));
+    calledServer = Optional.of(id(add("s3", ServerStatus.ACTIVE, 10)));
+    leadershipConfirmed = false;
+
+    assertThat(search(1, false).failure()).isEqualTo("leadership-not-confirmed");
+    assertThat(restarted.paused).isFalse();
+  }
+
   /**
    * Replicas receive, and acknowledge, at random between the calls of the search and after it. The
    * chosen replica must hold each acknowledged commit at any later time.
--- a/alderyard-control/src/test/java/org/alderyard/control/state/RestartTableTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/state/RestartTableTest.java
@@ -78,6 +78,18 @@
     assertThat(table.mayLackCommits(ID)).isFalse();
   }
 
+  // Guards against a successor that counts as complete though it received an incomplete log.
+  @Test
+  void successorAtTheAddressLacksWhatItsPredecessorLacks() {
+    ServerId successor = new ServerId("s9");
+    table.recordFirstAnnouncement(successor, 500, KNOWN);
+    assertThat(table.mayLackCommits(successor)).isFalse();
+
+    table.recordAnnouncement(KNOWN, 200, view(1));
+    table.recordFirstAnnouncement(successor, 500, KNOWN);
+    assertThat(table.mayLackCommits(successor)).isTrue();
+  }
+
   // Guards against a next leader that takes a restarted replica for complete.
   @Test
   void snapshotHoldsRestartedServers() {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -168,7 +168,10 @@
   void scheduleHttpStart() {
     viewForHttp
         .completeOnTimeout(null, options.httpStart().maxWait().toMillis(), TimeUnit.MILLISECONDS)
-        .thenRun(() -> host.workers.schedule(HTTP_DELAY_AFTER_VIEW, this::startHttp));
+        .thenRun(
+            () ->
+                host.workers.schedule(
+                    HTTP_DELAY_AFTER_VIEW, () -> host.workers.execute(this::startHttp)));
   }
 
   /** Returns a future that completes when the readiness and operator ports are open. */
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SettingsWatch.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SettingsWatch.java
@@ -61,7 +61,7 @@
     if (signalPending) {
       onSignal();
     }
-    pool.scheduleRepeatedly(INTERVAL, () -> reloadIfChanged("file"));
+    pool.scheduleRepeatedly(INTERVAL, () -> pool.execute(() -> reloadIfChanged("file")));
   }
 
   synchronized void reloadIfChanged(String trigger) {
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/health/ReadReportTable.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/health/ReadReportTable.java
@@ -49,6 +49,7 @@
 
   /** Records how much longer a server says that it is slow after its start; 0 if it is not. */
   public synchronized void recordCold(int server, int remainingMillis, long nowNanos) {
+    cold.values().removeIf(said -> remainingMillis(said, nowNanos) <= 0);
     if (remainingMillis > 0) {
       cold.put(server, new Cold(remainingMillis, nowNanos));
     } else {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -205,7 +205,10 @@
         ranked,
         server ->
             primary.filter(server.id()::equals).isEmpty() && likelyHolds(server, floor, nowNanos),
-        server -> !tracker(server).inBackoff(nowNanos),
+        server ->
+            !tracker(server).inBackoff(nowNanos)
+                && (primary.filter(server.id()::equals).isPresent()
+                    || likelyHolds(server, floor, nowNanos)),
         nowNanos);
   }
 
