--- a/alderyard-common/src/main/java/org/alderyard/common/settings/PlainIni.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/settings/PlainIni.java
@@ -8,8 +8,7 @@
  * Parses INI files that consist only of sections, comment lines and single-line values without
  * quotes and escapes.
  *
- * <p>Loading the INI library takes a fifth of the processor time before a starting host has its
- * settings. The library reads all other files.
+ * <p>Avoids loading the INI library at the start of a host. The library reads all other files.
  */
 final class PlainIni {
   /** Characters that the library gives a meaning within values. */
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -49,7 +49,7 @@
   private static final Logger log = LoggerFactory.getLogger(ReplicatedLog.class);
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
 
-  /** A part of the time that a host has left when it closes its log. */
+  /** Longest wait for the hand-over of the vote; leaves time to stop within the grace period. */
   private static final long HAND_OVER_TIMEOUT_MILLIS = 350;
 
   private static final Duration TRANSFER_POLL_INTERVAL = Duration.ofMillis(5);
@@ -84,6 +84,7 @@
       throw openFailure;
     }
     tickTimer = new TickTimer(workers::schedule, replica::nowMillis, this::tick);
+    // An empty step: the flush that follows it schedules the first tick.
     loop.submit(() -> {});
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -19,8 +19,7 @@
 final class Leadership {
   /**
    * Minimum interval between heartbeat rounds that only confirm reads; reads that arrive meanwhile
-   * share the next round. Short against the 750 ms between the heartbeats of a host, which with the
-   * announcements of servers are most of the reads.
+   * share the next round. It delays a read by at most this time.
    */
   static final long MIN_READ_ROUND_INTERVAL_MILLIS = 20;
 
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/BoundedAppender.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/BoundedAppender.java
@@ -19,8 +19,7 @@
  * When less than a fifth of the queue is free, lines of level INFO and below are dropped; warnings
  * and errors are dropped only when the queue is full.
  *
- * <p>The library's asynchronous appender is not used: it links a concatenation of texts at its
- * start, which takes a tenth of the processor time before a starting host has its settings.
+ * <p>Replaces the asynchronous appender of the library, whose first use is slow.
  *
  * <p>Thread-safe; a thread of its own writes the lines.
  */
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/DaemonSpec.java
@@ -265,28 +265,32 @@
           "start-openings",
           word(StartOpenings.class),
           "wait",
-          "session openings before a started host has its first view: wait up to 1 s, or refuse");
+          "session openings before the first view: wait (up to 1 s) or refuse (after 60 ms, "
+              + "with a retry time)");
   static final Setting<ServerKnowledge> SERVER_KNOWLEDGE =
       Setting.preset(
           "load",
           "server-knowledge",
           word(ServerKnowledge.class),
           "local",
-          "shared: hosts exchange what they observe of servers, and eject outliers for reads");
+          "observations of servers that a host acts on: local (its own) or shared (those of "
+              + "all hosts; outliers are ejected)");
   static final Setting<PaceMode> SERVER_PACE =
       Setting.preset(
           "load",
           "server-pace",
           word(PaceMode.class),
           "none",
-          "adaptive: bounds the concurrent statements of a server that has just started");
+          "load of a server that has just started: none (no bound) or adaptive (concurrent "
+              + "statements are bounded)");
   static final Setting<AdmissionMode> ADMISSION =
       Setting.preset(
           "load",
           "admission",
           word(AdmissionMode.class),
           "none",
-          "deadline refuses statements at once that can't be served before their deadline");
+          "statements that no server can run at once: none (they wait) or deadline (refused "
+              + "at once if they can not be served in time)");
 
   static final Setting<HttpStart> HTTP_START =
       Setting.preset(
@@ -294,8 +298,8 @@
           "http-start",
           word(HttpStart.class),
           "timed",
-          "when the HTTP ports of a host with sessions open: at most 2 s after the start, or"
-              + " after the first view");
+          "HTTP ports of a host with sessions open after the first view: timed (after 2 s at "
+              + "the latest) or after-view (after 15 s at the latest)");
 
   static final Setting<Path> TLS_KEYSTORE_FILE =
       Setting.optional(
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStart.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HttpStart.java
@@ -5,9 +5,8 @@
 /**
  * When a host whose callers open sessions opens its ports for readiness, operators and metrics.
  *
- * <p>Their library takes a quarter to a third of the processor time that a host needs until its
- * first view. Where processor time is scarce, the election and the first view of all hosts wait for
- * it.
+ * <p>Opening them loads the HTTP library, which delays the election and the first view on hosts
+ * with little processor time.
  */
 enum HttpStart {
   /** After the first view with a configuration, or soon where no leader is found. */
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -160,10 +160,9 @@
   /**
    * Schedules the opening of the readiness, operator and metrics ports.
    *
-   * <p>The ports open after the first view, or after a timeout on hosts that find no leader: their
-   * library takes a tenth of the processor time of a start, while callers' session openings wait
-   * for the view. This method does not block, so that a host that is stopped meanwhile can drain
-   * its callers.
+   * <p>The ports open after the first view, or after a timeout on hosts that find no leader:
+   * loading their library would delay the first view, for which callers' session openings wait.
+   * This method does not block, so that a host that is stopped meanwhile can drain its callers.
    */
   void scheduleHttpStart() {
     viewForHttp
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/control/ControlClient.java
@@ -278,8 +278,7 @@
     }
 
     private void completeFailed(ErrorCode code, Outcome outcome, AlderyardException lastFailure) {
-      // Concatenated: a formatter loads the runtime's locale data, which costs a starting host 10
-      // ms.
+      // Concatenated, as a formatter loads the locale data of the Java runtime.
       result.completeExceptionally(
           lastFailure.wrapAs(
               code,
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HmacSha256.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HmacSha256.java
@@ -9,8 +9,8 @@
 /**
  * HMAC with SHA-256 (RFC 2104).
  *
- * <p>The first use of {@code javax.crypto.Mac} loads all cryptographic providers of the Java
- * runtime. In a host that starts, the first handshake and with it the first view wait for that.
+ * <p>Replaces {@code javax.crypto.Mac}, whose first use loads all cryptographic providers and would
+ * delay the first handshake of a host.
  */
 final class HmacSha256 {
   private static final String DIGEST = "SHA-256";
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/SharedEncoding.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/SharedEncoding.java
@@ -7,8 +7,8 @@
  * Encodes replies and keeps the bytes of the last large one, so that a message that many peers wait
  * for is encoded once.
  *
- * <p>After a loss of power all hosts fetch the same view from a leader whose code is not compiled
- * yet. Thread-safe; a lost race only repeats an encoding.
+ * <p>Used where many hosts fetch the same view at once. Thread-safe; a lost race only repeats an
+ * encoding.
  */
 final class SharedEncoding {
   /** Size from which a reply is kept, in bytes; smaller ones would only displace it. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/ArrivalRates.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/ArrivalRates.java
@@ -7,7 +7,7 @@
  * arrivals count for less. Reads no clock; not thread-safe.
  */
 final class ArrivalRates {
-  /** Time in which an arrival falls to 1/e; about the length of a usual objective. */
+  /** Time constant of the exponential decay of past arrivals. */
   private static final double MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** Objectives of databases on one group that are told apart; further ones share the last. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/PrimaryOutage.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/PrimaryOutage.java
@@ -13,7 +13,7 @@
   /** Time within which a host finds a primary that other servers know of, by asking them. */
   private static final long SEARCH_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-  /** Time of a promotion after the old primary has stepped down, as the platform states it. */
+  /** Expected time of a promotion once the old primary has stepped down. */
   private static final long PROMOTION_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
   /** Assumed time from the loss of a primary to its successor's first answers. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/ServerLoad.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/admission/ServerLoad.java
@@ -19,13 +19,15 @@
     boolean busy,
     long occupancyNanos,
     long availableAfterNanos) {
+  /** Assumed slots of a server that does not state them; more than a host has in flight there. */
+  private static final int ASSUMED_SLOTS = 1_000;
 
   /** Returns the number of slots that are known to be free; at least 1 if slots are unknown. */
   int freeSlots() {
     if (busy || availableAfterNanos > 0) {
       return 0;
     }
-    return slots == 0 ? Math.max(1, 1_000 - inFlight) : Math.max(0, slots - inFlight);
+    return slots == 0 ? Math.max(1, ASSUMED_SLOTS - inFlight) : Math.max(0, slots - inFlight);
   }
 
   /** Returns how many statements of this host the server ends per nanosecond under full load. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/GroupRouting.java
@@ -49,11 +49,12 @@
   private static final long RECENT_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /**
-   * Latency of a server that has recovered, as a multiple of the best other one: half of the hosts
-   * prefer it at once, and the others once their servers become slower.
+   * Smallest latency that a recovered server is given, as a multiple of the best other latency. The
+   * factor differs between hosts, so that they do not all select the server at once.
    */
   private static final double MIN_RECOVERED_LATENCY_FACTOR = 0.8;
 
+  /** Difference between the largest and the smallest factor. */
   private static final double RECOVERED_LATENCY_SPREAD = 0.4;
 
   private final ReadScores scores;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HostAdmission.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HostAdmission.java
@@ -14,10 +14,7 @@
 
 /** Admission of the statements of one host. Thread-safe. */
 final class HostAdmission {
-  /**
-   * Time after the start of a host in which the newest statements run first. It covers the first
-   * seconds of a host with little processor time, in which statements wait longer than usual.
-   */
+  /** Time after the start of a host in which the newest statements run first. */
   private static final Duration START_PHASE = Duration.ofSeconds(8);
 
   private static final int MAX_REFUSAL_LINES_PER_SECOND = 20;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StartAdmission.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StartAdmission.java
@@ -9,15 +9,11 @@
  * Decides how long the opening of a session waits on a host that has started and has no view yet,
  * and when its caller should retry. Reads no clock.
  *
- * <p>After a loss of power all hosts start at once, and it is not known when a leader is elected. A
- * retry time in proportion to the time since the start asks for few attempts whether that takes
- * tenths of a second or many seconds, and its spread keeps callers from returning together.
+ * <p>The retry time is proportional to the time since the start, as it is unknown when a leader
+ * will be elected, and is randomized so that callers do not return together.
  */
 final class StartAdmission {
-  /**
-   * A quarter of the smallest latency objective, 250 ms: a caller that is refused later could have
-   * been served by another host instead.
-   */
+  /** Longest wait before a refusal: short, so that another host can still serve the caller. */
   static final Duration MAX_WAIT_BEFORE_REFUSAL = Duration.ofMillis(60);
 
   /** A view rarely follows sooner; a shorter time uses up the few retries of a caller. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementRun.java
@@ -31,15 +31,12 @@
 final class StatementRun {
   private static final Logger log = LoggerFactory.getLogger(StatementRun.class);
 
-  /** Long enough for a slot to become free, short against the smallest objective, 100 ms. */
+  /** First delay between two server searches: about the time in which a slot becomes free. */
   private static final long INITIAL_BACKOFF_MILLIS = 8;
 
   private static final long MAX_BACKOFF_MILLIS = 64;
 
-  /**
-   * Longest time after which a statement that is expected to wait for longer is decided about
-   * again; a quarter of the usual objective of 1 s.
-   */
+  /** Longest delay until the next decision about a statement that is expected to wait. */
   private static final long MAX_EXPECTED_BACKOFF_MILLIS = 250;
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterTenure.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/CounterTenure.java
@@ -15,7 +15,7 @@
 final class CounterTenure {
   private final long startNanos;
   private final Map<String, Long> sinceNanos = new HashMap<>();
-  private Set<String> known = Set.of();
+  private final Set<String> known = new HashSet<>();
 
   /**
    * Creates the record of a process.
@@ -37,11 +37,13 @@
   void update(Set<String> organisations, Set<String> counted, boolean joins, long beginNanos) {
     sinceNanos.keySet().retainAll(counted);
     for (String organisation : counted) {
-      // Each view that has an organisation's first limit has this host too, if it came earlier.
+      // A host that joins, or an organisation that had a limit before, may have a predecessor that
+      // still counts; an organisation that is new in this view has none.
       boolean countedBefore = joins || known.contains(organisation);
       sinceNanos.putIfAbsent(organisation, countedBefore ? beginNanos : startNanos);
     }
-    known = new HashSet<>(organisations);
+    // Names stay after their removal: an organisation may come back while a window still counts.
+    known.addAll(organisations);
   }
 
   /** Begins anew at a time, as another host may have counted. */
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/DemandShares.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/DemandShares.java
@@ -13,10 +13,7 @@
  * divided between R and C.
  */
 final class DemandShares implements LimitShares {
-  /**
-   * With six counters, the rate and the stock of the five that remain after a loss cover demand of
-   * nine tenths of the limit until the sixth is replaced, which takes 10 s.
-   */
+  /** Enough counters that the others cover most of the demand while one is replaced. */
   private static final int MIN_COUNTERS = 6;
 
   /** The fraction of the room that raises the rate; the rest raises the burst. */
@@ -28,7 +25,7 @@
   /** The fraction of its capacity below which a counter is asked after others that have more. */
   private static final double LOW_FRACTION = 0.5;
 
-  /** Longer than the time limit of any caller; who is told this doesn't come back. */
+  /** Longest retry time that callers are told; longer than the time limit of any caller. */
   private static final int MAX_RETRY_MILLIS = 30_000;
 
   /** View lease of 3 s, and the longest unnoticed gap between two confirmations. */
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/AdmissionLoadModel.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/AdmissionLoadModel.java
@@ -23,8 +23,7 @@
 
 /**
  * Discrete simulation of hosts before three servers with five slots each, one of them the primary.
- * Callers send the three kinds of statements of the first deployment and retry refused operations
- * twice at most.
+ * Callers send the three kinds of statements and retry refused operations twice at most.
  */
 final class AdmissionLoadModel {
   private static final int SERVERS = 3;
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnevenServersTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnevenServersTest.java
@@ -23,7 +23,7 @@
 
   private static final long SECOND = 1_000 * MILLI;
 
-  /** Two thirds of a server's slots are free on average, as on the deployments. */
+  /** Two thirds of a server's slots are free on average. */
   private static final double STATEMENTS_PER_SECOND = 200;
 
   /** When the server starts or its fault begins. */
