--- a/alderyard-control/src/main/java/org/alderyard/control/log/JoinPoller.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/JoinPoller.java
@@ -8,7 +8,6 @@
 import java.util.function.Supplier;
 import org.alderyard.protocol.generated.raft.JoinReply;
 import org.alderyard.protocol.generated.raft.JoinRequest;
-import org.alderyard.protocol.generated.raft.Member;
 import org.alderyard.protocol.wire.PeerLinks;
 
 /** Sends join requests to all other hosts, one round at a time. Used only on the serial loop. */
@@ -16,7 +15,6 @@
   private final PeerLinks links;
   private final SerialLoop loop;
   private final ReplicatedLogOptions options;
-  private final Member self;
   private final Supplier<Map<String, InetSocketAddress>> addressSource;
   private Map<String, InetSocketAddress> others = Map.of();
   private final Consumer<Map<String, JoinReply>> onRound;
@@ -27,13 +25,11 @@
       PeerLinks links,
       SerialLoop loop,
       ReplicatedLogOptions options,
-      Member self,
       Supplier<Map<String, InetSocketAddress>> addressSource,
       Consumer<Map<String, JoinReply>> onRound) {
     this.links = links;
     this.loop = loop;
     this.options = options;
-    this.self = self;
     this.addressSource = addressSource;
     this.onRound = onRound;
   }
@@ -42,8 +38,11 @@
     return List.copyOf(others.keySet());
   }
 
-  /** Starts a round unless one is in progress, so that replies of different rounds never mix. */
-  void startRound(boolean newcomer) {
+  /**
+   * Sends a request to all other hosts unless a round is in progress, so that replies of different
+   * rounds never mix.
+   */
+  void startRound(JoinRequest request) {
     if (pendingReplies > 0) {
       return;
     }
@@ -54,7 +53,6 @@
       return;
     }
     pendingReplies = others.size();
-    JoinRequest request = JoinRequest.newBuilder().setSelf(self).setNewcomer(newcomer).build();
     others.forEach(
         (peer, address) ->
             links
--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -25,6 +25,9 @@
   // Short enough that a learner takes the vote of a host that is gone before the next host may be
   // lost. A voter that returns later joins as a learner.
   private static final long VOTER_LOST_AFTER_MILLIS = 2_000;
+  // Longer than an election. While a successor votes already, the removal of a voter leaves enough
+  // voters, and until then the cluster tolerates one loss less.
+  private static final long REPLACED_VOTER_LOST_AFTER_MILLIS = 1_000;
   // Several intervals of the requests of a voter that stops.
   private static final long LEAVING_RETENTION_MILLIS = 1_000;
 
@@ -39,11 +42,15 @@
     joinRetentionMillis = JOIN_REQUEST_RETENTION_ROUNDS * joinInterval.toMillis();
   }
 
-  private record PendingJoin(Member member, long receivedMillis) {}
+  private record PendingJoin(Member member, boolean successor, long receivedMillis) {}
 
-  /** Records the request of a replica to join. */
-  void recordJoin(Member member, long nowMillis) {
-    joinRequests.put(member.getAddress(), new PendingJoin(member, nowMillis));
+  /**
+   * Records the request of a replica to join.
+   *
+   * @param successor whether the replica joins a cluster that existed before it
+   */
+  void recordJoin(Member member, boolean successor, long nowMillis) {
+    joinRequests.put(member.getAddress(), new PendingJoin(member, successor, nowMillis));
   }
 
   /** Returns whether replicas ask this leader to join, or voters stop, so that a change is due. */
@@ -73,12 +80,25 @@
     if (openMembership.isEmpty()) {
       return new MembershipRepairPlan(core.membership(), core::hasCaughtUp);
     }
+    long lostAfterMillis =
+        hasFurtherVoter(core) ? REPLACED_VOTER_LOST_AFTER_MILLIS : VOTER_LOST_AFTER_MILLIS;
     return new MembershipRepairPlan(
         core.membership(),
         core::hasCaughtUp,
         openMembership.get().voterCount(),
-        replicaId -> core.unresponsiveMillis(replicaId) > VOTER_LOST_AFTER_MILLIS,
-        leavingVoters::containsKey);
+        replicaId -> core.unresponsiveMillis(replicaId) > lostAfterMillis,
+        leavingVoters::containsKey,
+        this::isSuccessor);
+  }
+
+  /** Returns whether a successor votes beside the voters that it may replace. */
+  private boolean hasFurtherVoter(RaftCore core) {
+    return core.membership().voters().size() > openMembership.orElseThrow().voterCount();
+  }
+
+  private boolean isSuccessor(long replicaId) {
+    return joinRequests.values().stream()
+        .anyMatch(join -> join.successor() && join.member().getReplicaId() == replicaId);
   }
 
   /**
@@ -108,8 +128,7 @@
           ? Replacement.REPLACEMENT_DONE
           : Replacement.REPLACEMENT_IN_PROGRESS;
     }
-    boolean begun = core.membership().voters().size() > openMembership.get().voterCount();
-    if (!begun && !plan(core).hasSuccessor(candidates(core))) {
+    if (!hasFurtherVoter(core) && !plan(core).hasSuccessor(candidates(core))) {
       return Replacement.REPLACEMENT_IMPOSSIBLE;
     }
     leavingVoters.put(replicaId, nowMillis);
--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepairPlan.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepairPlan.java
@@ -20,6 +20,9 @@
  *
  * <p>A voter that stops is replaced while it still votes: first the new replica is promoted, then
  * the voter is removed. As many further voters may be lost at any moment as without the change.
+ *
+ * <p>A successor, which joins a cluster that has all its voters, becomes a further voter as soon as
+ * it has caught up. The host that it replaces may then end without notice.
  */
 final class MembershipRepairPlan {
   private final Membership membership;
@@ -27,10 +30,17 @@
   private final int maxVoters;
   private final LongPredicate isLost;
   private final LongPredicate isLeaving;
+  private final LongPredicate isSuccessor;
 
   /** Creates a plan in which every joining replica becomes a voter. */
   MembershipRepairPlan(Membership membership, LongPredicate hasCaughtUp) {
-    this(membership, hasCaughtUp, Integer.MAX_VALUE, replicaId -> false, replicaId -> false);
+    this(
+        membership,
+        hasCaughtUp,
+        Integer.MAX_VALUE,
+        replicaId -> false,
+        replicaId -> false,
+        replicaId -> false);
   }
 
   /**
@@ -38,24 +48,30 @@
    *
    * @param isLost whether a voter has been unresponsive for so long that it may be replaced
    * @param isLeaving whether a voter has announced that it stops
+   * @param isSuccessor whether a replica joined a cluster that existed before it
    */
   MembershipRepairPlan(
       Membership membership,
       LongPredicate hasCaughtUp,
       int maxVoters,
       LongPredicate isLost,
-      LongPredicate isLeaving) {
+      LongPredicate isLeaving,
+      LongPredicate isSuccessor) {
     this.membership = membership;
     this.hasCaughtUp = hasCaughtUp;
     this.maxVoters = maxVoters;
     this.isLost = isLost;
     this.isLeaving = isLeaving;
+    this.isSuccessor = isSuccessor;
   }
 
   /** Returns the next change for the joining replicas, or empty if no change is due. */
   Optional<MembershipChange> nextChange(Collection<Member> candidates) {
     if (membership.voters().size() > maxVoters) {
-      return firstVoter(isLeaving).or(() -> firstVoter(isLost)).map(Remove::new);
+      Optional<Long> surplus = firstVoter(isLeaving).or(() -> firstVoter(isLost));
+      if (surplus.isPresent()) {
+        return surplus.map(Remove::new);
+      }
     }
     return candidates.stream().map(this::changeFor).flatMap(Optional::stream).findFirst();
   }
@@ -93,12 +109,21 @@
   /**
    * Promotes the replica if there are too few voters or one of them leaves, or else removes a lost
    * voter first. Promotion before the removal of a lost voter would increase the majority that is
-   * required.
+   * required. Without a lost voter, one successor is promoted in advance.
    */
   private Optional<MembershipChange> promoteOrMakeRoom(Member replica) {
-    if (membership.voters().size() < maxVoters || firstVoter(isLeaving).isPresent()) {
-      return Optional.of(new Promote(replica.getReplicaId()));
+    int surplus = membership.voters().size() - maxVoters;
+    if (surplus > 0) {
+      return Optional.empty();
+    }
+    MembershipChange promotion = new Promote(replica.getReplicaId());
+    if (surplus < 0 || firstVoter(isLeaving).isPresent()) {
+      return Optional.of(promotion);
     }
-    return firstVoter(isLost).map(Remove::new);
+    return firstVoter(isLost)
+        .<MembershipChange>map(Remove::new)
+        .or(
+            () ->
+                Optional.of(promotion).filter(change -> isSuccessor.test(replica.getReplicaId())));
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -74,8 +74,7 @@
             .build();
     repair = new MembershipRepair(builder.openMembership, builder.options.joinInterval());
     joinPoller =
-        new JoinPoller(
-            builder.links, loop, builder.options, self, this::joinTargets, this::onJoinRound);
+        new JoinPoller(builder.links, loop, builder.options, this::joinTargets, this::onJoinRound);
     try {
       if (folder.identity().getFormed()) {
         openLog();
@@ -192,7 +191,7 @@
     }
     if (needsToJoin() && nowMillis >= nextJoinMillis) {
       nextJoinMillis = nowMillis + joinIntervalMillis();
-      joinPoller.startRound(driver != null);
+      joinPoller.startRound(joinRequest());
     }
   }
 
@@ -247,6 +246,14 @@
     return driver == null || awaitsAdmission();
   }
 
+  private JoinRequest joinRequest() {
+    return JoinRequest.newBuilder()
+        .setSelf(self)
+        .setNewcomer(driver != null)
+        .setSuccessor(folder.identity().getSuccessor() && !folder.identity().getAdmitted())
+        .build();
+  }
+
   private boolean isNewcomer() {
     return folder.identity().getFounders().getMembersCount() == 0;
   }
@@ -281,18 +288,31 @@
     }
     switch (decision.action()) {
       case WAIT -> {}
-      case RECORD -> record(decision.founders(), false);
-      case FOUND, JOIN -> {
-        record(decision.founders(), true);
+      case RECORD -> record(decision.founders(), false, false);
+      case FOUND -> {
+        record(decision.founders(), true, false);
+        openLog();
+      }
+      case JOIN -> {
+        record(decision.founders(), true, joinsExistingCluster());
         openLog();
       }
       default -> throw new IllegalStateException("action " + decision.action());
     }
   }
 
-  private void record(MemberList founders, boolean formed) {
+  /** A host of the first start may join too, if the cluster has more hosts than founders. */
+  private boolean joinsExistingCluster() {
+    return builder.openMembership.map(open -> !open.mayFound()).orElse(false);
+  }
+
+  private void record(MemberList founders, boolean formed, boolean successor) {
     folder.writeIdentity(
-        folder.identity().toBuilder().setFounders(founders).setFormed(formed).build());
+        folder.identity().toBuilder()
+            .setFounders(founders)
+            .setFormed(formed)
+            .setSuccessor(successor)
+            .build());
   }
 
   /**
@@ -354,7 +374,8 @@
               boolean permitted =
                   builder.openMembership.isPresent() || addresses.isListed(member.getAddress());
               if (request.getNewcomer() && fromSender && permitted) {
-                repair.recordJoin(member, nowMillis);
+                repair.recordJoin(member, request.getSuccessor(), nowMillis);
+                recordLostDisks(request);
               }
               Replacement replacement =
                   request.getLeaving() && fromSender && driver != null
@@ -374,6 +395,27 @@
     return reply;
   }
 
+  /**
+   * Records that the other replicas of a host are lost once a replica without a vote takes their
+   * place. A request that was sent before the loss comes from a voter and proves nothing.
+   */
+  private void recordLostDisks(JoinRequest request) {
+    if (driver == null || !request.getSuccessor()) {
+      return;
+    }
+    Member joining = request.getSelf();
+    for (Member member : driver.core().membership().membersOnHost(joining.getHostId())) {
+      boolean lost = member.getReplicaId() != joining.getReplicaId();
+      if (lost && driver.core().recordLostDisk(member.getReplicaId())) {
+        log.info(
+            "event=disk-lost host={} replica={} successor={}",
+            joining.getHostId(),
+            member.getReplicaId(),
+            joining.getReplicaId());
+      }
+    }
+  }
+
   private static AlderyardException logClosed() {
     return AlderyardException.notRun(ErrorCode.DRAINING, "the log of this host is closed");
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
@@ -1,7 +1,9 @@
 package org.alderyard.control.raft;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import org.alderyard.protocol.generated.raft.RaftMessage;
 import org.alderyard.protocol.generated.raft.VoteReply;
 import org.alderyard.protocol.generated.raft.VoteRequest;
@@ -10,6 +12,9 @@
 final class Election {
   private final ReplicaState state;
   private final Set<Long> grantedBy = new HashSet<>();
+  private final Set<Long> lostDisks = new HashSet<>();
+  // The replicas that had lost their disks before the votes were requested.
+  private Set<Long> lostDisksAtRequest = Set.of();
   private int preVoteRounds;
 
   Election(ReplicaState state) {
@@ -40,7 +45,16 @@
     requestVotes(false, state.term(), handOver);
   }
 
+  /**
+   * Records that a replica has lost its disk and never votes again; returns false if that was
+   * recorded before.
+   */
+  boolean recordLostDisk(long replicaId) {
+    return lostDisks.add(replicaId);
+  }
+
   private void requestVotes(boolean preVote, long candidateTerm, boolean handOver) {
+    lostDisksAtRequest = Set.copyOf(lostDisks);
     VoteRequest request =
         VoteRequest.newBuilder()
             .setCandidateTerm(candidateTerm)
@@ -49,20 +63,58 @@
             .setLastIndex(state.log.lastIndex())
             .setLastTerm(state.log.lastTerm())
             .build();
-    for (long voter : state.log.membership().voters()) {
+    for (long voter : voters()) {
       if (voter != state.self) {
         state.sendAfterSync(state.message(voter).setVoteRequest(request));
       }
     }
   }
 
+  /** Returns the voters, with those before a membership change that may not be committed. */
+  private Set<Long> voters() {
+    Set<Long> voters = new TreeSet<>(state.log.membership().voters());
+    if (!state.log.areVotersCommitted()) {
+      voters.addAll(state.log.previousMembership().voters());
+    }
+    return voters;
+  }
+
   /** Records a vote. Only the votes of voters count towards a majority. */
   void recordVote(long voter) {
     grantedBy.add(voter);
   }
 
+  /**
+   * Returns whether the votes elect this replica. While the newest membership change may not be
+   * committed, a quorum of the members before it is needed too.
+   *
+   * <p>Half of the votes count as a quorum if another voter lost its disk before the votes were
+   * requested. Of two disjoint halves only one can win so, since the other one would need the vote
+   * of that voter.
+   */
   boolean hasWon() {
-    return state.log.membership().isQuorum(grantedBy::contains);
+    Membership newest = state.log.membership();
+    if (state.log.areVotersCommitted()) {
+      return newest.isQuorum(grantedBy::contains, lostDisksAtRequest::contains);
+    }
+    return newest.isQuorum(grantedBy::contains)
+        && state
+            .log
+            .previousMembership()
+            .isQuorum(grantedBy::contains, lostDisksAtRequest::contains);
+  }
+
+  /** Returns a voter without a disk that stood in for a vote; empty if a majority voted. */
+  OptionalLong lostVoter() {
+    Membership committed =
+        state.log.areVotersCommitted() ? state.log.membership() : state.log.previousMembership();
+    if (committed.isQuorum(grantedBy::contains)) {
+      return OptionalLong.empty();
+    }
+    return committed.voters().stream()
+        .mapToLong(Long::longValue)
+        .filter(id -> !grantedBy.contains(id) && lostDisksAtRequest.contains(id))
+        .findFirst();
   }
 
   /**
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -4,6 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.LongUnaryOperator;
 import org.alderyard.control.raft.Effects.ConfirmedRead;
 import org.alderyard.protocol.generated.raft.AppendReply;
 import org.alderyard.protocol.generated.raft.Entry;
@@ -28,6 +32,8 @@
   private final Map<Long, Progress> peers = new HashMap<>();
   private final ReadQueue reads = new ReadQueue();
   private final long firstIndexOfTerm;
+  // The voter without a disk whose vote was missing in the election.
+  private final OptionalLong lostVoter;
   private long round;
   private long nextHeartbeatMillis;
   private long nextReadRoundMillis;
@@ -38,15 +44,29 @@
   /**
    * Starts the term by appending a no-op entry, since the commit index may advance by counting
    * replicas only for entries of the current term.
+   *
+   * @param lostVoter the voter without a disk if only half of the voters elected this leader. It is
+   *     removed at once, since the remaining voters can commit nothing before.
    */
-  Leadership(ReplicaState state) {
+  Leadership(ReplicaState state, OptionalLong lostVoter) {
     this.state = state;
+    this.lostVoter = lostVoter;
     replication = new Replication(state);
     updatePeers();
     firstIndexOfTerm = append(EntryKind.NO_OP, ByteString.EMPTY);
+    removeLostVoter();
     startHeartbeatRound();
   }
 
+  private void removeLostVoter() {
+    Membership membership = state.log.membership();
+    if (state.log.isMembershipCommitted() && lostVoter.stream().anyMatch(membership::isVoter)) {
+      append(
+          EntryKind.MEMBERSHIP,
+          membership.without(lostVoter.getAsLong()).toMemberList().toByteString());
+    }
+  }
+
   long append(EntryKind kind, ByteString data) {
     long index = state.log.lastIndex() + 1;
     state.log.append(
@@ -63,9 +83,12 @@
   }
 
   private void updatePeers() {
-    Membership membership = state.log.membership();
-    peers.keySet().removeIf(replicaId -> membership.member(replicaId).isEmpty());
-    for (long replicaId : membership.replicaIds()) {
+    Set<Long> replicaIds = new TreeSet<>(state.log.membership().replicaIds());
+    if (!state.log.isMembershipCommitted()) {
+      replicaIds.addAll(state.log.previousMembership().replicaIds());
+    }
+    peers.keySet().retainAll(replicaIds);
+    for (long replicaId : replicaIds) {
       if (replicaId != state.self) {
         peers.computeIfAbsent(
             replicaId, id -> new Progress(state.log.lastIndex() + 1, state.nowMillis()));
@@ -88,8 +111,7 @@
    */
   long nextTickMillis() {
     long contactEndMillis =
-        state.log.membership().quorumValue(this::lastContactMillis)
-            + state.options.electionTimeoutMaxMillis();
+        quorumValue(this::lastContactMillis) + state.options.electionTimeoutMaxMillis();
     long nextMillis = Math.min(nextHeartbeatMillis, contactEndMillis);
     if (reads.hasNewReads()) {
       nextMillis = Math.min(nextMillis, nextReadRoundMillis);
@@ -137,12 +159,11 @@
    * leader serves the others.
    */
   boolean hasQuorumContact() {
-    return state.log.membership().isQuorum(this::hasRecentContact);
+    return isRecent(quorumValue(this::lastContactMillis));
   }
 
-  private boolean hasRecentContact(long replicaId) {
-    long unresponsiveMillis = state.nowMillis() - lastContactMillis(replicaId);
-    return unresponsiveMillis < state.options.electionTimeoutMaxMillis();
+  private boolean isRecent(long contactMillis) {
+    return state.nowMillis() - contactMillis < state.options.electionTimeoutMaxMillis();
   }
 
   void onAppendReply(RaftMessage message) {
@@ -180,15 +201,47 @@
    * could still replace it. It is committed along with a later entry of the current term.
    */
   void advanceCommit() {
-    long index = state.log.membership().quorumValue(this::syncedIndex);
-    if (index > state.log.commitIndex() && state.log.termAt(index) == state.term()) {
-      state.log.commitTo(index);
-      commitAdvanced = true;
+    long index = quorumValue(this::syncedIndex);
+    if (index <= state.log.commitIndex() || state.log.termAt(index) != state.term()) {
+      return;
+    }
+    boolean changesMembership = !state.log.isMembershipCommitted();
+    state.log.commitTo(index);
+    commitAdvanced = true;
+    if (changesMembership && state.log.isMembershipCommitted()) {
+      updatePeers();
+      removeLostVoter();
+      advanceCommit();
+    }
+  }
+
+  /**
+   * Returns the largest value that a quorum has reached. While a membership change is not
+   * committed, a quorum of the members before it is needed too: half of them may elect a leader
+   * later, which would otherwise miss the change and all entries after it.
+   */
+  private long quorumValue(LongUnaryOperator valueOf) {
+    Membership newest = state.log.membership();
+    if (state.log.areVotersCommitted()) {
+      return quorumValueWithoutLostVoter(newest, valueOf);
     }
+    return Math.min(
+        newest.quorumValue(valueOf),
+        quorumValueWithoutLostVoter(state.log.previousMembership(), valueOf));
+  }
+
+  /** Half of an even number of voters is a quorum if the election counted a lost voter. */
+  private long quorumValueWithoutLostVoter(Membership members, LongUnaryOperator valueOf) {
+    return members.quorumValue(
+        id -> members.isEven() && isLostVoter(id) ? Long.MAX_VALUE : valueOf.applyAsLong(id));
+  }
+
+  private boolean isLostVoter(long replicaId) {
+    return lostVoter.isPresent() && lostVoter.getAsLong() == replicaId;
   }
 
   private long syncedIndex(long replicaId) {
-    return replicaId == state.self ? state.log.storedIndex() : peers.get(replicaId).matchIndex();
+    return replicaId == state.self ? state.log.storedIndex() : matchIndex(replicaId);
   }
 
   void requestRead(long readId) {
@@ -197,10 +250,7 @@
 
   List<ConfirmedRead> takeConfirmedReads() {
     return reads.takeConfirmed(
-        state
-            .log
-            .membership()
-            .quorumValue(id -> id == state.self ? round : peers.get(id).repliedRound()));
+        quorumValue(id -> id == state.self ? round : peers.get(id).repliedRound()));
   }
 
   List<Long> takeUnconfirmedReads() {
@@ -226,7 +276,7 @@
   boolean hasCaughtUp(long replicaId) {
     Progress progress = peers.get(replicaId);
     return progress != null
-        && hasRecentContact(replicaId)
+        && isRecent(progress.lastContactMillis())
         && state.log.lastIndex() - progress.matchIndex() <= state.options.maxCatchUpGap();
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Membership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Membership.java
@@ -76,6 +76,28 @@
     return count > voters.size() / 2;
   }
 
+  /**
+   * Returns whether a majority of the voters satisfies the predicate, or exactly half of them while
+   * another voter has lost its disk.
+   *
+   * <p>Half of an even number of voters has a voter in common with each majority. It has none in
+   * common with the other half, which cannot act any more without the voter that lost its disk.
+   */
+  boolean isQuorum(LongPredicate predicate, LongPredicate hasLostDisk) {
+    return isQuorum(predicate)
+        || isHalf(predicate)
+            && voters.stream().anyMatch(id -> !predicate.test(id) && hasLostDisk.test(id));
+  }
+
+  private boolean isHalf(LongPredicate predicate) {
+    return 2 * voters.stream().filter(predicate::test).count() == voters.size();
+  }
+
+  /** Returns whether the number of voters is even, so that two halves of them may be disjoint. */
+  boolean isEven() {
+    return voters.size() % 2 == 0;
+  }
+
   /** Returns the largest value that a majority of the voters has reached; 0 without voters. */
   public long quorumValue(LongUnaryOperator valueOf) {
     if (voters.isEmpty()) {
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -61,7 +61,7 @@
       List<Entry> entries,
       RandomGenerator random,
       long nowMillis) {
-    RaftLog log = new RaftLog(snapshot, entries);
+    RaftLog log = new RaftLog(snapshot, entries, hardState.getCommittedMembershipIndex());
     state = new ReplicaState(self, options, log, hardState, random, nowMillis);
     election = new Election(state);
     follower = new Follower(state);
@@ -80,7 +80,7 @@
     if (!state.isElectionDue()) {
       return;
     }
-    if (!state.log.membership().isVoter(state.self)) {
+    if (!state.log.isVoter(state.self)) {
       state.restartElectionTimer();
       return;
     }
@@ -142,7 +142,7 @@
   private void becomeLeader() {
     role = Role.LEADER;
     state.recordLeader(state.self);
-    leadership = new Leadership(state);
+    leadership = new Leadership(state, election.lostVoter());
   }
 
   /**
@@ -202,7 +202,7 @@
         }
       }
       case TIMEOUT_NOW -> {
-        if (role != Role.LEADER && state.log.membership().isVoter(state.self)) {
+        if (role != Role.LEADER && state.log.isVoter(state.self)) {
           becomeCandidate(true);
         }
       }
@@ -260,6 +260,16 @@
     }
   }
 
+  /**
+   * Records that a replica has lost its disk, since its host runs another one. Its vote is given up
+   * only if the remaining voters could not elect a leader otherwise.
+   *
+   * @return false if the loss was recorded before
+   */
+  public boolean recordLostDisk(long replicaId) {
+    return election.recordLostDisk(replicaId);
+  }
+
   /**
    * Appends a command to the log.
    *
@@ -327,6 +337,7 @@
       leadership.flush();
       reads = leadership.takeConfirmedReads();
     }
+    state.recordCommittedMembership();
     Optional<HardState> hardState =
         state.hasUnsyncedHardState() ? Optional.of(state.hardState()) : Optional.empty();
     List<Long> failed = List.copyOf(failedReads);
@@ -383,7 +394,7 @@
 
   /** Returns whether the newest membership change in the log is committed. */
   public boolean isMembershipCommitted() {
-    return state.log.membershipIndex() <= state.log.commitIndex();
+    return state.log.isMembershipCommitted();
   }
 
   /**
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftLog.java
@@ -21,10 +21,22 @@
   private long deliveredIndex;
   private long membershipIndex;
   private Membership membership;
+  private Membership previousMembership;
+  private long committedMembershipIndex;
   private long retainedBytes;
 
   RaftLog(Snapshot snapshot, List<Entry> stored) {
+    this(snapshot, stored, 0);
+  }
+
+  /**
+   * Creates the log from its synced parts.
+   *
+   * @param committedMembershipIndex the index of a membership change that is known to be committed
+   */
+  RaftLog(Snapshot snapshot, List<Entry> stored, long committedMembershipIndex) {
     this.snapshot = snapshot;
+    this.committedMembershipIndex = committedMembershipIndex;
     baseIndex = snapshot.lastIndex();
     baseTerm = snapshot.lastTerm();
     entries.addAll(stored);
@@ -69,8 +81,33 @@
     return membership;
   }
 
-  long membershipIndex() {
-    return membershipIndex;
+  /** Returns the members before the newest membership change in the log. */
+  Membership previousMembership() {
+    return previousMembership;
+  }
+
+  /** Returns whether the newest membership change in the log is known to be committed. */
+  boolean isMembershipCommitted() {
+    return membershipIndex <= Math.max(commitIndex, committedMembershipIndex);
+  }
+
+  /**
+   * Returns whether a replica votes. One that the newest change removes votes until the change is
+   * known to be committed: it may be the only one that holds the change.
+   */
+  boolean isVoter(long replicaId) {
+    return membership.isVoter(replicaId)
+        || !isMembershipCommitted() && previousMembership.isVoter(replicaId);
+  }
+
+  /** Returns whether the newest voters are those of a membership that is committed. */
+  boolean areVotersCommitted() {
+    return isMembershipCommitted() || membership.voters().equals(previousMembership.voters());
+  }
+
+  /** Returns the index of the newest membership change that is known to be committed. */
+  long committedMembershipIndex() {
+    return isMembershipCommitted() ? membershipIndex : committedMembershipIndex;
   }
 
   /**
@@ -111,6 +148,7 @@
     retainedBytes += entry.getSerializedSize();
     if (entry.getKind() == EntryKind.MEMBERSHIP) {
       membershipIndex = entry.getIndex();
+      previousMembership = membership;
       membership = membershipOf(entry);
     }
   }
@@ -252,6 +290,8 @@
         && entry(membershipIndex).getKind() != EntryKind.MEMBERSHIP) {
       membershipIndex--;
     }
+    previousMembership =
+        membershipIndex > snapshot.lastIndex() ? membershipAt(membershipIndex - 1) : membership;
   }
 
   private static Membership membershipOf(Entry entry) {
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
@@ -71,7 +71,18 @@
    * earlier term and votes for no other candidate in this term.
    */
   void updateHardState(long term, long votedFor) {
-    hardState = HardState.newBuilder().setTerm(term).setVotedFor(votedFor).build();
+    hardState = hardState.toBuilder().setTerm(term).setVotedFor(votedFor).build();
+  }
+
+  /**
+   * Records that the newest membership change is committed, if it is. A replica that starts again
+   * would otherwise need a quorum of the members before that change too.
+   */
+  void recordCommittedMembership() {
+    long index = log.committedMembershipIndex();
+    if (index > hardState.getCommittedMembershipIndex()) {
+      hardState = hardState.toBuilder().setCommittedMembershipIndex(index).build();
+    }
   }
 
   HardState hardState() {
--- a/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongPredicate;
 import org.alderyard.control.log.Formation.Action;
 import org.alderyard.control.raft.Membership;
 import org.alderyard.control.raft.MembershipChange.AddLearner;
@@ -137,17 +138,15 @@
     Member newcomer = learner(9, "d");
     Membership membership =
         new Membership(list(voter(1, "a"), voter(2, "b"), voter(3, "c"), newcomer));
-    MembershipRepairPlan noVoterLost =
-        new MembershipRepairPlan(membership, id -> true, 3, id -> false, id -> false);
+    MembershipRepairPlan noVoterLost = plan(membership, id -> true, id -> false, id -> false);
     assertThat(noVoterLost.nextChange(List.of(newcomer))).isEmpty();
 
-    MembershipRepairPlan voterLost =
-        new MembershipRepairPlan(membership, id -> true, 3, id -> id == 2, id -> false);
+    MembershipRepairPlan voterLost = plan(membership, id -> true, id -> id == 2, id -> false);
     assertThat(voterLost.nextChange(List.of(newcomer))).hasValue(new Remove(2));
 
     Membership withoutLostVoter = membership.without(2);
     MembershipRepairPlan voterMissing =
-        new MembershipRepairPlan(withoutLostVoter, id -> true, 3, id -> false, id -> false);
+        plan(withoutLostVoter, id -> true, id -> false, id -> false);
     assertThat(voterMissing.nextChange(List.of(newcomer))).hasValue(new Promote(9));
   }
 
@@ -160,19 +159,14 @@
     Member successor = learner(9, "d");
     Membership membership =
         new Membership(list(voter(1, "a"), voter(2, "b"), voter(3, "c"), successor));
-    MembershipRepairPlan leaving =
-        new MembershipRepairPlan(membership, id -> true, 3, id -> false, id -> id == 2);
+    MembershipRepairPlan leaving = plan(membership, id -> true, id -> false, id -> id == 2);
     assertThat(leaving.hasSuccessor(List.of(successor))).isTrue();
     assertThat(leaving.nextChange(List.of(successor))).hasValue(new Promote(9));
 
     Membership promoted = membership.with(successor.toBuilder().setVoter(true).build());
-    assertThat(
-            new MembershipRepairPlan(promoted, id -> true, 3, id -> false, id -> id == 2)
-                .nextChange(List.of()))
+    assertThat(plan(promoted, id -> true, id -> false, id -> id == 2).nextChange(List.of()))
         .hasValue(new Remove(2));
-    assertThat(
-            new MembershipRepairPlan(promoted, id -> true, 3, id -> id == 2, id -> false)
-                .nextChange(List.of()))
+    assertThat(plan(promoted, id -> true, id -> id == 2, id -> false).nextChange(List.of()))
         .hasValue(new Remove(2));
   }
 
@@ -181,9 +175,43 @@
     Member behind = learner(9, "d");
     Membership membership =
         new Membership(list(voter(1, "a"), voter(2, "b"), voter(3, "c"), behind));
-    MembershipRepairPlan plan =
-        new MembershipRepairPlan(membership, id -> id != 9, 3, id -> false, id -> id == 2);
+    MembershipRepairPlan plan = plan(membership, id -> id != 9, id -> false, id -> id == 2);
     assertThat(plan.hasSuccessor(List.of(behind))).isFalse();
     assertThat(plan.nextChange(List.of(behind))).isEmpty();
   }
+
+  /**
+   * Guards against a log that ends for good: a host is gone without notice, then a disk is lost.
+   */
+  @Test
+  void successorVotesBeforeAnyVoterIsGone() {
+    Member successor = learner(9, "d");
+    Member second = learner(10, "e");
+    Membership membership =
+        new Membership(list(voter(1, "a"), voter(2, "b"), voter(3, "c"), successor, second));
+    assertThat(successorPlan(membership, id -> false).nextChange(List.of(successor, second)))
+        .hasValue(new Promote(9));
+    assertThat(successorPlan(membership, id -> id == 2).nextChange(List.of(successor)))
+        .hasValue(new Remove(2));
+
+    Membership promoted = membership.with(successor.toBuilder().setVoter(true).build());
+    assertThat(successorPlan(promoted, id -> false).nextChange(List.of(second))).isEmpty();
+    assertThat(successorPlan(promoted, id -> id == 2).nextChange(List.of(second)))
+        .hasValue(new Remove(2));
+    assertThat(successorPlan(promoted, id -> false).nextChange(List.of(learner(11, "f"))))
+        .hasValue(new AddLearner(learner(11, "f")));
+  }
+
+  private static MembershipRepairPlan plan(
+      Membership membership,
+      LongPredicate hasCaughtUp,
+      LongPredicate isLost,
+      LongPredicate isLeaving) {
+    return new MembershipRepairPlan(membership, hasCaughtUp, 3, isLost, isLeaving, id -> false);
+  }
+
+  private static MembershipRepairPlan successorPlan(Membership membership, LongPredicate isLost) {
+    return new MembershipRepairPlan(
+        membership, id -> true, 3, isLost, id -> false, id -> id == 9 || id == 10);
+  }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
@@ -3,13 +3,18 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.Membership;
@@ -17,16 +22,20 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests the replacement of voters that stop, with real sockets and files. */
 class VoteHandOverTest {
   private static final int VOTERS = 3;
   private static final int SUCCESSOR = 3;
+  private static final int MAX_VOTERS = 5;
+  private static final long CATCH_UP_NANOS = 4_000_000_000L;
 
   @TempDir Path root;
 
   private final List<InetSocketAddress> addresses =
-      Stream.generate(FreePorts::nextAddress).limit(VOTERS + 1).toList();
+      Stream.generate(FreePorts::nextAddress).limit(MAX_VOTERS + 1).toList();
   private final Map<Integer, LogHost> hosts = new TreeMap<>();
 
   @AfterEach
@@ -35,19 +44,35 @@
   }
 
   private void start(int number) {
+    start(number, VOTERS, number < VOTERS);
+  }
+
+  private void start(int number, int voters, boolean mayFound) {
     HostId host = new HostId("control-" + number);
-    OpenMembership membership = new OpenMembership(VOTERS, number < VOTERS, () -> addresses);
+    OpenMembership membership = new OpenMembership(voters, mayFound, () -> addresses);
     hosts.put(
         number,
         new LogHost(
             host,
             addresses.get(number),
-            addresses.subList(0, VOTERS),
-            root.resolve(host.value()),
+            addresses.subList(0, voters),
+            folderOf(number),
             LogHost.OPTIONS,
             Optional.of(membership)));
   }
 
+  private Path folderOf(int number) {
+    return root.resolve("control-" + number);
+  }
+
+  private void emptyDisk(int number) {
+    try (Stream<Path> files = Files.walk(folderOf(number))) {
+      files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   private LogHost leader() {
     LogHost.await(
         "a leader", () -> hosts.values().stream().anyMatch(host -> host.log().isLeader()));
@@ -125,6 +150,49 @@
     assertThat(votes(stopped)).isFalse();
   }
 
+  /**
+   * Guards against a log that ends for good: a host whose successor has caught up is gone without
+   * notice, and as many disks as may be lost are lost in the same moment.
+   */
+  @ParameterizedTest
+  @CsvSource({"3, false", "3, true", "5, false", "5, true"})
+  void logOutlivesLossOfDisksRightAfterKill(int voters, boolean leaderIsKilled) {
+    for (int number = 0; number < voters; number++) {
+      start(number, voters, true);
+    }
+    propose("first");
+    start(voters, voters, false);
+    giveTimeToCatchUp(voters);
+    propose("second");
+
+    int lead = leaderNumber();
+    int killed = leaderIsKilled ? lead : (lead + 1) % voters;
+    List<Integer> wiped =
+        IntStream.range(0, voters)
+            .filter(number -> number != killed)
+            .boxed()
+            .limit(voters / 2)
+            .toList();
+    hosts.remove(killed).kill();
+    wiped.forEach(number -> hosts.remove(number).kill());
+    wiped.forEach(this::emptyDisk);
+    wiped.forEach(number -> start(number, voters, false));
+
+    propose("third");
+    assertThat(leader().commands()).containsAtLeast("first", "second", "third").inOrder();
+    LogHost.await(
+        "the hosts that lost their disks hold the log",
+        () -> wiped.stream().allMatch(number -> hosts.get(number).commands().contains("third")));
+  }
+
+  /** Waits until a successor votes, or for the time after which the next host may be lost. */
+  private void giveTimeToCatchUp(int successor) {
+    long deadlineNanos = System.nanoTime() + CATCH_UP_NANOS;
+    while (!votes(successor) && System.nanoTime() < deadlineNanos) {
+      Thread.onSpinWait();
+    }
+  }
+
   /** Guards against a window of seconds in which a host that was killed still counts as a voter. */
   @Test
   void successorReplacesKilledVoterWithinCatchUpTime() {
@@ -134,7 +202,7 @@
     hosts.remove(killed).kill();
 
     LogHost.await("the successor votes", () -> votes(SUCCESSOR));
-    assertThat(System.nanoTime() - startNanos).isLessThan(4_000_000_000L);
+    assertThat(System.nanoTime() - startNanos).isLessThan(CATCH_UP_NANOS);
   }
 
   @Test
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
@@ -282,7 +282,7 @@
             HardState.newBuilder().setTerm(4).build(),
             new SplittableRandom(1),
             0);
-    Leadership leadership = new Leadership(state);
+    Leadership leadership = new Leadership(state, OptionalLong.empty());
     state.log.markStored();
     leadership.onAppendReply(appendReply(1));
     assertThat(state.log.commitIndex()).isEqualTo(0);
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftScheduleTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftScheduleTest.java
@@ -83,8 +83,10 @@
         takeSnapshotOnReplica();
       } else if (choice < 994) {
         changeMembers();
-      } else if (choice < 998) {
+      } else if (choice < 997) {
         handOver();
+      } else if (choice < 998) {
+        reportLostDisk();
       } else {
         wipeDisk();
       }
@@ -231,6 +233,14 @@
       wiped.add(wipedReplica.id);
     }
 
+    /** Tells a replica of a lost disk, as the host does when it returns with an empty one. */
+    private void reportLostDisk() {
+      List<RaftReplica> running = List.copyOf(cluster.runningReplicas());
+      if (!wiped.isEmpty() && !running.isEmpty()) {
+        pick(running).core().recordLostDisk(pick(List.copyOf(wiped)));
+      }
+    }
+
     /**
      * Ends all faults and checks that a command is committed and that all members with a disk reach
      * the same state.
@@ -242,6 +252,9 @@
           replica.start(cluster.nowMillis());
         }
       }
+      for (RaftReplica replica : cluster.runningReplicas()) {
+        wiped.forEach(replica.core()::recordLostDisk);
+      }
       RaftReplica leader = cluster.runUntilConverged();
       final long committedBefore = cluster.invariants.highestCommitted();
       if (!cluster.propose(leader)) {
