--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -42,15 +42,11 @@
     joinRetentionMillis = JOIN_REQUEST_RETENTION_ROUNDS * joinInterval.toMillis();
   }
 
-  private record PendingJoin(Member member, boolean successor, long receivedMillis) {}
+  private record PendingJoin(Member member, long receivedMillis) {}
 
-  /**
-   * Records the request of a replica to join.
-   *
-   * @param successor whether the replica joins a cluster that existed before it
-   */
-  void recordJoin(Member member, boolean successor, long nowMillis) {
-    joinRequests.put(member.getAddress(), new PendingJoin(member, successor, nowMillis));
+  /** Records the request of a replica to join. */
+  void recordJoin(Member member, long nowMillis) {
+    joinRequests.put(member.getAddress(), new PendingJoin(member, nowMillis));
   }
 
   /** Returns whether replicas ask this leader to join, or voters stop, so that a change is due. */
@@ -87,8 +83,7 @@
         core::hasCaughtUp,
         openMembership.get().voterCount(),
         replicaId -> core.unresponsiveMillis(replicaId) > lostAfterMillis,
-        leavingVoters::containsKey,
-        this::isSuccessor);
+        leavingVoters::containsKey);
   }
 
   /** Returns whether a successor votes beside the voters that it may replace. */
@@ -96,11 +91,6 @@
     return core.membership().voters().size() > openMembership.orElseThrow().voterCount();
   }
 
-  private boolean isSuccessor(long replicaId) {
-    return joinRequests.values().stream()
-        .anyMatch(join -> join.successor() && join.member().getReplicaId() == replicaId);
-  }
-
   /**
    * Returns the replicas that may become voters: those that ask to join, and, with an open
    * membership, the learners. A new leader has not received the requests of the learners yet.
--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepairPlan.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepairPlan.java
@@ -25,22 +25,18 @@
  * it has caught up. The host that it replaces may then end without notice.
  */
 final class MembershipRepairPlan {
+  /** Two replacements of hosts may overlap. */
+  private static final int MAX_FURTHER_VOTERS = 2;
+
   private final Membership membership;
   private final LongPredicate hasCaughtUp;
   private final int maxVoters;
   private final LongPredicate isLost;
   private final LongPredicate isLeaving;
-  private final LongPredicate isSuccessor;
 
   /** Creates a plan in which every joining replica becomes a voter. */
   MembershipRepairPlan(Membership membership, LongPredicate hasCaughtUp) {
-    this(
-        membership,
-        hasCaughtUp,
-        Integer.MAX_VALUE,
-        replicaId -> false,
-        replicaId -> false,
-        replicaId -> false);
+    this(membership, hasCaughtUp, Integer.MAX_VALUE, replicaId -> false, replicaId -> false);
   }
 
   /**
@@ -48,21 +44,18 @@
    *
    * @param isLost whether a voter has been unresponsive for so long that it may be replaced
    * @param isLeaving whether a voter has announced that it stops
-   * @param isSuccessor whether a replica joined a cluster that existed before it
    */
   MembershipRepairPlan(
       Membership membership,
       LongPredicate hasCaughtUp,
       int maxVoters,
       LongPredicate isLost,
-      LongPredicate isLeaving,
-      LongPredicate isSuccessor) {
+      LongPredicate isLeaving) {
     this.membership = membership;
     this.hasCaughtUp = hasCaughtUp;
     this.maxVoters = maxVoters;
     this.isLost = isLost;
     this.isLeaving = isLeaving;
-    this.isSuccessor = isSuccessor;
   }
 
   /** Returns the next change for the joining replicas, or empty if no change is due. */
@@ -109,21 +102,18 @@
   /**
    * Promotes the replica if there are too few voters or one of them leaves, or else removes a lost
    * voter first. Promotion before the removal of a lost voter would increase the majority that is
-   * required. Without a lost voter, one successor is promoted in advance.
+   * required. Without a lost voter, a successor is promoted in advance.
    */
   private Optional<MembershipChange> promoteOrMakeRoom(Member replica) {
     int surplus = membership.voters().size() - maxVoters;
-    if (surplus > 0) {
-      return Optional.empty();
-    }
     MembershipChange promotion = new Promote(replica.getReplicaId());
-    if (surplus < 0 || firstVoter(isLeaving).isPresent()) {
+    if (surplus < 0 || surplus == 0 && firstVoter(isLeaving).isPresent()) {
       return Optional.of(promotion);
     }
-    return firstVoter(isLost)
-        .<MembershipChange>map(Remove::new)
-        .or(
-            () ->
-                Optional.of(promotion).filter(change -> isSuccessor.test(replica.getReplicaId())));
+    if (surplus == 0 && firstVoter(isLost).isPresent()) {
+      return firstVoter(isLost).map(Remove::new);
+    }
+    boolean inAdvance = surplus < MAX_FURTHER_VOTERS && replica.getSuccessor();
+    return inAdvance ? Optional.of(promotion) : Optional.empty();
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -247,10 +247,10 @@
   }
 
   private JoinRequest joinRequest() {
+    boolean successor = folder.identity().getSuccessor() && !folder.identity().getAdmitted();
     return JoinRequest.newBuilder()
-        .setSelf(self)
+        .setSelf(self.toBuilder().setSuccessor(successor))
         .setNewcomer(driver != null)
-        .setSuccessor(folder.identity().getSuccessor() && !folder.identity().getAdmitted())
         .build();
   }
 
@@ -374,8 +374,8 @@
               boolean permitted =
                   builder.openMembership.isPresent() || addresses.isListed(member.getAddress());
               if (request.getNewcomer() && fromSender && permitted) {
-                repair.recordJoin(member, request.getSuccessor(), nowMillis);
-                recordLostDisks(request);
+                repair.recordJoin(member, nowMillis);
+                recordLostDisks(member);
               }
               Replacement replacement =
                   request.getLeaving() && fromSender && driver != null
@@ -399,11 +399,10 @@
    * Records that the other replicas of a host are lost once a replica without a vote takes their
    * place. A request that was sent before the loss comes from a voter and proves nothing.
    */
-  private void recordLostDisks(JoinRequest request) {
-    if (driver == null || !request.getSuccessor()) {
+  private void recordLostDisks(Member joining) {
+    if (driver == null || !joining.getSuccessor()) {
       return;
     }
-    Member joining = request.getSelf();
     for (Member member : driver.core().membership().membersOnHost(joining.getHostId())) {
       boolean lost = member.getReplicaId() != joining.getReplicaId();
       if (lost && driver.core().recordLostDisk(member.getReplicaId())) {
--- a/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/FormationTest.java
@@ -185,21 +185,39 @@
    */
   @Test
   void successorVotesBeforeAnyVoterIsGone() {
-    Member successor = learner(9, "d");
-    Member second = learner(10, "e");
+    Member successor = successor(9, "d");
+    Member second = successor(10, "e");
     Membership membership =
         new Membership(list(voter(1, "a"), voter(2, "b"), voter(3, "c"), successor, second));
-    assertThat(successorPlan(membership, id -> false).nextChange(List.of(successor, second)))
+    assertThat(
+            plan(membership, id -> true, id -> false, id -> false)
+                .nextChange(List.of(successor, second)))
         .hasValue(new Promote(9));
-    assertThat(successorPlan(membership, id -> id == 2).nextChange(List.of(successor)))
+    assertThat(
+            plan(membership, id -> true, id -> id == 2, id -> false).nextChange(List.of(successor)))
         .hasValue(new Remove(2));
 
     Membership promoted = membership.with(successor.toBuilder().setVoter(true).build());
-    assertThat(successorPlan(promoted, id -> false).nextChange(List.of(second))).isEmpty();
-    assertThat(successorPlan(promoted, id -> id == 2).nextChange(List.of(second)))
+    assertThat(plan(promoted, id -> true, id -> false, id -> false).nextChange(List.of(second)))
+        .hasValue(new Promote(10));
+    assertThat(
+            plan(promoted.with(voter(10, "e")), id -> true, id -> false, id -> false)
+                .nextChange(List.of(successor(11, "f"))))
+        .hasValue(new AddLearner(successor(11, "f")));
+    assertThat(
+            plan(
+                    promoted.with(voter(10, "e")).with(successor(11, "f")),
+                    id -> true,
+                    id -> false,
+                    id -> false)
+                .nextChange(List.of(successor(11, "f"))))
+        .isEmpty();
+    assertThat(plan(promoted, id -> true, id -> id == 2, id -> false).nextChange(List.of(second)))
         .hasValue(new Remove(2));
-    assertThat(successorPlan(promoted, id -> false).nextChange(List.of(learner(11, "f"))))
-        .hasValue(new AddLearner(learner(11, "f")));
+  }
+
+  private static Member successor(long replicaId, String host) {
+    return learner(replicaId, host).toBuilder().setSuccessor(true).build();
   }
 
   private static MembershipRepairPlan plan(
@@ -207,11 +225,6 @@
       LongPredicate hasCaughtUp,
       LongPredicate isLost,
       LongPredicate isLeaving) {
-    return new MembershipRepairPlan(membership, hasCaughtUp, 3, isLost, isLeaving, id -> false);
-  }
-
-  private static MembershipRepairPlan successorPlan(Membership membership, LongPredicate isLost) {
-    return new MembershipRepairPlan(
-        membership, id -> true, 3, isLost, id -> false, id -> id == 9 || id == 10);
+    return new MembershipRepairPlan(membership, hasCaughtUp, 3, isLost, isLeaving);
   }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
@@ -14,10 +14,12 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.Membership;
+import org.alderyard.protocol.generated.raft.Member;
 import org.alderyard.testkit.net.FreePorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -185,10 +187,55 @@
         () -> wiped.stream().allMatch(number -> hosts.get(number).commands().contains("third")));
   }
 
-  /** Waits until a successor votes, or for the time after which the next host may be lost. */
+  /** Guards against a log that ends for good when two hosts with successors are gone at once. */
+  @Test
+  void logOutlivesTwoReplacedHostsThatAreGoneAtOnce() {
+    startWithSuccessor();
+    start(SUCCESSOR + 1);
+    giveTimeToCatchUp(SUCCESSOR);
+    giveTimeToCatchUp(SUCCESSOR + 1);
+    hosts.remove(0).kill();
+    hosts.remove(1).kill();
+
+    propose("second");
+    assertThat(leader().commands()).containsAtLeast("first", "second");
+    LogHost.await("three voters are left", () -> membership().voters().size() == VOTERS);
+  }
+
+  /**
+   * Guards against a log that ends for good: a host loses its disk, and the next one does as soon
+   * as the first one is back for long enough.
+   */
+  @Test
+  void logOutlivesLossOfOneDiskAfterTheOther() {
+    for (int number = 0; number < VOTERS; number++) {
+      start(number);
+    }
+    propose("first");
+    for (int wiped : List.of(0, 1, 2)) {
+      final List<Member> lost = membership().membersOnHost("control-" + wiped);
+      hosts.remove(wiped).kill();
+      emptyDisk(wiped);
+      start(wiped, VOTERS, false);
+      awaitCatchUpTime(() -> votes(wiped) && isReplaced(lost));
+      propose("wiped " + wiped);
+    }
+    assertThat(leader().commands()).containsAtLeast("first", "wiped 0", "wiped 1", "wiped 2");
+  }
+
+  private boolean isReplaced(List<Member> members) {
+    return members.stream()
+        .noneMatch(member -> membership().member(member.getReplicaId()).isPresent());
+  }
+
   private void giveTimeToCatchUp(int successor) {
+    awaitCatchUpTime(() -> votes(successor));
+  }
+
+  /** Waits until the condition holds, or for the time after which the next host may be lost. */
+  private static void awaitCatchUpTime(BooleanSupplier condition) {
     long deadlineNanos = System.nanoTime() + CATCH_UP_NANOS;
-    while (!votes(successor) && System.nanoTime() < deadlineNanos) {
+    while (!condition.getAsBoolean() && System.nanoTime() < deadlineNanos) {
       Thread.onSpinWait();
     }
   }
