--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -209,10 +209,15 @@
     }
   }
 
+  /**
+   * Resumes a replica if this host still leads. The replica may be one that the next leader has
+   * paused.
+   */
   private void resume(PausedReplicas.Resumption resumption) {
     ServerState server = resumption.server();
-    replication
-        .resume(server, SynchronousReplicaSearch.CALL_TIMEOUT)
+    controlLog
+        .readBarrier()
+        .thenCompose(confirmed -> replication.resume(server, SynchronousReplicaSearch.CALL_TIMEOUT))
         .whenComplete(
             (status, failure) -> {
               log.info(
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
@@ -126,15 +126,7 @@
     if (restarted.isEmpty()) {
       return pauseOthers(all, responding);
     }
-    return confirmLeadership
-        .get()
-        .handle((confirmed, failure) -> failure == null)
-        .thenCompose(
-            leads ->
-                leads
-                    ? pause(restarted, newestTerm(all) + 1)
-                        .thenCompose(ignored -> pauseOthers(all, responding))
-                    : CompletableFuture.completedFuture(fail("leadership-not-confirmed")));
+    return pauseIfLeading(restarted, newestTerm(all) + 1, ignored -> pauseOthers(all, responding));
   }
 
   private CompletableFuture<ReplicaChoice> pauseOthers(
@@ -156,14 +148,13 @@
             .map(Candidate::server)
             .filter(server -> !server.equals(candidate.server()))
             .toList();
-    return confirmLeadership
-        .get()
-        .handle((confirmed, failure) -> failure == null)
-        .thenCompose(
-            leads ->
-                leads
-                    ? pauseAndCheck(candidate.server(), others, pauseTerm)
-                    : CompletableFuture.completedFuture(fail("leadership-not-confirmed")));
+    return pauseIfLeading(
+        others,
+        pauseTerm,
+        stopped ->
+            isEnough(stopped.size() + 1)
+                ? check(candidate.server(), stopped, pauseTerm, 0)
+                : CompletableFuture.completedFuture(fail("replica-not-paused")));
   }
 
   private static long newestTerm(List<Candidate> candidates) {
@@ -200,16 +191,6 @@
         .toList();
   }
 
-  private CompletableFuture<ReplicaChoice> pauseAndCheck(
-      ServerState candidate, List<ServerState> others, long pauseTerm) {
-    return pause(others, pauseTerm)
-        .thenCompose(
-            stopped ->
-                isEnough(stopped.size() + 1)
-                    ? check(candidate, stopped, pauseTerm, 0)
-                    : CompletableFuture.completedFuture(fail("replica-not-paused")));
-  }
-
   /** Returns whether a replica of the group has not reported its state. */
   private boolean isMissing(Optional<ServerId> replica, List<Candidate> responding) {
     return replicas.stream().map(ServerState::id).anyMatch(id -> replica.equals(Optional.of(id)))
@@ -235,9 +216,23 @@
     return replicas.size() - count < syncReplicas;
   }
 
-  private CompletableFuture<List<Candidate>> pause(List<ServerState> servers, long term) {
-    paused.addAll(servers);
-    return callAll(servers, server -> client.pause(server, term, CALL_TIMEOUT));
+  /** Pauses servers if this host still leads, and goes on with those that have responded. */
+  private CompletableFuture<ReplicaChoice> pauseIfLeading(
+      List<ServerState> servers,
+      long term,
+      Function<List<Candidate>, CompletableFuture<ReplicaChoice>> next) {
+    return confirmLeadership
+        .get()
+        .handle((confirmed, failure) -> failure == null)
+        .thenCompose(
+            leads -> {
+              if (!leads) {
+                return CompletableFuture.completedFuture(fail("leadership-not-confirmed"));
+              }
+              paused.addAll(servers);
+              return callAll(servers, server -> client.pause(server, term, CALL_TIMEOUT))
+                  .thenCompose(next);
+            });
   }
 
   /** Chooses the candidate if it has reached the position of each paused replica. */
@@ -268,17 +263,18 @@
   /** Pauses the candidate too and chooses the replica with the highest position. */
   private CompletableFuture<ReplicaChoice> choosePaused(
       ServerState candidate, List<Candidate> stopped, long pauseTerm) {
-    return pause(List.of(candidate), pauseTerm)
-        .thenCompose(
-            reported -> {
-              List<Candidate> all = new ArrayList<>(stopped);
-              all.addAll(reported);
-              if (!isEnough(all.size())) {
-                return CompletableFuture.completedFuture(fail("replica-not-paused"));
-              }
-              ServerState newest = Collections.max(all, Candidate.BY_POSITION).server();
-              return confirmIncarnations(newest, counted(newest, all), clock.nowMillis());
-            });
+    return pauseIfLeading(
+        List.of(candidate),
+        pauseTerm,
+        reported -> {
+          List<Candidate> all = new ArrayList<>(stopped);
+          all.addAll(reported);
+          if (!isEnough(all.size())) {
+            return CompletableFuture.completedFuture(fail("replica-not-paused"));
+          }
+          ServerState newest = Collections.max(all, Candidate.BY_POSITION).server();
+          return confirmIncarnations(newest, counted(newest, all), clock.nowMillis());
+        });
   }
 
   private static Set<ServerState> counted(ServerState candidate, List<Candidate> stopped) {
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -68,6 +68,7 @@
   private volatile Duration responseDelay = Duration.ZERO;
   private volatile Optional<Intent> intent = Optional.empty();
   private final AtomicLong clockOffsetNanos = new AtomicLong();
+  private final AtomicLong barriers = new AtomicLong();
 
   @AfterEach
   void close() {
@@ -450,6 +451,25 @@
     }
   }
 
+  // Guards against a former leader that resumes a replica which the next leader has paused.
+  @Test
+  void formerLeaderResumesNoReplica() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(10, 10));
+    pausedServers.add("s2");
+    leadershipConfirmed = false;
+    startService();
+    awaitTrue(
+        () -> {
+          clockOffsetNanos.addAndGet(PausedReplicas.EARLIER_SEARCH_NANOS);
+          return barriers.get() > 1;
+        });
+    assertThat(pausedServers).contains("s2");
+
+    leadershipConfirmed = true;
+    awaitTrue(() -> pausedServers.isEmpty());
+  }
+
   private final class AnnouncedStarts implements ReplicaStarts {
     @Override
     public boolean mayLackCommits(ServerId server) {
@@ -513,6 +533,7 @@
 
     @Override
     public CompletableFuture<Void> readBarrier() {
+      barriers.incrementAndGet();
       return leadershipConfirmed
           ? CompletableFuture.completedFuture(null)
           : CompletableFuture.failedFuture(
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
@@ -202,6 +202,18 @@
     assertThat(search(1, false).server()).hasValue(id(ahead));
   }
 
+  // Guards against a replica that a former leader pauses after the next one has resumed it.
+  @Test
+  void candidateIsNotPausedOnceAnotherHostLeads() throws Exception {
+    Replica ahead = add("s2", ServerStatus.ACTIVE, 12);
+    Replica candidate = add("s3", ServerStatus.ACTIVE, 10);
+    calledServer = Optional.of(id(candidate));
+    beforeCall = () -> leadershipConfirmed = !ahead.paused;
+
+    assertThat(search(1, false).failure()).isEqualTo("leadership-not-confirmed");
+    assertThat(candidate.paused).isFalse();
+  }
+
   // Guards against replicas that stay paused: only the leader resumes them.
   @Test
   void hostThatDoesNotLeadPausesNoReplica() throws Exception {
