--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PrimaryPromoter.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PrimaryPromoter.java
@@ -15,9 +15,10 @@
    * @param controlLeader the leader of the control log, which decides the failovers of the group
    * @param fencingToken increases with each decision; the service refuses a token lower than the
    *     highest that it has received
+   * @param permit checked immediately before the call leaves this host
    * @return a future that never completes exceptionally; a call without a response may still be
    *     executed later
    */
   CompletableFuture<PromotionResponse> promote(
-      GroupId group, ServerId server, HostId controlLeader, long fencingToken);
+      GroupId group, ServerId server, HostId controlLeader, long fencingToken, CallPermit permit);
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionCalls.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionCalls.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ServerId;
-import org.alderyard.common.time.MonotonicClock;
+import org.alderyard.common.time.HostTime;
 import org.alderyard.control.log.ControlLog;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -17,11 +17,11 @@
 /**
  * The calls that request one promotion, with the same arguments each time.
  *
- * <p>A call is repeated only while a quorum confirms that this host still leads in the term in
- * which it obtained the token. A host that was stopped between two calls would otherwise send a
- * token that is lower than the one that the next leader has used. It is not repeated either once
- * this host has a newer token for the group, as the next attempt begins while a slow service still
- * delays the calls of the one before.
+ * <p>A call is sent only while a quorum confirms that this host still leads in the term in which it
+ * obtained the token, and only within the time of its {@link CallPermit}. A host that was stopped
+ * before a call would otherwise send a token that is lower than the one that the next leader has
+ * used. A call is not repeated either once this host has a newer token for the group, as the next
+ * attempt begins while a slow service still delays the calls of the one before.
  */
 final class PromotionCalls {
   private static final Logger log = LoggerFactory.getLogger(PromotionCalls.class);
@@ -29,6 +29,9 @@
   /** The delay before a call that was throttled or got no response is repeated. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
+  /** Leaves half of the validity of a permit to open the connection. */
+  private static final long MAX_FIRST_PERMIT_AGE_MILLIS = CallPermit.VALIDITY_MILLIS / 2;
+
   /** The number of calls without a definite response after which a candidate is chosen again. */
   private static final int MAX_CALLS = 6;
 
@@ -36,7 +39,7 @@
   private final ControlLog controlLog;
   private final HostId self;
   private final WorkerPool workers;
-  private final MonotonicClock clock;
+  private final Supplier<HostTime> hostTime;
   private final Map<GroupId, Long> newestTokens = new ConcurrentHashMap<>();
 
   PromotionCalls(
@@ -44,12 +47,12 @@
       ControlLog controlLog,
       HostId self,
       WorkerPool workers,
-      MonotonicClock clock) {
+      Supplier<HostTime> hostTime) {
     this.promoter = promoter;
     this.controlLog = controlLog;
     this.self = self;
     this.workers = workers;
-    this.clock = clock;
+    this.hostTime = hostTime;
   }
 
   /**
@@ -57,9 +60,16 @@
    *
    * @param token the fencing token
    * @param term the term of the control log in which the token was obtained
-   * @param startNanos when the failover began
+   * @param tokenAskedTime when the token was requested from the log
+   * @param startTime when the failover began
    */
-  record Promotion(GroupId group, ServerId server, long token, long term, long startNanos) {}
+  record Promotion(
+      GroupId group,
+      ServerId server,
+      long token,
+      long term,
+      HostTime tokenAskedTime,
+      HostTime startTime) {}
 
   /**
    * The end of the calls for one promotion.
@@ -73,20 +83,24 @@
   /** Calls the promoter until it responds definitely. The future never fails. */
   CompletableFuture<Outcome> run(Promotion promotion) {
     newestTokens.merge(promotion.group(), promotion.token(), Math::max);
-    return call(promotion, 1, false);
+    Outcome none = new Outcome(PromotionResponse.NOT_SENT, false);
+    CallPermit permit = new CallPermit(promotion.tokenAskedTime(), hostTime);
+    return permit.ageMillis() <= MAX_FIRST_PERMIT_AGE_MILLIS
+        ? call(promotion, 1, none, permit)
+        : callIfLeading(promotion, 1, none);
   }
 
   private CompletableFuture<Outcome> call(
-      Promotion promotion, int callNumber, boolean earlierExecutable) {
+      Promotion promotion, int callNumber, Outcome last, CallPermit permit) {
     return promoter
-        .promote(promotion.group(), promotion.server(), self, promotion.token())
+        .promote(promotion.group(), promotion.server(), self, promotion.token(), permit)
         .thenCompose(
             response -> {
               logResponse(promotion, callNumber, response);
-              Outcome outcome = new Outcome(response, earlierExecutable || isExecutable(response));
+              Outcome outcome = new Outcome(response, last.executable() || isExecutable(response));
               return isDefinite(response) || callNumber >= MAX_CALLS
                   ? CompletableFuture.completedFuture(outcome)
-                  : repeat(promotion, callNumber, outcome);
+                  : repeat(promotion, callNumber + 1, outcome);
             });
   }
 
@@ -101,17 +115,23 @@
   private CompletableFuture<Outcome> repeat(Promotion promotion, int callNumber, Outcome last) {
     CompletableFuture<Void> elapsed = new CompletableFuture<>();
     workers.schedule(RETRY_DELAY, () -> elapsed.complete(null));
-    return elapsed
-        .thenCompose(ignored -> controlLog.readBarrier())
-        .handle((confirmed, failure) -> failure == null && mayRepeat(promotion))
+    return elapsed.thenCompose(ignored -> callIfLeading(promotion, callNumber, last));
+  }
+
+  private CompletableFuture<Outcome> callIfLeading(
+      Promotion promotion, int callNumber, Outcome last) {
+    HostTime askedTime = hostTime.get();
+    return controlLog
+        .readBarrier()
+        .handle((confirmed, failure) -> failure == null && mayCall(promotion))
         .thenCompose(
-            mayRepeat ->
-                mayRepeat
-                    ? call(promotion, callNumber + 1, last.executable())
+            mayCall ->
+                mayCall
+                    ? call(promotion, callNumber, last, new CallPermit(askedTime, hostTime))
                     : CompletableFuture.completedFuture(last));
   }
 
-  private boolean mayRepeat(Promotion promotion) {
+  private boolean mayCall(Promotion promotion) {
     return controlLog.term() == promotion.term()
         && newestTokens.get(promotion.group()) == promotion.token();
   }
@@ -124,6 +144,6 @@
         promotion.token(),
         callNumber,
         response,
-        TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - promotion.startNanos()));
+        hostTime.get().elapsedMillisSince(promotion.startTime()));
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionResponse.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionResponse.java
@@ -8,6 +8,8 @@
   REFUSED,
   /** The service received too many calls; this call was not executed. */
   THROTTLED,
+  /** The call did not leave this host. */
+  NOT_SENT,
   /** No definite response was received: the call may be executed now or later. */
   UNKNOWN
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -1,6 +1,7 @@
 package org.alderyard.control.promotion;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,6 +22,7 @@
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.ServerId;
+import org.alderyard.common.time.HostTime;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.ConfigurationState;
 import org.alderyard.common.view.GroupState;
@@ -73,6 +75,7 @@
   private final PromotionCalls calls;
   private final WorkerPool workers;
   private final MonotonicClock clock;
+  private final Supplier<HostTime> hostTime;
   private final Object lock = new Object();
   // Guarded by lock.
   private final CatchUpMonitor catchUps;
@@ -89,6 +92,7 @@
    *
    * @param pendingPromotions returns the server that a call of any leader may still promote
    * @param starts what is known of the starts of replicas
+   * @param wallClock shows that this host was suspended, which the other clock does not
    */
   public PromotionService(
       ControlLog controlLog,
@@ -99,7 +103,8 @@
       ReplicationClient replication,
       PrimaryPromoter promoter,
       WorkerPool workers,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      InstantSource wallClock) {
     this.controlLog = controlLog;
     this.views = views;
     this.pendingPromotions = pendingPromotions;
@@ -107,9 +112,10 @@
     this.replication = replication;
     catchUps = new CatchUpMonitor(controlLog, replication, starts);
     intents = new PromotionIntents(controlLog, self);
-    calls = new PromotionCalls(promoter, controlLog, self, workers, clock);
     this.workers = workers;
     this.clock = clock;
+    hostTime = () -> HostTime.now(clock, wallClock);
+    calls = new PromotionCalls(promoter, controlLog, self, workers, hostTime);
   }
 
   /** Registers the method of this service with a dispatcher. */
@@ -173,7 +179,7 @@
         nextAttemptNanos.put(group.id(), nowNanos + APPOINTMENT_TIMEOUT_NANOS);
         paused.searchStarted(group.id());
         ReplicaSearch search = createSearch(view, group, nowNanos);
-        failoversToStart.add(() -> startFailover(group, reason.get(), search, nowNanos));
+        failoversToStart.add(() -> startFailover(group, reason.get(), search));
       }
     }
     resumptions.forEach(this::resume);
@@ -277,18 +283,18 @@
         clock);
   }
 
-  private void startFailover(
-      GroupState group, String reason, ReplicaSearch search, long startNanos) {
+  private void startFailover(GroupState group, String reason, ReplicaSearch search) {
+    HostTime startTime = hostTime.get();
     log.info(
         "event=failover-begin group={} primary={} reason={} term={}",
         group.id(),
         group.primary().map(ServerId::value).orElse("none"),
         reason,
         group.term());
-    search.run().thenAccept(choice -> handleChoice(group.id(), choice, startNanos));
+    search.run().thenAccept(choice -> handleChoice(group.id(), choice, startTime));
   }
 
-  private void handleChoice(GroupId group, ReplicaChoice choice, long startNanos) {
+  private void handleChoice(GroupId group, ReplicaChoice choice, HostTime startTime) {
     if (choice.server().isEmpty()) {
       endSearch(group, choice);
       recordFailedAttempt(group, choice.failure(), null);
@@ -296,10 +302,17 @@
     }
     ServerId chosen = choice.server().get();
     boolean earlierCallPending = pendingPromotions.apply(group).isPresent();
+    HostTime askedTime = hostTime.get();
     intents
         .propose(group, chosen)
         .whenComplete((token, failure) -> endSearch(group, choice))
-        .thenAccept(token -> callPromoter(group, chosen, token, earlierCallPending, startNanos))
+        .thenAccept(
+            token ->
+                callPromoter(
+                    new PromotionCalls.Promotion(
+                        group, chosen, token.value(), token.term(), askedTime, startTime),
+                    token,
+                    earlierCallPending))
         .exceptionally(failure -> handleMissingToken(group, failure));
   }
 
@@ -320,13 +333,12 @@
   }
 
   private void callPromoter(
-      GroupId group,
-      ServerId server,
+      PromotionCalls.Promotion promotion,
       PromotionIntents.Token token,
-      boolean earlierCallPending,
-      long startNanos) {
+      boolean earlierCallPending) {
+    GroupId group = promotion.group();
     calls
-        .run(new PromotionCalls.Promotion(group, server, token.value(), token.term(), startNanos))
+        .run(promotion)
         .thenAccept(
             outcome -> {
               if (!outcome.executable() && !earlierCallPending) {
@@ -335,6 +347,7 @@
               switch (outcome.response()) {
                 case ACCEPTED -> awaitAppointment(group);
                 case REFUSED -> recordFailedAttempt(group, "refused", null);
+                case NOT_SENT -> recordFailedAttempt(group, "not-sent", null);
                 default -> recordFailedAttempt(group, "no-answer", null);
               }
             });
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -6,6 +6,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -120,18 +121,10 @@
             group -> pendingPromotion(),
             new AnnouncedStarts(),
             new ScriptedReplication(),
-            (group, server, controlLeader, token) -> {
-              calls.add(new Call(server.value(), token));
-              PromotionResponse response =
-                  scriptedResponses.isEmpty()
-                      ? PromotionResponse.ACCEPTED
-                      : scriptedResponses.remove(0);
-              CompletableFuture<PromotionResponse> delayed = new CompletableFuture<>();
-              workers.schedule(responseDelay, () -> delayed.complete(response));
-              return delayed;
-            },
+            new ScriptedPromoter(),
             workers,
-            () -> System.nanoTime() + clockOffsetNanos.get());
+            () -> System.nanoTime() + clockOffsetNanos.get(),
+            InstantSource.system());
     service.start();
     return service;
   }
@@ -470,6 +463,23 @@
     awaitTrue(() -> pausedServers.isEmpty());
   }
 
+  private final class ScriptedPromoter implements PrimaryPromoter {
+    @Override
+    public CompletableFuture<PromotionResponse> promote(
+        GroupId group,
+        ServerId server,
+        HostId controlLeader,
+        long fencingToken,
+        CallPermit permit) {
+      calls.add(new Call(server.value(), fencingToken));
+      PromotionResponse response =
+          scriptedResponses.isEmpty() ? PromotionResponse.ACCEPTED : scriptedResponses.remove(0);
+      CompletableFuture<PromotionResponse> delayed = new CompletableFuture<>();
+      workers.schedule(responseDelay, () -> delayed.complete(response));
+      return delayed;
+    }
+  }
+
   private final class AnnouncedStarts implements ReplicaStarts {
     @Override
     public boolean mayLackCommits(ServerId server) {
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -148,9 +148,10 @@
                       state::pendingPromotion,
                       replicaStarts(control),
                       new WireReplicationClient(new WireSessionConnector(host.loops)),
-                      new PlatformPromoter(address, host::ioWorker, host.workers, host.clock),
+                      new PlatformPromoter(address, host::ioWorker, host.workers),
                       host.workers,
-                      host.clock);
+                      host.clock,
+                      host.wallClock);
               service.serve(host.dispatcher);
               service.start();
             });
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -11,6 +11,7 @@
 import org.alderyard.common.concurrent.Timer;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.log.DependencyLog;
+import org.alderyard.common.time.HostTime;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.HostState;
 import org.alderyard.common.view.View;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.alderyard.common.time.HostTime;
 import org.alderyard.common.view.ViewVersion;
 
 /**
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/HostTimeTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/HostTimeTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.alderyard.common.time.HostTime;
 import org.junit.jupiter.api.Test;
 
 class HostTimeTest {
@@ -36,4 +37,15 @@
 
     assertThat(now().suspendedMillisSince(before)).isEqualTo(-3_600_000);
   }
+
+  @Test
+  void elapsedTimeCountsSuspensionAndIgnoresClockThatIsSetBack() {
+    HostTime before = now();
+    timer.advance(750);
+    timer.stepWallClock(10_000);
+    assertThat(now().elapsedMillisSince(before)).isEqualTo(10_750);
+
+    timer.stepWallClock(-60_000);
+    assertThat(now().elapsedMillisSince(before)).isEqualTo(750);
+  }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewLeaseTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewLeaseTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.alderyard.common.time.HostTime;
 import org.alderyard.common.view.ViewVersion;
 import org.junit.jupiter.api.Test;
 
