--- a/alderyard-control/src/main/java/org/alderyard/control/log/ControlLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ControlLog.java
@@ -44,6 +44,11 @@
     return CompletableFuture.completedFuture(null);
   }
 
+  /** Starts to hand the leadership over to another host, if this host leads and there is one. */
+  default CompletableFuture<Boolean> transferLeadership() {
+    return CompletableFuture.completedFuture(false);
+  }
+
   /** Returns the current term, which never decreases. */
   long term();
 
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -221,6 +221,7 @@
    * Transfers leadership to the voter with the highest replicated index; the future returns whether
    * the transfer was started.
    */
+  @Override
   public CompletableFuture<Boolean> transferLeadership() {
     return runOnLoop(
         future ->
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PrimaryPromoter.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PrimaryPromoter.java
@@ -9,6 +9,12 @@
 @FunctionalInterface
 public interface PrimaryPromoter {
 
+  /**
+   * Starts what the first call needs, such as threads; may block. Calls are made only after it has
+   * returned.
+   */
+  default void prepare() {}
+
   /**
    * Requests the appointment of a new primary.
    *
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -72,6 +72,7 @@
   private final ReplicaStarts starts;
   private final ReplicationClient replication;
   private final PromotionIntents intents;
+  private final PrimaryPromoter promoter;
   private final PromotionCalls calls;
   private final WorkerPool workers;
   private final MonotonicClock clock;
@@ -112,6 +113,7 @@
     this.replication = replication;
     catchUps = new CatchUpMonitor(controlLog, replication, starts);
     intents = new PromotionIntents(controlLog, self);
+    this.promoter = promoter;
     this.workers = workers;
     this.clock = clock;
     hostTime = () -> HostTime.now(clock, wallClock);
@@ -291,7 +293,28 @@
         group.primary().map(ServerId::value).orElse("none"),
         reason,
         group.term());
-    search.run().thenAccept(choice -> handleChoice(group.id(), choice, startTime));
+    CompletableFuture<Optional<Throwable>> prepared =
+        CompletableFuture.runAsync(promoter::prepare, workers::execute)
+            .handle((done, failure) -> Optional.ofNullable(failure).map(Futures::unwrap));
+    search
+        .run()
+        .thenAcceptBoth(
+            prepared,
+            (choice, failure) -> {
+              if (failure.isPresent()) {
+                handleUnavailablePromoter(group.id(), choice, failure.get());
+              } else {
+                handleChoice(group.id(), choice, startTime);
+              }
+            });
+  }
+
+  /** Leaves the failover to another host, as this one cannot make the call. */
+  private void handleUnavailablePromoter(GroupId group, ReplicaChoice choice, Throwable failure) {
+    log.error("event=promoter-unavailable group={} action=hand-over", group, failure);
+    endSearch(group, choice);
+    recordFailedAttempt(group, "promoter-unavailable", failure);
+    controlLog.transferLeadership();
   }
 
   private void handleChoice(GroupId group, ReplicaChoice choice, HostTime startTime) {
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -70,6 +70,8 @@
   private volatile Optional<Intent> intent = Optional.empty();
   private final AtomicLong clockOffsetNanos = new AtomicLong();
   private final AtomicLong barriers = new AtomicLong();
+  private volatile Optional<Error> preparationFailure = Optional.empty();
+  private volatile boolean leadershipHandedOver;
 
   @AfterEach
   void close() {
@@ -444,6 +446,18 @@
     }
   }
 
+  // Guards against a failover that no host makes: the threads of its calls can't be started.
+  @Test
+  void hostThatCannotCallHandsOverLeadership() throws Exception {
+    statuses.put("s2", status(10, 10));
+    preparationFailure = Optional.of(new OutOfMemoryError("unable to create native thread"));
+    primaryStatus = ServerStatus.GONE;
+    startService();
+    awaitTrue(() -> leadershipHandedOver);
+    assertThat(calls).isEmpty();
+    assertThat(intent).isEmpty();
+  }
+
   // Guards against a former leader that resumes a replica which the next leader has paused.
   @Test
   void formerLeaderResumesNoReplica() throws Exception {
@@ -464,6 +478,14 @@
   }
 
   private final class ScriptedPromoter implements PrimaryPromoter {
+    @Override
+    public void prepare() {
+      preparationFailure.ifPresent(
+          failure -> {
+            throw failure;
+          });
+    }
+
     @Override
     public CompletableFuture<PromotionResponse> promote(
         GroupId group,
@@ -550,6 +572,12 @@
               AlderyardException.notRun(ErrorCode.NOT_LEADER, "another host leads"));
     }
 
+    @Override
+    public CompletableFuture<Boolean> transferLeadership() {
+      leadershipHandedOver = true;
+      return CompletableFuture.completedFuture(true);
+    }
+
     @Override
     public boolean isLeader() {
       return true;
