--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -276,6 +276,7 @@
   boolean hasCaughtUp(long replicaId) {
     Progress progress = peers.get(replicaId);
     return progress != null
+        && progress.hasReplied()
         && isRecent(progress.lastContactMillis())
         && state.log.lastIndex() - progress.matchIndex() <= state.options.maxCatchUpGap();
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Progress.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Progress.java
@@ -13,6 +13,7 @@
   private boolean probeSent;
   private long lastContactMillis;
   private long repliedRound;
+  private boolean replied;
   // The time of the first message since the last reply; meaningful only while a reply is awaited.
   private boolean replyAwaited;
   private long unansweredSinceMillis;
@@ -45,9 +46,18 @@
   void recordReply(long nowMillis, long replyRound) {
     lastContactMillis = nowMillis;
     replyAwaited = false;
+    replied = true;
     repliedRound = Math.max(repliedRound, replyRound);
   }
 
+  /**
+   * Returns whether the replica has replied to this leader. Before its first reply, the last
+   * contact is the time at which the leader began to count.
+   */
+  boolean hasReplied() {
+    return replied;
+  }
+
   /** Records that a message was sent, to which the replica replies. */
   void recordMessage(long nowMillis) {
     if (!replyAwaited) {
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/RaftFailureTest.java
@@ -219,6 +219,23 @@
     assertThat(leader.core().membership().voters()).containsExactly(1L, 2L, 3L);
   }
 
+  /**
+   * Guards against a voter that is gone: a learner is down while a leader is elected, which has not
+   * heard of it yet, and the log is short.
+   */
+  @Test
+  void learnerThatNeverRepliedToLeaderIsNotPromoted() {
+    RaftReplica leader = cluster.runUntilConverged();
+    cluster.add(4, Membership.EMPTY).crash();
+    changeMembership(leader, new AddLearner(RaftCluster.member(4)));
+    cluster.run(ELECTION_MILLIS);
+    leader.crash();
+    while (cluster.leader().isEmpty()) {
+      cluster.run(1);
+    }
+    assertThat(cluster.leader().get().core().hasCaughtUp(4)).isFalse();
+  }
+
   /**
    * A replica is removed while it is partitioned and does not receive the change. After its return
    * it campaigns indefinitely with its old membership, which must change neither the leader nor the
