--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -53,6 +53,7 @@
   private String lastLoggedReason = "";
   // Not null while the log is open.
   private LogDriver driver;
+  private boolean leaving;
   private boolean closed;
 
   ReplicaHost(
@@ -238,6 +239,9 @@
    * it may have been removed while it was unreachable, and other hosts do not notify it.
    */
   private boolean needsToJoin() {
+    if (leaving) {
+      return false;
+    }
     if (builder.openMembership.isPresent()) {
       return driver == null
           || driver.core().leader().isEmpty()
@@ -327,6 +331,7 @@
     if (!votes) {
       return CompletableFuture.completedFuture(Replacement.REPLACEMENT_UNKNOWN);
     }
+    leaving = true;
     List<InetSocketAddress> others =
         driver.core().membership().members().stream()
             .filter(member -> member.getReplicaId() != self.getReplicaId())
--- a/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
@@ -141,6 +141,21 @@
     assertThat(leader().commands()).containsAtLeast("first", "second");
   }
 
+  /**
+   * Guards against a member that is never reached: a host that has handed over its vote joins again
+   * while it stops, and the leader connects to it for good.
+   */
+  @Test
+  void hostThatStopsDoesNotJoinAgain() {
+    startWithSuccessor();
+    giveTimeToCatchUp(SUCCESSOR);
+    int stopped = leaderNumber();
+    hosts.remove(stopped).close();
+    LogHost.await("the vote is removed", () -> !votes(stopped));
+    propose("second");
+    assertThat(membership().membersOnHost("control-" + stopped)).isEmpty();
+  }
+
   /** Guards against the same loss where the host that stops is the leader. */
   @Test
   void leaderThatStopsHandsOverItsVote() {
