--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/capacity/StatementCost.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/capacity/StatementCost.java
@@ -67,7 +67,7 @@
   private static LoadReport load(InetSocketAddress proxy, String pool, int rate, int seed) {
     LoadPlan plan =
         new LoadPlan(
-            List.of(proxy),
+            () -> List.of(proxy),
             pool,
             WorkloadMix.BRAZOS,
             rate,
--- a/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/demo/DemoCommand.java
@@ -38,7 +38,7 @@
               .addOption(valued("seconds", "N", "duration of the load, 4 to 600; default 20"))
               .addOption(valued("rate", "N", "actions per second of each workload; default 150"))
               .addOption(flag("keep", "keep the folder with settings and logs")));
-  private static final SystemPlan SYSTEM_PLAN = new SystemPlan(5, 3, 3, false, 50);
+  private static final SystemPlan SYSTEM_PLAN = new SystemPlan(5, 3, 3, false, 50, false);
   private static final int DEFAULT_SECONDS = 20;
   private static final int DEFAULT_RATE = 150;
   private static final int KEY_COUNT = 200;
@@ -93,7 +93,7 @@
       LocalSystem system, String pool, WorkloadMix mix, Duration duration, int rate, long seed) {
     LoadPlan plan =
         new LoadPlan(
-            system.callerPorts(), pool, mix, rate, duration, KEY_COUNT, seed, REQUEST_DEADLINE);
+            system::callerPorts, pool, mix, rate, duration, KEY_COUNT, seed, REQUEST_DEADLINE);
     return new LoadRun(plan, MonotonicClock.system(), line -> {}).run();
   }
 
--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/CallerSession.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/CallerSession.java
@@ -1,7 +1,6 @@
 package org.alderyard.cli.load;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
@@ -147,10 +146,8 @@
 
   private CompletableFuture<CallerReply> attempt(
       ObjectNode statement, long deadlineNanos, boolean mayHaveRunBefore) {
-    int index = (int) (nextProxy.getAndIncrement() % plan.proxies().size());
-    InetSocketAddress proxy = plan.proxies().get(index);
     return client
-        .send(proxy, name, token, statement)
+        .send(plan.proxy(nextProxy.getAndIncrement()), name, token, statement)
         .thenCompose(
             reply -> {
               reply.token().ifPresent(next -> token = Optional.of(next));
--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadCommand.java
@@ -4,6 +4,7 @@
 import static org.alderyard.cli.command.CommonOptions.valued;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -54,9 +55,11 @@
 
   @Override
   public ExitCode run(Invocation invocation) {
+    List<InetSocketAddress> proxies =
+        parse(invocation, "proxies", SettingTypes.list(SettingTypes.address()));
     LoadPlan plan =
         new LoadPlan(
-            parse(invocation, "proxies", SettingTypes.list(SettingTypes.address())),
+            () -> proxies,
             invocation.requiredOption("pool"),
             invocation.hasOption("mix")
                 ? parse(invocation, "mix", SettingTypes.word(WorkloadMix.class))
--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadPlan.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadPlan.java
@@ -4,11 +4,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Supplier;
 
 /**
  * The parameters of a load run.
  *
- * @param proxies callers' ports of the proxies that receive requests in turn
+ * @param proxies returns the callers' ports of the proxies that receive requests in turn; a host
+ *     may be replaced by one at another address
  * @param pool name of the pool
  * @param mix proportions of the workload
  * @param ratePerSecond mean number of actions that arrive per second, whether or not earlier
@@ -19,7 +21,7 @@
  * @param deadline time limit of a request, including its retries
  */
 public record LoadPlan(
-    List<InetSocketAddress> proxies,
+    Supplier<List<InetSocketAddress>> proxies,
     String pool,
     WorkloadMix mix,
     int ratePerSecond,
@@ -28,12 +30,18 @@
     long seed,
     Duration deadline) {
 
-  /** Rejects null components and copies the proxies. */
+  /** Rejects null components. */
   public LoadPlan {
     Objects.requireNonNull(pool);
     Objects.requireNonNull(mix);
     Objects.requireNonNull(duration);
     Objects.requireNonNull(deadline);
-    proxies = List.copyOf(proxies);
+    Objects.requireNonNull(proxies);
+  }
+
+  /** Returns the proxy that receives a request, given the number of requests before it. */
+  InetSocketAddress proxy(long requestsBefore) {
+    List<InetSocketAddress> current = proxies.get();
+    return current.get((int) (requestsBefore % current.size()));
   }
 }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadRun.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/load/LoadRun.java
@@ -170,9 +170,9 @@
             .put("deadlineMillis", plan.deadline().toMillis());
     statement.putObject("freshness").put("mode", "primary");
     do {
-      int index = (int) (nextProxy.getAndIncrement() % plan.proxies().size());
       CompletableFuture<CallerReply> response =
-          client.send(plan.proxies().get(index), "load-check", Optional.empty(), statement);
+          client.send(
+              plan.proxy(nextProxy.getAndIncrement()), "load-check", Optional.empty(), statement);
       CallerReply reply = response.join();
       if (reply.result() == Result.OK) {
         return Optional.of(reply.values());
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalSystem.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalSystem.java
@@ -46,7 +46,7 @@
 
   /** Starts all processes and waits until every proxy can write to every group. */
   public void start() throws IOException {
-    hosts.writeSettings();
+    hosts.writeSettings(true);
     for (int host = 0; host < plan.hosts(); host++) {
       hosts.start(host);
     }
@@ -62,6 +62,7 @@
     await(
         "all proxies to accept writes",
         () -> hosts.callerPorts().stream().allMatch(this::acceptsWrites));
+    hosts.writeSettings(false);
   }
 
   private String ticket() {
@@ -165,6 +166,11 @@
     return hosts.operatorPorts().get(host);
   }
 
+  /** Returns the addresses of the operators' ports, by host. */
+  public List<InetSocketAddress> operatorPorts() {
+    return hosts.operatorPorts();
+  }
+
   /** Returns the HTTP client for requests to hosts and servers. */
   public LocalHttp http() {
     return http;
@@ -202,12 +208,12 @@
 
   /** Kills the process of a host without a graceful shutdown. */
   public void killHost(int host) {
-    processes.kill(LocalHosts.name(host));
+    processes.kill(hosts.name(host));
   }
 
   /** Shuts a host down gracefully and waits until its process exits. */
   public void stopHost(int host) {
-    processes.stop(LocalHosts.name(host));
+    processes.stop(hosts.name(host));
   }
 
   /** Deletes the content of the data folder of a stopped host. */
@@ -218,7 +224,28 @@
   /** Starts a stopped host and waits until it is ready. */
   public void startHost(int host) {
     hosts.start(host);
-    await(LocalHosts.name(host), () -> isReady(hosts.callerPorts().get(host)));
+    await(hosts.name(host), () -> isReady(hosts.callerPorts().get(host)));
+  }
+
+  /**
+   * Starts a process with an empty disk at other addresses, which takes the place of a host, and
+   * waits until it is ready.
+   *
+   * @return the name of the process that had the place, which still runs
+   */
+  public String startSuccessor(int host) {
+    String former = hosts.startSuccessor(host);
+    await(hosts.name(host), () -> isReady(hosts.callerPorts().get(host)));
+    return former;
+  }
+
+  /** Ends a process for good, gracefully or by a kill. */
+  public void removeProcess(String process, boolean graceful) {
+    if (graceful) {
+      processes.stop(process);
+    } else {
+      processes.kill(process);
+    }
   }
 
   /** Suspends the process of a host or server until {@link #resume}. */
@@ -231,9 +258,9 @@
     processes.resume(process);
   }
 
-  /** Returns the process name of a host. */
-  public static String hostName(int host) {
-    return LocalHosts.name(host);
+  /** Returns the name of the process that a host has now. */
+  public String hostName(int host) {
+    return hosts.name(host);
   }
 
   @Override
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LoopbackLink.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LoopbackLink.java
@@ -36,9 +36,14 @@
 
   /** Listens on a free loopback port and forwards connections to the target. */
   public LoopbackLink(InetSocketAddress target) {
+    this(target, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
+  /** Listens on the given loopback address and forwards connections to the target. */
+  LoopbackLink(InetSocketAddress target, InetSocketAddress listenAddress) {
     this.target = target;
     try {
-      serverSocket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+      serverSocket = new ServerSocket(listenAddress.getPort(), BACKLOG, listenAddress.getAddress());
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
     }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/SystemPlan.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/SystemPlan.java
@@ -11,9 +11,16 @@
  * @param groupCount number of database groups, each with three stand-in servers
  * @param linked whether connections pass through links that can inject network faults
  * @param applyLagMillis delay until reads on a replica see a new log entry
+ * @param replaceable whether hosts find the control hosts through seeds, so that a control host can
+ *     be replaced by one at another address
  */
 public record SystemPlan(
-    int hosts, int controlHosts, int groupCount, boolean linked, int applyLagMillis) {
+    int hosts,
+    int controlHosts,
+    int groupCount,
+    boolean linked,
+    int applyLagMillis,
+    boolean replaceable) {
 
   /** Returns the names of the database groups. */
   public List<String> groups() {
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/Experiment.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/Experiment.java
@@ -67,7 +67,7 @@
   private CompletableFuture<LoadReport> load(String pool, WorkloadMix mix, int number) {
     LoadPlan plan =
         new LoadPlan(
-            system.callerPorts(),
+            system::callerPorts,
             pool,
             mix,
             ratePerSecond,
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/ExperimentPlan.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/ExperimentPlan.java
@@ -34,8 +34,10 @@
    * @param ratePerSecond default number of actions per second of each workload
    * @param groups number of database groups
    * @param linked whether network faults are injected as well as process faults
+   * @param replaceable whether control hosts are replaced by others
    */
-  record Defaults(int hosts, int seconds, int ratePerSecond, int groups, boolean linked) {
+  record Defaults(
+      int hosts, int seconds, int ratePerSecond, int groups, boolean linked, boolean replaceable) {
 
     /** Adds the options that {@link ExperimentPlan#read} reads. */
     Options addTo(Options options) {
@@ -53,7 +55,12 @@
     int hosts = (int) invocation.numberOption(HOSTS, defaults.hosts(), CONTROL_HOSTS + 1, 12);
     return new ExperimentPlan(
         new SystemPlan(
-            hosts, CONTROL_HOSTS, defaults.groups(), defaults.linked(), APPLY_LAG_MILLIS),
+            hosts,
+            CONTROL_HOSTS,
+            defaults.groups(),
+            defaults.linked(),
+            APPLY_LAG_MILLIS,
+            defaults.replaceable()),
         Duration.ofSeconds(invocation.numberOption(SECONDS, defaults.seconds(), 5, 86_400)),
         (int) invocation.numberOption(RATE, defaults.ratePerSecond(), 1, 10_000));
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/Fault.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/Fault.java
@@ -8,8 +8,9 @@
  *
  * @param name name in the report
  * @param injection injects the fault and repairs the system before it returns
+ * @param alone whether a network fault at the same time would exceed what a system tolerates
  */
-record Fault(String name, Injection injection) {
+record Fault(String name, Injection injection, boolean alone) {
 
   /** Rejects null components. */
   Fault {
@@ -17,6 +18,16 @@
     Objects.requireNonNull(injection);
   }
 
+  /** Creates a fault that may overlap with a network fault. */
+  Fault(String name, Injection injection) {
+    this(name, injection, false);
+  }
+
+  /** Creates a fault during which no network fault is injected. */
+  static Fault alone(String name, Injection injection) {
+    return new Fault(name, injection, true);
+  }
+
   void inject(LocalSystem system, FaultContext context) {
     injection.inject(system, context);
   }
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/HostFaults.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/HostFaults.java
@@ -17,6 +17,13 @@
   private static final Duration LOAD_BEFORE_STOP = Duration.ofMillis(500);
   private static final int CALLERS_DURING_STOP = 4;
 
+  /** The time after which a successor counts, and a host with a lost disk counts again. */
+  private static final Duration CATCH_UP = Duration.ofMillis(4_000);
+
+  private static final int MAX_MILLIS_BEFORE_LOSS = 4_000;
+  private static final Duration RECOVERY = Duration.ofSeconds(12);
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+
   private HostFaults() {}
 
   static List<Fault> all() {
@@ -28,6 +35,17 @@
         new Fault("shut a proxy down in good order", HostFaults::stopProxy));
   }
 
+  /** Returns the faults of systems whose control hosts can be replaced. */
+  static List<Fault> replacements() {
+    return List.of(
+        Fault.alone(
+            "replace a control host by SIGTERM, lose a disk",
+            (system, context) -> replaceControl(system, context, true)),
+        Fault.alone(
+            "replace a control host by SIGKILL, lose a disk",
+            (system, context) -> replaceControl(system, context, false)));
+  }
+
   private static int randomProxy(LocalSystem system, FaultContext context) {
     int control = system.plan().controlHosts();
     return control + context.nextInt(system.plan().hosts() - control);
@@ -55,15 +73,49 @@
 
   /** Suspends a control host, which resumes with outdated state. */
   private static void pauseControl(LocalSystem system, FaultContext context) {
-    String host = LocalSystem.hostName(randomControlHost(system, context));
+    String host = system.hostName(randomControlHost(system, context));
     system.pause(host);
     context.sleep(PAUSE_DURATION);
     system.resume(host);
   }
 
+  /**
+   * Starts the successor of a control host, ends that host once the successor counts, and takes the
+   * disk of another one up to 4 s later. The tickets must still be returned after that.
+   */
+  private static void replaceControl(LocalSystem system, FaultContext context, boolean graceful) {
+    int replaced = randomControlHost(system, context);
+    int hosts = system.plan().controlHosts();
+    final int wiped = (replaced + 1 + context.nextInt(hosts - 1)) % hosts;
+    final Duration untilLoss = Duration.ofMillis(context.nextInt(MAX_MILLIS_BEFORE_LOSS));
+    String former = system.startSuccessor(replaced);
+    context.sleep(CATCH_UP);
+    system.removeProcess(former, graceful);
+    context.sleep(untilLoss);
+    wipe(system, wiped);
+    context.tickets.record(returnsTickets(system, context));
+    context.sleep(CATCH_UP);
+  }
+
+  private static boolean returnsTickets(LocalSystem system, FaultContext context) {
+    long endMillis = context.nowMillis() + RECOVERY.toMillis();
+    while (context.nowMillis() < endMillis) {
+      for (InetSocketAddress port : system.operatorPorts()) {
+        if (system.http().get(port, "/v1/tickets/1").isPresent()) {
+          return true;
+        }
+      }
+      context.sleep(POLL_INTERVAL);
+    }
+    return false;
+  }
+
   /** Kills a control host and restarts it with an empty disk. */
   private static void wipeControl(LocalSystem system, FaultContext context) {
-    int host = randomControlHost(system, context);
+    wipe(system, randomControlHost(system, context));
+  }
+
+  private static void wipe(LocalSystem system, int host) {
     system.killHost(host);
     system.deleteHostData(host);
     system.startHost(host);
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/OverlapSchedule.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/OverlapSchedule.java
@@ -21,13 +21,22 @@
   private final List<Fault> linkFaults = new ArrayList<>();
 
   OverlapSchedule(long seed) {
-    processFaults = new FaultSchedule(seed);
+    this(seed, "");
+  }
+
+  /**
+   * Creates a sequence.
+   *
+   * @param onlyWith the text that the names of all process faults contain; empty for all faults
+   */
+  OverlapSchedule(long seed, String onlyWith) {
+    processFaults = new FaultSchedule(seed, HostFaults.replacements(), onlyWith);
     random = new Random(~seed);
   }
 
   Fault next() {
     Fault processFault = processFaults.next();
-    if (random.nextInt(SINGLE_FAULT_ONE_IN) == 0) {
+    if (random.nextInt(SINGLE_FAULT_ONE_IN) == 0 || processFault.alone()) {
       return processFault;
     }
     if (linkFaults.isEmpty()) {
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/ProveCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/ProveCommand.java
@@ -24,7 +24,7 @@
 public final class ProveCommand implements Command {
   private static final String ALLOW_UNPROVED = "allow-unproved";
   private static final ExperimentPlan.Defaults DEFAULTS =
-      new ExperimentPlan.Defaults(6, 60, 60, 3, false);
+      new ExperimentPlan.Defaults(6, 60, 60, 3, false, false);
   private static final CommandSpec SPEC =
       new CommandSpec(
           "prove",
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/SoakCommand.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/SoakCommand.java
@@ -27,7 +27,7 @@
  */
 public final class SoakCommand implements Command {
   private static final ExperimentPlan.Defaults DEFAULTS =
-      new ExperimentPlan.Defaults(4, 20, 30, 2, true);
+      new ExperimentPlan.Defaults(4, 20, 30, 2, true, true);
   private static final CommandSpec SPEC =
       new CommandSpec(
           "soak",
@@ -36,7 +36,8 @@
           DEFAULTS
               .addTo(new Options())
               .addOption(valued("first-seed", "N", "the first seed; default 1"))
-              .addOption(valued("seeds", "N", "number of seeds, 1 to 10000; default 5")));
+              .addOption(valued("seeds", "N", "number of seeds, 1 to 10000; default 5"))
+              .addOption(valued("only", "TEXT", "only process faults whose names contain it")));
 
   @Override
   public CommandSpec spec() {
@@ -50,17 +51,21 @@
     ExperimentPlan plan = ExperimentPlan.read(invocation, DEFAULTS);
     SoakReport soakReport = new SoakReport();
     for (long seed = firstSeed; seed < firstSeed + seedCount; seed++) {
-      runSeed(plan, seed, soakReport, invocation.err());
+      runSeed(plan, invocation.option("only").orElse(""), seed, soakReport, invocation.err());
     }
     invocation.out().println(soakReport.toText(firstSeed, seedCount));
     return soakReport.allPassed() ? ExitCode.OK : ExitCode.FAILED;
   }
 
   private static void runSeed(
-      ExperimentPlan plan, long seed, SoakReport soakReport, PrintStream progress) {
+      ExperimentPlan plan,
+      String onlyWith,
+      long seed,
+      SoakReport soakReport,
+      PrintStream progress) {
     try {
       Path folder = Files.createTempDirectory("alderyard-soak-" + seed + "-");
-      Optional<String> failure = failure(plan, folder, seed, soakReport, progress);
+      Optional<String> failure = failure(plan, folder, onlyWith, seed, soakReport, progress);
       if (failure.isEmpty()) {
         deleteRecursively(folder);
       } else {
@@ -75,14 +80,19 @@
 
   /** Returns the report or error of a failed experiment, or empty if the experiment passed. */
   private static Optional<String> failure(
-      ExperimentPlan plan, Path folder, long seed, SoakReport soakReport, PrintStream progress)
+      ExperimentPlan plan,
+      Path folder,
+      String onlyWith,
+      long seed,
+      SoakReport soakReport,
+      PrintStream progress)
       throws IOException {
     try {
       PromiseReport report =
           plan.run(
               folder,
               seed,
-              new OverlapSchedule(seed)::next,
+              new OverlapSchedule(seed, onlyWith)::next,
               line -> progress.println("seed " + seed + " " + line));
       soakReport.add(report);
       return report.isClean() ? Optional.empty() : Optional.of(report.toText());
--- a/alderyard-cli/src/test/java/org/alderyard/cli/prove/OverlapScheduleTest.java
+++ b/alderyard-cli/src/test/java/org/alderyard/cli/prove/OverlapScheduleTest.java
@@ -1,9 +1,12 @@
 package org.alderyard.cli.prove;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
 import java.util.stream.Stream;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
 import org.junit.jupiter.api.Test;
 
 class OverlapScheduleTest {
@@ -28,4 +31,20 @@
     }
     assertThat(names.stream().anyMatch(name -> !name.contains(" + "))).isTrue();
   }
+
+  /** Guards against runs that lose more hosts at once than a system tolerates. */
+  @Test
+  void replacementOfHostOverlapsWithNoNetworkFault() {
+    OverlapSchedule schedule = new OverlapSchedule(7, "replace a control host");
+    List<String> names = Stream.generate(schedule::next).limit(FAULTS).map(Fault::name).toList();
+    assertThat(names).hasSize(FAULTS);
+    assertThat(names.stream().noneMatch(name -> name.contains(" + "))).isTrue();
+  }
+
+  @Test
+  void unknownFaultIsRejected() {
+    OverlapSchedule schedule = new OverlapSchedule(7, "no such fault");
+    AlderyardException rejection = assertThrows(AlderyardException.class, schedule::next);
+    assertThat(rejection.code()).isEqualTo(ErrorCode.SETTINGS_INVALID);
+  }
 }
