--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -21,7 +21,6 @@
 import org.alderyard.protocol.generated.raft.JoinReply;
 import org.alderyard.protocol.generated.raft.JoinRequest;
 import org.alderyard.protocol.generated.raft.Member;
-import org.alderyard.protocol.generated.raft.MemberList;
 import org.alderyard.protocol.generated.raft.RaftAck;
 import org.alderyard.protocol.generated.raft.RaftBatch;
 import org.alderyard.protocol.generated.raft.RaftMessage;
@@ -44,6 +43,7 @@
   private final Executor snapshotExecutor;
   private final PendingRequests pending;
   private final DataFolder folder;
+  private final JoinRecord joinRecord;
   private final Member self;
   private final MemberAddresses addresses;
   private final Map<Long, Member> senders = new HashMap<>();
@@ -67,6 +67,7 @@
     this.pending = pending;
     addresses = new MemberAddresses(builder.members, builder.openMembership.isPresent());
     folder = DataFolder.open(builder.dataFolder, builder.clusterId, builder.host, builder.random);
+    joinRecord = new JoinRecord(folder);
     self =
         Member.newBuilder()
             .setReplicaId(folder.identity().getReplicaId())
@@ -114,9 +115,8 @@
     if (builder.openMembership.isEmpty()) {
       return true;
     }
-    boolean foundersRecorded = folder.identity().getFounders().getMembersCount() > 0;
     return driver == null
-        && (builder.openMembership.get().mayFound() || foundersRecorded)
+        && (builder.openMembership.get().mayFound() || joinRecord.isFounder())
         && addresses.isListed(self.getAddress());
   }
 
@@ -209,7 +209,7 @@
       return nextMillis;
     }
     nextMillis = Math.min(nextMillis, driver.core().nextTickMillis());
-    boolean membershipPending = repair.isPending(driver.core()) || awaitsAdmission();
+    boolean membershipPending = repair.isPending(driver.core()) || joinRecord.awaitsAdmission();
     return membershipPending
         ? Math.min(nextMillis, nowMillis() + builder.options.tick().toMillis())
         : nextMillis;
@@ -247,28 +247,19 @@
           || driver.core().leader().isEmpty()
           || !driver.core().membership().isVoter(self.getReplicaId());
     }
-    return driver == null || awaitsAdmission();
+    return driver == null || joinRecord.awaitsAdmission();
   }
 
   private JoinRequest joinRequest() {
-    boolean successor = folder.identity().getSuccessor() && !folder.identity().getAdmitted();
     return JoinRequest.newBuilder()
-        .setSelf(self.toBuilder().setSuccessor(successor))
+        .setSelf(self.toBuilder().setSuccessor(joinRecord.isNewSuccessor()))
         .setNewcomer(driver != null)
         .build();
   }
 
-  private boolean isNewcomer() {
-    return folder.identity().getFounders().getMembersCount() == 0;
-  }
-
-  private boolean awaitsAdmission() {
-    return isNewcomer() && !folder.identity().getAdmitted();
-  }
-
   private void recordAdmission() {
-    if (awaitsAdmission() && driver.core().membership().isVoter(self.getReplicaId())) {
-      folder.writeIdentity(folder.identity().toBuilder().setAdmitted(true).build());
+    if (joinRecord.awaitsAdmission() && driver.core().membership().isVoter(self.getReplicaId())) {
+      joinRecord.recordAdmission();
       log.info("event=admitted replica={}", self.getReplicaId());
     }
   }
@@ -292,13 +283,13 @@
     }
     switch (decision.action()) {
       case WAIT -> {}
-      case RECORD -> record(decision.founders(), false, false);
+      case RECORD -> joinRecord.recordFounders(decision.founders(), false);
       case FOUND -> {
-        record(decision.founders(), true, false);
+        joinRecord.recordFounders(decision.founders(), true);
         openLog();
       }
       case JOIN -> {
-        record(decision.founders(), true, joinsExistingCluster());
+        joinRecord.recordJoin(decision.founders(), joinsExistingCluster());
         openLog();
       }
       default -> throw new IllegalStateException("action " + decision.action());
@@ -310,15 +301,6 @@
     return builder.openMembership.map(open -> !open.mayFound()).orElse(false);
   }
 
-  private void record(MemberList founders, boolean formed, boolean successor) {
-    folder.writeIdentity(
-        folder.identity().toBuilder()
-            .setFounders(founders)
-            .setFormed(formed)
-            .setSuccessor(successor)
-            .build());
-  }
-
   /**
    * Hands the vote of this replica over to a learner. Completes at once if this replica has no vote
    * or the voters are fixed by the settings; never fails.
