--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.alderyard.control.raft.MembershipChange;
+import org.alderyard.control.raft.MembershipChange.Remove;
 import org.alderyard.control.raft.MembershipChange.Verdict;
 import org.alderyard.control.raft.RaftCore;
 import org.alderyard.control.raft.Role;
@@ -28,6 +29,8 @@
   // Longer than an election. While a successor votes already, the removal of a voter leaves enough
   // voters, and until then the cluster tolerates one loss less.
   private static final long REPLACED_VOTER_LOST_AFTER_MILLIS = 1_000;
+  // A learner that returns later asks to join again.
+  private static final long LEARNER_LOST_AFTER_MILLIS = 30_000;
   // Several intervals of the requests of a voter that stops.
   private static final long LEAVING_RETENTION_MILLIS = 1_000;
 
@@ -66,12 +69,26 @@
     if (core.role() != Role.LEADER) {
       return;
     }
-    Optional<MembershipChange> change = plan(core).nextChange(candidates(core));
+    Optional<MembershipChange> change =
+        plan(core).nextChange(candidates(core)).or(() -> removalOfLostLearner(core));
     if (change.isPresent() && core.changeMembership(change.get()) == Verdict.ACCEPTED) {
       log.info("event=membership-repair change=\"{}\" term={}", change.get(), core.term());
     }
   }
 
+  /** Removes a learner that is gone, as the leader would otherwise connect to it for good. */
+  private Optional<MembershipChange> removalOfLostLearner(RaftCore core) {
+    if (openMembership.isEmpty()) {
+      return Optional.empty();
+    }
+    return core.membership().members().stream()
+        .filter(member -> !member.getVoter())
+        .map(Member::getReplicaId)
+        .filter(replicaId -> core.unresponsiveMillis(replicaId) > LEARNER_LOST_AFTER_MILLIS)
+        .findFirst()
+        .map(Remove::new);
+  }
+
   private MembershipRepairPlan plan(RaftCore core) {
     if (openMembership.isEmpty()) {
       return new MembershipRepairPlan(core.membership(), core::hasCaughtUp);
