--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Election.java
@@ -105,7 +105,7 @@
   }
 
   /** Returns a voter without a disk that stood in for a vote; empty if a majority voted. */
-  OptionalLong lostVoter() {
+  OptionalLong voterWithoutDisk() {
     Membership committed =
         state.log.areVotersCommitted() ? state.log.membership() : state.log.previousMembership();
     if (committed.isQuorum(grantedBy::contains)) {
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -33,7 +33,7 @@
   private final ReadQueue reads = new ReadQueue();
   private final long firstIndexOfTerm;
   // The voter without a disk whose vote was missing in the election.
-  private final OptionalLong lostVoter;
+  private final OptionalLong voterWithoutDisk;
   private long round;
   private long nextHeartbeatMillis;
   private long nextReadRoundMillis;
@@ -45,25 +45,26 @@
    * Starts the term by appending a no-op entry, since the commit index may advance by counting
    * replicas only for entries of the current term.
    *
-   * @param lostVoter the voter without a disk if only half of the voters elected this leader. It is
-   *     removed at once, since the remaining voters can commit nothing before.
+   * @param voterWithoutDisk the voter without a disk if only half of the voters elected this
+   *     leader. It is removed at once, since the remaining voters can commit nothing before.
    */
-  Leadership(ReplicaState state, OptionalLong lostVoter) {
+  Leadership(ReplicaState state, OptionalLong voterWithoutDisk) {
     this.state = state;
-    this.lostVoter = lostVoter;
+    this.voterWithoutDisk = voterWithoutDisk;
     replication = new Replication(state);
     updatePeers();
     firstIndexOfTerm = append(EntryKind.NO_OP, ByteString.EMPTY);
-    removeLostVoter();
+    removeVoterWithoutDisk();
     startHeartbeatRound();
   }
 
-  private void removeLostVoter() {
+  private void removeVoterWithoutDisk() {
     Membership membership = state.log.membership();
-    if (state.log.isMembershipCommitted() && lostVoter.stream().anyMatch(membership::isVoter)) {
+    if (state.log.isMembershipCommitted()
+        && voterWithoutDisk.stream().anyMatch(membership::isVoter)) {
       append(
           EntryKind.MEMBERSHIP,
-          membership.without(lostVoter.getAsLong()).toMemberList().toByteString());
+          membership.without(voterWithoutDisk.getAsLong()).toMemberList().toByteString());
     }
   }
 
@@ -210,7 +211,7 @@
     commitAdvanced = true;
     if (changesMembership && state.log.isMembershipCommitted()) {
       updatePeers();
-      removeLostVoter();
+      removeVoterWithoutDisk();
       advanceCommit();
     }
   }
@@ -223,21 +224,20 @@
   private long quorumValue(LongUnaryOperator valueOf) {
     Membership newest = state.log.membership();
     if (state.log.areVotersCommitted()) {
-      return quorumValueWithoutLostVoter(newest, valueOf);
+      return quorumValueOf(newest, valueOf);
     }
     return Math.min(
-        newest.quorumValue(valueOf),
-        quorumValueWithoutLostVoter(state.log.previousMembership(), valueOf));
+        newest.quorumValue(valueOf), quorumValueOf(state.log.previousMembership(), valueOf));
   }
 
   /** Half of an even number of voters is a quorum if the election counted a lost voter. */
-  private long quorumValueWithoutLostVoter(Membership members, LongUnaryOperator valueOf) {
+  private long quorumValueOf(Membership members, LongUnaryOperator valueOf) {
     return members.quorumValue(
-        id -> members.isEven() && isLostVoter(id) ? Long.MAX_VALUE : valueOf.applyAsLong(id));
+        id -> members.isEven() && lacksDisk(id) ? Long.MAX_VALUE : valueOf.applyAsLong(id));
   }
 
-  private boolean isLostVoter(long replicaId) {
-    return lostVoter.isPresent() && lostVoter.getAsLong() == replicaId;
+  private boolean lacksDisk(long replicaId) {
+    return voterWithoutDisk.isPresent() && voterWithoutDisk.getAsLong() == replicaId;
   }
 
   private long syncedIndex(long replicaId) {
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -142,7 +142,7 @@
   private void becomeLeader() {
     role = Role.LEADER;
     state.recordLeader(state.self);
-    leadership = new Leadership(state, election.lostVoter());
+    leadership = new Leadership(state, election.voterWithoutDisk());
   }
 
   /**
--- a/alderyard-control/src/test/java/org/alderyard/control/raft/LostVoterTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/raft/LostDiskTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Tests elections by half of four voters, of which one has lost its disk. */
-class LostVoterTest {
+class LostDiskTest {
   private static final long ELECTION_MILLIS = RaftReplica.OPTIONS.electionTimeoutMaxMillis();
 
   private final RaftCluster cluster = new RaftCluster(11, 3);
