Sync what a killed process left before the log is opened

What callers saw: nothing yet; found by a test. A control host is killed while it writes a batch, returns, and loses power later: it reports STORAGE_DAMAGED at each start from then on, or the entry that it had confirmed after its return is gone from its disk.

Cause: a process that is killed between a write and its sync leaves the batch in the cache of the operating system. The next process read it as stored, counted it in quorums, and wrote new batches to a new segment, so that the batch before was never synced. A power loss then took it out of the middle of the log. With slow or hanging syncs the window is as long as the sync.

The reader now cuts the last segment at its last complete batch and syncs it in any case, not only when a torn batch is dropped, before a new segment is started. Segments before it were the last one of an earlier process, or are synced by the process that went on to the next one. One more sync a start. All changes of files go through Disk, which the test replaces.

--- a/alderyard-control/src/main/java/org/alderyard/control/store/AtomicFile.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/AtomicFile.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -12,26 +11,26 @@
 final class AtomicFile {
   static final String TEMPORARY_SUFFIX = ".tmp";
 
-  private final SyncedFile.Opener opener;
+  private final Disk disk;
 
-  AtomicFile(SyncedFile.Opener opener) {
-    this.opener = opener;
+  AtomicFile(Disk disk) {
+    this.disk = disk;
   }
 
   /** Writes and syncs a temporary file, renames it to the path, and syncs the folder. */
   void write(Path path, List<byte[]> payloads) {
     Path temporary = path.resolveSibling(path.getFileName() + TEMPORARY_SUFFIX);
     try {
-      Files.deleteIfExists(temporary);
-      try (SyncedFile file = opener.open(temporary)) {
+      disk.delete(temporary);
+      try (SyncedFile file = disk.open(temporary)) {
         for (byte[] payload : payloads) {
           ByteBuffer frame = FrameFormat.encode(payload);
           file.append(frame);
         }
         file.sync();
       }
-      Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE);
-      SyncedFile.syncFolder(path.toAbsolutePath().getParent());
+      disk.rename(temporary, path);
+      disk.syncFolder(path.toAbsolutePath().getParent());
     } catch (IOException failure) {
       throw StorageException.failed(path, 0, failure);
     }
--- a/alderyard-control/src/main/java/org/alderyard/control/store/DataFolder.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/DataFolder.java
@@ -27,13 +27,15 @@
   private static final String IDENTITY_FILE = "identity";
 
   private final Path path;
+  private final Disk disk;
   private final AtomicFile atomicFile;
   private final FileChannel lockFile;
   private FolderIdentity identity;
 
-  private DataFolder(Path path, AtomicFile atomicFile, FileChannel lockFile) {
+  private DataFolder(Path path, Disk disk, FileChannel lockFile) {
     this.path = path;
-    this.atomicFile = atomicFile;
+    this.disk = disk;
+    atomicFile = new AtomicFile(disk);
     this.lockFile = lockFile;
   }
 
@@ -48,12 +50,12 @@
    *     or host, or is damaged
    */
   public static DataFolder open(Path path, String clusterId, HostId host, RandomGenerator random) {
-    return open(path, clusterId, host, random, SyncedFile::openOnDisk);
+    return open(path, clusterId, host, random, Disk.LOCAL);
   }
 
   static DataFolder open(
-      Path path, String clusterId, HostId host, RandomGenerator random, SyncedFile.Opener opener) {
-    DataFolder folder = new DataFolder(path, new AtomicFile(opener), lock(path));
+      Path path, String clusterId, HostId host, RandomGenerator random, Disk disk) {
+    DataFolder folder = new DataFolder(path, disk, lock(path));
     try {
       folder.deleteTemporaryFiles();
       folder.loadOrCreateIdentity(clusterId, host, random);
@@ -170,9 +172,9 @@
     }
   }
 
-  static void delete(Path file) {
+  void delete(Path file) {
     try {
-      Files.deleteIfExists(file);
+      disk.delete(file);
     } catch (IOException failure) {
       throw StorageException.failed(file, 0, failure);
     }
--- a/alderyard-control/src/main/java/org/alderyard/control/store/ReplicaStore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/ReplicaStore.java
@@ -24,13 +24,12 @@
 
   /** Recovers the state in the folder; without a snapshot, the members are the founders. */
   public ReplicaStore(DataFolder folder, Membership founders) {
-    this(folder, founders, SyncedFile::openOnDisk, MAX_SEGMENT_BYTES);
+    this(folder, founders, Disk.LOCAL, MAX_SEGMENT_BYTES);
   }
 
-  ReplicaStore(
-      DataFolder folder, Membership founders, SyncedFile.Opener opener, long maxSegmentBytes) {
-    snapshots = new SnapshotFiles(folder, opener);
-    log = new SegmentedLog(folder, opener, maxSegmentBytes);
+  ReplicaStore(DataFolder folder, Membership founders, Disk disk, long maxSegmentBytes) {
+    snapshots = new SnapshotFiles(folder, disk);
+    log = new SegmentedLog(folder, disk, maxSegmentBytes);
     recovered = log.recover(snapshots.loadNewest().orElse(Snapshot.founding(founders)));
     hardState = recovered.hardState();
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/store/SegmentReader.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SegmentReader.java
@@ -2,9 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -15,13 +13,15 @@
 
 /** Recovers the log by replaying the batches of all segments in order. */
 final class SegmentReader {
+  private final Disk disk;
   private final long snapshotIndex;
   private final List<Entry> entries = new ArrayList<>();
   private HardState hardState = HardState.getDefaultInstance();
   private long tornBytes;
   private long lastIndex;
 
-  SegmentReader(long snapshotIndex) {
+  SegmentReader(Disk disk, long snapshotIndex) {
+    this.disk = disk;
     this.snapshotIndex = snapshotIndex;
   }
 
@@ -36,12 +36,14 @@
           throw StorageException.damaged(path, position, "invalid checksum or length");
         }
         tornBytes = bytes.length - position;
-        truncate(path, position);
         break;
       }
       applyBatch(parse(path, position, payload.get()), path, position);
       position += FrameFormat.HEADER_BYTES + payload.get().length;
     }
+    if (last) {
+      syncUpTo(path, position);
+    }
     return lastIndex;
   }
 
@@ -80,11 +82,13 @@
     }
   }
 
-  /** Removes a batch that was truncated by a crash; such a batch was never acknowledged. */
-  private static void truncate(Path path, int position) {
-    try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
-      channel.truncate(position);
-      channel.force(true);
+  /**
+   * Removes a batch that was truncated by a crash, which was never acknowledged, and syncs those
+   * before it: a process that was killed may have written the last one without a sync.
+   */
+  private void syncUpTo(Path path, int position) {
+    try {
+      disk.truncate(path, position);
     } catch (IOException failure) {
       throw StorageException.failed(path, position, failure);
     }
--- a/alderyard-control/src/main/java/org/alderyard/control/store/SegmentedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SegmentedLog.java
@@ -16,7 +16,7 @@
   private static final int DIGITS = 12;
 
   private final DataFolder folder;
-  private final SyncedFile.Opener opener;
+  private final Disk disk;
   private final long maxSegmentBytes;
   private final List<Segment> closedSegments = new ArrayList<>();
   private long segmentNumber;
@@ -25,15 +25,15 @@
   private long sizeBytes;
   private long lastIndex;
 
-  SegmentedLog(DataFolder folder, SyncedFile.Opener opener, long maxSegmentBytes) {
+  SegmentedLog(DataFolder folder, Disk disk, long maxSegmentBytes) {
     this.folder = folder;
-    this.opener = opener;
+    this.disk = disk;
     this.maxSegmentBytes = maxSegmentBytes;
   }
 
   /** Replays the stored segments and starts a new segment. */
   RecoveredState recover(Snapshot snapshot) {
-    SegmentReader reader = new SegmentReader(snapshot.lastIndex());
+    SegmentReader reader = new SegmentReader(disk, snapshot.lastIndex());
     List<Path> files =
         folder.listFiles().stream()
             .filter(entry -> entry.getFileName().toString().startsWith(PREFIX))
@@ -68,9 +68,9 @@
     path = folder.path().resolve(NumberedFileName.format(PREFIX, segmentNumber, DIGITS, SUFFIX));
     sizeBytes = 0;
     try {
-      file = opener.open(path);
+      file = disk.open(path);
       write(StoredBatch.newBuilder().setHardState(hardState).build());
-      SyncedFile.syncFolder(folder.path());
+      disk.syncFolder(folder.path());
     } catch (IOException failure) {
       throw StorageException.failed(path, 0, failure);
     }
@@ -115,7 +115,7 @@
    */
   void trim(long snapshotIndex) {
     while (!closedSegments.isEmpty() && closedSegments.get(0).lastIndex <= snapshotIndex) {
-      DataFolder.delete(closedSegments.remove(0).path);
+      folder.delete(closedSegments.remove(0).path);
     }
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/store/SnapshotFiles.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SnapshotFiles.java
@@ -19,9 +19,9 @@
   private final DataFolder folder;
   private final AtomicFile atomicFile;
 
-  SnapshotFiles(DataFolder folder, SyncedFile.Opener opener) {
+  SnapshotFiles(DataFolder folder, Disk disk) {
     this.folder = folder;
-    atomicFile = new AtomicFile(opener);
+    atomicFile = new AtomicFile(disk);
   }
 
   /** Stores a snapshot, which is synced when this method returns, and deletes older snapshots. */
@@ -40,7 +40,7 @@
     atomicFile.write(path, List.of(header.toByteArray(), snapshot.data().toByteArray()));
     for (Path file : snapshotFiles()) {
       if (file.getFileName().compareTo(path.getFileName()) < 0) {
-        DataFolder.delete(file);
+        folder.delete(file);
       }
     }
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/store/SyncedFile.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SyncedFile.java
@@ -18,13 +18,6 @@
   @Override
   void close() throws IOException;
 
-  /** Opens files; replaced in tests to make writes and syncs fail. */
-  @FunctionalInterface
-  interface Opener {
-    /** Opens a file for appending and creates it if it does not exist. */
-    SyncedFile open(Path path) throws IOException;
-  }
-
   /** Opens a file in the file system for appending and creates it if it does not exist. */
   static SyncedFile openOnDisk(Path path) throws IOException {
     FileChannel channel =
@@ -49,11 +42,4 @@
       }
     };
   }
-
-  /** Syncs the entries of a folder; otherwise a new or renamed file may be lost in a crash. */
-  static void syncFolder(Path folder) throws IOException {
-    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      channel.force(true);
-    }
-  }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/store/ReplicaStoreTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/store/ReplicaStoreTest.java
@@ -237,7 +237,7 @@
                   .mapToObj(i -> entry(1, i))
                   .toArray(Entry[]::new)));
       try (DataFolder folder = open()) {
-        new SnapshotFiles(folder, SyncedFile::openOnDisk).save(snapshot(5, 2));
+        new SnapshotFiles(folder, Disk.LOCAL).save(snapshot(5, 2));
       }
       assertThat(recover().entries()).isEmpty();
       write(entries(entry(3, 6)));
@@ -248,7 +248,9 @@
 
   private void deleteAll() {
     try (Stream<Path> files = Files.list(root)) {
-      files.forEach(DataFolder::delete);
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
     } catch (IOException failure) {
       throw new AssertionError(failure);
     }
@@ -257,8 +259,7 @@
   @Test
   void segmentsCoveredBySnapshotAreDeleted() throws IOException {
     try (DataFolder folder = open();
-        ReplicaStore store =
-            new ReplicaStore(folder, Membership.EMPTY, SyncedFile::openOnDisk, 100)) {
+        ReplicaStore store = new ReplicaStore(folder, Membership.EMPTY, Disk.LOCAL, 100)) {
       store.sync(vote(2, 9));
       for (int i = 1; i <= 50; i++) {
         store.sync(entries(entry(2, i)));
@@ -282,8 +283,7 @@
 
   private void writeManySegments() {
     try (DataFolder folder = open();
-        ReplicaStore store =
-            new ReplicaStore(folder, Membership.EMPTY, SyncedFile::openOnDisk, 100)) {
+        ReplicaStore store = new ReplicaStore(folder, Membership.EMPTY, Disk.LOCAL, 100)) {
       store.sync(vote(2, 9));
       for (int i = 1; i <= 50; i++) {
         store.sync(entries(entry(2, i)));
