Log and measure the age of the lookup by which a statement is sent

A statement's database and caller are looked up in the view when it arrives, and it reaches its server later: after a wait for a sample, a slot, a connection or a holder. No line told how much later, or in which view the lookup was made, so that a run by a dropped database could not be told from a late view.

statement-ran has lookup-view and lookup-age-millis, database-unknown has lookup-age-millis, and statement-sent-by-older-view names each statement that leaves for a group which the current view no longer gives to its database. The histogram alderyard_session_stage_seconds has the stage lookup-to-send. On a holder the lookup is the arrival there, as the request carries no version. No behaviour changes.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/AttemptLog.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/AttemptLog.java
@@ -4,6 +4,7 @@
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +32,34 @@
     return task.loggedId();
   }
 
+  /**
+   * Records the age of the lookup by which a statement is sent, and logs a statement whose database
+   * the current view no longer has, or has in another group.
+   */
+  void sending(long nowNanos) {
+    context.metrics().recordLookupAge(nowNanos - task.lookup().nanos());
+    View current = context.views().current();
+    boolean sameDatabase =
+        current.version().equals(task.lookup().version())
+            || current
+                .configuration()
+                .flatMap(configuration -> configuration.database(task.database().name()))
+                .filter(database -> database.group().equals(task.database().group()))
+                .isPresent();
+    if (!sameDatabase) {
+      log.info(
+          "event=statement-sent-by-older-view id={} database={} group={} server={} lookup-view={}"
+              + " lookup-age-millis={} current-view={}",
+          id(),
+          task.database().name(),
+          task.database().group(),
+          server.id(),
+          task.lookup().version(),
+          task.lookup().ageMillis(nowNanos),
+          current.version());
+    }
+  }
+
   /** Logs a statement that succeeded, or leaves it out of the sample of such statements. */
   void succeeded(long nowNanos, long sentNanos, int attempts) {
     if (!context.routineLog().shouldLog()) {
@@ -38,7 +67,8 @@
     }
     log.info(
         "event=statement-ran id={} database={} server={} incarnation={} kind={} floor={}"
-            + " floor-age-millis={} view={} at-server-millis={} attempts={} outcome=DONE",
+            + " floor-age-millis={} view={} lookup-view={} lookup-age-millis={} at-server-millis={}"
+            + " attempts={} outcome=DONE",
         id(),
         task.database().name(),
         server.id(),
@@ -47,6 +77,8 @@
         requirement.floor().map(floor -> floor.position().toString()).orElse("lead"),
         requirement.floor().map(floor -> millis(nowNanos - floor.sinceNanos())).orElse(0L),
         context.views().current().version(),
+        task.lookup().version(),
+        task.lookup().ageMillis(sentNanos),
         millis(nowNanos - sentNanos),
         attempts);
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -236,7 +236,8 @@
             true,
             Optional.empty(),
             open.get().database(),
-            open.get().owner());
+            open.get().owner(),
+            access.lookup());
     return run(open.get(), task);
   }
 
@@ -285,7 +286,14 @@
         .map(
             right ->
                 runOutsideTransaction(
-                    task(request, kind, false, preparedStatement, right.database(), right.owner())),
+                    task(
+                        request,
+                        kind,
+                        false,
+                        preparedStatement,
+                        right.database(),
+                        right.owner(),
+                        right.lookup())),
             this::refuseOperation);
   }
 
@@ -295,9 +303,11 @@
       boolean endsTransaction,
       Optional<Prepare> preparedStatement,
       DatabaseState database,
-      ConnectionOwner owner) {
+      ConnectionOwner owner,
+      ViewLookup lookup) {
     long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(database.statementTimeoutMillis());
     return new StatementTask(
+        lookup,
         owner,
         request,
         kind,
@@ -361,7 +371,14 @@
           RefusalCode.NOT_PRIMARY, "the transaction is read-only", TransactionState.FAILED);
     }
     StatementTask task =
-        task(request, kind, false, preparedStatement, open.get().database(), open.get().owner());
+        task(
+            request,
+            kind,
+            false,
+            preparedStatement,
+            open.get().database(),
+            open.get().owner(),
+            access.lookup());
     return run(open.get(), task);
   }
 
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatementCodec.java
@@ -71,15 +71,18 @@
 
   /**
    * Decodes the statement of a request. The deadline is the remaining time of the request, counted
-   * from {@code nowNanos}.
+   * from the arrival.
+   *
+   * @param arrival the view and the time at which the request arrived
    */
-  static StatementTask task(HeldStatementRequest message, long nowNanos) {
+  static StatementTask task(HeldStatementRequest message, ViewLookup arrival) {
     Work work = message.getWork();
     StatementKind kind =
         work.getKind() == Work.Kind.WRITE ? StatementKind.WRITE : StatementKind.READ;
     Optional<Prepare> prepared =
         work.hasShape() ? Optional.of(new Prepare("", kind, work.getShape())) : Optional.empty();
     return new StatementTask(
+        arrival,
         new ConnectionOwner(message.getOrganisation()),
         SessionRequest.of(message.getId(), statement(work, prepared)),
         kind,
@@ -87,7 +90,7 @@
         prepared,
         StateCodec.database(message.getDatabase()),
         message.getValuesMap(),
-        nowNanos + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMillis()));
+        arrival.nanos() + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMillis()));
   }
 
   private static SessionStatement statement(Work work, Optional<Prepare> prepared) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/HeldStatements.java
@@ -68,7 +68,8 @@
    */
   CompletableFuture<HeldStatementReply> run(HeldStatementRequest request) {
     long now = context.clock().nowNanos();
-    StatementTask task = HeldStatementCodec.task(request, now);
+    ViewLookup arrival = new ViewLookup(context.views().current().version(), now);
+    StatementTask task = HeldStatementCodec.task(request, arrival);
     Optional<GroupRouting.Floor> lastWrite = HeldStatementCodec.lastWrite(request, now);
     Key key = Key.of(request.getHost(), request.getIncarnation(), request.getTransaction());
     if (request.getTransaction() != 0 && !request.getFirst()) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -37,8 +37,9 @@
    *
    * @param database the database of the session
    * @param owner the owner of the connections that run the operation
+   * @param lookup when and in which view both were looked up
    */
-  record Right(DatabaseState database, ConnectionOwner owner) {}
+  record Right(DatabaseState database, ConnectionOwner owner, ViewLookup lookup) {}
 
   /** Returns the database of the session, if the current view has it. */
   Optional<DatabaseState> database() {
@@ -57,8 +58,8 @@
    */
   record Decision(Optional<Right> right, Optional<Refusal> refusal) {
 
-    private static Decision allow(DatabaseState database, ConnectionOwner owner) {
-      return new Decision(Optional.of(new Right(database, owner)), Optional.empty());
+    private static Decision allow(Right right) {
+      return new Decision(Optional.of(right), Optional.empty());
     }
 
     private static Decision refuse(Refusal refusal) {
@@ -73,17 +74,21 @@
 
   /** Decides by one view and its lease whether an operation may begin. */
   Decision decide() {
+    long now = context.clock().nowNanos();
     LeasedView leased = context.leasedViews().read();
     Optional<ConfigurationState> configuration = leased.view().configuration();
     Optional<DatabaseState> database = configuration.flatMap(known -> known.database(databaseName));
     if (database.isEmpty()) {
       Refusal refusal = unknownDatabase(leased);
-      logUnknownDatabase(leased.view(), refusal);
+      logUnknownDatabase(new ViewLookup(leased.view().version(), now), leased.view(), refusal);
       return Decision.refuse(refusal);
     }
     return identity
         .owner(configuration.get(), database.get())
-        .map(owner -> Decision.allow(database.get(), owner))
+        .map(
+            owner ->
+                Decision.allow(
+                    new Right(database.get(), owner, new ViewLookup(leased.view().version(), now))))
         .orElseGet(() -> Decision.refuse(unauthorized(leased)));
   }
 
@@ -101,23 +106,30 @@
   }
 
   /** Logs the view of the lookup beside the view that is current when the refusal is decided. */
-  private void logUnknownDatabase(View view, Refusal refusal) {
-    OptionalLong suppressed = context.refusalLog().tryLog(context.clock().nowNanos());
+  private void logUnknownDatabase(ViewLookup lookup, View view, Refusal refusal) {
+    long now = context.clock().nowNanos();
+    OptionalLong suppressed = context.refusalLog().tryLog(now);
     if (suppressed.isEmpty()) {
       return;
     }
     log.info(
         "event=database-unknown database=\"{}\" refusal={} configuration={} view={}"
-            + " current-view={} current-view-has-it={} suppressed={}",
+            + " current-view={} current-view-has-it={} lookup-age-millis={} suppressed={}",
         LogText.sanitize(databaseName, MAX_LOGGED_NAME_CHARS),
         refusal.code(),
         view.configuration().map(ConfigurationState::number).orElse(0L),
-        view.version(),
+        lookup.version(),
         context.views().current().version(),
         database().isPresent(),
+        lookup.ageMillis(now),
         suppressed.getAsLong());
   }
 
+  /** Returns a lookup in the current view, now. */
+  ViewLookup lookup() {
+    return new ViewLookup(context.views().current().version(), context.clock().nowNanos());
+  }
+
   /**
    * Returns whether statements of an open transaction may still run. The transaction keeps the
    * database that it began with, but not the rights of a removed key.
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionMetrics.java
@@ -37,6 +37,7 @@
       new EnumMap<>(SessionReads.class);
   private final DistributionDataPoint atServer;
   private final DistributionDataPoint connectionWait;
+  private final DistributionDataPoint lookupAge;
   private final PrometheusRegistry registry;
 
   SessionMetrics(PrometheusRegistry registry) {
@@ -84,6 +85,7 @@
         histogram("alderyard_session_stage", "Parts of a statement's time, by their name.");
     atServer = stages.labelValues("at-server");
     connectionWait = stages.labelValues("connection");
+    lookupAge = stages.labelValues("lookup-to-send");
   }
 
   private Counter counter(String name, String help) {
@@ -125,6 +127,11 @@
     connectionWait.observe(seconds(durationNanos));
   }
 
+  /** Records the time from the lookup of a statement's database to its sending. */
+  void recordLookupAge(long ageNanos) {
+    lookupAge.observe(seconds(ageNanos));
+  }
+
   void countServerRefusal(RefusalCode code) {
     attemptsNotRun.labelValues(lowerCase(code)).inc();
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementAttempt.java
@@ -198,6 +198,7 @@
 
   private void send(PooledSession session) {
     sentNanos = context.clock().nowNanos();
+    log.sending(sentNanos);
     SessionRequest request =
         requirement.begin().isEmpty()
             ? requirement
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementTask.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/StatementTask.java
@@ -13,6 +13,7 @@
 /**
  * A statement to run on a backend server.
  *
+ * @param lookup when the database and the owner were looked up
  * @param owner the organisation of the caller
  * @param request the request to send to the server
  * @param kind whether the statement may change data
@@ -23,6 +24,7 @@
  * @param deadlineNanos the deadline for the reply, on the monotonic clock
  */
 record StatementTask(
+    ViewLookup lookup,
     ConnectionOwner owner,
     SessionRequest request,
     StatementKind kind,
@@ -35,6 +37,7 @@
 
   /** Rejects null components and copies the values. */
   StatementTask {
+    Objects.requireNonNull(lookup);
     Objects.requireNonNull(owner);
     Objects.requireNonNull(request);
     Objects.requireNonNull(kind);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/StatementRunTest.java
@@ -186,6 +186,7 @@
     // then would leave its outcome unknown; refusing it lets the caller retry.
     StatementTask nearDeadline =
         new StatementTask(
+            new ViewLookup(fixture.views.current().version(), System.nanoTime()),
             ConnectionOwner.NONE,
             SessionRequest.of("q", new Write("a", "1")),
             StatementKind.WRITE,
