Refuse bodies beyond the parser's limits with 400, and answer every call

What callers saw: a heartbeat or configuration that was nested more than 1,000 levels deep, or had a number of more than 1,000 digits, got 503 at each host, so that its sender repeated it for ever. A configuration with an unknown field nested 500 to 990 levels deep got 500 from the HTTP library, without a typed body.

Cause: the exceptions of the parser's limits have no location, and reading the line number from it threw a NullPointerException. The content hash of a configuration sorts fields recursively and ran out of the 256 kB of stack; ControlPort and JsonExchange caught RuntimeException only, so that an Error left the call to the HTTP library.

Evidence: OddBodiesTest on the code before, on an I/O thread with 256 kB of stack. Nesting of 150, 500, 990, 1,100 and 50,000, heartbeat and configuration by turns: 200, 200, 200, 500, 200, 500, 503, 503, 503, 503 in place of 400. 5,000 digits as seq_no, born and timeout_ms: 503, 503, 503. FailedHandlerTest: a handler that throws an Error got 500 with an empty body.

What changed: a body may be nested 100 levels deep (a configuration needs 4), a number may have 1,000 characters and a field name 10,000; anything else is MALFORMED_JSON. A reader that runs out of stack is MALFORMED_JSON too; any other Error of a handler gets a typed response. Errors no longer quote the body: the parser's message for a text without quotes contained the text, which can be a key, and was logged.

--- a/alderyard-common/src/main/java/org/alderyard/common/http/Json.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/Json.java
@@ -1,7 +1,11 @@
 package org.alderyard.common.http;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -9,14 +13,35 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.function.Function;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.FieldFault;
 
-/** Reads and writes JSON objects as request and response bodies. */
+/**
+ * Reads and writes JSON objects as request and response bodies.
+ *
+ * <p>A body with deeper nesting than {@link #MAX_DEPTH}, a number of more than {@link
+ * #MAX_NUMBER_CHARS} characters or a field name of more than {@link #MAX_NAME_CHARS} characters is
+ * rejected as malformed. The size of a body is bounded by the port that receives it.
+ */
 public final class Json {
+  /** Writing and comparing a value takes stack for each level; threads have 256 kB of it. */
+  public static final int MAX_DEPTH = 100;
+
+  static final int MAX_NUMBER_CHARS = 1_000;
+  static final int MAX_NAME_CHARS = 10_000;
+
   private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
+      JsonMapper.builder(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder()
+                          .maxNestingDepth(MAX_DEPTH)
+                          .maxNumberLength(MAX_NUMBER_CHARS)
+                          .maxNameLength(MAX_NAME_CHARS)
+                          .build())
+                  .build())
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
@@ -31,31 +56,52 @@
   /**
    * Parses a body that must be a JSON object.
    *
-   * @throws AlderyardException with {@code MALFORMED_JSON} if the body is not a JSON object
+   * @throws AlderyardException with {@code MALFORMED_JSON} if the body is not a JSON object or
+   *     exceeds a limit; the message does not quote the body, which may contain keys
    */
   public static JsonNode parseObject(byte[] body) {
     JsonNode node;
     try {
       node = MAPPER.readTree(body);
-    } catch (JsonProcessingException malformed) {
-      throw AlderyardException.notRun(
-          ErrorCode.MALFORMED_JSON,
-          "the body is not JSON: "
-              + malformed.getOriginalMessage()
-              + " at line "
-              + malformed.getLocation().getLineNr()
-              + ", column "
-              + malformed.getLocation().getColumnNr());
-    } catch (IOException malformed) {
-      throw AlderyardException.notRun(ErrorCode.MALFORMED_JSON, "the body can't be read");
+    } catch (StreamConstraintsException exceeded) {
+      throw malformed("the body exceeds a limit: " + exceeded.getOriginalMessage());
+    } catch (JsonProcessingException invalid) {
+      throw malformed("the body is not JSON" + location(invalid.getLocation()));
+    } catch (IOException unreadable) {
+      throw malformed("the body can't be read");
     }
     if (node == null || !node.isObject()) {
-      throw AlderyardException.notRun(
-          ErrorCode.MALFORMED_JSON, "the body is not a JSON object; accepted is an object");
+      throw malformed("the body is not a JSON object; accepted is an object");
     }
     return node;
   }
 
+  /**
+   * Parses a body that must be a JSON object, and converts it.
+   *
+   * @param reader converts the object; throws an {@link AlderyardException} if it is invalid
+   * @throws AlderyardException as {@link #parseObject} and the reader; with {@code MALFORMED_JSON}
+   *     if the reader runs out of stack
+   */
+  public static <T> T readObject(byte[] body, Function<JsonNode, T> reader) {
+    try {
+      return reader.apply(parseObject(body));
+    } catch (StackOverflowError tooDeep) {
+      throw malformed("the body is too deeply nested to be read");
+    }
+  }
+
+  private static AlderyardException malformed(String reason) {
+    return AlderyardException.notRun(ErrorCode.MALFORMED_JSON, reason);
+  }
+
+  /** Returns where a body is invalid; the parser does not know it for each fault. */
+  private static String location(JsonLocation location) {
+    return location == null
+        ? ""
+        : " at line " + location.getLineNr() + ", column " + location.getColumnNr();
+  }
+
   /** Returns the UTF-8 encoding of a value. */
   public static byte[] bytes(JsonNode node) {
     try {
--- a/alderyard-common/src/main/java/org/alderyard/common/http/JsonExchange.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/JsonExchange.java
@@ -6,6 +6,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
@@ -54,16 +55,17 @@
       HttpServerExchange exchange,
       byte[] body,
       Function<byte[], CompletableFuture<JsonNode>> handler) {
-    CompletableFuture<JsonNode> result;
+    CompletableFuture<byte[]> result;
     try {
-      result = handler.apply(body);
-    } catch (RuntimeException failure) {
+      result = handler.apply(body).thenApply(Json::bytes);
+    } catch (RuntimeException | Error failure) {
+      // An exception that leaves this method leaves the request without a response.
       result = CompletableFuture.failedFuture(failure);
     }
     result.whenComplete(
-        (node, failure) -> {
+        (content, failure) -> {
           if (failure == null) {
-            send(exchange, 200, node);
+            send(exchange, StatusCodes.OK, content);
           } else {
             sendError(exchange, Futures.toAlderyardException(failure));
           }
@@ -72,9 +74,13 @@
 
   /** Sends a JSON response. */
   public static void send(HttpServerExchange exchange, int status, JsonNode body) {
+    send(exchange, status, Json.bytes(body));
+  }
+
+  private static void send(HttpServerExchange exchange, int status, byte[] content) {
     exchange.setStatusCode(status);
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-    exchange.getResponseSender().send(ByteBuffer.wrap(Json.bytes(body)));
+    exchange.getResponseSender().send(ByteBuffer.wrap(content));
   }
 
   /**
