Hold operations of a host that ran late until its view is confirmed

What callers saw: after a confirmed change, requests sent later than the bound ran with a dropped database or a removed key, or on the group that the database had before, at a host whose process had not run for some seconds.

Cause: only refusals asked for the view lease. An operation that the view allows began by the current view however old it was: a host that stood still finds the requests of its callers in its sockets and runs them before its first heartbeat. The same holds for a host that the leader has told of a newer version and that can't fetch it: its lease ends, and it goes on with the old view.

Evidence: LateHostSessionTest fails 6 of 6 without the gate in OperationGate (the statement with a dropped database and the one with a removed key run, the transaction begins, the session opens).

Why the fix works: LateHostGate comes after the arrival of the request and before the lookup. With a valid lease, the view has all that was confirmed 3 s ago. Without one, the gate waits for the reply to a heartbeat that is sent at once, and for the version that the reply names, for 300 ms, and then refuses as BUSY. Only a host that runs on time (ticks of 250 ms) and gets no reply is cut off, and serves by its view as before. A host that starts may use its first view, which a quorum has confirmed, for 2 s.

Tests: LateHostGateTest 8, LateHostSessionTest 6.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -94,6 +94,7 @@
                 .withConnectionSharing(options.connectionSharing())
                 .withAdmission(options.admission()),
             host.startLog);
+    sessions.holdOperations(host.viewClient.gate());
     host.viewClient.extendHeartbeats(
         sessions.useServerHealth(options.health(), host.settings.host()));
     quota =
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -168,7 +168,9 @@
     if (state != TransactionState.NONE) {
       return refuse(RefusalCode.MALFORMED, "a transaction is already open", failedState());
     }
-    return access.decide().map(right -> begin(begin, right), this::refuseOperation);
+    return access
+        .decideByCurrentView()
+        .thenCompose(decision -> decision.map(right -> begin(begin, right), this::refuseOperation));
   }
 
   private CompletableFuture<SessionReply> begin(Begin begin, SessionAccess.Right right) {
@@ -282,19 +284,21 @@
   private CompletableFuture<SessionReply> beginSingle(
       SessionRequest request, StatementKind kind, Optional<Prepare> preparedStatement) {
     return access
-        .decide()
-        .map(
-            right ->
-                runOutsideTransaction(
-                    task(
-                        request,
-                        kind,
-                        false,
-                        preparedStatement,
-                        right.database(),
-                        right.owner(),
-                        right.lookup())),
-            this::refuseOperation);
+        .decideByCurrentView()
+        .thenCompose(
+            decision ->
+                decision.map(
+                    right ->
+                        runOutsideTransaction(
+                            task(
+                                request,
+                                kind,
+                                false,
+                                preparedStatement,
+                                right.database(),
+                                right.owner(),
+                                right.lookup())),
+                    this::refuseOperation));
   }
 
   private StatementTask task(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.alderyard.backend.ConnectionOwner;
 import org.alderyard.backend.session.Refusal;
@@ -72,6 +73,18 @@
     }
   }
 
+  /**
+   * Decides whether an operation may begin, once this host can tell that its view is current.
+   *
+   * @return a future that never fails
+   */
+  CompletableFuture<Decision> decideByCurrentView() {
+    return context
+        .gate()
+        .pass()
+        .thenApply(held -> held.map(Decision::refuse).orElseGet(this::decide));
+  }
+
   /** Decides by one view and its lease whether an operation may begin. */
   Decision decide() {
     long now = context.clock().nowNanos();
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionContext.java
@@ -30,6 +30,7 @@
  * @param wallClock the time of day, used to detect that this host was suspended
  * @param metrics the session metrics
  * @param leasedViews the current view with its lease, for refusals that depend on the lease
+ * @param gate holds operations while the view may be old
  * @param routineLog selects the successful statements that are logged
  * @param refusalLog bounds the logged refusals of databases that are not in the view
  * @param startLog records the first proof of a primary, sample and statement of this process
@@ -44,6 +45,7 @@
     InstantSource wallClock,
     SessionMetrics metrics,
     LeasedView.Source leasedViews,
+    OperationGate gate,
     LogSampler routineLog,
     LogLimiter refusalLog,
     StartLog startLog,
@@ -64,6 +66,7 @@
     Objects.requireNonNull(wallClock);
     Objects.requireNonNull(metrics);
     Objects.requireNonNull(leasedViews);
+    Objects.requireNonNull(gate);
     Objects.requireNonNull(routineLog);
     Objects.requireNonNull(refusalLog);
     Objects.requireNonNull(startLog);
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -36,6 +36,7 @@
 import org.alderyard.proxy.serverhealth.HealthOptions;
 import org.alderyard.proxy.view.HeartbeatExtension;
 import org.alderyard.proxy.view.LeasedView;
+import org.alderyard.proxy.view.ViewGate;
 import org.alderyard.proxy.view.ViewHolder;
 
 /** Opens and closes caller sessions, and rolls back their idle transactions. */
@@ -107,6 +108,7 @@
             wallClock,
             metrics,
             LeasedView.Source.of(views::current, viewConfirmed),
+            new OperationGate(),
             new LogSampler(limits.routineLogSample()),
             new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND),
             startLog,
@@ -225,6 +227,11 @@
     operationLimiter.limitWith(limiter);
   }
 
+  /** Holds operations while it is open whether the view of this host is current. */
+  public void holdOperations(ViewGate gate) {
+    context.gate().holdWith(gate);
+  }
+
   HeldStatements heldStatements() {
     return heldStatements;
   }
@@ -258,10 +265,15 @@
    */
   public CompletableFuture<Optional<Refusal>> admission(String database, CallerIdentity identity) {
     if (draining || servingStarted.isDone()) {
-      return CompletableFuture.completedFuture(refusal(database, identity));
+      return refusalByCurrentView(database, identity);
     }
     return awaitServing(startAdmission.maxWait().toMillis())
-        .thenApply(ignored -> refusal(database, identity));
+        .thenCompose(ignored -> refusalByCurrentView(database, identity));
+  }
+
+  private CompletableFuture<Optional<Refusal>> refusalByCurrentView(
+      String database, CallerIdentity identity) {
+    return context.gate().pass().thenApply(held -> held.or(() -> refusal(database, identity)));
   }
 
   private CompletableFuture<Void> awaitServing(long timeoutMillis) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -52,6 +52,7 @@
   private final InstantSource wallClock;
   private final ViewFetcher fetcher;
   private final ViewLease lease = new ViewLease();
+  private final LateHostGate gate;
   private final Object lock = new Object();
   // Guarded by lock.
   private boolean heartbeatInFlight;
@@ -101,6 +102,7 @@
     lastHeartbeat = HostTime.now(clock, wallClock);
     fetcher =
         new ViewFetcher(control, sourceIndex, timer, clock, this::onView, this::behindTooLong);
+    gate = new LateHostGate(timer, this::now, this::leaseValid, this::behind, this::renewAtOnce);
   }
 
   /** Adds data to the heartbeats and receives that of the replies. */
@@ -116,6 +118,7 @@
    */
   public void start() {
     fetcher.start();
+    gate.start();
     timer.schedule(HEARTBEAT_INTERVAL, this::repeatHeartbeat);
   }
 
@@ -137,9 +140,18 @@
     return valid;
   }
 
+  /** Returns what holds operations while it is open whether the view is current. */
+  public ViewGate gate() {
+    return gate;
+  }
+
+  private boolean behind() {
+    return lease.behindMillis(clock.nowMillis()).isPresent();
+  }
+
   /**
-   * Sends a heartbeat now, so that a host whose clock was set forward refuses no more than what
-   * arrives until the reply. Sent once until the lease is valid again.
+   * Sends a heartbeat now, so that a host which ran late, or whose clock was set forward, refuses
+   * no more than what arrives until the reply. Sent once until the lease is valid again.
    */
   private void renewAtOnce() {
     if (!closed && renewing.compareAndSet(false, true)) {
@@ -174,6 +186,7 @@
     if (holder.updateIfNewer(view)) {
       notifyIfInterrupted(view.version());
       lease.recordRunning(holder.current().version());
+      gate.viewChanged();
       log.info("event=view-changed version={}", holder.current().version());
       timer.schedule(Duration.ZERO, this::heartbeat);
     }
@@ -222,6 +235,7 @@
       ViewVersion current = StateCodec.version(reply.getCurrent());
       notifyIfInterrupted(current);
       lease.recordConfirmation(current, sent, reply.getLeaseMillis(), now());
+      gate.replyReceived();
       if (lease.valid(now())) {
         renewing.set(false);
         leaseConfirmedListeners.forEach(Runnable::run);
@@ -245,7 +259,7 @@
 
   /** Fetches from the leader unless the fetch in flight brings the overdue version in time. */
   private void overtakeIfStillBehind() {
-    if (lease.behindMillis(clock.nowMillis()).isEmpty()) {
+    if (!behind()) {
       return;
     }
     long spreadMillis = Math.floorMod(self.id().hashCode(), OVERTAKE_SPREAD_MILLIS);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
@@ -160,6 +161,12 @@
     publish("s1", group.states());
   }
 
+  /** Publishes a view without a database that was added. */
+  void removeDatabase(String name) {
+    addedDatabases.removeIf(database -> database.name().equals(name));
+    publish("s1", group.states());
+  }
+
   static CallerIdentity identity(String key) {
     return CallerIdentity.ofKey(key.getBytes(StandardCharsets.UTF_8));
   }
@@ -241,10 +248,14 @@
       this.session = session;
     }
 
-    SessionReply run(SessionStatement statement) {
+    CompletableFuture<SessionReply> send(SessionStatement statement) {
       statements++;
+      return session.handle("q" + statements, statement);
+    }
+
+    SessionReply run(SessionStatement statement) {
       try {
-        return session.handle("q" + statements, statement).get(5, TimeUnit.SECONDS);
+        return send(statement).get(5, TimeUnit.SECONDS);
       } catch (Exception failure) {
         throw new AssertionError("no reply to " + statement, failure);
       }
