Sync the names of a data folder before its identity is used

What callers saw: nothing yet; found by PowerLossTest. A host is killed between the rename of its identity file and the sync of the folder, tells others after its return that it is formed (or its replica id), loses power, and has not joined any more.

Cause: the process that returns reads the new name from the cache of the operating system; nothing syncs the folder until the log is opened, and a host that waits for its cluster opens none.

DataFolder syncs the folder once it has read or written the identity.

--- a/alderyard-control/src/main/java/org/alderyard/control/store/DataFolder.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/DataFolder.java
@@ -59,6 +59,7 @@
     try {
       folder.deleteTemporaryFiles();
       folder.loadOrCreateIdentity(clusterId, host, random);
+      folder.syncNames();
       return folder;
     } catch (RuntimeException failure) {
       folder.close();
@@ -92,6 +93,15 @@
     }
   }
 
+  /** Syncs the names of the files, as a killed process may have renamed one without a sync. */
+  private void syncNames() {
+    try {
+      disk.syncFolder(path);
+    } catch (IOException failure) {
+      throw StorageException.failed(path, 0, failure);
+    }
+  }
+
   private void deleteTemporaryFiles() {
     for (Path file : listFiles()) {
       if (file.toString().endsWith(AtomicFile.TEMPORARY_SUFFIX)) {
