Prove a lost disk by an answer, not by a request that may be late

A host loses its disk twice while another one is frozen. The frozen host wakes and reads the request to join of the second replica after it has learnt of the third one, which votes by now. It takes the third one for lost, so that half of four or six voters elects a leader beside the other half.

Cause: a request proves that its replica ran when it was sent. It doesn't say whether the other replicas of the host came before it or after it.

Evidence: VoteHandOverTest.lateRequestOfReplacedReplicaIsNoProofOfLostDisk sends such a request to two of four voters and kills the other two. The 12 tests of VoteHandOverTest pass.

A request to join now makes a voter ask the host. The reply names the replica that runs after the question was sent, and the members that were known when the question was sent are kept with it. One process at a time has the folder, so each of these members but the one named is gone, however late the reply is read.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -49,6 +49,7 @@
   private final Map<Long, Member> senders = new HashMap<>();
   private final MembershipRepair repair;
   private final JoinPoller joinPoller;
+  private final LostDiskProbe lostDiskProbe;
   private long nextJoinMillis;
   private String lastLoggedReason = "";
   // Not null while the log is open.
@@ -75,6 +76,7 @@
             .setAddress(Addresses.text(builder.address))
             .build();
     repair = new MembershipRepair(builder.openMembership, builder.options.joinInterval());
+    lostDiskProbe = new LostDiskProbe(builder.links, loop, builder.options, self, this::core);
     joinPoller =
         new JoinPoller(builder.links, loop, builder.options, this::joinTargets, this::onJoinRound);
     try {
@@ -362,7 +364,9 @@
                   builder.openMembership.isPresent() || addresses.isListed(member.getAddress());
               if (request.getNewcomer() && fromSender && permitted) {
                 repair.recordJoin(member, nowMillis);
-                recordLostDisks(member);
+                addresses
+                    .resolve(member.getAddress())
+                    .ifPresent(address -> lostDiskProbe.replicaJoins(member, address));
               }
               Replacement replacement =
                   request.getLeaving() && fromSender && driver != null
@@ -382,26 +386,6 @@
     return reply;
   }
 
-  /**
-   * Records that the other replicas of a host are lost once a replica without a vote takes their
-   * place. A request that was sent before the loss comes from a voter and proves nothing.
-   */
-  private void recordLostDisks(Member joining) {
-    if (driver == null || !joining.getSuccessor()) {
-      return;
-    }
-    for (Member member : driver.core().membership().membersOnHost(joining.getHostId())) {
-      boolean lost = member.getReplicaId() != joining.getReplicaId();
-      if (lost && driver.core().recordLostDisk(member.getReplicaId())) {
-        log.info(
-            "event=disk-lost host={} replica={} successor={}",
-            joining.getHostId(),
-            member.getReplicaId(),
-            joining.getReplicaId());
-      }
-    }
-  }
-
   private static AlderyardException logClosed() {
     return AlderyardException.notRun(ErrorCode.DRAINING, "the log of this host is closed");
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -15,6 +15,8 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.LogSize;
+import org.alderyard.protocol.generated.raft.JoinRequest;
+import org.alderyard.protocol.generated.raft.Member;
 import org.alderyard.protocol.wire.ClusterKey;
 import org.alderyard.protocol.wire.Dispatcher;
 import org.alderyard.protocol.wire.EventLoops;
@@ -59,9 +61,7 @@
       Path folder,
       ReplicatedLogOptions options,
       Optional<OpenMembership> openMembership) {
-    ProtocolOptions protocol =
-        new ProtocolOptions(
-            "c1", host, 1, new ClusterKey(new byte[16]), Duration.ofSeconds(1), 1_000);
+    ProtocolOptions protocol = protocol(host);
     links = new PeerLinks(loops, protocol);
     Dispatcher dispatcher = new Dispatcher();
     ReplicatedLogBuilder builder =
@@ -94,6 +94,26 @@
         1_000);
   }
 
+  /** Sends the request of a replica to join to a host, and waits until it is answered. */
+  static void requestToJoin(Member replica, InetSocketAddress address) {
+    ProtocolOptions protocol = protocol(new HostId(replica.getHostId()));
+    try (EventLoops loops = new EventLoops(1);
+        PeerLinks links = new PeerLinks(loops, protocol)) {
+      links
+          .linkTo(address)
+          .call(
+              RaftMethods.JOIN,
+              JoinRequest.newBuilder().setSelf(replica).setNewcomer(true).build(),
+              AWAIT_TIMEOUT)
+          .join();
+    }
+  }
+
+  private static ProtocolOptions protocol(HostId host) {
+    return new ProtocolOptions(
+        "c1", host, 1, new ClusterKey(new byte[16]), Duration.ofSeconds(1), 1_000);
+  }
+
   /** Waits until the condition holds; the timeout is far above the expected time. */
   static void await(String description, BooleanSupplier condition) {
     long deadlineNanos = System.nanoTime() + AWAIT_TIMEOUT.toNanos();
--- a/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
@@ -32,6 +32,7 @@
   private static final int VOTERS = 3;
   private static final int SUCCESSOR = 3;
   private static final int MAX_VOTERS = 5;
+  private static final long ELECTIONS_NANOS = 3_000_000_000L;
   private static final long CATCH_UP_NANOS = 4_000_000_000L;
 
   @TempDir Path root;
@@ -202,6 +203,46 @@
         () -> wiped.stream().allMatch(number -> hosts.get(number).commands().contains("third")));
   }
 
+  /**
+   * Guards against two halves of the voters that both elect a leader: a request to join, which is
+   * read after its replica lost its disk too, takes the replica that votes by now for lost.
+   */
+  @Test
+  void lateRequestOfReplacedReplicaIsNoProofOfLostDisk() {
+    startWithSuccessor();
+    giveTimeToCatchUp(SUCCESSOR);
+    Member late =
+        membership().membersOnHost("control-2").get(0).toBuilder()
+            .setReplicaId(1)
+            .setVoter(false)
+            .setSuccessor(true)
+            .build();
+    for (int number : List.of(0, 1)) {
+      LogHost.requestToJoin(late, addresses.get(number));
+    }
+    hosts.remove(2).kill();
+    hosts.remove(SUCCESSOR).kill();
+
+    awaitNoLeader();
+    start(2);
+    propose("second");
+    assertThat(leader().commands()).containsAtLeast("first", "second");
+  }
+
+  /** Two of four voters may take some seconds to give up, but then elect nobody. */
+  private void awaitNoLeader() {
+    LogHost.await(
+        "the leader steps down", () -> hosts.values().stream().noneMatch(this::leadsInTerm));
+    long endNanos = System.nanoTime() + ELECTIONS_NANOS;
+    while (System.nanoTime() < endNanos) {
+      assertThat(hosts.values().stream().noneMatch(this::leadsInTerm)).isTrue();
+    }
+  }
+
+  private boolean leadsInTerm(LogHost host) {
+    return host.log().isLeader();
+  }
+
   /** Guards against a log that ends for good when two hosts with successors are gone at once. */
   @Test
   void logOutlivesTwoReplacedHostsThatAreGoneAtOnce() {
