Refuse a log entry that can't be carried out in place of stopping the log

What callers saw: one server that deregistered under the id "a b", or one configuration with a service "a b" or of 129 characters, ended all control hosts within milliseconds, and again at each start. Nothing was served until the data folders were moved away.

Cause: names are checked where the view is built, which is within ControlState.apply. What apply throws reaches ReplicatedLog.fail, which takes every failure for a damaged disk and stops the log for good; the entry stays in the log. apply changed tables before the whole command was read (HostRegistry.register, ServerRegistry.announce), so that no failure could be skipped safely.

What changes: ControlState plans a command (Plan, Prepared) and changes its tables after the plan is complete. A command that can't be read (CommandValidator) or planned changes nothing, is logged (entry-refused) and counted (alderyard_control_entries_refused_total), and fails its proposal with EntryRefusedException (NOT_RUN; CONFIGURATION_INVALID, TICKET_INVALID or BAD_REQUEST); LogDriver goes on. StateMachine.check refuses the same commands before ReplicatedLog and LocalLog append them, whoever proposes: one check for tickets, servers, hosts, failover steps, promotions and configurations. Bytes that can't be parsed stay STORAGE_DAMAGED, and an Error still stops the log, as another host may not have it. A failing listener of the state no longer stops the log either. FailoverTable stores a record when its step is committed.

Determinism: the check reads the command alone, and refuses exactly what threw or changed nothing before. Mixed builds: a new leader appends no such entry.

PromotionTableTest commits the plans that the table now returns; its assertions are unchanged.

--- a/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/failover/FailoverTable.java
@@ -16,6 +16,7 @@
 import org.alderyard.common.view.TermStart;
 import org.alderyard.common.view.View;
 import org.alderyard.control.state.FailoverHandler;
+import org.alderyard.control.state.SnapshotFilter;
 import org.alderyard.protocol.generated.failover.FailoverStepEntry;
 import org.alderyard.protocol.generated.failover.FailoverStepReply;
 import org.alderyard.protocol.generated.failover.FailoverTableSnapshot;
@@ -50,6 +51,13 @@
     return view.serversOf(group).stream().map(ServerState::id).toList();
   }
 
+  @Override
+  public void check(ByteString bytes) {
+    FailoverStepEntry entry = StepCodec.parse(bytes);
+    new GroupId(entry.getGroup());
+    StepCodec.step(entry);
+  }
+
   @Override
   public synchronized ApplyResult apply(long index, ByteString bytes, View view) {
     FailoverStepEntry entry = StepCodec.parse(bytes);
@@ -67,11 +75,15 @@
     if (!result.accepted()) {
       return new ApplyResult(List.of(), encodedReply);
     }
-    records.put(id, result.record());
     GroupState group = toGroupState(view.group(id).orElseThrow(), result.record());
     return new ApplyResult(
         List.of(ObjectState.newBuilder().setGroup(StateCodec.groupMessage(group)).build()),
-        encodedReply);
+        encodedReply,
+        () -> store(result.record()));
+  }
+
+  private synchronized void store(FailoverRecord record) {
+    records.put(record.group(), record);
   }
 
   private static FailoverStepReply.Builder newReply(boolean accepted, String reason) {
@@ -114,9 +126,11 @@
     try {
       FailoverTableSnapshot snapshot = FailoverTableSnapshot.parseFrom(bytes);
       records.clear();
-      snapshot
-          .getRecordsList()
-          .forEach(entry -> records.put(new GroupId(entry.getGroup()), StepCodec.record(entry)));
+      SnapshotFilter.readable(
+              snapshot.getRecordsList(),
+              entry -> "failover/" + entry.getGroup(),
+              entry -> StepCodec.record(entry))
+          .forEach(entry -> store(StepCodec.record(entry)));
     } catch (InvalidProtocolBufferException malformed) {
       throw AlderyardException.notRun(
           ErrorCode.STORAGE_DAMAGED, "failed to parse the failover records of a snapshot");
--- a/alderyard-control/src/main/java/org/alderyard/control/log/LocalLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/LocalLog.java
@@ -20,8 +20,13 @@
 
   @Override
   public synchronized CompletableFuture<ByteString> propose(ByteString command) {
-    lastIndex++;
-    return CompletableFuture.completedFuture(stateMachine.apply(lastIndex, command));
+    try {
+      stateMachine.check(command);
+      lastIndex++;
+      return CompletableFuture.completedFuture(stateMachine.apply(lastIndex, command));
+    } catch (EntryRefusedException refused) {
+      return CompletableFuture.failedFuture(refused);
+    }
   }
 
   @Override
--- a/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/LogDriver.java
@@ -120,8 +120,16 @@
     appliedIndex = entry.getIndex();
     appliedBytesSinceSnapshot += entry.getSerializedSize();
     if (entry.getKind() == EntryKind.COMMAND) {
+      applyCommand(entry);
+    }
+  }
+
+  private void applyCommand(Entry entry) {
+    try {
       ByteString result = stateMachine.apply(entry.getIndex(), entry.getData());
       pending.completeProposal(entry.getIndex(), entry.getTerm(), result);
+    } catch (EntryRefusedException refused) {
+      pending.failProposal(entry.getIndex(), entry.getTerm(), refused);
     }
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/log/PendingRequests.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/PendingRequests.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.slf4j.Logger;
@@ -55,12 +56,24 @@
    * one, and may be applied before this host has failed the proposals of its term.
    */
   void completeProposal(long index, long term, ByteString result) {
+    endProposal(index, term, future -> future.complete(result));
+  }
+
+  /**
+   * Fails the pending proposal at this index, if any: with the refusal of the applied entry if that
+   * is the proposed one, or else as {@link #completeProposal} does.
+   */
+  void failProposal(long index, long term, AlderyardException refused) {
+    endProposal(index, term, future -> future.completeExceptionally(refused));
+  }
+
+  private void endProposal(long index, long term, Consumer<CompletableFuture<ByteString>> result) {
     Proposal proposal = proposals.remove(index);
     if (proposal == null) {
       return;
     }
     if (proposal.term() == term) {
-      callbacks.execute(() -> proposal.future().complete(result));
+      callbacks.execute(() -> result.accept(proposal.future()));
       return;
     }
     log.warn(
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -13,9 +13,6 @@
 import org.alderyard.common.concurrent.Futures;
 import org.alderyard.common.concurrent.WorkerPool;
 import org.alderyard.common.error.AlderyardException;
-import org.alderyard.common.error.ErrorCode;
-import org.alderyard.common.error.NotLeaderException;
-import org.alderyard.common.error.Outcome;
 import org.alderyard.common.id.Addresses;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.raft.MembershipChange;
@@ -56,6 +53,7 @@
 
   private final ReplicatedLogOptions options;
   private final LogListener listener;
+  private final StateMachine stateMachine;
   // Separate pools of one thread: a task in a pool of two wakes both threads.
   private final WorkerPool workers = new WorkerPool("log", 1);
   private final WorkerPool snapshotWorkers = new WorkerPool("log-snapshot", 1);
@@ -74,6 +72,7 @@
   ReplicatedLog(ReplicatedLogBuilder builder) {
     options = builder.options;
     listener = builder.listener;
+    stateMachine = builder.stateMachine;
     pending = new PendingRequests(builder.callbacks);
     loop = new SerialLoop(workers, this::flush, this::fail);
     try {
@@ -114,7 +113,7 @@
     status = now;
     leaderWaitQueue.setLeaderKnown(now.isLeaderKnown());
     if (now.lostLeadershipSince(before)) {
-      pending.failAll(leadershipLost(), notLeader());
+      pending.failAll(LogFailures.leadershipLost(), LogFailures.notLeader(status, options));
     }
     if (before.established() != now.established() || before.term() != now.term()) {
       log.info(
@@ -163,30 +162,25 @@
   @Override
   public CompletableFuture<ByteString> propose(ByteString command) {
     if (command.size() > options.maxCommandBytes()) {
-      return CompletableFuture.failedFuture(
-          AlderyardException.notRun(
-              ErrorCode.REQUEST_TOO_LARGE,
-              "the command size of "
-                  + command.size()
-                  + " bytes exceeds the limit of "
-                  + options.maxCommandBytes()));
+      return CompletableFuture.failedFuture(LogFailures.tooLarge(command.size(), options));
+    }
+    try {
+      stateMachine.check(command);
+    } catch (EntryRefusedException refused) {
+      return CompletableFuture.failedFuture(refused);
     }
     return runOnLoop(future -> propose(command, future));
   }
 
   private void propose(ByteString command, CompletableFuture<ByteString> future) {
     if (pending.size() >= options.maxPending()) {
-      future.completeExceptionally(
-          AlderyardException.notRun(
-              ErrorCode.OVERLOADED,
-              pending.size() + " requests to the log are pending already",
-              options.raft().heartbeatMillis()));
+      future.completeExceptionally(LogFailures.overloaded(pending.size(), options));
       return;
     }
     Optional<RaftCore> core = replica.core();
     OptionalLong index = core.map(c -> c.propose(command)).orElse(OptionalLong.empty());
     if (index.isEmpty()) {
-      future.completeExceptionally(notLeader());
+      future.completeExceptionally(LogFailures.notLeader(status, options));
       return;
     }
     pending.addProposal(index.getAsLong(), core.get().term(), future);
@@ -199,7 +193,7 @@
           nextReadId++;
           long readId = nextReadId;
           if (replica.core().filter(core -> core.requestRead(readId)).isEmpty()) {
-            future.completeExceptionally(notLeader());
+            future.completeExceptionally(LogFailures.notLeader(status, options));
             return;
           }
           pending.addRead(readId, future);
@@ -254,27 +248,7 @@
   }
 
   private AlderyardException stopped() {
-    AlderyardException cause = failure;
-    return cause == null
-        ? AlderyardException.notRun(ErrorCode.DRAINING, "the log of this host is closed")
-        : AlderyardException.notRun(
-            cause.code(), "the log of this host stopped: " + cause.getMessage());
-  }
-
-  private AlderyardException notLeader() {
-    String leaderHint = status.leader().map(host -> "; host " + host + " leads").orElse("");
-    return new NotLeaderException(
-        "this host is not the leader of the log" + leaderHint,
-        status.leaderAddress(),
-        options.raft().electionTimeoutMinMillis());
-  }
-
-  private static AlderyardException leadershipLost() {
-    return new AlderyardException(
-        ErrorCode.NOT_LEADER,
-        Outcome.OUTCOME_UNKNOWN,
-        "this host lost leadership before the command was committed; another leader may commit"
-            + " it");
+    return LogFailures.stopped(Optional.ofNullable(failure));
   }
 
   @Override
@@ -366,7 +340,7 @@
   private void stopOnLoop(CompletableFuture<Void> done) {
     closed = true;
     status = LogStatus.NONE;
-    pending.failAll(leadershipLost(), stopped());
+    pending.failAll(LogFailures.leadershipLost(), stopped());
     replica.close();
     done.complete(null);
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
@@ -2,37 +2,28 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayList;
+import com.google.protobuf.MessageLite;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
-import org.alderyard.common.error.FieldFault;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
-import org.alderyard.common.view.Bytes;
-import org.alderyard.common.view.ConfigurationState;
-import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.View;
+import org.alderyard.control.log.EntryRefusedException;
 import org.alderyard.control.log.StateMachine;
 import org.alderyard.protocol.generated.control.Command;
 import org.alderyard.protocol.generated.control.ControlSnapshot;
-import org.alderyard.protocol.generated.control.DrainHostReply;
-import org.alderyard.protocol.generated.control.DrainHostRequest;
 import org.alderyard.protocol.generated.control.PromotionIntentReply;
 import org.alderyard.protocol.generated.control.ReplaceConfigurationReply;
-import org.alderyard.protocol.generated.control.Ticket;
 import org.alderyard.protocol.generated.control.TicketAnswer;
-import org.alderyard.protocol.generated.control.TicketFault;
-import org.alderyard.protocol.generated.control.TicketVerdict;
 import org.alderyard.protocol.generated.state.Configuration;
-import org.alderyard.protocol.generated.state.Group;
 import org.alderyard.protocol.generated.state.Host;
-import org.alderyard.protocol.generated.state.HostPolicy;
-import org.alderyard.protocol.generated.state.ObjectState;
-import org.alderyard.protocol.view.StateCodec;
 import org.alderyard.protocol.view.ViewCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Deterministic state machine of the control state: the same commands give the same state.
@@ -41,6 +32,8 @@
  * views in order.
  */
 public final class ControlState implements StateMachine {
+  private static final Logger log = LoggerFactory.getLogger(ControlState.class);
+
   private final Consumer<ViewChange> onChange;
   private final FailoverHandler failovers;
   private final ViewTable views = new ViewTable();
@@ -49,6 +42,9 @@
   private final ServerRegistry servers = new ServerRegistry();
   private final HostRegistry hosts = new HostRegistry();
   private final PromotionTable promotions = new PromotionTable();
+  private final ConfigurationPlanner configurations = new ConfigurationPlanner(servers);
+  private final OperatorCommands operatorCommands;
+  private final LongAdder refusedEntries = new LongAdder();
 
   /**
    * Creates an empty state.
@@ -72,6 +68,7 @@
     this.onChange = onChange;
     this.failovers = failovers;
     this.tickets = new TicketTable(maxTickets);
+    operatorCommands = new OperatorCommands(views, tickets, hosts, servers);
   }
 
   /** Returns the current view; doesn't take the lock. */
@@ -116,6 +113,27 @@
     return servers.leaseMillis(server);
   }
 
+  @Override
+  public void check(ByteString bytes) {
+    Command command;
+    try {
+      command = Command.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException unreadable) {
+      throw new EntryRefusedException(
+          ErrorCode.BAD_REQUEST, "the command can't be parsed: " + unreadable.getMessage());
+    }
+    try {
+      CommandValidator.check(command, failovers);
+    } catch (RuntimeException reason) {
+      throw CommandValidator.refusal(command, reason);
+    }
+  }
+
+  /**
+   * {@inheritDoc}
+   *
+   * <p>A command is planned first, which may fail and changes nothing, and carried out then.
+   */
   @Override
   public synchronized ByteString apply(long index, ByteString bytes) {
     Command command;
@@ -125,111 +143,107 @@
       throw AlderyardException.notRun(
           ErrorCode.STORAGE_DAMAGED, "log entry " + index + " can't be parsed");
     }
+    Prepared prepared;
+    try {
+      CommandValidator.check(command, failovers);
+      prepared = prepare(index, command);
+    } catch (RuntimeException reason) {
+      throw refuse(index, command, reason);
+    }
+    commit(prepared);
+    return prepared.reply();
+  }
+
+  private EntryRefusedException refuse(long index, Command command, RuntimeException reason) {
+    EntryRefusedException refusal = CommandValidator.refusal(command, reason);
+    refusedEntries.increment();
+    log.error(
+        "event=entry-refused index={} kind={} reason=\"{}\"",
+        index,
+        command.getCommandCase(),
+        refusal.getMessage(),
+        // The stack of a failure that no check foresees.
+        reason instanceof AlderyardException ? null : reason);
+    return refusal;
+  }
+
+  /** Returns the number of log entries that this process did not apply as they are impossible. */
+  public long refusedEntries() {
+    return refusedEntries.sum();
+  }
+
+  private Prepared prepare(long index, Command command) {
     return switch (command.getCommandCase()) {
-      case TICKET -> applyTicket(index, command.getTicket()).toByteString();
-      case ANNOUNCEMENT -> applyChanges(index, servers.announce(command.getAnnouncement(), view()));
-      case SERVER_EXPIRY -> applyChanges(index, servers.expire(command.getServerExpiry(), view()));
+      case TICKET -> operatorCommands.ticket(index, command.getTicket());
+      case ANNOUNCEMENT -> prepare(index, servers.announce(command.getAnnouncement(), view()));
+      case SERVER_EXPIRY -> prepare(index, servers.expire(command.getServerExpiry(), view()));
       case HOST_REGISTRATION ->
-          applyChanges(index, hosts.register(command.getHostRegistration().getHost()));
-      case HOST_EXPIRY -> applyChanges(index, hosts.expire(command.getHostExpiry()));
-      case DRAIN_HOST -> applyDrain(index, command.getDrainHost()).toByteString();
-      case FAILOVER_STEP -> {
-        var result = failovers.apply(index, command.getFailoverStep(), view());
-        applyChanges(index, result.changed());
-        yield result.reply();
-      }
-      case REPLACE_CONFIGURATION ->
-          applyConfiguration(index, command.getReplaceConfiguration()).toByteString();
-      case PROMOTION_INTENT -> {
-        promotions.add(index, command.getPromotionIntent(), view());
-        yield PromotionIntentReply.newBuilder().setFencingToken(index).build().toByteString();
-      }
-      case PROMOTION_WITHDRAWAL -> {
-        promotions.withdraw(command.getPromotionWithdrawal());
-        yield ByteString.EMPTY;
-      }
-      case REPLICA_CAUGHT_UP -> {
-        servers.restarts().recordCaughtUp(command.getReplicaCaughtUp());
-        yield ByteString.EMPTY;
-      }
-      case COMMAND_NOT_SET -> ByteString.EMPTY;
+          prepare(index, hosts.register(command.getHostRegistration().getHost()));
+      case HOST_EXPIRY -> prepare(index, hosts.expire(command.getHostExpiry()));
+      case DRAIN_HOST -> operatorCommands.drain(index, command.getDrainHost());
+      case FAILOVER_STEP -> prepareStep(index, command.getFailoverStep());
+      case REPLACE_CONFIGURATION -> prepareConfiguration(index, command.getReplaceConfiguration());
+      case PROMOTION_INTENT ->
+          prepare(
+              index,
+              promotions.add(index, command.getPromotionIntent(), view()),
+              PromotionIntentReply.newBuilder().setFencingToken(index).build());
+      case PROMOTION_WITHDRAWAL ->
+          prepare(index, promotions.withdraw(command.getPromotionWithdrawal()));
+      case REPLICA_CAUGHT_UP ->
+          prepare(
+              index,
+              new Plan()
+                  .effect(() -> servers.restarts().recordCaughtUp(command.getReplicaCaughtUp())));
+      case COMMAND_NOT_SET -> prepare(index, new Plan());
     };
   }
 
-  private TicketAnswer applyTicket(long index, Ticket ticket) {
-    Optional<TicketAnswer> previous =
-        tickets.findPreviousAnswer(ticket.getNumber(), ticket.getContentHash());
-    if (previous.isPresent()) {
-      return previous.get();
-    }
-    TicketAnswer.Builder answer =
-        TicketAnswer.newBuilder()
-            .setNumber(ticket.getNumber())
-            .setContentHash(ticket.getContentHash());
-    List<FieldFault> faults =
-        TicketValidator.check(view(), hosts::isKnown, ticket.getObjectsList());
-    if (!faults.isEmpty()) {
-      faults.forEach(fault -> answer.addFaults(faultMessage(fault)));
-      return answer.setVerdict(TicketVerdict.INVALID).build();
-    }
-    List<ObjectState> changed = new ArrayList<>();
-    ticket.getObjectsList().forEach(object -> changed.addAll(applyObject(object)));
-    applyChanges(index, changed);
-    ticket.getObjectsList().forEach(object -> answer.addObjects(TicketObjects.name(object)));
-    answer.setAcceptedVersion(StateCodec.versionMessage(view().version()));
-    tickets.add(answer.build());
-    return answer.build();
+  private Prepared prepare(long index, Plan plan) {
+    return new Prepared(views.prepare(index, plan.objects()), plan, ByteString.EMPTY);
   }
 
-  /**
-   * Applies a configuration with a number greater than the current one.
-   *
-   * <p>A lower number is acknowledged without effect, like a configuration that was applied and
-   * then replaced: the request may be a resend whose first reply was lost.
-   */
-  private ReplaceConfigurationReply applyConfiguration(long index, Configuration requested) {
-    Optional<ConfigurationState> current = view().configuration();
-    long number = current.map(ConfigurationState::number).orElse(0L);
-    if (requested.getNumber() <= number) {
-      boolean conflict =
-          requested.getNumber() == number
-              && !current
-                  .orElseThrow()
-                  .contentHash()
-                  .equals(Bytes.of(requested.getContentHash().toByteArray()));
-      return ReplaceConfigurationReply.newBuilder().setNumber(number).setConflict(conflict).build();
+  private Prepared prepare(long index, Plan plan, MessageLite reply) {
+    return new Prepared(views.prepare(index, plan.objects()), plan, reply.toByteString());
+  }
+
+  private void commit(Prepared prepared) {
+    prepared.plan().commit();
+    prepared.next().ifPresent(this::publish);
+  }
+
+  private void publish(ViewTable.Next next) {
+    views.commit(next);
+    notifyListener(new ViewChange(next.view(), views.chainHash(), Optional.of(next.delta())));
+  }
+
+  /** A listener that fails must not stop the log: the entry is applied already. */
+  private void notifyListener(ViewChange change) {
+    try {
+      onChange.accept(change);
+    } catch (RuntimeException failure) {
+      log.error("event=view-listener-failed version={}", change.view().version(), failure);
     }
-    ConfigurationState next = StateCodec.configuration(requested);
-    List<ObjectState> changed = new ArrayList<>();
-    changed.add(ObjectState.newBuilder().setConfiguration(requested).build());
-    next.connectionsPerServer()
-        .forEach((group, connections) -> changed.add(withConnectionLimit(group, connections)));
-    current.stream()
-        .flatMap(before -> before.connectionsPerServer().keySet().stream())
-        .filter(group -> !next.connectionsPerServer().containsKey(group))
-        .forEach(
-            group -> changed.add(ObjectState.newBuilder().setRemovedGroup(group.value()).build()));
-    applyChanges(index, changed);
-    return ReplaceConfigurationReply.newBuilder().setNumber(requested.getNumber()).build();
   }
 
-  private ObjectState withConnectionLimit(GroupId id, int connections) {
-    GroupState group =
-        view()
-            .group(id)
-            .map(
-                known ->
-                    new GroupState(
-                        id,
-                        known.term(),
-                        known.primary(),
-                        known.termHistory(),
-                        known.slotsPerServer(),
-                        connections))
-            .orElseGet(() -> new GroupState(id, 0, Optional.empty(), List.of(), 1, connections));
-    return ObjectState.newBuilder()
-        .setGroup(StateCodec.groupMessage(servers.withReportedPrimary(group, view())))
-        .build();
+  private Prepared prepareStep(long index, ByteString step) {
+    FailoverHandler.ApplyResult result = failovers.apply(index, step, view());
+    Plan plan = new Plan().change(result.changed()).effect(result.commit());
+    return new Prepared(views.prepare(index, plan.objects()), plan, result.reply());
+  }
+
+  private Prepared prepareConfiguration(long index, Configuration requested) {
+    return configurations
+        .replyWithoutEffect(requested, view())
+        .map(reply -> prepare(index, new Plan(), reply))
+        .orElseGet(
+            () ->
+                prepare(
+                    index,
+                    configurations.replace(requested, view()),
+                    ReplaceConfigurationReply.newBuilder()
+                        .setNumber(requested.getNumber())
+                        .build()));
   }
 
   /**
@@ -256,79 +270,6 @@
     return servers.restarts().mayLackCommits(server);
   }
 
-  private static TicketFault faultMessage(FieldFault fault) {
-    return TicketFault.newBuilder()
-        .setObject(fault.object())
-        .setField(fault.field())
-        .setValue(fault.value())
-        .setAccepted(fault.accepted())
-        .build();
-  }
-
-  private List<ObjectState> applyObject(ObjectState object) {
-    return switch (object.getObjectCase()) {
-      case GROUP -> List.of(withTermAndPrimary(object.getGroup()));
-      case HOST_POLICY -> hosts.setPolicy(object.getHostPolicy());
-      case REMOVED_HOST_POLICY -> hosts.removePolicy(object.getRemovedHostPolicy());
-      case REMOVED_SERVER -> {
-        servers.remove(object.getRemovedServer());
-        yield List.of(object);
-      }
-      default -> List.of(object);
-    };
-  }
-
-  /**
-   * Returns the group with its current term, primary and term history. A ticket sets only the
-   * limits of a group; the failover director manages its term and primary.
-   */
-  private ObjectState withTermAndPrimary(Group requested) {
-    Group.Builder group = requested.toBuilder();
-    view()
-        .group(new GroupId(requested.getId()))
-        .map(StateCodec::groupMessage)
-        .ifPresent(
-            current ->
-                group
-                    .setTerm(current.getTerm())
-                    .setPrimary(current.getPrimary())
-                    .addAllTermHistory(current.getTermHistoryList()));
-    return ObjectState.newBuilder().setGroup(group).build();
-  }
-
-  private DrainHostReply applyDrain(long index, DrainHostRequest request) {
-    DrainHostReply.Builder reply = DrainHostReply.newBuilder();
-    if (hosts.isKnown(request.getHost())) {
-      HostPolicy policy =
-          hosts
-              .policy(request.getHost())
-              .orElseGet(() -> unrestrictedPolicy(request.getHost()))
-              .toBuilder()
-              .setDraining(request.getDraining())
-              .build();
-      applyChanges(index, hosts.setPolicy(policy));
-    } else {
-      FieldFault fault =
-          new FieldFault("host/" + request.getHost(), "name", request.getHost(), "a known host");
-      reply.addFaults(faultMessage(fault));
-    }
-    return reply.setVersion(StateCodec.versionMessage(view().version())).build();
-  }
-
-  private static HostPolicy unrestrictedPolicy(String host) {
-    return HostPolicy.newBuilder().setId(host).setProxy(true).setControl(true).build();
-  }
-
-  private ByteString applyChanges(long index, List<ObjectState> objects) {
-    views
-        .apply(index, objects)
-        .ifPresent(
-            delta ->
-                onChange.accept(
-                    new ViewChange(views.view(), views.chainHash(), Optional.of(delta))));
-    return ByteString.EMPTY;
-  }
-
   @Override
   public synchronized ByteString snapshot() {
     ControlSnapshot.Builder snapshot =
@@ -359,6 +300,6 @@
     servers.restore(snapshot);
     promotions.restore(snapshot);
     failovers.restore(snapshot.getFailover());
-    onChange.accept(current());
+    notifyListener(current());
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/state/FailoverHandler.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/FailoverHandler.java
@@ -31,18 +31,31 @@
    *
    * @param changed the complete new state of each object that the step changed
    * @param reply the reply to the host that proposed the step
+   * @param commit changes the handler's state; must not fail
    */
-  record ApplyResult(List<ObjectState> changed, ByteString reply) {
+  record ApplyResult(List<ObjectState> changed, ByteString reply, Runnable commit) {
 
     /** Copies the list of changed objects. */
     public ApplyResult {
       changed = List.copyOf(changed);
     }
+
+    /** Creates the result of a step that doesn't change the handler's state. */
+    public ApplyResult(List<ObjectState> changed, ByteString reply) {
+      this(changed, reply, () -> {});
+    }
   }
 
   /**
-   * Applies a step. The result must be deterministic: the same steps give the same result on every
-   * host.
+   * Checks whether a step can be read. Thread-safe; doesn't depend on the state.
+   *
+   * @throws RuntimeException if the step can't be read
+   */
+  default void check(ByteString step) {}
+
+  /**
+   * Returns the result of a step and changes nothing until the result is committed. It must be
+   * deterministic: the same steps give the same result on every host.
    */
   ApplyResult apply(long index, ByteString step, View view);
 
--- a/alderyard-control/src/main/java/org/alderyard/control/state/HostRegistry.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/HostRegistry.java
@@ -5,12 +5,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.alderyard.common.id.HostId;
 import org.alderyard.protocol.generated.control.ControlSnapshot;
 import org.alderyard.protocol.generated.control.DeadHost;
 import org.alderyard.protocol.generated.control.HostExpiry;
 import org.alderyard.protocol.generated.state.Host;
 import org.alderyard.protocol.generated.state.HostPolicy;
 import org.alderyard.protocol.generated.state.ObjectState;
+import org.alderyard.protocol.view.StateCodec;
 
 /**
  * Registrations of hosts, the operators' host policies, and the last incarnations of removed hosts.
@@ -25,19 +27,19 @@
   private final Map<String, Long> removedIncarnations = new LinkedHashMap<>();
 
   /**
-   * Registers a host and returns the changed objects. An incarnation below the last known one is
-   * ignored.
+   * Plans the registration of a host. An incarnation below the last known one is ignored.
    *
    * <p>A delayed registration of an earlier process of the same host would otherwise restore
    * addresses at which no process listens.
    */
-  List<ObjectState> register(Host host) {
+  Plan register(Host host) {
     if (host.getIncarnation() < lastIncarnation(host.getId())) {
-      return List.of();
+      return new Plan();
     }
-    removedIncarnations.remove(host.getId());
-    registrations.put(host.getId(), host);
-    return List.of(withPolicy(host));
+    return new Plan()
+        .effect(() -> removedIncarnations.remove(host.getId()))
+        .effect(() -> registrations.put(host.getId(), host))
+        .change(withPolicy(host, policy(host.getId())));
   }
 
   private long lastIncarnation(String id) {
@@ -46,49 +48,51 @@
   }
 
   /**
-   * Removes a host and returns the changed objects. An expiry for an incarnation other than the
-   * registered one is ignored.
+   * Plans the removal of a host. An expiry for an incarnation other than the registered one is
+   * ignored.
    */
-  List<ObjectState> expire(HostExpiry expiry) {
+  Plan expire(HostExpiry expiry) {
     Host known = registrations.get(expiry.getHost());
     if (known == null || known.getIncarnation() != expiry.getIncarnation()) {
-      return List.of();
+      return new Plan();
     }
-    registrations.remove(expiry.getHost());
-    removedIncarnations.put(expiry.getHost(), expiry.getIncarnation());
+    return new Plan()
+        .effect(() -> recordRemoval(known))
+        .change(ObjectState.newBuilder().setRemovedHost(expiry.getHost()).build());
+  }
+
+  private void recordRemoval(Host host) {
+    registrations.remove(host.getId());
+    removedIncarnations.put(host.getId(), host.getIncarnation());
     if (removedIncarnations.size() > MAX_REMOVED_HOSTS) {
       removedIncarnations.remove(removedIncarnations.keySet().iterator().next());
     }
-    return List.of(ObjectState.newBuilder().setRemovedHost(expiry.getHost()).build());
   }
 
-  /** Sets the policy of a host, which also applies to its later incarnations. */
-  List<ObjectState> setPolicy(HostPolicy policy) {
-    policies.put(policy.getId(), policy);
-    return hostUpdate(policy.getId());
+  /** Plans a new policy of a host, which also applies to its later incarnations. */
+  void setPolicy(HostPolicy policy, Plan plan) {
+    plan.effect(() -> policies.put(policy.getId(), policy));
+    plan.change(hostUpdate(policy.getId(), Optional.of(policy)));
   }
 
-  /** Removes the policy of a host, so that its registration applies without restrictions. */
-  List<ObjectState> removePolicy(String id) {
-    policies.remove(id);
-    return hostUpdate(id);
+  /** Plans the removal of a policy, so that the host's registration applies unrestricted. */
+  void removePolicy(String id, Plan plan) {
+    plan.effect(() -> policies.remove(id));
+    plan.change(hostUpdate(id, Optional.empty()));
   }
 
-  private List<ObjectState> hostUpdate(String id) {
-    Host known = registrations.get(id);
-    return known == null ? List.of() : List.of(withPolicy(known));
+  private List<ObjectState> hostUpdate(String id, Optional<HostPolicy> policy) {
+    return registration(id).map(known -> withPolicy(known, policy)).stream().toList();
   }
 
-  private ObjectState withPolicy(Host host) {
-    HostPolicy policy = policies.get(host.getId());
-    if (policy == null) {
-      return ObjectState.newBuilder().setHost(host).build();
-    }
-    Host.Builder restricted =
-        host.toBuilder()
-            .setProxy(host.getProxy() && policy.getProxy())
-            .setControl(host.getControl() && policy.getControl())
-            .setDraining(host.getDraining() || policy.getDraining());
+  private static ObjectState withPolicy(Host host, Optional<HostPolicy> policy) {
+    Host.Builder restricted = host.toBuilder();
+    policy.ifPresent(
+        set ->
+            restricted
+                .setProxy(host.getProxy() && set.getProxy())
+                .setControl(host.getControl() && set.getControl())
+                .setDraining(host.getDraining() || set.getDraining()));
     return ObjectState.newBuilder().setHost(restricted).build();
   }
 
@@ -115,8 +119,12 @@
     registrations.clear();
     policies.clear();
     removedIncarnations.clear();
-    snapshot.getRegistrationsList().forEach(host -> registrations.put(host.getId(), host));
-    snapshot.getHostPoliciesList().forEach(policy -> policies.put(policy.getId(), policy));
+    SnapshotFilter.readable(
+            snapshot.getRegistrationsList(), Host::getId, host -> StateCodec.host(host))
+        .forEach(host -> registrations.put(host.getId(), host));
+    SnapshotFilter.readable(
+            snapshot.getHostPoliciesList(), HostPolicy::getId, policy -> new HostId(policy.getId()))
+        .forEach(policy -> policies.put(policy.getId(), policy));
     snapshot
         .getDeadHostsList()
         .forEach(host -> removedIncarnations.put(host.getId(), host.getIncarnation()));
--- a/alderyard-control/src/main/java/org/alderyard/control/state/PromotionTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/PromotionTable.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
@@ -26,11 +25,11 @@
 final class PromotionTable {
   private volatile Map<String, PendingPromotion> pending = Map.of();
 
-  /** Records an intent; its fencing token is the index of its log entry. */
-  void add(long index, PromotionIntent intent, View view) {
+  /** Plans the record of an intent; its fencing token is the index of its log entry. */
+  Plan add(long index, PromotionIntent intent, View view) {
     Optional<GroupState> group = view.group(new GroupId(intent.getGroup()));
     if (group.isEmpty()) {
-      return;
+      return new Plan();
     }
     PendingPromotion promotion =
         PendingPromotion.newBuilder()
@@ -39,25 +38,21 @@
             .setReplacedPrimary(primaryOf(group.get()))
             .setFencingToken(index)
             .build();
-    update(
-        next -> {
-          next.keySet().removeIf(id -> find(new GroupId(id), view).isEmpty());
-          next.put(intent.getGroup(), promotion);
-        });
-  }
-
-  private void update(Consumer<Map<String, PendingPromotion>> change) {
     Map<String, PendingPromotion> next = new HashMap<>(pending);
-    change.accept(next);
-    pending = Map.copyOf(next);
+    next.keySet().removeIf(id -> find(new GroupId(id), view).isEmpty());
+    next.put(intent.getGroup(), promotion);
+    return new Plan().effect(() -> pending = Map.copyOf(next));
   }
 
-  /** Removes an intent, unless the group has a later one. */
-  void withdraw(PromotionWithdrawal withdrawal) {
+  /** Plans the removal of an intent, unless the group has a later one. */
+  Plan withdraw(PromotionWithdrawal withdrawal) {
     PendingPromotion last = pending.get(withdrawal.getGroup());
-    if (last != null && last.getFencingToken() == withdrawal.getFencingToken()) {
-      update(next -> next.remove(withdrawal.getGroup()));
+    if (last == null || last.getFencingToken() != withdrawal.getFencingToken()) {
+      return new Plan();
     }
+    Map<String, PendingPromotion> next = new HashMap<>(pending);
+    next.remove(withdrawal.getGroup());
+    return new Plan().effect(() -> pending = Map.copyOf(next));
   }
 
   /** Returns the server that a pending call promotes. */
@@ -83,7 +78,18 @@
 
   void restore(ControlSnapshot snapshot) {
     pending =
-        snapshot.getPendingPromotionsList().stream()
-            .collect(Collectors.toUnmodifiableMap(PendingPromotion::getGroup, last -> last));
+        SnapshotFilter.readable(
+                snapshot.getPendingPromotionsList(),
+                promotion -> "promotion/" + promotion.getGroup(),
+                PromotionTable::check)
+            .stream()
+            .collect(
+                Collectors.toUnmodifiableMap(
+                    PendingPromotion::getGroup, last -> last, (first, last) -> last));
+  }
+
+  private static void check(PendingPromotion promotion) {
+    new GroupId(promotion.getGroup());
+    new ServerId(promotion.getServer());
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/state/RestartTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/RestartTable.java
@@ -85,6 +85,8 @@
         snapshot.getRestartedServersList().stream()
             .collect(
                 Collectors.toUnmodifiableMap(
-                    RestartedServer::getServer, RestartedServer::getIncarnation));
+                    RestartedServer::getServer,
+                    RestartedServer::getIncarnation,
+                    (first, last) -> last));
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
@@ -1,13 +1,13 @@
 package org.alderyard.control.state;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.view.GroupState;
@@ -42,37 +42,44 @@
   private final Map<String, Boolean> reportsPrimaryRole = new TreeMap<>();
   private final RestartTable restarts = new RestartTable();
 
-  /** Records an announcement and returns the objects that it changes. */
-  List<ObjectState> announce(Announcement announcement, View view) {
+  /** Plans the record of an announcement. */
+  Plan announce(Announcement announcement, View view) {
     Server announced =
         announcement.getServer().toBuilder()
             .setStatus(announcement.getLeaving() ? Status.LEAVING : Status.ACTIVE)
             .build();
     Optional<ServerState> known = view.server(new ServerId(announced.getId()));
+    Plan plan = new Plan();
     if (known.isPresent() && AnnouncementFilter.isStale(announced, known.get())) {
-      return List.of();
+      return plan;
     }
-    List<ObjectState> changed = new ArrayList<>();
     List<ServerState> predecessors = known.isPresent() ? List.of() : atAddressOf(announced, view);
+    if (announcement.getReportsRole() && isAddressOfNewerServer(announced, view)) {
+      return plan.effect(() -> restarts.remove(announced.getId()));
+    }
     predecessors.forEach(
         predecessor ->
-            restarts.recordFirstAnnouncement(
-                new ServerId(announced.getId()), announced.getIncarnation(), predecessor));
-    if (announcement.getReportsRole() && !claimAddress(announced, view, changed)) {
-      restarts.remove(announced.getId());
-      return List.of();
+            plan.effect(
+                () ->
+                    restarts.recordFirstAnnouncement(
+                        new ServerId(announced.getId()), announced.getIncarnation(), predecessor)));
+    if (announcement.getReportsRole()) {
+      removeOthersAtAddress(announced, view, plan);
     }
-    endedServers.remove(announced.getId());
+    plan.effect(() -> endedServers.remove(announced.getId()));
     known.ifPresent(
-        server -> restarts.recordAnnouncement(server, announced.getIncarnation(), view));
-    leaseMillis.put(announced.getId(), announcement.getLeaseMillis());
-    changed.add(ObjectState.newBuilder().setServer(announced).build());
+        server ->
+            plan.effect(
+                () -> restarts.recordAnnouncement(server, announced.getIncarnation(), view)));
+    plan.effect(() -> leaseMillis.put(announced.getId(), announcement.getLeaseMillis()));
+    plan.change(ObjectState.newBuilder().setServer(announced).build());
     if (announcement.getReportsRole()) {
-      reportedPrimaryChange(announcement, known, view).ifPresent(changed::add);
+      reportedPrimaryChange(announcement, known, view).ifPresent(plan::change);
+      plan.effect(() -> reportsPrimaryRole.put(announced.getId(), announcement.getPrimary()));
     } else {
-      initialPrimary(announcement, view).ifPresent(changed::add);
+      initialPrimary(announcement, view).ifPresent(plan::change);
     }
-    return changed;
+    return plan;
   }
 
   private static List<ServerState> atAddressOf(Server announced, View view) {
@@ -84,27 +91,31 @@
   }
 
   /**
-   * Removes other servers with the same address. Returns false if one of them has a greater
-   * incarnation than the announcing server.
+   * Returns whether another server with the same address has a greater incarnation than the
+   * announcing server.
    *
    * <p>A delayed announcement of a stopped server may arrive after another server has started at
    * the same address. Without this check, requests for one server would reach the other.
    */
-  private boolean claimAddress(Server announced, View view, List<ObjectState> changed) {
-    for (ServerState other : view.servers().values()) {
-      boolean sameAddress =
-          other.address().equals(StateCodec.address(announced.getAddress()))
-              && !other.id().value().equals(announced.getId())
-              && other.status() != ServerStatus.GONE;
-      if (sameAddress && other.incarnation() > announced.getIncarnation()) {
-        return false;
-      }
-      if (sameAddress) {
-        remove(other.id().value());
-        changed.add(ObjectState.newBuilder().setRemovedServer(other.id().value()).build());
-      }
-    }
-    return true;
+  private static boolean isAddressOfNewerServer(Server announced, View view) {
+    return presentAtAddressOf(announced, view)
+        .anyMatch(other -> other.incarnation() > announced.getIncarnation());
+  }
+
+  /** Plans the removal of the other servers with the same address. */
+  private void removeOthersAtAddress(Server announced, View view, Plan plan) {
+    presentAtAddressOf(announced, view)
+        .map(other -> other.id().value())
+        .forEach(
+            other -> {
+              plan.effect(() -> remove(other));
+              plan.change(ObjectState.newBuilder().setRemovedServer(other).build());
+            });
+  }
+
+  private static Stream<ServerState> presentAtAddressOf(Server announced, View view) {
+    return atAddressOf(announced, view).stream()
+        .filter(other -> other.status() != ServerStatus.GONE);
   }
 
   /**
@@ -120,7 +131,6 @@
     boolean wasPrimary =
         known.filter(server -> server.incarnation() == announced.getIncarnation()).isPresent()
             && reportsPrimaryRole.getOrDefault(announced.getId(), false);
-    reportsPrimaryRole.put(announced.getId(), announcement.getPrimary());
     Optional<GroupState> group = view.group(new GroupId(announced.getGroup()));
     boolean isNewPrimary =
         announcement.getPrimary()
@@ -188,18 +198,15 @@
     return Optional.of(ObjectState.newBuilder().setGroup(StateCodec.groupMessage(updated)).build());
   }
 
-  /**
-   * Ends the lease of a server and returns the changed objects. An expiry for another incarnation
-   * changes nothing.
-   */
-  List<ObjectState> expire(ServerExpiry expiry, View view) {
+  /** Plans the end of a server's lease. An expiry for another incarnation changes nothing. */
+  Plan expire(ServerExpiry expiry, View view) {
     Optional<ServerState> known = view.server(new ServerId(expiry.getServer()));
     boolean current =
         known.isPresent()
             && (expiry.getIncarnation() == 0
                 || known.get().incarnation() == expiry.getIncarnation());
     if (!current) {
-      return List.of();
+      return new Plan();
     }
     boolean deregistered =
         expiry.getSaidGoodbye()
@@ -208,18 +215,21 @@
     Status endStatus = deregistered ? Status.GONE : Status.EXPIRED;
     if (known.get().status() == ServerStatus.GONE
         || known.get().status().name().equals(endStatus.name())) {
-      return List.of();
+      return new Plan();
     }
-    List<ObjectState> changed = new ArrayList<>();
     Server expired = StateCodec.serverMessage(known.get()).toBuilder().setStatus(endStatus).build();
-    changed.add(ObjectState.newBuilder().setServer(expired).build());
-    endedServers.add(expiry.getServer());
-    if (endedServers.size() > MAX_ENDED_SERVERS) {
+    Plan plan =
+        new Plan()
+            .change(ObjectState.newBuilder().setServer(expired).build())
+            .effect(() -> endedServers.add(expiry.getServer()));
+    boolean full =
+        endedServers.size() >= MAX_ENDED_SERVERS && !endedServers.contains(expiry.getServer());
+    if (full) {
       String oldest = endedServers.iterator().next();
-      remove(oldest);
-      changed.add(ObjectState.newBuilder().setRemovedServer(oldest).build());
+      plan.effect(() -> remove(oldest))
+          .change(ObjectState.newBuilder().setRemovedServer(oldest).build());
     }
-    return changed;
+    return plan;
   }
 
   /** Removes all data of a server that was removed from the view. */
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ViewTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ViewTable.java
@@ -32,10 +32,18 @@
   }
 
   /**
-   * Applies the objects that differ from the current view. Returns an empty result and keeps the
-   * version if none differs.
+   * A view that follows the current one.
+   *
+   * @param view the view
+   * @param delta the change that leads to it
    */
-  Optional<ViewDelta> apply(long index, List<ObjectState> objects) {
+  record Next(View view, ViewDelta delta) {}
+
+  /**
+   * Returns the view with the objects that differ from the current view; empty if none differs.
+   * Changes nothing.
+   */
+  Optional<Next> prepare(long index, List<ObjectState> objects) {
     List<ObjectState> changed = objects.stream().filter(this::differs).toList();
     if (changed.isEmpty()) {
       return Optional.empty();
@@ -47,9 +55,13 @@
             StateCodec.versionMessage(view.version()),
             StateCodec.versionMessage(next),
             changed);
-    view = ViewCodec.apply(view, next, changed);
-    chainHash = delta.getChainHash();
-    return Optional.of(delta);
+    return Optional.of(new Next(ViewCodec.apply(view, next, changed), delta));
+  }
+
+  /** Replaces the current view by a prepared one that follows it. */
+  void commit(Next next) {
+    view = next.view();
+    chainHash = next.delta().getChainHash();
   }
 
   private boolean differs(ObjectState object) {
@@ -84,7 +96,12 @@
   }
 
   void restore(ViewSnapshot snapshot, ByteString snapshotChainHash) {
-    view = ViewCodec.view(snapshot);
+    List<ObjectState> readable =
+        SnapshotFilter.readable(
+            snapshot.getObjectsList(),
+            TicketObjects::name,
+            object -> ViewCodec.apply(View.EMPTY, ViewVersion.NONE, List.of(object)));
+    view = ViewCodec.apply(View.EMPTY, StateCodec.version(snapshot.getVersion()), readable);
     chainHash = snapshotChainHash;
   }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/service/FakeLog.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/FakeLog.java
@@ -9,6 +9,7 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.HostId;
 import org.alderyard.control.log.ControlLog;
+import org.alderyard.control.log.EntryRefusedException;
 import org.alderyard.control.log.StateMachine;
 
 /**
@@ -82,6 +83,11 @@
         return notLeader();
       }
       applyAll();
+      try {
+        stateMachine.check(command);
+      } catch (EntryRefusedException refused) {
+        return CompletableFuture.failedFuture(refused);
+      }
       committed.add(command);
       applied++;
       ByteString answer = stateMachine.apply(applied, command);
--- a/alderyard-control/src/test/java/org/alderyard/control/state/PromotionTableTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/state/PromotionTableTest.java
@@ -30,19 +30,23 @@
   }
 
   private void addIntent(long token) {
-    table.add(
-        token,
-        PromotionIntent.newBuilder()
-            .setGroup(GROUP.value())
-            .setServer(CALLED.value())
-            .setHolder("h1")
-            .build(),
-        view("s1"));
+    table
+        .add(
+            token,
+            PromotionIntent.newBuilder()
+                .setGroup(GROUP.value())
+                .setServer(CALLED.value())
+                .setHolder("h1")
+                .build(),
+            view("s1"))
+        .commit();
   }
 
   private void withdraw(long token) {
-    table.withdraw(
-        PromotionWithdrawal.newBuilder().setGroup(GROUP.value()).setFencingToken(token).build());
+    table
+        .withdraw(
+            PromotionWithdrawal.newBuilder().setGroup(GROUP.value()).setFencingToken(token).build())
+        .commit();
   }
 
   @Test
@@ -80,7 +84,9 @@
 
   @Test
   void intentForUnknownGroupIsIgnored() {
-    table.add(7, PromotionIntent.newBuilder().setGroup("g9").setServer("s2").build(), view("s1"));
+    table
+        .add(7, PromotionIntent.newBuilder().setGroup("g9").setServer("s2").build(), view("s1"))
+        .commit();
 
     assertThat(table.find(new GroupId("g9"), view("s1"))).isEmpty();
   }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -1,5 +1,6 @@
 package org.alderyard.daemon;
 
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import java.security.SecureRandom;
 import org.alderyard.backend.http.HttpConnector;
@@ -48,6 +49,11 @@
     ViewFeed feed = new ViewFeed(host.controlWorkers);
     FailoverTable failovers = new FailoverTable();
     ControlState state = new ControlState(feed::publish, failovers);
+    CounterWithCallback.builder()
+        .name("alderyard_control_entries_refused_total")
+        .help("Entries of the control log that no host can carry out, since this host started.")
+        .callback(callback -> callback.call(state.refusedEntries()))
+        .register(host.registry);
     ControlLog controlLog = host.register(controlLog(state));
     ControlService service =
         new ControlService(controlLog, state, feed, host.clock, host.wallClock);
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/StateCodec.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.alderyard.common.error.AlderyardException;
+import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.PoolName;
@@ -42,6 +44,7 @@
 
 /** Converts each kind of control state object between its protobuf message and its domain type. */
 public final class StateCodec {
+  private static final int MAX_PORT = 65_535;
 
   private StateCodec() {}
 
@@ -300,8 +303,17 @@
         .build();
   }
 
-  /** Converts a message to an address. */
+  /**
+   * Converts a message to an address.
+   *
+   * @throws AlderyardException with {@code BAD_REQUEST} if the port is out of range
+   */
   public static InetSocketAddress address(Endpoint endpoint) {
+    if (endpoint.getPort() < 0 || endpoint.getPort() > MAX_PORT) {
+      throw AlderyardException.notRun(
+          ErrorCode.BAD_REQUEST,
+          "port is " + Integer.toUnsignedString(endpoint.getPort()) + "; accepted is 0 to 65535");
+    }
     return new InetSocketAddress(endpoint.getAddress(), endpoint.getPort());
   }
 }
