--- a/alderyard-common/src/main/java/org/alderyard/common/id/Names.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/id/Names.java
@@ -2,6 +2,7 @@
 
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.log.LogText;
 
 /** Validates the names of callers, groups, hosts, pools, requests, servers and zones. */
 final class Names {
@@ -14,7 +15,10 @@
     if (!isAccepted(value)) {
       throw AlderyardException.notRun(
           ErrorCode.BAD_REQUEST,
-          kind + " is '" + value + "'; accepted are 1 to 128 characters of [A-Za-z0-9._:-]");
+          kind
+              + " is '"
+              + LogText.sanitize(String.valueOf(value), MAX_CHARS)
+              + "'; accepted are 1 to 128 characters of [A-Za-z0-9._:-]");
     }
   }
 
--- a/alderyard-common/src/main/java/org/alderyard/common/log/LogText.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/log/LogText.java
@@ -6,12 +6,13 @@
   private LogText() {}
 
   /**
-   * Truncates a sender's text and replaces characters that would end the line or its quotes.
+   * Truncates a sender's text and replaces characters that would end the line or its quotes, and
+   * halves of surrogate pairs, which can't be encoded.
    *
    * @param maxChars the number of characters that are kept
    */
   public static String sanitize(String text, int maxChars) {
     String truncated = text.length() <= maxChars ? text : text.substring(0, maxChars) + "...";
-    return truncated.replaceAll("[\\p{IsControl}\\p{Zl}\\p{Zp}\"]", "?");
+    return truncated.replaceAll("[\\p{IsControl}\\p{Cs}\\p{Zl}\\p{Zp}\"]", "?");
   }
 }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -208,6 +208,7 @@
                             () -> fetchRedirect(address.getPort()),
                             host.workers,
                             host.clock,
+                            host.wallClock,
                             host.registry)
                         .handler()));
     options
