--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -209,6 +209,7 @@
                             () -> fetchRedirect(address.getPort()),
                             host.workers,
                             host.clock,
+                            host.wallClock,
                             host.registry)
                         .handler()));
     options
