Refuse a key within a transaction for good only by a view with a lease

What callers saw: a statement of an open transaction was refused as unauthorized although an organisation has the caller's key.

Cause: the check of each statement of a transaction looked the key up in the current view without its lease, and refused for good whenever the owner was not the one of the begin. A host whose view is old lacks a key that was removed and added again; a key that moved to another organisation, or a database that became open to all, is not a removed key at all.

Evidence: KeyInTransactionTest fails 3 of 4 before (unconfirmed view, moved key, key added when the lease is read).

Why the fix works: the check reads one LeasedView, lease first. UNAUTHORIZED needs a valid lease and a key that nobody has; in the other cases the transaction ends as ABORTED, which promises that nothing is kept, and its repetition is decided anew.

Tests: KeyInTransactionTest 4, OrganisationSessionTest 7, CallerSessionTest 16, RefusalViewTest 6.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -227,7 +227,7 @@
       rollBack();
       return refuse(RefusalCode.ABORTED, "the transaction was rolled back", TransactionState.NONE);
     }
-    if (!access.allows(open.get().database(), open.get().owner())) {
+    if (access.refusalInTransaction(open.get().database(), open.get().owner()).isPresent()) {
       rollBack();
       return refuse(RefusalCode.ABORTED, "the caller's key was removed", TransactionState.NONE);
     }
@@ -366,9 +366,10 @@
           "the transaction was rolled back because it was idle for too long",
           TransactionState.FAILED);
     }
-    if (!access.allows(open.get().database(), open.get().owner())) {
-      return refuse(
-          RefusalCode.UNAUTHORIZED, "the caller's key was removed", TransactionState.FAILED);
+    Optional<Refusal> refusal =
+        access.refusalInTransaction(open.get().database(), open.get().owner());
+    if (refusal.isPresent()) {
+      return refuse(refusal.get().code(), refusal.get().text(), TransactionState.FAILED);
     }
     if (open.get().readOnly() && kind == StatementKind.WRITE) {
       return refuse(
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -144,14 +144,25 @@
   }
 
   /**
-   * Returns whether statements of an open transaction may still run. The transaction keeps the
+   * Returns why the statements of an open transaction may no longer run. The transaction keeps the
    * database that it began with, but not the rights of a removed key.
+   *
+   * <p>The refusal is final only if a view with a valid lease lacks the key. Otherwise the key may
+   * have been added again, or belongs to another organisation, and the caller may repeat the
+   * transaction.
    */
-  boolean allows(DatabaseState database, ConnectionOwner owner) {
-    return configuration()
-        .map(configuration -> identity.owner(configuration, database))
-        .filter(current -> !current.equals(Optional.of(owner)))
-        .isEmpty();
+  Optional<Refusal> refusalInTransaction(DatabaseState database, ConnectionOwner owner) {
+    LeasedView leased = context.leasedViews().read();
+    Optional<Optional<ConnectionOwner>> current =
+        leased.view().configuration().map(configuration -> identity.owner(configuration, database));
+    if (current.isEmpty() || current.get().equals(Optional.of(owner))) {
+      return Optional.empty();
+    }
+    boolean keyRemoved = current.get().isEmpty() && leased.leaseValid();
+    return Optional.of(
+        keyRemoved
+            ? new Refusal(RefusalCode.UNAUTHORIZED, "the caller's key was removed")
+            : new Refusal(RefusalCode.ABORTED, "the rights of the caller's key have changed"));
   }
 
   /**
