Refuse an operation whose organisation the holder's view lacks

What callers saw: nothing; operations of an organisation passed its limit.

Cause: operations are counted at the host whose connection runs them, by that host's view. If it lacked the organisation, which the caller's host knows (the holder's view is older, or newer and the organisation was removed), the operation began without being counted.

Evidence: OrganisationAtHolderTest.operationOfOrganisationThatHolderLacksDoesNotRun fails before: the write runs at the server.

Why the fix works: an organisation without a known limit is refused as BUSY, which promises that nothing ran; the caller repeats the operation, and by then both views have the same version.

Tests: OrganisationAtHolderTest 2, OrganisationSessionTest 7.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OperationLimiter.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/OperationLimiter.java
@@ -17,6 +17,11 @@
  * of an organisation meet at few such hosts, which request several operations at once.
  */
 final class OperationLimiter {
+  private static final Refusal UNKNOWN_ORGANISATION =
+      new Refusal(
+          RefusalCode.BUSY,
+          "this host's view does not have the caller's organisation; retry after 200 ms");
+
   private final ViewHolder views;
   private volatile OrganisationLimiter organisations = OrganisationLimiter.NONE;
 
@@ -32,7 +37,8 @@
   /**
    * Begins an operation on this host's connections. An operation over the limit waits for its
    * organisation's next token for half of the latency objective of its database, as the other half
-   * remains for its statements.
+   * remains for its statements. One of an organisation that this host's view lacks is refused, as
+   * its limit is unknown here: the host of its caller has a view of another version.
    *
    * @return a future that never fails; empty if the operation may begin, otherwise the reason why
    *     nothing ran
@@ -49,7 +55,7 @@
             organisation ->
                 organisations.begin(organisation, database.latencyObjectiveMillis() / 2))
         .map(decision -> decision.thenApply(OperationLimiter::refusal))
-        .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
+        .orElseGet(() -> CompletableFuture.completedFuture(Optional.of(UNKNOWN_ORGANISATION)));
   }
 
   private static Optional<Refusal> refusal(QuotaDecision decision) {
