--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -170,11 +170,18 @@
     }
   }
 
-  private void onView(View view) {
+  private void onView(FetchedView fetched) {
+    View view = fetched.view();
     if (holder.updateIfNewer(view)) {
       notifyIfInterrupted(view.version());
       lease.recordRunning(holder.current().version());
-      log.info("event=view-changed version={}", holder.current().version());
+      log.info(
+          "event=view-changed version={} snapshot={} deltas={} reply-bytes={} fetched-in-millis={}",
+          holder.current().version(),
+          fetched.snapshot(),
+          fetched.deltas(),
+          fetched.replyBytes(),
+          fetched.fetchMillis());
       timer.schedule(Duration.ZERO, this::heartbeat);
     }
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
@@ -9,7 +9,6 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.log.DependencyLog;
 import org.alderyard.common.time.MonotonicClock;
-import org.alderyard.common.view.View;
 import org.alderyard.protocol.generated.control.FetchViewReply;
 import org.alderyard.protocol.generated.control.FetchViewRequest;
 import org.alderyard.protocol.view.StateCodec;
@@ -44,7 +43,7 @@
   private final ViewControl control;
   private final Timer timer;
   private final MonotonicClock clock;
-  private final Consumer<View> onView;
+  private final Consumer<FetchedView> onView;
   private final BooleanSupplier behindTooLong;
   private final DependencyLog fetches = new DependencyLog(log, "view-fetch");
   // Guarded by this.
@@ -71,7 +70,7 @@
       int sourceIndex,
       Timer timer,
       MonotonicClock clock,
-      Consumer<View> onView,
+      Consumer<FetchedView> onView,
       BooleanSupplier behindTooLong) {
     this.control = control;
     this.sourceIndex = sourceIndex;
@@ -117,8 +116,9 @@
    * @param round the round of the fetch loop
    * @param index the index of the control host, if the request does not go to the leader
    * @param toLeader whether the request goes to the leader
+   * @param sentMillis when the request was sent, by the monotonic clock
    */
-  private record Attempt(long round, int index, boolean toLeader) {}
+  private record Attempt(long round, int index, boolean toLeader, long sentMillis) {}
 
   private void fetch(long ofRound) {
     Attempt attempt;
@@ -127,8 +127,8 @@
       if (closed || ofRound != round) {
         return;
       }
-      attempt = new Attempt(round, sourceIndex, needsLeader);
       sentMillis = clock.nowMillis();
+      attempt = new Attempt(round, sourceIndex, needsLeader, sentMillis);
       request = request(attempt.toLeader());
     }
     send(attempt, request)
@@ -157,7 +157,7 @@
   }
 
   private void onReply(Attempt attempt, FetchViewReply reply) {
-    if (accept(reply)) {
+    if (accept(attempt, reply)) {
       fetches.recordSuccess();
       fetchNext(attempt, attempt.index(), false, Duration.ZERO);
     } else {
@@ -195,7 +195,7 @@
   }
 
   /** Applies a reply. Returns whether to keep fetching from the same control host. */
-  private boolean accept(FetchViewReply reply) {
+  private boolean accept(Attempt attempt, FetchViewReply reply) {
     ViewFollower.Result result;
     synchronized (this) {
       result =
@@ -204,7 +204,13 @@
               : follower.accept(reply.getDeltas());
       follower = result.follower();
     }
-    onView.accept(result.follower().view());
+    onView.accept(
+        new FetchedView(
+            result.follower().view(),
+            reply.hasSnapshot(),
+            reply.getDeltas().getDeltasCount(),
+            reply.getSerializedSize(),
+            clock.nowMillis() - attempt.sentMillis()));
     switch (result.reason()) {
       case ADVANCED -> {
         return true;
