--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -205,7 +205,7 @@
                     new ControlPort(
                             host.control,
                             host.settings.clusterKey()::documentSeal,
-                            () -> fetchRedirect(address.getPort()),
+                            () -> operatorPortOfControlHost(address.getPort()),
                             host.workers,
                             host.clock,
                             host.registry)
@@ -219,10 +219,10 @@
   }
 
   /**
-   * Returns where operators read the configuration: at a control host. All hosts have the same
-   * operator port.
+   * Returns where operators read the configuration and send a large one: at a control host, the
+   * leader if it is known. Empty on a control host. All hosts have the same operator port.
    */
-  private Optional<InetSocketAddress> fetchRedirect(int operatorPort) {
+  private Optional<InetSocketAddress> operatorPortOfControlHost(int operatorPort) {
     return host.settings.roles().contains(Role.CONTROL)
         ? Optional.empty()
         : host.control
