Send a host that lags only the newest configuration

What was at stake: after a storm of large changes a host with a link of 2 Mbit/s had to receive every one of them within the time in which the last must be in force. Each delta has the whole configuration, though one route changed.

The size at which a reply is cut no longer counts configurations, so all of them share one reply. A follower applies a filtered reply as a whole or not at all: a reply that is damaged in its middle would leave it at a version whose configuration was left out.

--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewFeed.java
@@ -16,6 +16,7 @@
 import org.alderyard.common.view.View;
 import org.alderyard.common.view.ViewVersion;
 import org.alderyard.control.state.ViewChange;
+import org.alderyard.protocol.generated.state.ObjectState;
 import org.alderyard.protocol.generated.state.ViewDelta;
 import org.alderyard.protocol.view.StateCodec;
 import org.alderyard.protocol.view.ViewChain;
@@ -33,7 +34,10 @@
    */
   static final long MAX_DELTA_BYTES = 4L << 20;
 
-  /** Approximate maximum size of a reply, in bytes; a host that lags may need several replies. */
+  /**
+   * Approximate maximum size of a reply besides its configuration, in bytes; a host that lags may
+   * need several replies.
+   */
   static final int TARGET_REPLY_BYTES = 1 << 20;
 
   private static final Duration MIN_PAUSE = Duration.ofMillis(20);
@@ -177,12 +181,20 @@
     SortedMap<ViewVersion, ViewDelta> tail = deltas.tailMap(hostVersion);
     List<ViewDelta> result = new ArrayList<>();
     Iterator<ViewDelta> rest = tail.values().iterator();
-    int bytes = 0;
+    long bytes = 0;
     while (rest.hasNext() && bytes < TARGET_REPLY_BYTES) {
       ViewDelta delta = rest.next();
-      bytes += delta.getSerializedSize();
+      bytes += bytesBesidesConfigurations(delta);
       result.add(delta);
     }
     return result;
   }
+
+  /** A reply contains only the newest configuration of its deltas, however many there are. */
+  private static long bytesBesidesConfigurations(ViewDelta delta) {
+    return delta.getObjectsList().stream()
+        .filter(object -> !object.hasConfiguration())
+        .mapToLong(ObjectState::getSerializedSize)
+        .sum();
+  }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ViewService.java
@@ -88,8 +88,13 @@
   private static FetchViewReply deltas(List<ViewDelta> deltas, Set<String> groupFilter) {
     ViewDeltas.Builder sent = ViewDeltas.newBuilder();
     boolean anyFiltered = !groupFilter.isEmpty();
-    for (ViewDelta delta : deltas) {
-      StrippedObjects stripped = withoutSources(delta.getObjectsList());
+    int newestConfiguration = indexOfNewestConfiguration(deltas);
+    for (int i = 0; i < deltas.size(); i++) {
+      ViewDelta delta = deltas.get(i);
+      StrippedObjects stripped =
+          i < newestConfiguration
+              ? withoutConfigurations(delta.getObjectsList())
+              : withoutSources(delta.getObjectsList());
       anyFiltered |= stripped.changed();
       sent.addDeltas(
           groupFilter.isEmpty() && !stripped.changed()
@@ -102,6 +107,25 @@
     return FetchViewReply.newBuilder().setDeltas(sent.setFiltered(anyFiltered)).build();
   }
 
+  private static int indexOfNewestConfiguration(List<ViewDelta> deltas) {
+    for (int i = deltas.size() - 1; i >= 0; i--) {
+      if (deltas.get(i).getObjectsList().stream().anyMatch(ObjectState::hasConfiguration)) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  /**
+   * Removes configurations that a later delta of the same reply replaces. A host applies a reply as
+   * a whole, and a host that lags by some large configurations has a small link.
+   */
+  private static StrippedObjects withoutConfigurations(List<ObjectState> objects) {
+    List<ObjectState> others =
+        objects.stream().filter(object -> !object.hasConfiguration()).toList();
+    return new StrippedObjects(others, others.size() < objects.size());
+  }
+
   private record StrippedObjects(List<ObjectState> objects, boolean changed) {}
 
   /**
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewFollower.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/view/ViewFollower.java
@@ -60,7 +60,12 @@
         new ViewFollower(ViewCodec.view(snapshot), snapshotChainHash), Reason.ADVANCED);
   }
 
-  /** Applies deltas in order, up to the first one that does not continue the chain. */
+  /**
+   * Applies deltas in order, up to the first one that does not continue the chain.
+   *
+   * <p>Filtered deltas are applied all or none, as a delta may lack an object that a later one
+   * replaces.
+   */
   public Result accept(ViewDeltas deltas) {
     ViewFollower current = this;
     Reason reason = Reason.NOTHING_NEW;
@@ -70,7 +75,7 @@
         continue;
       }
       if (effect != Reason.ADVANCED) {
-        return new Result(current, effect);
+        return new Result(deltas.getFiltered() ? this : current, effect);
       }
       reason = effect;
       current = current.apply(delta);
