Compress large replies between hosts

A view with 1,400 routes and 72 organisations takes 53,035 bytes, and each change 56,155: a quarter of a second of an idle link of 2 Mbit/s, on which callers are served too. Replies from 4 KiB on are deflated if both ends have protocol version 2; peers of version 1 get them as before, so that hosts of two builds work together during a rolling restart. A message never begins with a zero byte, which marks a compressed payload. Requests are not compressed: the large ones carry encrypted sources.

A reply that many hosts wait for is compressed once.

PayloadCompressionTest: damaged payloads fail their call only; a peer of version 1 over a raw socket gets the bytes as they were.

--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/HandshakeHandler.java
@@ -1,9 +1,11 @@
 package org.alderyard.protocol.wire;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.AttributeKey;
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
@@ -31,6 +33,9 @@
   private static final String CLIENT = "client";
   private static final String SERVER = "server";
 
+  private static final AttributeKey<Integer> PROTOCOL =
+      AttributeKey.valueOf(HandshakeHandler.class, "protocol");
+
   /** The correlation ID of an error that does not belong to a request. */
   private static final long NO_REQUEST = 0;
 
@@ -139,10 +144,18 @@
       return;
     }
     ctx.pipeline().get(BoundedFrameDecoder.class).raiseLimit(ProtocolOptions.MAX_FRAME_BYTES);
+    ctx.channel()
+        .attr(PROTOCOL)
+        .set(Math.min(peerHello.getProtocolMax(), ProtocolOptions.PROTOCOL_MAX));
     ctx.pipeline().remove(this);
     handshake.complete(peer);
   }
 
+  /** Returns the protocol version of a connection whose handshake is complete. */
+  static int protocolOf(Channel channel) {
+    return channel.attr(PROTOCOL).get();
+  }
+
   private void sendProof(ChannelHandlerContext ctx) {
     byte[] hmac =
         options.clusterKey().computeProof(client ? CLIENT : SERVER, clientHello(), serverHello());
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/InnerServer.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/InnerServer.java
@@ -1,5 +1,7 @@
 package org.alderyard.protocol.wire;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.MessageLite;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -144,17 +146,19 @@
           .whenComplete((reply, failure) -> sendReply(channel, request, reply, failure));
     }
 
-    private void sendReply(
-        Channel channel,
-        Request request,
-        com.google.protobuf.MessageLite reply,
-        Throwable failure) {
+    private void sendReply(Channel channel, Request request, MessageLite reply, Throwable failure) {
       if (unanswered.decrementAndGet() < options.maxOutstanding()) {
         channel.config().setAutoRead(true);
       }
       long id = request.getCorrelationId();
       channel.writeAndFlush(
-          failure == null ? Frames.reply(id, encoding.encode(reply)) : Frames.error(id, failure));
+          failure == null ? Frames.reply(id, encode(channel, reply)) : Frames.error(id, failure));
+    }
+
+    private ByteString encode(Channel channel, MessageLite reply) {
+      return HandshakeHandler.protocolOf(channel) >= PayloadCompression.PROTOCOL
+          ? encoding.encodeCompressed(reply)
+          : encoding.encode(reply);
     }
 
     @Override
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -299,7 +299,7 @@
         case REPLY -> {
           var reply = pendingReplies.remove(frame.getReply().getCorrelationId());
           if (reply != null) {
-            reply.complete(frame.getReply().getPayload());
+            complete(reply, frame.getReply().getPayload());
           }
         }
         case ERROR -> {
@@ -315,6 +315,14 @@
       }
     }
 
+    private static void complete(CompletableFuture<ByteString> reply, ByteString payload) {
+      try {
+        reply.complete(PayloadCompression.decompress(payload));
+      } catch (AlderyardException damaged) {
+        reply.completeExceptionally(damaged);
+      }
+    }
+
     private void fail(long id, String message, Outcome outcome) {
       var reply = pendingReplies.remove(id);
       if (reply != null) {
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/ProtocolOptions.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/ProtocolOptions.java
@@ -31,7 +31,7 @@
   public static final int PROTOCOL_MIN = 1;
 
   /** The newest protocol version that this build supports. */
-  public static final int PROTOCOL_MAX = 1;
+  public static final int PROTOCOL_MAX = PayloadCompression.PROTOCOL;
 
   /** Checks that no component is null. */
   public ProtocolOptions {
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/SharedEncoding.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/SharedEncoding.java
@@ -15,6 +15,7 @@
   static final int MIN_KEPT_BYTES = 1_024;
 
   private volatile Kept kept = new Kept(null, ByteString.EMPTY);
+  private volatile Kept keptCompressed = new Kept(null, ByteString.EMPTY);
 
   /** A message, compared by identity, and its bytes. */
   private record Kept(MessageLite message, ByteString bytes) {}
@@ -31,4 +32,18 @@
     }
     return bytes;
   }
+
+  /** Returns the bytes of a message for a peer that reads compressed payloads. */
+  ByteString encodeCompressed(MessageLite message) {
+    Kept last = keptCompressed;
+    if (last.message() == message) {
+      return last.bytes();
+    }
+    ByteString bytes = encode(message);
+    ByteString compressed = PayloadCompression.compress(bytes);
+    if (bytes.size() >= MIN_KEPT_BYTES) {
+      keptCompressed = new Kept(message, compressed);
+    }
+    return compressed;
+  }
 }
