Refuse operations while a newer view is overdue

What callers would see: a route that a confirmed configuration had dropped was still served by a host whose link was too slow to receive that configuration, for as long as this took. An added route was refused as BUSY there, as it should be, since a refusal for good needs the lease; a route that the old view has was allowed without one.

A host without a lease serves what it has, so that callers go on while it is cut off from the control hosts. But a host whose heartbeats pass knows that a newer view exists. If it has lacked that view for 1.5 s and has no lease any more, it now refuses new operations with BUSY and a hint to retry after 500 ms, until it has the view.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -22,6 +22,11 @@
   private static final Logger log = LoggerFactory.getLogger(SessionAccess.class);
   private static final int MAX_LOGGED_NAME_CHARS = 64;
 
+  private static final Refusal VIEW_OVERDUE =
+      new Refusal(
+          RefusalCode.BUSY,
+          "this host has not received the newest configuration in time; retry after 500 ms");
+
   private final SessionContext context;
   private final String databaseName;
   private final CallerIdentity identity;
@@ -71,9 +76,18 @@
     }
   }
 
-  /** Decides by one view and its lease whether an operation may begin. */
+  /**
+   * Decides by one view and its lease whether an operation may begin.
+   *
+   * <p>A host that lacks a newer view for longer than a lease may hold a database that was removed
+   * or moved since, so it refuses all operations until it has that view. A host that is cut off
+   * from the control hosts knows of no newer view and goes on serving the databases that it has.
+   */
   Decision decide() {
     LeasedView leased = context.leasedViews().read();
+    if (leased.overdue()) {
+      return Decision.refuse(VIEW_OVERDUE);
+    }
     Optional<ConfigurationState> configuration = leased.view().configuration();
     Optional<DatabaseState> database = configuration.flatMap(known -> known.database(databaseName));
     if (database.isEmpty()) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LeasedView.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LeasedView.java
@@ -12,8 +12,9 @@
  *
  * @param view the view
  * @param leaseValid whether the control hosts have recently confirmed this view or an older one
+ * @param overdue whether a newer view is known to exist that this host has not received in time
  */
-public record LeasedView(View view, boolean leaseValid) {
+public record LeasedView(View view, boolean leaseValid, boolean overdue) {
 
   /** Reads the current view and its lease. Thread-safe. */
   @FunctionalInterface
@@ -28,9 +29,15 @@
      * stalls in between.
      */
     static Source of(Supplier<View> views, BooleanSupplier leaseValid) {
+      return confirmedBy(views, leaseValid::getAsBoolean);
+    }
+
+    /** Returns a source that also reads, before the view, whether a newer one is overdue. */
+    static Source confirmedBy(Supplier<View> views, ViewConfirmation confirmation) {
       return () -> {
-        boolean valid = leaseValid.getAsBoolean();
-        return new LeasedView(views.get(), valid);
+        boolean valid = confirmation.leaseValid();
+        boolean overdue = !valid && confirmation.overdue();
+        return new LeasedView(views.get(), valid, overdue);
       };
     }
   }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnknownDatabaseTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnknownDatabaseTest.java
@@ -44,4 +44,21 @@
 
     assertThat(host.service.refusal(SessionFixture.BOUNDED, CallerIdentity.ANONYMOUS)).isEmpty();
   }
+
+  /** A host whose link was too slow for a change went on serving a route that it dropped. */
+  @Test
+  void hostThatLacksNewerViewServesNoDatabase() {
+    SessionFixture.Caller open = host.caller(SessionFixture.BOUNDED);
+    assertThat(open.read("a").succeeded()).isTrue();
+    host.viewConfirmed = false;
+    host.viewOverdue = true;
+
+    assertThat(host.service.refusal(SessionFixture.BOUNDED, CallerIdentity.ANONYMOUS)).isPresent();
+    assertThat(open.read("a").refusedWith(RefusalCode.BUSY)).isTrue();
+    assertThat(refusalCode()).isEqualTo(RefusalCode.BUSY);
+
+    host.viewConfirmed = true;
+    host.viewOverdue = false;
+    assertThat(open.read("a").succeeded()).isTrue();
+  }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
@@ -137,4 +137,31 @@
     assertThat(control.pending()).hasSize(1);
     assertThat(control.pending().get(0).index()).isEqualTo(SOURCE);
   }
+
+  /** A host that is slow to fetch a newer view acted on the old one without any bound. */
+  @Test
+  void viewIsOverdueOnceTheLeaseEndsWhileNewerOneIsKnown() {
+    nameVersionTwo();
+    timer.advance(FakeViewControl.LEASE_MILLIS - HEARTBEAT_INTERVAL_MILLIS - 1);
+    assertThat(client.overdue()).isFalse();
+
+    timer.advance(1);
+    assertThat(client.leaseValid()).isFalse();
+    assertThat(client.overdue()).isTrue();
+
+    control.confirm(2);
+    control.pendingAtLeader().get(0).reply().complete(control.change(2));
+    timer.advance(0);
+    control.confirm(2);
+    assertThat(client.overdue()).isFalse();
+  }
+
+  /** A host that is cut off goes on serving: it knows of no newer view. */
+  @Test
+  void viewIsNotOverdueWhileNoNewerOneIsKnown() {
+    timer.advance(FakeViewControl.LEASE_MILLIS);
+
+    assertThat(client.leaseValid()).isFalse();
+    assertThat(client.overdue()).isFalse();
+  }
 }
