Keep one rule for hosts that lack the newest view

The gate took a host for cut off 2 s after the last reply of the control hosts, which is before its lease of 3 s ends: on a slow link, where the replies wait behind the view, it would have opened as soon as it was needed. The check had no such end.

Change: the gate stays, and counts a host as within reach for 6 s after the last reply. The check and its interface are taken out; its three tests now ask the gate, with the same expectations. One test more holds the replies back for 4 s while a newer version is known.

The new test was not run with the former constant. Conclusion: a host that knows of a newer version serves nothing by its old one between the end of its lease and 6 s after the last reply.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -83,7 +83,7 @@
             host.clock,
             host.wallClock,
             host.registry,
-            host.viewClient,
+            host.viewClient::leaseValid,
             new SessionLimits(
                     options.maxSessions(),
                     host.settings.roles().contains(Role.CONTROL)
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -23,11 +23,6 @@
   private static final Logger log = LoggerFactory.getLogger(SessionAccess.class);
   private static final int MAX_LOGGED_NAME_CHARS = 64;
 
-  private static final Refusal VIEW_OVERDUE =
-      new Refusal(
-          RefusalCode.BUSY,
-          "this host has not received the newest configuration in time; retry after 500 ms");
-
   private final SessionContext context;
   private final String databaseName;
   private final CallerIdentity identity;
@@ -94,9 +89,6 @@
   Decision decide() {
     long now = context.clock().nowNanos();
     LeasedView leased = context.leasedViews().read();
-    if (leased.overdue()) {
-      return Decision.refuse(VIEW_OVERDUE);
-    }
     Optional<ConfigurationState> configuration = leased.view().configuration();
     Optional<DatabaseState> database = configuration.flatMap(known -> known.database(databaseName));
     if (database.isEmpty()) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionService.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.alderyard.backend.session.Refusal;
 import org.alderyard.backend.session.RefusalCode;
 import org.alderyard.backend.session.SessionConnector;
@@ -35,7 +36,6 @@
 import org.alderyard.proxy.serverhealth.HealthOptions;
 import org.alderyard.proxy.view.HeartbeatExtension;
 import org.alderyard.proxy.view.LeasedView;
-import org.alderyard.proxy.view.ViewConfirmation;
 import org.alderyard.proxy.view.ViewGate;
 import org.alderyard.proxy.view.ViewHolder;
 
@@ -68,7 +68,7 @@
    * Creates a service without sessions.
    *
    * @param zone the availability zone of this host
-   * @param viewConfirmed whether the control hosts confirm this host's view
+   * @param viewConfirmed whether the control hosts have recently confirmed this host's view
    * @param startLog records the stages up to the first statement
    */
   public SessionService(
@@ -80,7 +80,7 @@
       MonotonicClock clock,
       InstantSource wallClock,
       PrometheusRegistry registry,
-      ViewConfirmation viewConfirmed,
+      BooleanSupplier viewConfirmed,
       SessionLimits limits,
       StartLog startLog) {
     ConnectionPools<PooledSession> pools =
@@ -107,7 +107,7 @@
             clock,
             wallClock,
             metrics,
-            LeasedView.Source.confirmedBy(views::current, viewConfirmed),
+            LeasedView.Source.of(views::current, viewConfirmed),
             new OperationGate(),
             new LogSampler(limits.routineLogSample()),
             new LogLimiter(MAX_REFUSAL_LINES_PER_SECOND),
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LateHostGate.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LateHostGate.java
@@ -39,8 +39,12 @@
   /** Time that a host which ran late has to reach the leader, before it counts as cut off. */
   private static final long MAX_UNSETTLED_MILLIS = 1_000;
 
-  /** Age up to which a reply shows that the control hosts can be reached. */
-  private static final long MAX_CONTACT_AGE_MILLIS = 2_000;
+  /**
+   * Time after the last reply in which a host that lacks a version may have a path to the control
+   * hosts: replies wait behind the view on a slow link. Longer than the lease, which that reply may
+   * have granted.
+   */
+  static final long MAX_CONTACT_AGE_MILLIS = 6_000;
 
   /** Time after the first view, which a quorum has confirmed, in which no lease is needed. */
   private static final long START_MILLIS = 2_000;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LeasedView.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LeasedView.java
@@ -12,9 +12,8 @@
  *
  * @param view the view
  * @param leaseValid whether the control hosts have recently confirmed this view or an older one
- * @param overdue whether a newer view is known to exist that this host has not received in time
  */
-public record LeasedView(View view, boolean leaseValid, boolean overdue) {
+public record LeasedView(View view, boolean leaseValid) {
 
   /** Reads the current view and its lease. Thread-safe. */
   @FunctionalInterface
@@ -29,15 +28,9 @@
      * stalls in between.
      */
     static Source of(Supplier<View> views, BooleanSupplier leaseValid) {
-      return confirmedBy(views, leaseValid::getAsBoolean);
-    }
-
-    /** Returns a source that also reads, before the view, whether a newer one is overdue. */
-    static Source confirmedBy(Supplier<View> views, ViewConfirmation confirmation) {
       return () -> {
-        boolean valid = confirmation.leaseValid();
-        boolean overdue = !valid && confirmation.overdue();
-        return new LeasedView(views.get(), valid, overdue);
+        boolean valid = leaseValid.getAsBoolean();
+        return new LeasedView(views.get(), valid);
       };
     }
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -29,7 +29,7 @@
  * <p>Deltas are fetched by long polling from any control host. Heartbeats go to the leader, whose
  * reply confirms the newest version and thereby extends the view lease.
  */
-public final class ViewClient implements ViewConfirmation, AutoCloseable {
+public final class ViewClient implements AutoCloseable {
   private static final Logger log = LoggerFactory.getLogger(ViewClient.class);
   private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(750);
   private static final long LEAVE_TIMEOUT_MILLIS = 300;
@@ -131,7 +131,6 @@
   }
 
   /** Returns whether the view lease is valid, so that this host may act on its view. */
-  @Override
   public boolean leaseValid() {
     HostTime now = now();
     boolean valid = lease.valid(now);
@@ -150,11 +149,6 @@
     return lease.behindMillis(clock.nowMillis()).isPresent();
   }
 
-  @Override
-  public boolean overdue() {
-    return lease.overdue(now());
-  }
-
   /**
    * Sends a heartbeat now, so that a host which ran late, or whose clock was set forward, refuses
    * no more than what arrives until the reply. Sent once until the lease is valid again.
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
@@ -17,12 +17,6 @@
  * while the host is suspended, and the time of day may be set back.
  */
 final class ViewLease {
-  /**
-   * Time for which a host that lags is not overdue, in milliseconds. Any host lags for some time
-   * while views change often or after its start.
-   */
-  static final long MAX_BEHIND_MILLIS = 1_500;
-
   private Optional<Grant> grant = Optional.empty();
   private ViewVersion running = ViewVersion.NONE;
   // The version that a reply confirmed and this host does not run yet, the lease that the version
@@ -124,16 +118,6 @@
     return !endedByTimeOfDayOnly(now) || newest.compareTo(running) > 0;
   }
 
-  /**
-   * Returns whether this host has neither the newer version that it knows of nor a lease. What it
-   * runs may have been replaced longer ago than the duration of a lease.
-   */
-  synchronized boolean overdue(HostTime now) {
-    return behind()
-        && now.monotonicMillis() - behindSinceMillis >= MAX_BEHIND_MILLIS
-        && !valid(now);
-  }
-
   /** Returns for how long a newer version has been known but not received; empty if none. */
   synchronized OptionalLong behindMillis(long nowMillis) {
     return behind() ? OptionalLong.of(nowMillis - behindSinceMillis) : OptionalLong.empty();
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/SessionFixture.java
@@ -44,7 +44,6 @@
 import org.alderyard.common.view.ViewVersion;
 import org.alderyard.proxy.admission.AdmissionMode;
 import org.alderyard.proxy.pool.ConnectionAllowance;
-import org.alderyard.proxy.view.ViewConfirmation;
 import org.alderyard.proxy.view.ViewHolder;
 import org.alderyard.testkit.session.ModelGroup;
 
@@ -67,7 +66,6 @@
   private final AtomicLong advancedMillis = new AtomicLong();
   private final MonotonicClock clock = this::readClock;
   volatile boolean viewConfirmed = true;
-  volatile boolean viewOverdue;
 
   /** Runs each time the clock is read, before the time is returned. */
   volatile Runnable onClockRead = () -> {};
@@ -119,17 +117,7 @@
             clock,
             () -> Instant.ofEpochMilli(clock.nowMillis()),
             new PrometheusRegistry(),
-            new ViewConfirmation() {
-              @Override
-              public boolean leaseValid() {
-                return readLease();
-              }
-
-              @Override
-              public boolean overdue() {
-                return viewOverdue;
-              }
-            },
+            this::readLease,
             new SessionLimits(100, servingDelay, 1, StartOpenings.WAIT).withAdmission(admission),
             new StartLog());
     publish("s1", group.states());
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnknownDatabaseTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/UnknownDatabaseTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.concurrent.CompletableFuture;
 import org.alderyard.backend.session.RefusalCode;
+import org.alderyard.proxy.view.ViewGate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -51,14 +53,15 @@
     SessionFixture.Caller open = host.caller(SessionFixture.BOUNDED);
     assertThat(open.read("a").succeeded()).isTrue();
     host.viewConfirmed = false;
-    host.viewOverdue = true;
+    host.service.holdOperations(() -> CompletableFuture.completedFuture(false));
 
-    assertThat(host.service.refusal(SessionFixture.BOUNDED, CallerIdentity.ANONYMOUS)).isPresent();
+    assertThat(host.service.admission(SessionFixture.BOUNDED, CallerIdentity.ANONYMOUS).join())
+        .isPresent();
     assertThat(open.read("a").refusedWith(RefusalCode.BUSY)).isTrue();
     assertThat(refusalCode()).isEqualTo(RefusalCode.BUSY);
 
     host.viewConfirmed = true;
-    host.viewOverdue = false;
+    host.service.holdOperations(ViewGate.OPEN);
     assertThat(open.read("a").succeeded()).isTrue();
   }
 }
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/LateHostGateTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/LateHostGateTest.java
@@ -116,6 +116,19 @@
     assertThat(passed.join()).isFalse();
   }
 
+  /** On a slow link the heartbeats wait behind the view that the host lacks. */
+  @Test
+  void operationIsHeldWhileRepliesWaitBehindTheVersion() {
+    timer.advance(HEARTBEAT_INTERVAL_MILLIS);
+    control.confirm(2);
+    runCutOff(PAUSE_MILLIS);
+    assertThat(client.leaseValid()).isFalse();
+    assertThat(client.gate().pass().isDone()).isFalse();
+
+    runCutOff((int) LateHostGate.MAX_CONTACT_AGE_MILLIS);
+    assertThat(passesAtOnce()).isTrue();
+  }
+
   @Test
   void hostThatSuspensionMadeLateHoldsOperations() {
     timer.stepWallClock(PAUSE_MILLIS);
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.HostId;
@@ -140,28 +141,30 @@
 
   /** A host that is slow to fetch a newer view acted on the old one without any bound. */
   @Test
-  void viewIsOverdueOnceTheLeaseEndsWhileNewerOneIsKnown() {
+  void operationsAreHeldOnceTheLeaseEndsWhileNewerViewIsKnown() {
     nameVersionTwo();
     timer.advance(FakeViewControl.LEASE_MILLIS - HEARTBEAT_INTERVAL_MILLIS - 1);
-    assertThat(client.overdue()).isFalse();
+    assertThat(client.gate().pass().join()).isTrue();
 
     timer.advance(1);
     assertThat(client.leaseValid()).isFalse();
-    assertThat(client.overdue()).isTrue();
+    CompletableFuture<Boolean> held = client.gate().pass();
+    timer.advance(LateHostGate.MAX_WAIT_MILLIS);
+    assertThat(held.join()).isFalse();
 
     control.confirm(2);
     control.pendingAtLeader().get(0).reply().complete(control.change(2));
     timer.advance(0);
     control.confirm(2);
-    assertThat(client.overdue()).isFalse();
+    assertThat(client.gate().pass().join()).isTrue();
   }
 
   /** A host that is cut off goes on serving: it knows of no newer view. */
   @Test
-  void viewIsNotOverdueWhileNoNewerOneIsKnown() {
+  void operationsAreNotHeldWhileNoNewerViewIsKnown() {
     timer.advance(FakeViewControl.LEASE_MILLIS);
 
     assertThat(client.leaseValid()).isFalse();
-    assertThat(client.overdue()).isFalse();
+    assertThat(client.gate().pass().join()).isTrue();
   }
 }
