Refuse a server with an odd id that leaves before anything is proposed

What callers saw: a deregistration under the id "a b" was committed to the control log, at which all control hosts ended. With a log that refuses the entry, the server would get 503 in place of a verdict and repeat its call for ever, as ControlPort answers each failure of a control host with 503.

Cause: ControlPort.deregister passed the id of the path on unchecked, and RegistryService.announce checked the servers that announce themselves, not those that end.

RegistryService checks all names of a request first, so that a request with one odd name has no partial effect.

--- a/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
@@ -70,10 +70,12 @@
    */
   CompletableFuture<AnnounceReply> announce(AnnounceRequest request) {
     long receivedMillis = clock.nowMillis();
-    // Rejects invalid names before any command is proposed.
+    // Rejects invalid names before any command is proposed, so that a request has no partial
+    // effect.
     request
         .getAnnouncementsList()
         .forEach(announcement -> StateCodec.server(announcement.getServer()));
+    request.getEndedList().forEach(ended -> new ServerId(ended.getServer()));
     return controlLog.readBarrier().thenCompose(done -> announce(request, receivedMillis));
   }
 
