Refuse configurations with names that no host can carry out

What callers saw: a configuration with a service "a b" or of 129 characters got 200 from the checks and ended all control hosts; with a log that refuses the entry the operator would get 503 for ever. A database "a b" got 200 and could never be opened.

Cause: ConfigurationValidator, which the receiving host and the leader run, checked that names are unique and checked no name itself.

Group ids follow the rule of all names ([A-Za-z0-9._:-], 1 to 128 characters), since a host can't build its view from another one. A database name must not contain a blank or the end of a line: callers send it as one word of a line. Everything else that was accepted is accepted still, also tabs, other scripts and long database names; scopes are compared only. The operator gets 422 CONFIGURATION_INVALID with each fault.

Mixed builds: a host of an earlier build forwards such a configuration, and its operator gets 503 NO_QUORUM or the like, as that host takes each refusal of the leader for a failure; the next host that is updated answers 422.

--- a/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationValidator.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationValidator.java
@@ -7,6 +7,7 @@
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.error.FieldFault;
+import org.alderyard.common.id.GroupId;
 import org.alderyard.control.log.ReplicatedLogOptions;
 import org.alderyard.protocol.generated.state.Configuration;
 import org.alderyard.protocol.generated.state.Database;
@@ -60,9 +61,13 @@
     }
     Set<String> groups = new HashSet<>();
     for (GroupLimits group : configuration.getGroupsList()) {
-      if (!groups.add(group.getId())) {
+      String object = "group/" + group.getId();
+      if (!isGroupId(group.getId())) {
         faults.add(
-            new FieldFault("group/" + group.getId(), "id", group.getId(), "a unique group id"));
+            new FieldFault(object, "id", group.getId(), "1 to 128 characters of [A-Za-z0-9._:-]"));
+      }
+      if (!groups.add(group.getId())) {
+        faults.add(new FieldFault(object, "id", group.getId(), "a unique group id"));
       }
     }
     Set<String> namesWithScope = new HashSet<>();
@@ -73,11 +78,27 @@
     return faults;
   }
 
+  private static boolean isGroupId(String id) {
+    try {
+      new GroupId(id);
+      return true;
+    } catch (AlderyardException invalid) {
+      return false;
+    }
+  }
+
+  /** Returns whether a caller can send a name as one word when it opens a session. */
+  private static boolean isWord(String name) {
+    return !name.isEmpty() && name.chars().noneMatch(c -> c == ' ' || c == '\r' || c == '\n');
+  }
+
   private static void checkDatabase(
       Database database, Set<String> groups, Set<String> namesWithScope, List<FieldFault> faults) {
     String object = "database/" + database.getName();
-    if (database.getName().isEmpty()) {
-      faults.add(new FieldFault(object, "name", "", "a name"));
+    if (!isWord(database.getName())) {
+      faults.add(
+          new FieldFault(
+              object, "name", database.getName(), "a word without blanks and line ends"));
     }
     if (!groups.contains(database.getGroup())) {
       faults.add(
