Follow the views after one that can't be read or acted on

What callers saw: a host that received one view that it could not read, or of which one part of it failed, fetched no view any more until it was restarted, and its lease ended: 503 to everything. After one heartbeat whose reply could not be processed, or that could not be built, it sent none again. Neither was logged.

Cause: ViewFetcher fetched next at the end of a callback of a future, which keeps an exception to itself; a failure to send ended the loop too. ViewClient cleared heartbeatInFlight at the end of such a callback. ViewHolder passed a view to its listeners up to the first that failed.

What changes: the loops go on after any exception or Error. A view that can't be read is logged (view-unreadable, view-readable once it is over) and counted (alderyard_views_unreadable_total); the next control host is asked after 100 ms, doubled up to 1.6 s, as the reply may be a whole view. The host keeps its view, so its lease ends as before: it never acts on a part of a view. A failing listener is logged and counted (alderyard_view_listener_failures_total) and keeps the view from no other. A lapse listener that fails keeps the lease from being renewed as before, and is called again with the next reply.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -1,5 +1,6 @@
 package org.alderyard.daemon;
 
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
@@ -145,6 +146,20 @@
             settings.roles().contains(Role.CONTROL),
             false);
     viewClient = new ViewClient(control, self, views, controlWorkers, clock, wallClock);
+    registerViewCounters();
+  }
+
+  private void registerViewCounters() {
+    CounterWithCallback.builder()
+        .name("alderyard_views_unreadable_total")
+        .help("Replies of control hosts whose view could not be read.")
+        .callback(callback -> callback.call(viewClient.unreadableViews()))
+        .register(registry);
+    CounterWithCallback.builder()
+        .name("alderyard_view_listener_failures_total")
+        .help("Failures of a part of this host to take over a view.")
+        .callback(callback -> callback.call(views.failedListeners()))
+        .register(registry);
   }
 
   private List<InetSocketAddress> initialControlHosts() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -171,7 +171,9 @@
   }
 
   private void onView(View view) {
-    if (holder.updateIfNewer(view)) {
+    boolean replaced = holder.updateIfNewer(view);
+    // Also repeats what a failed listener kept from being recorded.
+    if (replaced || lease.lagsBehind(holder.current().version())) {
       notifyIfInterrupted(view.version());
       lease.recordRunning(holder.current().version());
       log.info("event=view-changed version={}", holder.current().version());
@@ -217,19 +219,35 @@
   }
 
   private void onHeartbeatReply(HostTime sent, HeartbeatReply reply, Throwable failure) {
+    try {
+      processReply(sent, reply, failure);
+    } catch (RuntimeException | Error unprocessed) {
+      log.error("event=heartbeat-reply-failed", unprocessed);
+    } finally {
+      endHeartbeat();
+    }
     if (failure == null) {
-      heartbeats.recordSuccess();
-      ViewVersion current = StateCodec.version(reply.getCurrent());
-      notifyIfInterrupted(current);
-      lease.recordConfirmation(current, sent, reply.getLeaseMillis(), now());
-      if (lease.valid(now())) {
-        renewing.set(false);
-        leaseConfirmedListeners.forEach(Runnable::run);
-      }
-      overtakeIfStillBehind();
-    } else {
+      extension.onReply(reply);
+    }
+  }
+
+  private void processReply(HostTime sent, HeartbeatReply reply, Throwable failure) {
+    if (failure != null) {
       heartbeats.recordFailure(Futures.toAlderyardException(failure));
+      return;
+    }
+    heartbeats.recordSuccess();
+    ViewVersion current = StateCodec.version(reply.getCurrent());
+    notifyIfInterrupted(current);
+    lease.recordConfirmation(current, sent, reply.getLeaseMillis(), now());
+    if (lease.valid(now())) {
+      renewing.set(false);
+      leaseConfirmedListeners.forEach(Runnable::run);
     }
+    overtakeIfStillBehind();
+  }
+
+  private void endHeartbeat() {
     boolean sendAnother;
     synchronized (lock) {
       heartbeatInFlight = false;
@@ -238,9 +256,6 @@
     if (sendAnother) {
       timer.schedule(Duration.ZERO, this::heartbeat);
     }
-    if (failure == null) {
-      extension.onReply(reply);
-    }
   }
 
   /** Fetches from the leader unless the fetch in flight brings the overdue version in time. */
@@ -264,10 +279,20 @@
             .setHost(StateCodec.hostMessage(self))
             .setRunning(StateCodec.versionMessage(holder.current().version()))
             .setLeaving(leaving);
-    if (!leaving) {
-      extension.addTo(request);
+    try {
+      if (!leaving) {
+        extension.addTo(request);
+      }
+      return control.heartbeat(request.build());
+    } catch (RuntimeException | Error failure) {
+      // Completes the heartbeat, which would count as in flight otherwise.
+      return CompletableFuture.failedFuture(failure);
     }
-    return control.heartbeat(request.build());
+  }
+
+  /** Returns the number of received views that could not be read. */
+  public long unreadableViews() {
+    return fetcher.unreadableViews();
   }
 
   @Override
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewFetcher.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.alderyard.common.concurrent.Futures;
@@ -10,6 +11,7 @@
 import org.alderyard.common.log.DependencyLog;
 import org.alderyard.common.time.MonotonicClock;
 import org.alderyard.common.view.View;
+import org.alderyard.common.view.ViewVersion;
 import org.alderyard.protocol.generated.control.FetchViewReply;
 import org.alderyard.protocol.generated.control.FetchViewRequest;
 import org.alderyard.protocol.view.StateCodec;
@@ -35,6 +37,9 @@
 
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
+  /** Bounds the delay after replies that can't be read to 1.6 s. */
+  private static final int MAX_DOUBLINGS = 4;
+
   /**
    * Age at which a fetch may be overtaken. A fetch that is younger is left alone, as updates arrive
    * late, but do arrive, when the control hosts are overloaded.
@@ -55,9 +60,11 @@
   // a whole view.
   private boolean needsLeader;
   private long sentMillis;
+  private int unreadableInRow;
   // Number of fetches that were overtaken; only the loop of the last round goes on.
   private long round;
   private volatile boolean closed;
+  private final LongAdder unreadableViews = new LongAdder();
 
   /**
    * Creates a fetcher that sends nothing until {@link #start()}.
@@ -142,6 +149,7 @@
             });
   }
 
+  /** Sends a request; a failure to send it completes the future, so that the loop goes on. */
   private FetchViewRequest request(boolean toLeader) {
     return FetchViewRequest.newBuilder()
         .setRunning(StateCodec.versionMessage(follower.view().version()))
@@ -151,13 +159,25 @@
   }
 
   private CompletableFuture<FetchViewReply> send(Attempt attempt, FetchViewRequest request) {
-    return attempt.toLeader()
-        ? control.fetchFromLeader(request)
-        : control.fetch(attempt.index(), request);
+    try {
+      return attempt.toLeader()
+          ? control.fetchFromLeader(request)
+          : control.fetch(attempt.index(), request);
+    } catch (RuntimeException | Error failure) {
+      return CompletableFuture.failedFuture(failure);
+    }
   }
 
   private void onReply(Attempt attempt, FetchViewReply reply) {
-    if (accept(reply)) {
+    boolean accepted;
+    try {
+      accepted = accept(reply);
+    } catch (RuntimeException | Error unreadable) {
+      onUnreadable(attempt, reply, unreadable);
+      return;
+    }
+    endUnreadable();
+    if (accepted) {
       fetches.recordSuccess();
       fetchNext(attempt, attempt.index(), false, Duration.ZERO);
     } else {
@@ -165,6 +185,39 @@
     }
   }
 
+  /**
+   * Asks another control host. The view stays as it is, and its lease ends unless a host sends a
+   * view that can be read. The delay grows, as such a reply may hold a whole view.
+   */
+  private void onUnreadable(Attempt attempt, FetchViewReply reply, Throwable reason) {
+    int failures;
+    synchronized (this) {
+      unreadableInRow++;
+      failures = unreadableInRow;
+    }
+    unreadableViews.increment();
+    log.error(
+        "event=view-unreadable source={} version={} bytes={} failures={}",
+        attempt.toLeader() ? "leader" : attempt.index(),
+        runningVersion(),
+        reply.getSerializedSize(),
+        failures,
+        reason);
+    Duration delay = RETRY_DELAY.multipliedBy(1L << Math.min(failures - 1, MAX_DOUBLINGS));
+    fetchNext(attempt, attempt.index() + 1, false, delay);
+  }
+
+  private void endUnreadable() {
+    int failures;
+    synchronized (this) {
+      failures = unreadableInRow;
+      unreadableInRow = 0;
+    }
+    if (failures > 0) {
+      log.info("event=view-readable version={} failures={}", runningVersion(), failures);
+    }
+  }
+
   private void onFailure(Attempt attempt, Throwable failure) {
     if (isOvertaken(attempt)) {
       return;
@@ -194,6 +247,15 @@
     timer.schedule(delay, () -> fetch(previous.round()));
   }
 
+  private synchronized ViewVersion runningVersion() {
+    return follower.view().version();
+  }
+
+  /** Returns the number of replies whose view could not be read. */
+  long unreadableViews() {
+    return unreadableViews.sum();
+  }
+
   /** Applies a reply. Returns whether to keep fetching from the same control host. */
   private boolean accept(FetchViewReply reply) {
     ViewFollower.Result result;
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewHolder.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewHolder.java
@@ -2,13 +2,19 @@
 
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import org.alderyard.common.view.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Holds the current view of this process. Its version only increases. Thread-safe. */
 public final class ViewHolder {
+  private static final Logger log = LoggerFactory.getLogger(ViewHolder.class);
+
   private volatile View current = View.EMPTY;
   private final List<Consumer<View>> listeners = new CopyOnWriteArrayList<>();
+  private final LongAdder failedListeners = new LongAdder();
 
   /** Returns the current view, which is {@link View#EMPTY} before the first one is received. */
   public View current() {
@@ -34,7 +40,22 @@
       return false;
     }
     current = next;
-    listeners.forEach(listener -> listener.accept(next));
+    listeners.forEach(listener -> notify(listener, next));
     return true;
   }
+
+  /** A listener that fails, also with an {@link Error}, must not keep the view from the others. */
+  private void notify(Consumer<View> listener, View next) {
+    try {
+      listener.accept(next);
+    } catch (RuntimeException | Error failure) {
+      failedListeners.increment();
+      log.error("event=view-listener-failed version={}", next.version(), failure);
+    }
+  }
+
+  /** Returns how often a listener failed with a view. */
+  public long failedListeners() {
+    return failedListeners.sum();
+  }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
@@ -82,6 +82,11 @@
     }
   }
 
+  /** Returns whether the version that was recorded last is older than the given one. */
+  synchronized boolean lagsBehind(ViewVersion version) {
+    return version.compareTo(running) > 0;
+  }
+
   private boolean behind() {
     return pending.compareTo(running) > 0;
   }
