Answer a request whose handler ends with an Error

A StackOverflowError or a full heap in a handler left the request without a reply: Dispatcher caught RuntimeException only, and InnerServer counts requests without a reply. Each one held its place for good, and with the last place the connection was no longer read.

Evidence: DispatcherTest.errorOfHandlerIsAnswered failed before with the StackOverflowError itself, and passes.

--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/Dispatcher.java
@@ -60,7 +60,8 @@
     }
     try {
       return handler.handle(peer, payload);
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
+      // Also an Error is answered: a request without a reply holds its place on the connection.
       return CompletableFuture.failedFuture(failure);
     }
   }
--- a/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/DispatcherTest.java
+++ b/alderyard-protocol/src/test/java/org/alderyard/protocol/wire/DispatcherTest.java
@@ -49,6 +49,20 @@
     assertThat(dispatcher.runsOnNetworkThread(ControlMethods.ANNOUNCE.number())).isFalse();
   }
 
+  /** Guards against a request without a reply, which holds its place on the connection for good. */
+  @Test
+  void errorOfHandlerIsAnswered() {
+    dispatcher.serve(
+        ControlMethods.STATUS,
+        (peer, request) -> {
+          throw new StackOverflowError("handler of the test");
+        });
+
+    AlderyardException failure = failure(ControlMethods.STATUS.number(), ByteString.EMPTY);
+
+    assertThat(failure.code()).isEqualTo(ErrorCode.INTERNAL);
+  }
+
   @Test
   void unservedMethodIsNotFaultOfTheRequest() {
     AlderyardException failure = failure(UNSERVED_METHOD, ByteString.EMPTY);
