Hold statements of transactions with a key on a host that ran late

What callers saw: a statement or commit of an open transaction ran with a key that had been removed longer than the bound before.

A statement of an open transaction looks its key up in the current view, however old that is on a host that stood still.

Evidence: LateHostSessionTest.statementOfTransactionWithTakenKeyDoesNotRun and .transactionWithTakenKeyDoesNotCommit fail before (2 of 8).

Why the fix works: the check passes the same gate before it reads lease and view. A transaction that is held too long ends as ABORTED, which promises that nothing is kept. Callers without a key are not held: nothing can be taken from them, and a transaction keeps its database.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -227,20 +227,29 @@
       rollBack();
       return refuse(RefusalCode.ABORTED, "the transaction was rolled back", TransactionState.NONE);
     }
-    if (access.refusalInTransaction(open.get().database(), open.get().owner()).isPresent()) {
-      rollBack();
-      return refuse(RefusalCode.ABORTED, "the caller's key was removed", TransactionState.NONE);
-    }
+    return access
+        .refusalInTransactionByCurrentView(open.get().database(), open.get().owner())
+        .thenCompose(
+            refusal ->
+                refusal.isPresent() ? refuseCommit(refusal.get()) : runCommit(id, open.get()));
+  }
+
+  private CompletableFuture<SessionReply> refuseCommit(Refusal refusal) {
+    rollBack();
+    return refuse(RefusalCode.ABORTED, refusal.text(), TransactionState.NONE);
+  }
+
+  private CompletableFuture<SessionReply> runCommit(String id, OpenTransaction open) {
     StatementTask task =
         task(
             SessionRequest.of(id, new Commit()),
             StatementKind.READ,
             true,
             Optional.empty(),
-            open.get().database(),
-            open.get().owner(),
+            open.database(),
+            open.owner(),
             access.lookup());
-    return run(open.get(), task);
+    return run(open, task);
   }
 
   private CompletableFuture<SessionReply> runOnServer(String id, SessionStatement statement) {
@@ -366,12 +375,21 @@
           "the transaction was rolled back because it was idle for too long",
           TransactionState.FAILED);
     }
-    Optional<Refusal> refusal =
-        access.refusalInTransaction(open.get().database(), open.get().owner());
-    if (refusal.isPresent()) {
-      return refuse(refusal.get().code(), refusal.get().text(), TransactionState.FAILED);
-    }
-    if (open.get().readOnly() && kind == StatementKind.WRITE) {
+    return access
+        .refusalInTransactionByCurrentView(open.get().database(), open.get().owner())
+        .thenCompose(
+            refusal ->
+                refusal
+                    .map(refused -> refuse(refused.code(), refused.text(), TransactionState.FAILED))
+                    .orElseGet(() -> runAllowed(open.get(), request, kind, preparedStatement)));
+  }
+
+  private CompletableFuture<SessionReply> runAllowed(
+      OpenTransaction open,
+      SessionRequest request,
+      StatementKind kind,
+      Optional<Prepare> preparedStatement) {
+    if (open.readOnly() && kind == StatementKind.WRITE) {
       return refuse(
           RefusalCode.NOT_PRIMARY, "the transaction is read-only", TransactionState.FAILED);
     }
@@ -381,10 +399,10 @@
             kind,
             false,
             preparedStatement,
-            open.get().database(),
-            open.get().owner(),
+            open.database(),
+            open.owner(),
             access.lookup());
-    return run(open.get(), task);
+    return run(open, task);
   }
 
   /**
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/SessionAccess.java
@@ -143,6 +143,26 @@
     return new ViewLookup(context.views().current().version(), context.clock().nowNanos());
   }
 
+  /**
+   * Returns why a statement of an open transaction may not run, once this host can tell that its
+   * view is current. Callers without a key are not held, as nothing can be taken from them.
+   *
+   * @return a future that never fails; empty if the statement may run
+   */
+  CompletableFuture<Optional<Refusal>> refusalInTransactionByCurrentView(
+      DatabaseState database, ConnectionOwner owner) {
+    if (!owner.isOrganisation()) {
+      return CompletableFuture.completedFuture(refusalInTransaction(database, owner));
+    }
+    return context
+        .gate()
+        .pass()
+        .thenApply(
+            held ->
+                held.map(refusal -> new Refusal(RefusalCode.ABORTED, refusal.text()))
+                    .or(() -> refusalInTransaction(database, owner)));
+  }
+
   /**
    * Returns why the statements of an open transaction may no longer run. The transaction keeps the
    * database that it began with, but not the rights of a removed key.
@@ -151,7 +171,7 @@
    * have been added again, or belongs to another organisation, and the caller may repeat the
    * transaction.
    */
-  Optional<Refusal> refusalInTransaction(DatabaseState database, ConnectionOwner owner) {
+  private Optional<Refusal> refusalInTransaction(DatabaseState database, ConnectionOwner owner) {
     LeasedView leased = context.leasedViews().read();
     Optional<Optional<ConnectionOwner>> current =
         leased.view().configuration().map(configuration -> identity.owner(configuration, database));
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/LateHostSessionTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/LateHostSessionTest.java
@@ -10,6 +10,7 @@
 import org.alderyard.backend.session.SessionReply;
 import org.alderyard.backend.session.SessionStatement;
 import org.alderyard.backend.session.SessionStatement.Begin;
+import org.alderyard.backend.session.SessionStatement.Commit;
 import org.alderyard.backend.session.SessionStatement.Write;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -93,6 +94,34 @@
         .hasValue(RefusalCode.UNKNOWN_DATABASE);
   }
 
+  private SessionFixture.Caller transactionOfTakenKey() {
+    settle();
+    SessionFixture.Caller caller = host.caller(SessionFixture.NEWEST, "taken");
+    assertThat(caller.begin().succeeded()).isTrue();
+    assertThat(caller.write("x", "1").succeeded()).isTrue();
+    settled = new CompletableFuture<>();
+    host.viewConfirmed = false;
+    return caller;
+  }
+
+  @Test
+  void statementOfTransactionWithTakenKeyDoesNotRun() throws Exception {
+    CompletableFuture<SessionReply> reply = transactionOfTakenKey().send(new Write("y", "1"));
+    takeKey();
+
+    assertThat(await(reply).refusedWith(RefusalCode.UNAUTHORIZED)).isTrue();
+    assertThat(host.group.server("s1").ran()).hasSize(1);
+  }
+
+  @Test
+  void transactionWithTakenKeyDoesNotCommit() throws Exception {
+    CompletableFuture<SessionReply> reply = transactionOfTakenKey().send(new Commit());
+    takeKey();
+
+    assertThat(await(reply).refusedWith(RefusalCode.ABORTED)).isTrue();
+    assertThat(host.caller(SessionFixture.NEWEST, "key").read("x").rows()).doesNotContain("1");
+  }
+
   @Test
   void operationIsRefusedWithoutEffectIfNothingBecomesKnown() throws Exception {
     CompletableFuture<SessionReply> reply = host.caller("dropped", "key").send(WRITE);
