Wait for a full disk in place of ending the process

What callers saw: nothing reported; found by reading DEPLOY.md ("a faulty disk ... refuses writes") against the code. A control host whose disk takes no bytes ended at its next write, was started again and ended at the first write of its start, for as long as the disk was full. All its callers lost their sessions, although the proxy needs no disk.

Cause: any refused write stopped the log and, as it must not be used with unknown content, the process.

A refused write is cut off, the cut is synced, and the write is repeated each 100 ms for a minute. The log's thread waits as it does for a disk that hangs, which the other control hosts are used to. A failed sync of the log still ends the process. A host that stops doesn't wait. Not played with processes yet.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -412,6 +412,11 @@
         core.membership());
   }
 
+  /** Makes writes that wait for a full disk fail, so that the log can stop. Thread-safe. */
+  void abandonWrites() {
+    folder.abandonWrites();
+  }
+
   void close() {
     closed = true;
     if (driver != null) {
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -315,6 +315,7 @@
    */
   @Override
   public void close() {
+    replica.abandonWrites();
     if (status.elected()) {
       awaitLeadershipTransfer();
     }
@@ -353,6 +354,7 @@
 
   /** Stops immediately without a leadership transfer, as in a crash. */
   public void stop() {
+    replica.abandonWrites();
     CompletableFuture<Void> done = new CompletableFuture<>();
     boolean running = loop.submit(() -> stopOnLoop(done));
     loop.stop();
--- a/alderyard-control/src/main/java/org/alderyard/control/store/AtomicFile.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/AtomicFile.java
@@ -12,23 +12,18 @@
   static final String TEMPORARY_SUFFIX = ".tmp";
 
   private final Disk disk;
+  private final WriteRetry writeRetry;
 
-  AtomicFile(Disk disk) {
+  AtomicFile(Disk disk, WriteRetry writeRetry) {
     this.disk = disk;
+    this.writeRetry = writeRetry;
   }
 
   /** Writes and syncs a temporary file, renames it to the path, and syncs the folder. */
   void write(Path path, List<byte[]> payloads) {
     Path temporary = path.resolveSibling(path.getFileName() + TEMPORARY_SUFFIX);
     try {
-      disk.delete(temporary);
-      try (SyncedFile file = disk.open(temporary)) {
-        for (byte[] payload : payloads) {
-          ByteBuffer frame = FrameFormat.encode(payload);
-          file.append(frame);
-        }
-        file.sync();
-      }
+      writeRetry.run(() -> writeAndSync(temporary, payloads), () -> {});
       disk.rename(temporary, path);
       disk.syncFolder(path.toAbsolutePath().getParent());
     } catch (IOException failure) {
@@ -36,6 +31,17 @@
     }
   }
 
+  private void writeAndSync(Path temporary, List<byte[]> payloads) throws IOException {
+    disk.delete(temporary);
+    try (SyncedFile file = disk.open(temporary)) {
+      for (byte[] payload : payloads) {
+        ByteBuffer frame = FrameFormat.encode(payload);
+        file.append(frame);
+      }
+      file.sync();
+    }
+  }
+
   /**
    * Reads all frames. An incomplete frame is reported as damage and not as a torn write, since the
    * file is renamed to the path only after the sync.
--- a/alderyard-control/src/main/java/org/alderyard/control/store/DataFolder.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/DataFolder.java
@@ -28,14 +28,16 @@
 
   private final Path path;
   private final Disk disk;
+  private final WriteRetry writeRetry;
   private final AtomicFile atomicFile;
   private final FileChannel lockFile;
   private FolderIdentity identity;
 
-  private DataFolder(Path path, Disk disk, FileChannel lockFile) {
+  private DataFolder(Path path, Disk disk, WriteRetry writeRetry, FileChannel lockFile) {
     this.path = path;
     this.disk = disk;
-    atomicFile = new AtomicFile(disk);
+    this.writeRetry = writeRetry;
+    atomicFile = new AtomicFile(disk, writeRetry);
     this.lockFile = lockFile;
   }
 
@@ -50,12 +52,17 @@
    *     or host, or is damaged
    */
   public static DataFolder open(Path path, String clusterId, HostId host, RandomGenerator random) {
-    return open(path, clusterId, host, random, Disk.LOCAL);
+    return open(path, clusterId, host, random, Disk.LOCAL, WriteRetry.forMinute());
   }
 
   static DataFolder open(
-      Path path, String clusterId, HostId host, RandomGenerator random, Disk disk) {
-    DataFolder folder = new DataFolder(path, disk, lock(path));
+      Path path,
+      String clusterId,
+      HostId host,
+      RandomGenerator random,
+      Disk disk,
+      WriteRetry writeRetry) {
+    DataFolder folder = new DataFolder(path, disk, writeRetry, lock(path));
     try {
       folder.deleteTemporaryFiles();
       folder.loadOrCreateIdentity(clusterId, host, random);
@@ -169,6 +176,15 @@
     identity = newIdentity;
   }
 
+  WriteRetry writeRetry() {
+    return writeRetry;
+  }
+
+  /** Makes writes that wait for a full disk fail, so that the log can stop. Thread-safe. */
+  public void abandonWrites() {
+    writeRetry.abandon();
+  }
+
   /** Returns the path of the folder. */
   public Path path() {
     return path;
--- a/alderyard-control/src/main/java/org/alderyard/control/store/SegmentedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SegmentedLog.java
@@ -68,7 +68,7 @@
     path = folder.path().resolve(NumberedFileName.format(PREFIX, segmentNumber, DIGITS, SUFFIX));
     sizeBytes = 0;
     try {
-      file = disk.open(path);
+      folder.writeRetry().run(() -> file = disk.open(path), () -> {});
       write(StoredBatch.newBuilder().setHardState(hardState).build());
       disk.syncFolder(folder.path());
     } catch (IOException failure) {
@@ -94,11 +94,17 @@
   private void write(StoredBatch batch) throws IOException {
     ByteBuffer frame = FrameFormat.encode(batch.toByteArray());
     int frameBytes = frame.remaining();
-    file.append(frame);
+    folder.writeRetry().run(() -> file.append(frame.duplicate()), this::removeRefusedWrite);
     file.sync();
     sizeBytes += frameBytes;
   }
 
+  private void removeRefusedWrite() throws IOException {
+    file.close();
+    disk.truncate(path, sizeBytes);
+    file = disk.open(path);
+  }
+
   /** Starts a new segment if the current segment is full. */
   void rollIfFull(HardState hardState) {
     if (sizeBytes < maxSegmentBytes) {
--- a/alderyard-control/src/main/java/org/alderyard/control/store/SnapshotFiles.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/store/SnapshotFiles.java
@@ -21,7 +21,7 @@
 
   SnapshotFiles(DataFolder folder, Disk disk) {
     this.folder = folder;
-    atomicFile = new AtomicFile(disk);
+    atomicFile = new AtomicFile(disk, folder.writeRetry());
   }
 
   /** Stores a snapshot, which is synced when this method returns, and deletes older snapshots. */
