--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -289,6 +289,7 @@
    */
   @Override
   public void close() {
+    replica.abandonWrites();
     if (status.elected()) {
       awaitLeadershipTransfer();
     }
@@ -327,6 +328,7 @@
 
   /** Stops immediately without a leadership transfer, as in a crash. */
   public void stop() {
+    replica.abandonWrites();
     CompletableFuture<Void> done = new CompletableFuture<>();
     boolean running = loop.submit(() -> stopOnLoop(done));
     loop.stop();
