Name the two spreads of retry times apart

proxy.quota.RetrySpread and proxy.admission.RetrySpread share a name and nothing else: one spreads callers between an organisation's next tokens, the other over the rate at which servers can serve them. The first is TokenRetrySpread now. No behaviour changes; 61 tests of proxy.quota, RetrySpreadTest and those of late hosts passed.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/OrganisationDemand.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/OrganisationDemand.java
@@ -15,7 +15,7 @@
   private static final int MIN_RETRY_MILLIS = 10;
 
   private final CounterLevels levels = new CounterLevels();
-  private final RetrySpread spread = new RetrySpread();
+  private final TokenRetrySpread spread = new TokenRetrySpread();
   private volatile OrganisationQuota quota;
 
   OrganisationDemand(OrganisationQuota quota) {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/TokenRetrySpread.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/quota/TokenRetrySpread.java
@@ -9,7 +9,7 @@
  * as this host has refused of late, so that callers do not return together. Thread-safe; guarded by
  * the object's own lock.
  */
-final class RetrySpread {
+final class TokenRetrySpread {
   /** Refusals of this time and of the one before determine the spread. */
   private static final long PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/DemandCountersTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/quota/DemandCountersTest.java
@@ -103,7 +103,7 @@
   /** Guards against callers of one refusal that come back together, or before a token is there. */
   @Test
   void refusedCallersComeBackAtDifferentTimesAfterNextToken() {
-    RetrySpread spread = new RetrySpread();
+    TokenRetrySpread spread = new TokenRetrySpread();
     int[] perTenth = new int[10];
     for (int i = 0; i < 1_000; i++) {
       int millis = spread.next(200, 5, 1_000_000L * i);
