Refuse a command that is nested too deep to be read where it is enclosed

What callers would see: a heartbeat with unknown fields nested up to the limit of protobuf parsers (100 levels) is parsed; the command around its host is one level deeper and can't be. Each control host took the entry for a damaged disk (STORAGE_DAMAGED) and ended, at each start. A command that stays just below the limit can be applied, and the views that enclose the host could not be parsed by any host. Only a process with the cluster's key can send it; no caller, server or operator can.

ControlState.check parses a command with a limit of 32 levels before it is appended; the messages of this build nest 6 deep. What is in the log already is read as before, so that hosts of different builds apply the same entries.

OddEntryClusterTest.leaderAppendsNoOddEntry shows the check of ReplicatedLog itself, over three hosts: refused, and no entry to refuse on any host.

--- a/alderyard-control/src/main/java/org/alderyard/control/state/CommandValidator.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/CommandValidator.java
@@ -1,5 +1,8 @@
 package org.alderyard.control.state;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
+import java.io.IOException;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.GroupId;
@@ -23,8 +26,32 @@
 final class CommandValidator {
   private static final int MAX_REASON_CHARS = 200;
 
+  /**
+   * Bounds the nesting of the unknown fields that a command takes over from a request. Parsers give
+   * up at 100 levels, and a view encloses parts of a command in further messages.
+   */
+  private static final int MAX_NESTING = 32;
+
   private CommandValidator() {}
 
+  /**
+   * Parses a command that is not in the log yet.
+   *
+   * @throws EntryRefusedException if that is impossible, or a later reader might fail to parse it
+   */
+  static Command parse(ByteString bytes) {
+    CodedInputStream input = bytes.newCodedInput();
+    input.setRecursionLimit(MAX_NESTING);
+    try {
+      Command command = Command.parseFrom(input);
+      input.checkLastTagWas(0);
+      return command;
+    } catch (IOException unreadable) {
+      throw new EntryRefusedException(
+          ErrorCode.BAD_REQUEST, "the command can't be parsed: " + unreadable.getMessage());
+    }
+  }
+
   /**
    * Checks a command.
    *
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ControlState.java
@@ -115,13 +115,7 @@
 
   @Override
   public void check(ByteString bytes) {
-    Command command;
-    try {
-      command = Command.parseFrom(bytes);
-    } catch (InvalidProtocolBufferException unreadable) {
-      throw new EntryRefusedException(
-          ErrorCode.BAD_REQUEST, "the command can't be parsed: " + unreadable.getMessage());
-    }
+    Command command = CommandValidator.parse(bytes);
     try {
       CommandValidator.check(command, failovers);
     } catch (RuntimeException reason) {
--- a/alderyard-control/src/test/java/org/alderyard/control/log/OddEntryClusterTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/OddEntryClusterTest.java
@@ -36,11 +36,12 @@
       Stream.generate(FreePorts::nextAddress).limit(3).toList();
   private final Map<Integer, StateHost> hosts = new TreeMap<>();
 
-  private void startAll() {
+  private void startAll(boolean checks) {
     for (int number = 0; number < members.size(); number++) {
       HostId host = new HostId("control-" + number);
       hosts.put(
-          number, new StateHost(host, members.get(number), members, root.resolve(host.value())));
+          number,
+          new StateHost(host, members.get(number), members, root.resolve(host.value()), checks));
     }
   }
 
@@ -128,7 +129,7 @@
    */
   @Test
   void controlHostsGoOnAfterOddEntriesAndRestart() {
-    startAll();
+    startAll(false);
     replace(1);
 
     AlderyardException expiry = refusal(expiryOfOddServer());
@@ -139,11 +140,25 @@
     assertThat(configuration.code()).isEqualTo(ErrorCode.CONFIGURATION_INVALID);
     replace(3);
     killAll();
-    startAll();
+    startAll(false);
     awaitConfiguration(3);
     replace(4);
     List<ByteString> states = hosts.values().stream().map(host -> host.state.snapshot()).toList();
     assertThat(states.get(1)).isEqualTo(states.get(0));
     assertThat(states.get(2)).isEqualTo(states.get(0));
   }
+
+  /** Guards against an odd entry in the log, where hosts of an earlier build end. */
+  @Test
+  void leaderAppendsNoOddEntry() {
+    startAll(true);
+    replace(1);
+
+    assertThat(refusal(expiryOfOddServer()).code()).isEqualTo(ErrorCode.BAD_REQUEST);
+    assertThat(refusal(configuration(2, ODD_NAME)).code())
+        .isEqualTo(ErrorCode.CONFIGURATION_INVALID);
+
+    replace(3);
+    hosts.values().forEach(host -> assertThat(host.state.refusedEntries()).isEqualTo(0));
+  }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/StateHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/StateHost.java
@@ -18,10 +18,7 @@
 import org.alderyard.protocol.wire.PeerLinks;
 import org.alderyard.protocol.wire.ProtocolOptions;
 
-/**
- * Control host with a control state inside the test process that uses real sockets and files. Its
- * log accepts every command, as a leader of an earlier build does.
- */
+/** Control host with a control state inside the test process that uses real sockets and files. */
 final class StateHost implements LogListener {
   final ControlState state = new ControlState(change -> {}, new FailoverTable());
   volatile AlderyardException failure;
@@ -31,7 +28,18 @@
   private final ReplicatedLog log;
   private final InnerServer server;
 
-  StateHost(HostId host, InetSocketAddress self, List<InetSocketAddress> members, Path folder) {
+  /**
+   * Starts a host.
+   *
+   * @param checks whether its log refuses commands before they are appended, which a leader of an
+   *     earlier build does not
+   */
+  StateHost(
+      HostId host,
+      InetSocketAddress self,
+      List<InetSocketAddress> members,
+      Path folder,
+      boolean checks) {
     ProtocolOptions protocol =
         new ProtocolOptions(
             "c1", host, 1, new ClusterKey(new byte[16]), Duration.ofSeconds(1), 1_000);
@@ -43,7 +51,7 @@
             .host(host, self)
             .members(members)
             .dataFolder(folder)
-            .stateMachine(new UncheckedState())
+            .stateMachine(checks ? state : new UncheckedState())
             .network(links, dispatcher)
             .callbacks(workers)
             .random(new SecureRandom())
--- a/alderyard-control/src/test/java/org/alderyard/control/service/OddRequestTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/service/OddRequestTest.java
@@ -4,6 +4,10 @@
 import static org.alderyard.control.service.ControlHost.announcement;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.alderyard.common.concurrent.Futures;
@@ -31,6 +35,14 @@
       "a1234567890123456789012345678901234567890123456789012345678901234"
           + "a234567890123456789012345678901234567890123456789012345678901234";
 
+  private static final Endpoint ADDRESS =
+      Endpoint.newBuilder().setAddress("127.0.0.1").setPort(1).build();
+
+  /** The depth at which protobuf parsers give up. */
+  private static final int MAX_NESTING = 100;
+
+  private static final int UNKNOWN_FIELD = 100;
+
   private final WorkerPool workers = new WorkerPool("test", 1);
   private final FakeLog log = new FakeLog();
   private final ControlHost leader = new ControlHost("c1", log, new ManualClock(), workers);
@@ -87,6 +99,39 @@
     assertRefused(ErrorCode.BAD_REQUEST, () -> leader.service.registry().heartbeat(heartbeat));
   }
 
+  /**
+   * Guards against an entry that can't be parsed, since its parts are nested one level deeper than
+   * in the request from which it was made, and against a view that no host can parse.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {40, MAX_NESTING - 1})
+  void deeplyNestedRequestIsRefused(int depth) throws Exception {
+    Host.Builder host =
+        Host.newBuilder()
+            .setId("h1")
+            .setZone("z")
+            .setInnerAddress(ADDRESS)
+            .setCallerAddress(ADDRESS);
+    host.mergeFrom(nestedUnknownGroups(depth));
+    ByteString received = HeartbeatRequest.newBuilder().setHost(host).build().toByteString();
+    HeartbeatRequest request = HeartbeatRequest.parseFrom(received);
+
+    assertRefused(ErrorCode.BAD_REQUEST, () -> leader.service.registry().heartbeat(request));
+  }
+
+  private static ByteString nestedUnknownGroups(int depth) throws IOException {
+    ByteString.Output bytes = ByteString.newOutput();
+    CodedOutputStream output = CodedOutputStream.newInstance(bytes);
+    for (int i = 0; i < depth; i++) {
+      output.writeTag(UNKNOWN_FIELD, WireFormat.WIRETYPE_START_GROUP);
+    }
+    for (int i = 0; i < depth; i++) {
+      output.writeTag(UNKNOWN_FIELD, WireFormat.WIRETYPE_END_GROUP);
+    }
+    output.flush();
+    return bytes.toByteString();
+  }
+
   /** Guards against the end of a host by a name that it only passes on. */
   @Test
   void drainOfOddHostIsAnsweredWithFault() {
