--- a/alderyard-common/src/main/java/org/alderyard/common/http/Json.java
+++ b/alderyard-common/src/main/java/org/alderyard/common/http/Json.java
@@ -12,7 +12,13 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.Reader;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
 import java.util.function.Function;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
@@ -62,20 +68,64 @@
   public static JsonNode parseObject(byte[] body) {
     JsonNode node;
     try {
-      node = MAPPER.readTree(body);
+      node = MAPPER.readTree(utf8(body));
     } catch (StreamConstraintsException exceeded) {
       throw malformed("the body exceeds a limit: " + exceeded.getOriginalMessage());
     } catch (JsonProcessingException invalid) {
       throw malformed("the body is not JSON" + location(invalid.getLocation()));
     } catch (IOException unreadable) {
-      throw malformed("the body can't be read");
+      throw malformed("the body is not UTF-8");
     }
     if (node == null || !node.isObject()) {
       throw malformed("the body is not a JSON object; accepted is an object");
     }
+    if (hasUnpairedSurrogate(node)) {
+      throw malformed("the body has half of a surrogate pair, which can't be encoded");
+    }
     return node;
   }
 
+  /** The parser would guess the encoding, and read invalid bytes as other characters. */
+  private static Reader utf8(byte[] body) {
+    return new InputStreamReader(
+        new ByteArrayInputStream(body),
+        StandardCharsets.UTF_8
+            .newDecoder()
+            .onMalformedInput(CodingErrorAction.REPORT)
+            .onUnmappableCharacter(CodingErrorAction.REPORT));
+  }
+
+  private static boolean hasUnpairedSurrogate(JsonNode node) {
+    if (node.isTextual()) {
+      return hasUnpairedSurrogate(node.textValue());
+    }
+    for (JsonNode child : node) {
+      if (hasUnpairedSurrogate(child)) {
+        return true;
+      }
+    }
+    for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
+      if (hasUnpairedSurrogate(names.next())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean hasUnpairedSurrogate(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      if (!Character.isSurrogate(text.charAt(i))) {
+        continue;
+      }
+      if (i + 1 == text.length()
+          || !Character.isSurrogatePair(text.charAt(i), text.charAt(i + 1))) {
+        return true;
+      }
+      i++;
+    }
+    return false;
+  }
+
   /**
    * Parses a body that must be a JSON object, and converts it.
    *
