--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -70,7 +70,7 @@
     CompletableFuture<SessionReply> result;
     try {
       result = dispatch(id, statement);
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | Error failure) {
       result = CompletableFuture.failedFuture(failure);
     }
     return result
