Read HTTP requests, tickets and server responses without other values in place of odd ones

What callers saw: nothing yet. A statement's deadline of 2^64 + 5000 ms was 5 s; an announcement with port 2^32 + 80 was one with port 80, and one with the address face.cafe asked DNS on an I/O thread; a ticket with an object in place of a list, or with a number as an id or secret, was applied; a response to a write with the position {} counted as a write at the beginning of the log. Its result, nested 500 levels deep, could not be written again on a stack of 256 kB.

Cause: numbers were read with asLong and asInt, which cut to their size and stand for 0 on values of another type. BackendJson had a parser of its own without limits.

What changed: fields have their type and range or the request is refused; addresses of announcements are IP numbers. Responses are parsed with the limits of Json and stay of unknown outcome if they can't be read; any failure to read one ends its exchange.

--- a/alderyard-backend/src/main/java/org/alderyard/backend/http/BackendJson.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/http/BackendJson.java
@@ -18,35 +18,44 @@
 import org.alderyard.backend.StatementKind;
 import org.alderyard.common.error.AlderyardException;
 import org.alderyard.common.error.ErrorCode;
+import org.alderyard.common.http.Json;
 import org.alderyard.common.id.CallerId;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.RequestId;
 import org.alderyard.common.id.ServerId;
+import org.alderyard.common.log.LogText;
 import org.alderyard.common.view.TermStart;
 
 /** Encodes and decodes the JSON bodies of the backend protocol, for clients and servers. */
 public final class BackendJson {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  private static final int MAX_MESSAGE_CHARS = 600;
+  private static final int MAX_QUOTED_CHARS = 64;
+
   private BackendJson() {}
 
+  private static String quoted(JsonNode value) {
+    return LogText.sanitize(value.asText(), MAX_QUOTED_CHARS);
+  }
+
   /** Returns an empty object. */
   public static ObjectNode object() {
     return MAPPER.createObjectNode();
   }
 
-  /** Parses a body; throws {@code BACKEND_PROTOCOL} if the body is not a JSON object. */
+  /**
+   * Parses a body; throws {@code BACKEND_PROTOCOL} if the body is not a JSON object or exceeds the
+   * limits of {@link Json}.
+   */
   public static JsonNode parse(byte[] body) {
     try {
-      JsonNode node = MAPPER.readTree(body);
-      if (node != null && node.isObject()) {
-        return node;
-      }
-    } catch (java.io.IOException exception) {
-      throw malformedBody("it is not JSON");
+      return Json.parseObject(body);
+    } catch (AlderyardException malformed) {
+      // The statement may have run, whatever its response looks like.
+      throw malformedBody(malformed.getMessage());
     }
-    throw malformedBody("it is not a JSON object");
   }
 
   private static AlderyardException malformedBody(String reason) {
@@ -118,13 +127,22 @@
     return new BackendResponse(node.path("result"), position(node.path("position")));
   }
 
+  /** Returns a number; a missing one would count as the beginning of the log. */
+  private static long number(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < 0) {
+      throw malformedBody(field + " is not a number of at least 0");
+    }
+    return value.asLong();
+  }
+
   private static ObjectNode position(Position position) {
     return object().put("term", position.term()).put("index", position.index());
   }
 
-  /** Decodes a log position. */
+  /** Decodes a log position; throws if a part of it is missing or invalid. */
   public static Position position(JsonNode node) {
-    return new Position(node.path("term").asLong(), node.path("index").asLong());
+    return new Position(number(node, "term"), number(node, "index"));
   }
 
   /** Encodes the state of a server. */
@@ -152,22 +170,21 @@
   public static ServerReport report(JsonNode node) {
     List<TermStart> termStarts = new ArrayList<>();
     for (JsonNode termStart : node.path("termStarts")) {
-      termStarts.add(
-          new TermStart(termStart.path("term").asLong(), termStart.path("startIndex").asLong()));
+      termStarts.add(new TermStart(number(termStart, "term"), number(termStart, "startIndex")));
     }
     try {
       return new ServerReport(
           new ServerId(node.path("server").asText()),
-          node.path("incarnation").asLong(),
+          number(node, "incarnation"),
           new GroupId(node.path("group").asText()),
-          node.path("term").asLong(),
+          number(node, "term"),
           ServerRole.valueOf(node.path("role").asText().toUpperCase(Locale.ROOT)),
           position(node.path("held")),
           position(node.path("applied")),
           termStarts,
           node.path("ledger").asBoolean());
     } catch (IllegalArgumentException unknownRole) {
-      throw malformedBody("unknown role '" + node.path("role").asText() + "'");
+      throw malformedBody("unknown role '" + quoted(node.path("role")) + "'");
     }
   }
 
@@ -186,9 +203,9 @@
     try {
       return new BackendException(
           BackendException.Refusal.valueOf(error.path("code").asText()),
-          error.path("message").asText());
+          LogText.sanitize(error.path("message").asText(), MAX_MESSAGE_CHARS));
     } catch (IllegalArgumentException unknownCode) {
-      return malformedBody("unknown refusal code '" + error.path("code").asText() + "'");
+      return malformedBody("unknown refusal code '" + quoted(error.path("code")) + "'");
     }
   }
 }
--- a/alderyard-backend/src/main/java/org/alderyard/backend/http/HttpExchange.java
+++ b/alderyard-backend/src/main/java/org/alderyard/backend/http/HttpExchange.java
@@ -162,7 +162,8 @@
       } else {
         response.completeExceptionally(BackendJson.refusal(node));
       }
-    } catch (AlderyardException malformed) {
+    } catch (RuntimeException | Error malformed) {
+      // On this I/O thread nobody else would end the exchange.
       response.completeExceptionally(malformed);
     }
   }
--- a/alderyard-control/src/main/java/org/alderyard/control/operator/TicketParser.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/operator/TicketParser.java
@@ -68,6 +68,7 @@
     new FieldReader("ticket", body, faults).reportUnknownFields(Set.of("objects"));
     List<ObjectState> objects = new ArrayList<>();
     int index = 0;
+    reportUnlessList("ticket", "objects", body.path("objects"));
     for (JsonNode node : body.path("objects")) {
       object("objects[" + index + "]", node).ifPresent(objects::add);
       index++;
@@ -75,12 +76,20 @@
     return new ParsedTicket(TicketObjects.ticket(number, objects), List.copyOf(faults));
   }
 
+  /** Records a fault unless the value is a list; the values of an object would count as objects. */
+  private void reportUnlessList(String object, String field, JsonNode value) {
+    if (!value.isMissingNode() && !value.isArray()) {
+      faults.add(new FieldFault(object, field, "another value", "a list"));
+    }
+  }
+
   private Optional<ObjectState> object(String path, JsonNode node) {
     String kind = node.path("kind").asText();
-    String name = node.path(kind.equals("pool") ? "name" : "id").asText("");
+    String nameField = kind.equals("pool") ? "name" : "id";
+    String name = node.path(nameField).asText("");
     FieldReader reader = new FieldReader(name.isEmpty() ? path : kind + "/" + name, node, faults);
     if (node.has(REMOVED)) {
-      return removal(reader, kind, name);
+      return removal(reader, kind, reader.text(nameField, name));
     }
     return switch (kind) {
       case "pool" -> Optional.of(ObjectState.newBuilder().setPool(pool(reader)).build());
@@ -162,24 +171,29 @@
     reader.reportUnknownFields(KEYS_FIELDS);
     KeyRing.Builder ring = KeyRing.newBuilder();
     int index = 0;
+    reportUnlessList("keys", "keys", node.path("keys"));
     for (JsonNode key : node.path("keys")) {
       FieldReader fields = new FieldReader("keys[" + index + "]", key, faults);
       fields.reportUnknownFields(KEY_FIELDS);
       ring.addKeys(
           Key.newBuilder()
               .setId(fields.integer("id", 0))
-              .setSecret(secret(fields, key.path("secretBase64").asText())));
+              .setSecret(secret(fields, key.path("secretBase64"))));
       index++;
     }
     return ring.build();
   }
 
   /** Decodes a secret. The fault for malformed base64 contains only the length, not the secret. */
-  private static ByteString secret(FieldReader reader, String text) {
+  private static ByteString secret(FieldReader reader, JsonNode value) {
+    if (!value.isTextual()) {
+      reader.addFault("secretBase64", "no text", "base64");
+      return ByteString.EMPTY;
+    }
     try {
-      return ByteString.copyFrom(Base64.getDecoder().decode(text));
+      return ByteString.copyFrom(Base64.getDecoder().decode(value.asText()));
     } catch (IllegalArgumentException malformed) {
-      reader.addFault("secretBase64", text.length() + " characters", "base64");
+      reader.addFault("secretBase64", value.asText().length() + " characters", "base64");
       return ByteString.EMPTY;
     }
   }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/AnnouncementHandler.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/AnnouncementHandler.java
@@ -11,9 +11,11 @@
 import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.http.Json;
 import org.alderyard.common.http.JsonExchange;
+import org.alderyard.common.id.Addresses;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
+import org.alderyard.common.log.LogText;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
 import org.alderyard.protocol.control.ControlClient;
@@ -29,6 +31,8 @@
   private static final Logger log = LoggerFactory.getLogger(AnnouncementHandler.class);
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final int DEFAULT_LEASE_MILLIS = 1_500;
+  private static final int MAX_PORT = 65_535;
+  private static final int MAX_QUOTED_CHARS = 64;
 
   private final ControlClient control;
 
@@ -57,32 +61,70 @@
         .thenApply(reply -> Json.object().put("stale", reply.getStaleServersCount() > 0));
   }
 
-  private static Announcement parse(JsonNode body) {
+  static Announcement parse(JsonNode body) {
     ServerState server =
         new ServerState(
-            new ServerId(body.path("server").asText()),
-            body.path("incarnation").asLong(),
-            new GroupId(body.path("group").asText()),
-            new ZoneName(body.path("zone").asText()),
+            new ServerId(text(body, "server")),
+            number(body, "incarnation", 0, Long.MAX_VALUE),
+            new GroupId(text(body, "group")),
+            new ZoneName(text(body, "zone")),
             address(body),
             ServerStatus.ACTIVE);
     return Announcement.newBuilder()
         .setServer(StateCodec.serverMessage(server))
-        .setLeaving(body.path("leaving").asBoolean())
-        .setLeaseMillis(body.path("leaseMillis").asInt(DEFAULT_LEASE_MILLIS))
-        .setTerm(body.path("term").asLong())
-        .setPrimary(body.path("primary").asBoolean())
+        .setLeaving(flag(body, "leaving"))
+        .setLeaseMillis(
+            body.has("leaseMillis")
+                ? (int) number(body, "leaseMillis", 1, Integer.MAX_VALUE)
+                : DEFAULT_LEASE_MILLIS)
+        .setTerm(body.has("term") ? number(body, "term", 0, Long.MAX_VALUE) : 0)
+        .setPrimary(flag(body, "primary"))
         .build();
   }
 
   private static InetSocketAddress address(JsonNode body) {
-    String address = body.path("address").asText();
-    int port = body.path("port").asInt();
-    if (!address.matches("[0-9a-fA-F.:]+") || port < 1 || port > 65_535) {
-      throw AlderyardException.notRun(
-          ErrorCode.BAD_REQUEST,
-          "address is '" + address + "' and port " + port + "; accepted: IP address, 1 to 65535");
+    String address = text(body, "address");
+    long port = number(body, "port", 1, MAX_PORT);
+    // Brackets keep the port apart from the groups of an IPv6 address; names are not resolved.
+    String host = address.contains(":") ? "[" + address + "]" : address;
+    return Addresses.parse(host + ":" + port)
+        .orElseThrow(() -> invalid("address", body, "an IP address"));
+  }
+
+  private static String text(JsonNode body, String field) {
+    if (!body.path(field).isTextual()) {
+      throw invalid(field, body, "a text");
+    }
+    return body.path(field).asText();
+  }
+
+  private static boolean flag(JsonNode body, String field) {
+    JsonNode value = body.path(field);
+    if (!value.isMissingNode() && !value.isBoolean()) {
+      throw invalid(field, body, "true or false");
     }
-    return new InetSocketAddress(address, port);
+    return value.asBoolean(false);
+  }
+
+  private static long number(JsonNode body, String field, long min, long max) {
+    JsonNode value = body.path(field);
+    if (!value.isIntegralNumber()
+        || !value.canConvertToLong()
+        || value.asLong() < min
+        || value.asLong() > max) {
+      throw invalid(field, body, "a whole number from " + min + " to " + max);
+    }
+    return value.asLong();
+  }
+
+  private static AlderyardException invalid(String field, JsonNode body, String accepted) {
+    return AlderyardException.notRun(
+        ErrorCode.BAD_REQUEST,
+        "field "
+            + field
+            + " is '"
+            + LogText.sanitize(body.path(field).asText(), MAX_QUOTED_CHARS)
+            + "'; accepted: "
+            + accepted);
   }
 }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/api/StatementJson.java
@@ -16,6 +16,7 @@
 import org.alderyard.common.id.HostId;
 import org.alderyard.common.id.PoolName;
 import org.alderyard.common.id.RequestId;
+import org.alderyard.common.log.LogText;
 import org.alderyard.proxy.freshness.Freshness;
 import org.alderyard.proxy.freshness.FreshnessMode;
 import org.alderyard.proxy.statement.StatementAnswer;
@@ -26,6 +27,8 @@
   private static final long DEFAULT_DEADLINE_MILLIS = 5_000;
   private static final long MAX_DEADLINE_MILLIS = 600_000;
 
+  private static final int MAX_QUOTED_CHARS = 64;
+
   private StatementJson() {}
 
   /**
@@ -92,7 +95,7 @@
       throw invalid("freshness", node, "an object");
     }
     FreshnessMode mode =
-        switch (node.path("mode").asText("session")) {
+        switch (node.has("mode") ? text(node, "mode") : "session") {
           case "session" -> FreshnessMode.SESSION;
           case "bounded" -> FreshnessMode.BOUNDED;
           case "any" -> FreshnessMode.ANY;
@@ -120,16 +123,23 @@
     if (node.isMissingNode()) {
       return defaultValue;
     }
-    if (!node.isIntegralNumber() || node.asLong() < min || node.asLong() > max) {
+    if (!node.isIntegralNumber()
+        || !node.canConvertToLong()
+        || node.asLong() < min
+        || node.asLong() > max) {
       throw invalid(field, node, "a whole number from " + min + " to " + max);
     }
     return node.asLong();
   }
 
   private static AlderyardException invalid(String field, JsonNode value, String accepted) {
-    String actual = value.isMissingNode() ? "missing" : value.toString();
+    String actual = value.isContainerNode() ? "a list or object" : value.toString();
+    if (value.isMissingNode()) {
+      actual = "missing";
+    }
     return AlderyardException.notRun(
-        ErrorCode.BAD_REQUEST, field + " is " + actual + "; accepted: " + accepted);
+        ErrorCode.BAD_REQUEST,
+        field + " is " + LogText.sanitize(actual, MAX_QUOTED_CHARS) + "; accepted: " + accepted);
   }
 
   /** Returns the response body of a statement. */
