--- a/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationValidator.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ConfigurationValidator.java
@@ -28,6 +28,8 @@
   static final int MAX_BYTES =
       ReplicatedLogOptions.DEFAULT_MAX_COMMAND_BYTES - COMMAND_OVERHEAD_BYTES;
 
+  private static final int MAX_SHOWN_FAULTS = 20;
+
   private ConfigurationValidator() {}
 
   /**
@@ -47,7 +49,11 @@
     if (!faults.isEmpty()) {
       throw AlderyardException.notRun(
           ErrorCode.CONFIGURATION_INVALID,
-          "configuration " + configuration.getNumber() + " is invalid: " + faults);
+          "configuration %d is invalid, %d faults: %s"
+              .formatted(
+                  configuration.getNumber(),
+                  faults.size(),
+                  faults.subList(0, Math.min(MAX_SHOWN_FAULTS, faults.size()))));
     }
   }
 
