--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewLease.java
@@ -18,10 +18,13 @@
  */
 final class ViewLease {
   /**
-   * Time for which a host that lags is not overdue, in milliseconds. Any host lags for some time
-   * while views change often or after its start.
+   * Time for which a host that lags is not overdue after its lease has ended, in milliseconds. A
+   * host that was suspended receives the newer view within that time.
    */
-  static final long MAX_BEHIND_MILLIS = 1_500;
+  private static final long MAX_BEHIND_AFTER_LEASE_MILLIS = 300;
+
+  /** The same for a host that has had no lease yet, as views change often during a start. */
+  private static final long MAX_BEHIND_WITHOUT_LEASE_MILLIS = 1_500;
 
   private Optional<Grant> grant = Optional.empty();
   private ViewVersion running = ViewVersion.NONE;
@@ -129,9 +132,9 @@
    * runs may have been replaced longer ago than the duration of a lease.
    */
   synchronized boolean overdue(HostTime now) {
-    return behind()
-        && now.monotonicMillis() - behindSinceMillis >= MAX_BEHIND_MILLIS
-        && !valid(now);
+    long maxBehindMillis =
+        grant.isPresent() ? MAX_BEHIND_AFTER_LEASE_MILLIS : MAX_BEHIND_WITHOUT_LEASE_MILLIS;
+    return behind() && now.monotonicMillis() - behindSinceMillis >= maxBehindMillis && !valid(now);
   }
 
   /** Returns for how long a newer version has been known but not received; empty if none. */
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
@@ -164,4 +164,16 @@
     assertThat(client.leaseValid()).isFalse();
     assertThat(client.overdue()).isFalse();
   }
+
+  /** A host that learns late of a newer view, as its heartbeats fail, has no more time for it. */
+  @Test
+  void viewIsOverdueSoonIfNewerOneIsNamedAfterTheLease() {
+    timer.advance(FakeViewControl.LEASE_MILLIS);
+    control.confirm(2);
+    assertThat(client.overdue()).isFalse();
+
+    timer.advance(300);
+
+    assertThat(client.overdue()).isTrue();
+  }
 }
