--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/ViewClientTest.java
@@ -167,4 +167,16 @@
     assertThat(client.leaseValid()).isFalse();
     assertThat(client.gate().pass().join()).isTrue();
   }
+
+  /** A host that learns late of a newer view, as its heartbeats fail, has no more time for it. */
+  @Test
+  void operationsAreHeldIfNewerViewIsNamedAfterTheLease() {
+    timer.advance(FakeViewControl.LEASE_MILLIS);
+    control.confirm(2);
+
+    CompletableFuture<Boolean> held = client.gate().pass();
+    timer.advance(LateHostGate.MAX_WAIT_MILLIS);
+
+    assertThat(held.join()).isFalse();
+  }
 }
