Hold operations of a late host until its heartbeats had time for three hosts

What callers would see: a host that ran late serves by its old view 1 s after it woke, if the first control host that its heartbeat asks is silent. Cause: the host counted as cut off after 1,000 ms without a reply, which is the timeout of one attempt; the second one had just begun. Evidence: found by the review, by reading. LateHostGateTest.hostThatIsCutOffAfterPauseHoldsNothingForLong now also asserts that operations are still held after two intervals without a reply, which the former bound does not give. The gate also refuses, with a line, if its timer takes no more tasks as the host stops; the future failed then, and the caller got no answer. Why it works: 3 s are three attempts, so that a leader that lives is reached; a host that is cut off serves on after that.

--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LateHostGate.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/LateHostGate.java
@@ -36,8 +36,11 @@
   /** Time between two ticks from which on this host runs late. */
   private static final long LATE_TICK_MILLIS = 600;
 
-  /** Time that a host which ran late has to reach the leader, before it counts as cut off. */
-  private static final long MAX_UNSETTLED_MILLIS = 1_000;
+  /**
+   * Time that a host which ran late has to reach the leader, before it counts as cut off. A
+   * heartbeat asks one control host after the other, each for up to a second.
+   */
+  static final long MAX_UNSETTLED_MILLIS = 3_000;
 
   /**
    * Time after the last reply in which a host that lacks a version may have a path to the control
@@ -132,8 +135,19 @@
     if (isSettled()) {
       return CompletableFuture.completedFuture(true);
     }
-    renewal.run();
-    return passBefore(now.get().monotonicMillis() + MAX_WAIT_MILLIS);
+    try {
+      renewal.run();
+      return passBefore(now.get().monotonicMillis() + MAX_WAIT_MILLIS)
+          .exceptionally(LateHostGate::refuse);
+    } catch (RuntimeException failure) {
+      return CompletableFuture.completedFuture(refuse(failure));
+    }
+  }
+
+  /** Refuses an operation that can't wait, as the timer of a host that stops takes no tasks. */
+  private static boolean refuse(Throwable failure) {
+    log.info("event=operation-not-held reason=\"{}\" action=REFUSE", failure.toString());
+    return false;
   }
 
   private CompletableFuture<Boolean> passBefore(long endMillis) {
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/view/LateHostGateTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/view/LateHostGateTest.java
@@ -150,8 +150,11 @@
     pauseHost();
     assertThat(passesAtOnce()).isFalse();
 
+    // One control host that does not reply must not end the wait for the others.
     runCutOff(2 * HEARTBEAT_INTERVAL_MILLIS);
+    assertThat(passesAtOnce()).isFalse();
 
+    runCutOff((int) LateHostGate.MAX_UNSETTLED_MILLIS);
     assertThat(passesAtOnce()).isTrue();
   }
 
