--- a/alderyard-control/src/main/java/org/alderyard/control/state/ViewTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ViewTable.java
@@ -97,11 +97,17 @@
 
   void restore(ViewSnapshot snapshot, ByteString snapshotChainHash) {
     List<ObjectState> readable =
-        SnapshotFilter.readable(
-            snapshot.getObjectsList(),
-            TicketObjects::name,
-            object -> ViewCodec.apply(View.EMPTY, ViewVersion.NONE, List.of(object)));
+        SnapshotFilter.readable(snapshot.getObjectsList(), TicketObjects::name, ViewTable::check);
     view = ViewCodec.apply(View.EMPTY, StateCodec.version(snapshot.getVersion()), readable);
     chainHash = snapshotChainHash;
   }
+
+  /**
+   * Throws if an object may be left out. Without its configuration, a host would accept older ones.
+   */
+  private static void check(ObjectState object) {
+    if (!object.hasConfiguration()) {
+      ViewCodec.apply(View.EMPTY, ViewVersion.NONE, List.of(object));
+    }
+  }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/state/OddSnapshotTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/state/OddSnapshotTest.java
@@ -14,7 +14,9 @@
 import org.alderyard.protocol.generated.control.RestartedServer;
 import org.alderyard.protocol.generated.failover.FailoverRecordEntry;
 import org.alderyard.protocol.generated.failover.FailoverTableSnapshot;
+import org.alderyard.protocol.generated.state.Configuration;
 import org.alderyard.protocol.generated.state.Group;
+import org.alderyard.protocol.generated.state.GroupLimits;
 import org.alderyard.protocol.generated.state.Host;
 import org.alderyard.protocol.generated.state.HostPolicy;
 import org.alderyard.protocol.generated.state.ObjectState;
@@ -80,6 +82,21 @@
     assertRestored();
   }
 
+  /** Guards against a host that forgets its configuration and then confirms an older one. */
+  @Test
+  void configurationIsNeverLeftOut() {
+    ControlSnapshot.Builder snapshot = snapshot();
+    snapshot
+        .getViewBuilder()
+        .addObjects(
+            ObjectState.newBuilder()
+                .setConfiguration(
+                    Configuration.newBuilder()
+                        .setNumber(3)
+                        .addGroups(GroupLimits.newBuilder().setId(ODD_NAME))));
+    assertThrows(AlderyardException.class, () -> restore(snapshot));
+  }
+
   /** Guards against a host that never starts again from a snapshot that names a server twice. */
   @Test
   void laterOfTwoRestartsCounts() {
