Fetch views over connections of their own

Fetches now have links of their own. A host has one connection more to the leader only if it fetches from the leader. What the connections cost in a fleet is not measured.

--- a/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
+++ b/alderyard-benchmarks/src/main/java/org/alderyard/benchmarks/view/FanOutBenchmark.java
@@ -127,14 +127,10 @@
     HostState self =
         new HostState(
             id, 1, new ZoneName("zone-a"), unusedAddress, unusedAddress, true, false, false);
+    ControlClient control = new ControlClient(links, List.of(cluster.controlAddress()), workers);
     ViewClient client =
         new ViewClient(
-            new ControlClient(links, List.of(cluster.controlAddress()), workers),
-            self,
-            new ViewHolder(),
-            workers,
-            clock,
-            InstantSource.system());
+            control, control, self, new ViewHolder(), workers, clock, InstantSource.system());
     client.start();
     return List.of(links);
   }
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/HostContext.java
@@ -144,7 +144,11 @@
             settings.roles().contains(Role.PROXY),
             settings.roles().contains(Role.CONTROL),
             false);
-    viewClient = new ViewClient(control, self, views, controlWorkers, clock, wallClock);
+    ControlClient viewSources =
+        new ControlClient(
+            register(new PeerLinks(loops, protocol)), controlHosts::addresses, controlWorkers);
+    viewClient =
+        new ViewClient(control, viewSources, self, views, controlWorkers, clock, wallClock);
   }
 
   private List<InetSocketAddress> initialControlHosts() {
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/view/ViewClient.java
@@ -65,16 +65,23 @@
   private volatile HeartbeatExtension extension = HeartbeatExtension.NONE;
   private volatile boolean closed;
 
-  /** Creates a client that sends nothing until {@link #start()}. */
+  /**
+   * Creates a client that sends nothing until {@link #start()}.
+   *
+   * @param control sends heartbeats
+   * @param viewSources fetches views; over other connections than the heartbeats, so that a large
+   *     view does not delay them
+   */
   public ViewClient(
       ControlClient control,
+      ControlClient viewSources,
       HostState self,
       ViewHolder holder,
       WorkerPool workers,
       MonotonicClock clock,
       InstantSource wallClock) {
     this(
-        new RemoteViewControl(control),
+        new RemoteViewControl(control, viewSources),
         // Spreads the fetches of all hosts over the control hosts.
         Math.floorMod(self.id().hashCode(), control.hostCount()),
         self,
