--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,12 +5,12 @@
 root="$(cd "$folder/../.." && pwd)"
 classes="$root/target/review-3"
 host_jar="$root/alderyard-cli/target/host/alderyard-host.jar"
-if [ ! -e "$classes/FirstStartInterrupted.class" ] || [ ! -e "$host_jar" ]; then
+if [ ! -e "$classes/CoreHostGoneAfterReplaced.class" ] || [ ! -e "$host_jar" ]; then
   echo "run the build of the deploy file and review/build-3.sh first" >&2
   exit 2
 fi
 cd "$root" || exit 2
-timeout 115 java -Xmx128m -cp "$classes" FirstStartInterrupted "$root" "$folder/record.txt"
+timeout 115 java -Xmx128m -cp "$classes" CoreHostGoneAfterReplaced "$root" "$folder/record.txt"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standins-3/Hosts.java
+++ b/review/standins-3/Hosts.java
@@ -202,6 +202,14 @@
     return filled.toString();
   }
 
+  /** Empties the disk of a host whose process has ended. */
+  void wipe(Host host) throws IOException {
+    try (Stream<Path> files = Files.walk(folder.resolve("data-" + host.name))) {
+      files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    }
+    record.line("host %s has lost its disk", host.name);
+  }
+
   /** Sends a signal to the process of a host. */
   void signal(Host host, String signal) throws IOException, InterruptedException {
     record.line("signal %s to host %s, pid %d", signal, host.name, host.process.pid());
--- a/review/standins-3/Http.java
+++ b/review/standins-3/Http.java
@@ -30,6 +30,18 @@
 
   /** Returns the status of a response; 0 without one. */
   static int status(InetSocketAddress host, String path, Optional<String> body) {
+    return call(host, path, body).map(HttpResponse::statusCode).orElse(0);
+  }
+
+  /** Returns the body of a response with status 200 to a read. */
+  static Optional<String> read(InetSocketAddress host, String path) {
+    return call(host, path, Optional.empty())
+        .filter(response -> response.statusCode() == 200)
+        .map(HttpResponse::body);
+  }
+
+  private static Optional<HttpResponse<String>> call(
+      InetSocketAddress host, String path, Optional<String> body) {
     String address = "http://" + host.getAddress().getHostAddress() + ":" + host.getPort() + path;
     try {
       for (int redirects = 0; redirects < 3; redirects++) {
@@ -41,15 +53,15 @@
         HttpResponse<String> response =
             CLIENT.send(request.build(), HttpResponse.BodyHandlers.ofString());
         if (response.statusCode() != 307) {
-          return response.statusCode();
+          return Optional.of(response);
         }
         address = response.headers().firstValue("Location").orElseThrow();
       }
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     } catch (Exception noResponse) {
-      return 0;
+      return Optional.empty();
     }
-    return 0;
+    return Optional.empty();
   }
 }
