Let the vote of a successor be committed before hosts are lost in VoteHandOverTest

Cause: in the test. Its wait ends as soon as the leader has appended the promotion of the second successor. The two hosts are gone some milliseconds later, one of them the leader, before another host has the entry.

Change: a command is confirmed after the vote, which commits the vote too.

--- a/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
@@ -284,8 +284,10 @@
         .noneMatch(member -> membership().member(member.getReplicaId()).isPresent());
   }
 
+  /** The leader may report the vote before it is committed; the confirmed command follows it. */
   private void giveTimeToCatchUp(int successor) {
     awaitCatchUpTime(() -> votes(successor));
+    propose("after the vote of " + successor);
   }
 
   /** Waits until the condition holds, or for the time after which the next host may be lost. */
