Find out at once that the process of a control host has ended

Cause: a host that is gone was found by its silence only. Two of four voters then elect nobody.

Change: a link reports the end of its connection, and the next connection shows whether the process has ended (refused). A follower whose leader has ended campaigns within a heartbeat; a leader beside which a successor votes removes a voter that has ended at once; a new leader takes over what it knows of the one before it. A voter that is only silent is removed after 600 ms in place of 1 s.

Why it works: between the first loss and the removal of the vote there is one connection attempt, an election within a heartbeat or two and two commits, in place of two timeouts. Quorums are the same, so a wrong sign costs an election or a membership change, never an entry.

LogHost.kill closes its links before its port, as no message leaves a process that was killed.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -28,7 +28,7 @@
   private static final long VOTER_LOST_AFTER_MILLIS = 2_000;
   // Longer than an election. While a successor votes already, the removal of a voter leaves enough
   // voters, and until then the cluster tolerates one loss less.
-  private static final long REPLACED_VOTER_LOST_AFTER_MILLIS = 1_000;
+  private static final long REPLACED_VOTER_LOST_AFTER_MILLIS = 600;
   // A learner that returns later asks to join again.
   private static final long LEARNER_LOST_AFTER_MILLIS = 30_000;
   // Several intervals of the requests of a voter that stops.
@@ -99,7 +99,9 @@
         core.membership(),
         core::hasCaughtUp,
         openMembership.get().voterCount(),
-        replicaId -> core.unresponsiveMillis(replicaId) > lostAfterMillis,
+        replicaId ->
+            core.unresponsiveMillis(replicaId) > lostAfterMillis
+                || hasFurtherVoter(core) && core.hasEnded(replicaId),
         leavingVoters::containsKey);
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/log/RaftTransport.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/RaftTransport.java
@@ -7,10 +7,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
 import org.alderyard.protocol.generated.raft.Member;
 import org.alderyard.protocol.generated.raft.RaftBatch;
 import org.alderyard.protocol.generated.raft.RaftMessage;
+import org.alderyard.protocol.wire.PeerLink;
 import org.alderyard.protocol.wire.PeerLinks;
 
 /**
@@ -26,19 +28,27 @@
   private final ReplicatedLogOptions options;
   private final Member self;
   private final LongFunction<Optional<InetSocketAddress>> addressOf;
+  private final LongConsumer onRefused;
   private final Map<Long, Outbox> outboxes = new HashMap<>();
 
+  /**
+   * Creates a transport.
+   *
+   * @param onRefused called on the loop with the id of a replica whose machine refuses connections
+   */
   RaftTransport(
       PeerLinks links,
       SerialLoop loop,
       ReplicatedLogOptions options,
       Member self,
-      LongFunction<Optional<InetSocketAddress>> addressOf) {
+      LongFunction<Optional<InetSocketAddress>> addressOf,
+      LongConsumer onRefused) {
     this.links = links;
     this.loop = loop;
     this.options = options;
     this.self = self;
     this.addressOf = addressOf;
+    this.onRefused = onRefused;
   }
 
   void send(List<RaftMessage> messages) {
@@ -87,7 +97,7 @@
      */
     private void onSent(Throwable failure) {
       if (failure != null) {
-        loop.submit(this::onFailed);
+        loop.submit(() -> onFailed(failure));
         return;
       }
       inFlight = false;
@@ -96,8 +106,11 @@
       }
     }
 
-    private void onFailed() {
+    private void onFailed(Throwable failure) {
       inFlight = false;
+      if (PeerLink.isRefusal(failure)) {
+        onRefused.accept(replicaId);
+      }
       // Messages queued behind a failed send are stale; the next heartbeat resumes replication.
       queue.clear();
       sendNext();
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicaHost.java
@@ -50,6 +50,7 @@
   private final MembershipRepair repair;
   private final JoinPoller joinPoller;
   private final LostDiskProbe lostDiskProbe;
+  private final EndedProcessProbe endedProcessProbe;
   private long nextJoinMillis;
   private String lastLoggedReason = "";
   // Not null while the log is open.
@@ -60,6 +61,7 @@
   ReplicaHost(
       ReplicatedLogBuilder builder,
       SerialLoop loop,
+      WorkerPool workers,
       Executor snapshotExecutor,
       PendingRequests pending) {
     this.builder = builder;
@@ -77,6 +79,14 @@
             .build();
     repair = new MembershipRepair(builder.openMembership, builder.options.joinInterval());
     lostDiskProbe = new LostDiskProbe(builder.links, loop, builder.options, self, this::core);
+    endedProcessProbe =
+        new EndedProcessProbe(
+            builder.links,
+            loop,
+            workers,
+            this::core,
+            member -> addresses.resolve(member.getAddress()),
+            this::onEndedProcess);
     joinPoller =
         new JoinPoller(builder.links, loop, builder.options, this::joinTargets, this::onJoinRound);
     try {
@@ -87,6 +97,8 @@
       folder.close();
       throw failure;
     }
+    builder.links.onDisconnect(
+        address -> loop.submit(() -> endedProcessProbe.connectionEnded(address)));
     builder.dispatcher.serveOnNetworkThread(RaftMethods.MESSAGES, this::onMessages);
     builder.dispatcher.serve(RaftMethods.JOIN, this::onJoin);
   }
@@ -150,7 +162,8 @@
             builder.random,
             nowMillis());
     RaftTransport transport =
-        new RaftTransport(builder.links, loop, builder.options, self, this::addressOf);
+        new RaftTransport(
+            builder.links, loop, builder.options, self, this::addressOf, this::onEndedProcess);
     driver =
         new LogDriver(
             core,
@@ -217,6 +230,14 @@
         : nextMillis;
   }
 
+  private void onEndedProcess(long replicaId) {
+    if (driver == null) {
+      return;
+    }
+    driver.core().recordEndedProcess(replicaId, nowMillis());
+    repair.repair(driver.core(), nowMillis());
+  }
+
   /** Dates the proposal or read that follows. */
   void advanceTo(long nowMillis) {
     if (driver != null) {
--- a/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/ReplicatedLog.java
@@ -76,7 +76,7 @@
     pending = new PendingRequests(builder.callbacks);
     loop = new SerialLoop(workers, this::flush, this::fail);
     try {
-      replica = new ReplicaHost(builder, loop, snapshotWorkers, pending);
+      replica = new ReplicaHost(builder, loop, workers, snapshotWorkers, pending);
     } catch (RuntimeException openFailure) {
       workers.close();
       snapshotWorkers.close();
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -53,11 +53,38 @@
     this.voterWithoutDisk = voterWithoutDisk;
     replication = new Replication(state);
     updatePeers();
+    continueSilenceOfLastLeader();
     firstIndexOfTerm = append(EntryKind.NO_OP, ByteString.EMPTY);
     removeVoterWithoutDisk();
     startHeartbeatRound();
   }
 
+  private void continueSilenceOfLastLeader() {
+    Progress progress = peers.get(state.lastLeaderId());
+    if (progress != null) {
+      progress.continueSilence(state.lastLeaderHeardMillis(), state.hasLastLeaderEnded());
+    }
+  }
+
+  /**
+   * Records that the process of a replica has ended. One that this leader has not heard of may only
+   * be slower to start.
+   */
+  void recordEndedProcess(long replicaId) {
+    Progress progress = peers.get(replicaId);
+    boolean hasRun =
+        progress != null && (progress.hasReplied() || replicaId == state.lastLeaderId());
+    if (hasRun) {
+      progress.recordEndedProcess();
+    }
+  }
+
+  /** Returns whether the process of a replica has ended and has not replied since. */
+  boolean hasEnded(long replicaId) {
+    Progress progress = peers.get(replicaId);
+    return progress != null && progress.hasEnded();
+  }
+
   private void removeVoterWithoutDisk() {
     Membership membership = state.log.membership();
     if (state.log.isMembershipCommitted()
@@ -265,12 +292,14 @@
   }
 
   /**
-   * Returns the time in milliseconds since the last contact with a replica; 0 for an unknown
-   * replica.
+   * Returns the time in milliseconds since the last contact with a replica, of this leader or, for
+   * the leader before it, as its follower; 0 for an unknown replica.
    */
   long unresponsiveMillis(long replicaId) {
     Progress progress = peers.get(replicaId);
-    return progress == null ? 0 : state.nowMillis() - progress.lastContactMillis();
+    return progress == null
+        ? 0
+        : progress.silentMillis(state.nowMillis(), state.options.electionTimeoutMinMillis());
   }
 
   boolean hasCaughtUp(long replicaId) {
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Progress.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Progress.java
@@ -14,6 +14,8 @@
   private long lastContactMillis;
   private long repliedRound;
   private boolean replied;
+  private long silentSinceMillis;
+  private boolean processEnded;
   // The time of the first message since the last reply; meaningful only while a reply is awaited.
   private boolean replyAwaited;
   private long unansweredSinceMillis;
@@ -25,6 +27,7 @@
   Progress(long nextIndex, long nowMillis) {
     this.nextIndex = nextIndex;
     this.lastContactMillis = nowMillis;
+    this.silentSinceMillis = nowMillis;
   }
 
   long matchIndex() {
@@ -47,6 +50,8 @@
     lastContactMillis = nowMillis;
     replyAwaited = false;
     replied = true;
+    silentSinceMillis = nowMillis;
+    processEnded = false;
     repliedRound = Math.max(repliedRound, replyRound);
   }
 
@@ -58,6 +63,35 @@
     return replied;
   }
 
+  /**
+   * Takes over what this replica knew of the other one before it became the leader.
+   *
+   * @param heardMillis the time of its last message
+   * @param ended whether its process has ended since
+   */
+  void continueSilence(long heardMillis, boolean ended) {
+    silentSinceMillis = heardMillis;
+    processEnded = ended;
+  }
+
+  /** Records that the process of the replica has ended; its next reply shows that it is back. */
+  void recordEndedProcess() {
+    processEnded = true;
+  }
+
+  boolean hasEnded() {
+    return processEnded;
+  }
+
+  /**
+   * Returns the time without a message of the replica, in milliseconds. A silence that began before
+   * the election counts once this leader has waited for a reply for the given time.
+   */
+  long silentMillis(long nowMillis, long minWaitMillis) {
+    long waitedMillis = nowMillis - lastContactMillis;
+    return waitedMillis < minWaitMillis ? waitedMillis : nowMillis - silentSinceMillis;
+  }
+
   /** Records that a message was sent, to which the replica replies. */
   void recordMessage(long nowMillis) {
     if (!replyAwaited) {
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -154,6 +154,7 @@
     if (message.getTo() != state.self) {
       return;
     }
+    state.recordMessageFrom(message.getFrom());
     boolean voteRequest = message.hasVoteRequest();
     if (voteRequest && election.shouldIgnore(message.getVoteRequest(), role)) {
       return;
@@ -270,6 +271,27 @@
     return election.recordLostDisk(replicaId);
   }
 
+  /**
+   * Records that the process of a replica has ended, as its machine refuses connections to it. A
+   * follower does not wait for the end of the contact with a leader that has ended.
+   */
+  public void recordEndedProcess(long replicaId, long nowMillis) {
+    state.advanceTo(nowMillis);
+    if (leadership != null) {
+      leadership.recordEndedProcess(replicaId);
+    } else {
+      state.recordEndedProcess(replicaId);
+    }
+  }
+
+  /**
+   * Returns whether the process of a replica has ended and has not replied since; false if this
+   * replica is not the leader.
+   */
+  public boolean hasEnded(long replicaId) {
+    return leadership != null && leadership.hasEnded(replicaId);
+  }
+
   /**
    * Appends a command to the log.
    *
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
@@ -30,6 +30,11 @@
   private long leaderContactMillis;
   private final long startedMillis;
   private boolean hasSeenLeader;
+  // The last other replica that led, and what is known of it since.
+  private long lastLeaderId = NO_REPLICA;
+  private long lastLeaderHeardMillis;
+  private boolean lastLeaderEnded;
+  private long lastLeaderEndedMillis;
 
   ReplicaState(
       long self,
@@ -109,12 +114,58 @@
     leaderId = leader;
     hasSeenLeader = true;
     leaderContactMillis = nowMillis;
+    if (leader != self) {
+      lastLeaderId = leader;
+      recordMessageFrom(leader);
+    }
     restartElectionTimer();
   }
 
+  /** Records that a replica has sent a message, so that its process runs. */
+  void recordMessageFrom(long replicaId) {
+    if (replicaId == lastLeaderId) {
+      lastLeaderHeardMillis = nowMillis;
+      lastLeaderEnded = false;
+    }
+  }
+
+  /**
+   * Records that the process of a replica has ended. If it led, an election is due after less than
+   * a heartbeat, at a random time, so that the voters do not all campaign at once.
+   */
+  void recordEndedProcess(long replicaId) {
+    if (replicaId != lastLeaderId) {
+      return;
+    }
+    if (!lastLeaderEnded) {
+      lastLeaderEnded = true;
+      lastLeaderEndedMillis = nowMillis;
+    }
+    if (leaderId == replicaId) {
+      electionDeadlineMillis =
+          Math.min(electionDeadlineMillis, nowMillis + random.nextLong(options.heartbeatMillis()));
+    }
+  }
+
+  /** Returns the last other replica that led; {@link #NO_REPLICA} if none made contact. */
+  long lastLeaderId() {
+    return lastLeaderId;
+  }
+
+  /** Returns the time of the last message of any kind from the last leader. */
+  long lastLeaderHeardMillis() {
+    return lastLeaderHeardMillis;
+  }
+
+  /** Returns whether the process of the last leader has ended since its last message. */
+  boolean hasLastLeaderEnded() {
+    return lastLeaderEnded;
+  }
+
   /** Returns whether the last contact with a leader is too recent for an election. */
   boolean hasRecentLeader() {
     return leaderId != NO_REPLICA
+        && !lastLeaderEnded
         && nowMillis - leaderContactMillis < options.electionTimeoutMinMillis();
   }
 
@@ -132,16 +183,24 @@
 
   /**
    * Schedules the next pre-vote round. During startup the delay is one heartbeat, since other
-   * replicas may not be up yet.
+   * replicas may not be up yet. It is short too after the end of the leader's process, of which the
+   * other replicas may learn a little later.
    */
   void scheduleNextPreVote() {
     if (isStarting()) {
       electionDeadlineMillis = nowMillis + options.heartbeatMillis();
+    } else if (hasLeaderJustEnded()) {
+      electionDeadlineMillis =
+          nowMillis + options.heartbeatMillis() + random.nextLong(options.heartbeatMillis());
     } else {
       restartElectionTimer();
     }
   }
 
+  private boolean hasLeaderJustEnded() {
+    return lastLeaderEnded && nowMillis - lastLeaderEndedMillis < STARTUP_MILLIS;
+  }
+
   boolean isElectionDue() {
     return nowMillis >= electionDeadlineMillis;
   }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LogHost.java
@@ -193,8 +193,9 @@
 
   /** Stops this host without a leadership transfer, as in a crash. */
   void kill() {
-    server.close();
+    // No message leaves the host any more when its peers learn of its end.
     links.close();
+    server.close();
     log.stop();
     closeThreads();
   }
--- a/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
+++ b/alderyard-protocol/src/main/java/org/alderyard/protocol/wire/PeerLink.java
@@ -8,8 +8,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -47,6 +49,7 @@
   private final AtomicLong nextCorrelationId = new AtomicLong(1);
   private final Object lock = new Object();
   private final MonotonicClock clock;
+  private final Runnable onDisconnect;
 
   // Guarded by lock; null before the first use and after a failure.
   private CompletableFuture<Connection> connectionFuture;
@@ -55,10 +58,25 @@
   /** Creates a link that connects at its first use. */
   public PeerLink(
       EventLoops loops, InetSocketAddress address, ProtocolOptions options, MonotonicClock clock) {
+    this(loops, address, options, clock, () -> {});
+  }
+
+  /**
+   * Creates a link that connects at its first use.
+   *
+   * @param onDisconnect called on a network thread after an open connection has ended
+   */
+  PeerLink(
+      EventLoops loops,
+      InetSocketAddress address,
+      ProtocolOptions options,
+      MonotonicClock clock,
+      Runnable onDisconnect) {
     this.loops = loops;
     this.address = address;
     this.options = options;
     this.clock = clock;
+    this.onDisconnect = onDisconnect;
   }
 
   /** Returns the address on which the peer listens. */
@@ -113,6 +131,33 @@
                                 + Futures.toAlderyardException(failure).code())));
   }
 
+  /**
+   * Connects if the link is not connected, and returns whether the peer refused it: its machine
+   * runs, and no process listens at the address. Fails if the connection fails otherwise.
+   */
+  public CompletableFuture<Boolean> isRefused() {
+    return connection()
+        .handle(
+            (connection, failure) -> {
+              if (failure == null) {
+                return false;
+              }
+              if (isRefusal(failure)) {
+                return true;
+              }
+              throw Futures.toAlderyardException(failure);
+            });
+  }
+
+  /**
+   * Returns whether a call failed because the peer refused the connection: its machine runs, and no
+   * process listens at the address.
+   */
+  public static boolean isRefusal(Throwable failure) {
+    Throwable cause = Futures.toAlderyardException(failure).getCause();
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
   /** Returns whether the link is currently connected. */
   public boolean isConnected() {
     synchronized (lock) {
@@ -166,9 +211,11 @@
             connected -> {
               if (!connected.isSuccess()) {
                 result.completeExceptionally(
-                    AlderyardException.notRun(
+                    new AlderyardException(
                         ErrorCode.CONNECTION_LOST,
-                        "no connection to " + address + ": " + connected.cause().getMessage()));
+                        Outcome.NOT_RUN,
+                        "no connection to " + address + ": " + connected.cause().getMessage(),
+                        connected.cause()));
               }
             });
     return result;
@@ -338,6 +385,7 @@
       pendingReplies
           .keySet()
           .forEach(id -> fail(id, "connection lost: " + address, Outcome.OUTCOME_UNKNOWN));
+      onDisconnect.run();
     }
 
     @Override
