Give a control host that returns its vote back

Cause: nobody knows which host a successor replaces. The leader removed the frozen voter, as if it were the replaced one (its log: Remove 1.1 s after the freeze, AddLearner after it), and a host that has voted never became a further voter again. When the replaced host went, no further voter was left.

Change: a voter that is lost while a successor votes, or that a successor replaces, is demoted: it stays a member with the mark of a successor. Back and caught up it votes again, 2 s after the demotion at the earliest. The mark is in the log, on the replica id that held the entries. A learner of the first start gets no vote in advance, and a wiped host is no former voter, as before.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.alderyard.control.raft.MembershipChange;
+import org.alderyard.control.raft.MembershipChange.Demote;
 import org.alderyard.control.raft.MembershipChange.Remove;
 import org.alderyard.control.raft.MembershipChange.Verdict;
 import org.alderyard.control.raft.RaftCore;
@@ -29,6 +30,9 @@
   // Longer than an election. While a successor votes already, the removal of a voter leaves enough
   // voters, and until then the cluster tolerates one loss less.
   private static final long REPLACED_VOTER_LOST_AFTER_MILLIS = 600;
+  // A voter that is lost again and again then changes the membership twice in this time at most. A
+  // host that returns must vote before it no longer counts as lost, which takes 4 s.
+  private static final long READMISSION_DELAY_MILLIS = 2_000;
   // A learner that returns later asks to join again.
   private static final long LEARNER_LOST_AFTER_MILLIS = 30_000;
   // Several intervals of the requests of a voter that stops.
@@ -39,6 +43,8 @@
   private final Map<String, PendingJoin> joinRequests = new HashMap<>();
   // The time of the last request of each voter that stops.
   private final Map<Long, Long> leavingVoters = new HashMap<>();
+  // The time at which each lost voter lost its vote.
+  private final Map<Long, Long> demotedVoters = new HashMap<>();
 
   MembershipRepair(Optional<OpenMembership> openMembership, Duration joinInterval) {
     this.openMembership = openMembership;
@@ -66,6 +72,7 @@
                 nowMillis - join.receivedMillis() > joinRetentionMillis
                     || core.membership().isVoter(join.member().getReplicaId()));
     leavingVoters.values().removeIf(since -> nowMillis - since > LEAVING_RETENTION_MILLIS);
+    demotedVoters.values().removeIf(since -> nowMillis - since > READMISSION_DELAY_MILLIS);
     if (core.role() != Role.LEADER) {
       return;
     }
@@ -73,6 +80,9 @@
         plan(core).nextChange(candidates(core)).or(() -> removalOfLostLearner(core));
     if (change.isPresent() && core.changeMembership(change.get()) == Verdict.ACCEPTED) {
       log.info("event=membership-repair change=\"{}\" term={}", change.get(), core.term());
+      if (change.get() instanceof Demote demote) {
+        demotedVoters.put(demote.replicaId(), nowMillis);
+      }
     }
   }
 
@@ -102,7 +112,8 @@
         replicaId ->
             core.unresponsiveMillis(replicaId) > lostAfterMillis
                 || hasFurtherVoter(core) && core.hasEnded(replicaId),
-        leavingVoters::containsKey);
+        leavingVoters::containsKey,
+        replicaId -> !demotedVoters.containsKey(replicaId));
   }
 
   /** Returns whether a successor votes beside the voters that it may replace. */
@@ -112,7 +123,8 @@
 
   /**
    * Returns the replicas that may become voters: those that ask to join, and, with an open
-   * membership, the learners. A new leader has not received the requests of the learners yet.
+   * membership, the learners. A new leader has not received the requests of the learners yet, and a
+   * request does not say that a lost voter has become a successor.
    */
   private Collection<Member> candidates(RaftCore core) {
     Map<Long, Member> candidates = new LinkedHashMap<>();
@@ -123,7 +135,7 @@
     }
     joinRequests
         .values()
-        .forEach(join -> candidates.put(join.member().getReplicaId(), join.member()));
+        .forEach(join -> candidates.putIfAbsent(join.member().getReplicaId(), join.member()));
     return candidates.values();
   }
 
--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepairPlan.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepairPlan.java
@@ -6,6 +6,7 @@
 import org.alderyard.control.raft.Membership;
 import org.alderyard.control.raft.MembershipChange;
 import org.alderyard.control.raft.MembershipChange.AddLearner;
+import org.alderyard.control.raft.MembershipChange.Demote;
 import org.alderyard.control.raft.MembershipChange.Promote;
 import org.alderyard.control.raft.MembershipChange.Remove;
 import org.alderyard.protocol.generated.raft.Member;
@@ -23,6 +24,10 @@
  *
  * <p>A successor, which joins a cluster that has all its voters, becomes a further voter as soon as
  * it has caught up. The host that it replaces may then end without notice.
+ *
+ * <p>Which host a successor replaces is unknown. A voter that is lost while a successor votes, or
+ * that a successor replaces, therefore becomes a successor itself: if it returns, the place of a
+ * further voter is free again.
  */
 final class MembershipRepairPlan {
   /** Two replacements of hosts may overlap. */
@@ -33,10 +38,17 @@
   private final int maxVoters;
   private final LongPredicate isLost;
   private final LongPredicate isLeaving;
+  private final LongPredicate mayVoteInAdvance;
 
   /** Creates a plan in which every joining replica becomes a voter. */
   MembershipRepairPlan(Membership membership, LongPredicate hasCaughtUp) {
-    this(membership, hasCaughtUp, Integer.MAX_VALUE, replicaId -> false, replicaId -> false);
+    this(
+        membership,
+        hasCaughtUp,
+        Integer.MAX_VALUE,
+        replicaId -> false,
+        replicaId -> false,
+        replicaId -> false);
   }
 
   /**
@@ -44,26 +56,32 @@
    *
    * @param isLost whether a voter has been unresponsive for so long that it may be replaced
    * @param isLeaving whether a voter has announced that it stops
+   * @param mayVoteInAdvance whether a successor may become a further voter
    */
   MembershipRepairPlan(
       Membership membership,
       LongPredicate hasCaughtUp,
       int maxVoters,
       LongPredicate isLost,
-      LongPredicate isLeaving) {
+      LongPredicate isLeaving,
+      LongPredicate mayVoteInAdvance) {
     this.membership = membership;
     this.hasCaughtUp = hasCaughtUp;
     this.maxVoters = maxVoters;
     this.isLost = isLost;
     this.isLeaving = isLeaving;
+    this.mayVoteInAdvance = mayVoteInAdvance;
   }
 
   /** Returns the next change for the joining replicas, or empty if no change is due. */
   Optional<MembershipChange> nextChange(Collection<Member> candidates) {
     if (membership.voters().size() > maxVoters) {
-      Optional<Long> surplus = firstVoter(isLeaving).or(() -> firstVoter(isLost));
+      Optional<MembershipChange> surplus =
+          firstVoter(isLeaving)
+              .map(voter -> (MembershipChange) new Remove(voter))
+              .or(() -> firstVoter(isLost).map(Demote::new));
       if (surplus.isPresent()) {
-        return surplus.map(Remove::new);
+        return surplus;
       }
     }
     return candidates.stream().map(this::changeFor).flatMap(Optional::stream).findFirst();
@@ -111,9 +129,13 @@
       return Optional.of(promotion);
     }
     if (surplus == 0 && firstVoter(isLost).isPresent()) {
-      return firstVoter(isLost).map(Remove::new);
+      return firstVoter(isLost)
+          .map(voter -> replica.getSuccessor() ? new Demote(voter) : new Remove(voter));
     }
-    boolean inAdvance = surplus < MAX_FURTHER_VOTERS && replica.getSuccessor();
+    boolean inAdvance =
+        surplus < MAX_FURTHER_VOTERS
+            && replica.getSuccessor()
+            && mayVoteInAdvance.test(replica.getReplicaId());
     return inAdvance ? Optional.of(promotion) : Optional.empty();
   }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/MembershipChange.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/MembershipChange.java
@@ -26,6 +26,14 @@
    */
   record Remove(long replicaId) implements MembershipChange {}
 
+  /**
+   * Takes the vote of a lost voter, which stays in the membership as a successor: a learner that
+   * may become a further voter once it has caught up.
+   *
+   * @param replicaId the replica id of the voter
+   */
+  record Demote(long replicaId) implements MembershipChange {}
+
   /** Result of a requested membership change. */
   enum Verdict {
     /** The change was appended to the log. It is final once it is committed. */
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/MembershipChangeValidator.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/MembershipChangeValidator.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.LongPredicate;
 import org.alderyard.control.raft.MembershipChange.AddLearner;
+import org.alderyard.control.raft.MembershipChange.Demote;
 import org.alderyard.control.raft.MembershipChange.Promote;
 import org.alderyard.control.raft.MembershipChange.Remove;
 import org.alderyard.control.raft.MembershipChange.Verdict;
@@ -27,8 +28,15 @@
     if (change instanceof Promote promote) {
       return validatePromotion(promote.replicaId());
     }
+    if (change instanceof Demote demote) {
+      return validateLossOf(demote.replicaId(), current.isVoter(demote.replicaId()));
+    }
     long replicaId = ((Remove) change).replicaId();
-    if (current.member(replicaId).isEmpty()) {
+    return validateLossOf(replicaId, current.member(replicaId).isPresent());
+  }
+
+  private Verdict validateLossOf(long replicaId, boolean known) {
+    if (!known) {
       return Verdict.UNKNOWN_REPLICA;
     }
     boolean isLastVoter = current.voters().equals(List.of(replicaId));
@@ -57,6 +65,13 @@
       return current.with(
           current.member(promote.replicaId()).orElseThrow().toBuilder().setVoter(true).build());
     }
+    if (change instanceof Demote demote) {
+      return current.with(
+          current.member(demote.replicaId()).orElseThrow().toBuilder()
+              .setVoter(false)
+              .setSuccessor(true)
+              .build());
+    }
     return current.without(((Remove) change).replicaId());
   }
 }
--- a/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
@@ -283,6 +283,31 @@
     assertThat(leader().commands()).containsAtLeast("first", "second");
   }
 
+  /**
+   * Guards against a log that ends for good: a host that froze comes back without a vote, so that
+   * no further voter is left when a replaced host is gone and a disk is lost.
+   */
+  @Test
+  void hostThatFrozeVotesAgainBeforeNextLoss() {
+    startWithSuccessor();
+    giveTimeToCatchUp(SUCCESSOR);
+    int lead = leaderNumber();
+    final int replaced = (lead + 1) % VOTERS;
+    int frozen = (lead + 2) % VOTERS;
+    hosts.get(frozen).stallLog();
+    propose("stall");
+    LogHost.await("the frozen host has no vote", () -> !votes(frozen));
+    hosts.get(frozen).endStall();
+    giveTimeToCatchUp(frozen);
+
+    hosts.remove(replaced).kill();
+    hosts.remove(lead).kill();
+    emptyDisk(lead);
+    start(lead, VOTERS, false);
+    propose("third");
+    assertThat(leader().commands()).containsAtLeast("first", "third").inOrder();
+  }
+
   /**
    * Guards against a log that ends for good: a host loses its disk, and the next one does as soon
    * as the first one is back for long enough.
