Refuse statements in the second half of a drain

Reads, writes and commits that were sent more than 3 s after SIGTERM had no answer (LOST).

Cause: at 0.52 of the grace the drain asks each session once to roll back its transaction. CallerChannel skipped a session whose statement was running, and nothing asked it again, though OpenTransaction can end a transaction after its running statement.

Change: it is a state now. From 0.52 on a session refuses further statements at once, ABORTED in a transaction and BUSY outside, also those sent ahead and those of sessions that open later; the transaction is rolled back after its running statement, and a commit that runs is answered as it ends. At 0.85, what still runs is answered INDOUBT before the connection closes.

Why it works: no statement begins after 0.52 of the grace, and each that began before is answered, by its server or as in doubt.

--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/SessionStack.java
@@ -35,16 +35,22 @@
   private static final double ACCEPT_SHARE = 0.42;
 
   /**
-   * Fraction of the grace after which open transactions are rolled back; by then they have had half
-   * of the grace to finish.
+   * Fraction of the grace after which statements are refused and open transactions are rolled back;
+   * by then they have had half of the grace to finish.
    */
   private static final double TRANSACTION_SHARE = 0.52;
 
+  /**
+   * Fraction of the grace after which the statements that still run are answered and their
+   * connections closed.
+   */
+  private static final double STATEMENT_SHARE = 0.85;
+
   /**
    * Fraction of the grace after which the drain ends. The remainder is used to close ports, files
    * and the log.
    */
-  private static final double DRAIN_SHARE = 0.85;
+  private static final double DRAIN_SHARE = 0.87;
 
   private static final long POLL_MILLIS = 50;
 
@@ -240,8 +246,9 @@
    * Ends the sessions within the grace.
    *
    * <p>The caller port stays open until the load balancer has seen that this host is not ready.
-   * Idle sessions are then closed, other sessions are closed as soon as they become idle, and open
-   * transactions are rolled back after half of the grace.
+   * Idle sessions are then closed, and other sessions are closed as soon as they become idle. After
+   * half of the grace, open transactions are rolled back and statements are refused. At the end,
+   * callers whose statement still runs are told that its outcome is unknown.
    */
   @Override
   public void drain() {
@@ -260,9 +267,11 @@
       awaitUnused(startNanos, ACCEPT_SHARE);
       sessions.drain();
       closeIdleSessionsUntil(startNanos, TRANSACTION_SHARE);
-      callerPort.get().rollBackTransactions();
+      callerPort.get().stopStatements();
       sessions.rollBackHeldTransactions();
-      closeIdleSessionsUntil(startNanos, DRAIN_SHARE);
+      closeIdleSessionsUntil(startNanos, STATEMENT_SHARE);
+      callerPort.get().endRunningStatements();
+      awaitUnused(startNanos, DRAIN_SHARE);
     } catch (InterruptedException interruption) {
       Thread.currentThread().interrupt();
     }
--- a/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
+++ b/alderyard-proxy/src/main/java/org/alderyard/proxy/callersession/CallerSession.java
@@ -33,7 +33,7 @@
  * The session of one caller: its values, prepared statements, last writes and transaction.
  *
  * <p>{@link #handle} is called for one statement at a time, after the reply to the previous one.
- * Only {@link #close()}, {@link #endIdleTransaction} and {@link #rollBackTransaction()} may run
+ * Only {@link #close()}, {@link #endIdleTransaction} and {@link #stopStatements()} may run
  * concurrently with a statement; the state that they modify is in {@link OpenTransaction}, guarded
  * by its lock.
  */
@@ -49,6 +49,7 @@
   private volatile TransactionState state = TransactionState.NONE;
   private volatile Optional<OpenTransaction> transaction = Optional.empty();
   private volatile boolean busy;
+  private volatile boolean stopping;
   private volatile boolean closed;
 
   CallerSession(LocalStatements local, StatementForwarder forwarder, SessionAccess access) {
@@ -91,6 +92,9 @@
               if (closed) {
                 rollBack();
               }
+              if (stopping) {
+                endTransaction();
+              }
               return reply;
             });
   }
@@ -111,6 +115,9 @@
           "the transaction has failed; end it with a commit or a rollback",
           state);
     }
+    if (stopping && !endsTransaction(statement)) {
+      return refuseWhileStopping();
+    }
     if (statement instanceof SetValue setValue) {
       return changed(variables.set(setValue));
     }
@@ -159,6 +166,13 @@
         .orElseGet(() -> succeed(state));
   }
 
+  private CompletableFuture<SessionReply> refuseWhileStopping() {
+    return refuse(
+        state == TransactionState.NONE ? RefusalCode.BUSY : RefusalCode.ABORTED,
+        "this host is shutting down",
+        failedState());
+  }
+
   /** Refuses an operation that this session has no right to begin. */
   private CompletableFuture<SessionReply> refuseOperation(Refusal refusal) {
     return refuse(refusal.code(), refusal.text(), TransactionState.NONE);
@@ -428,8 +442,16 @@
     }
   }
 
-  /** Rolls back the open transaction without a request of the caller, when this host shuts down. */
-  public void rollBackTransaction() {
+  /**
+   * Refuses all further statements, as this host shuts down. An open transaction is rolled back, as
+   * soon as its running statement has ended; a commit that runs is not affected.
+   */
+  public void stopStatements() {
+    stopping = true;
+    endTransaction();
+  }
+
+  private void endTransaction() {
     transaction.flatMap(OpenTransaction::requestEnd).ifPresent(TransactionLocation::rollBack);
   }
 
--- a/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/TransactionEndTest.java
+++ b/alderyard-proxy/src/test/java/org/alderyard/proxy/callersession/TransactionEndTest.java
@@ -30,7 +30,7 @@
     fixture.onClockRead =
         () -> {
           if (reads.incrementAndGet() == read) {
-            caller.session.rollBackTransaction();
+            caller.session.stopStatements();
           }
         };
   }
@@ -67,7 +67,7 @@
     ended.write("a", "1");
     fixture.group.server("s1").holdResponses();
     CompletableFuture<SessionReply> commit = ended.session.handle("c", new Commit());
-    ended.session.rollBackTransaction();
+    ended.session.stopStatements();
     fixture.group.server("s1").releaseResponses();
     assertThat(commit.get(5, TimeUnit.SECONDS).succeeded()).isTrue();
 
@@ -92,7 +92,7 @@
     ended.write("a", "1");
     fixture.group.server("s1").holdResponses();
     CompletableFuture<SessionReply> read = ended.session.handle("r", new Read("a"));
-    ended.session.rollBackTransaction();
+    ended.session.stopStatements();
     fixture.group.server("s1").releaseResponses();
 
     assertThat(read.get(5, TimeUnit.SECONDS).rows()).containsExactly("1");
