Count and pause replicas that register during a promotion

Cause: the search for a server takes the replicas when it begins and then waits up to 1.2 s for their announcements. Nothing compared the list with the view before the intent or the call.

Change: the search fails once another replica has registered or started again, or sync_replicas has changed, and is repeated with them; the list is compared once more between the intent and the call. A replica that starts while a promotion of its group is searched or pending is registered, then paused, then confirmed. If it can't be paused it is not confirmed and announces itself again. The calls to replicas, with their retries, moved from the search to ReplicaCalls.

Why it works: registrations and intents are entries of one log. One before the intent is seen by the check after it, one behind it finds the promotion pending.

--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/CatchUpMonitor.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/CatchUpMonitor.java
@@ -36,7 +36,7 @@
   private static final Logger log = LoggerFactory.getLogger(CatchUpMonitor.class);
 
   private static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-  private static final Duration CALL_TIMEOUT = SynchronousReplicaSearch.CALL_TIMEOUT;
+  private static final Duration CALL_TIMEOUT = ReplicaCalls.CALL_TIMEOUT;
 
   private final ControlLog controlLog;
   private final ReplicationClient replication;
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PausedReplicas.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PausedReplicas.java
@@ -68,6 +68,19 @@
     entry.nextResumeNanos = nowNanos;
   }
 
+  /** Adds a replica that was paused beside a search, since it started while that ran. */
+  void add(GroupId group, ServerState server, long nowNanos) {
+    Entry known = entries.get(group);
+    if (known != null) {
+      known.servers.put(server.id(), server);
+      return;
+    }
+    Entry entry = new Entry();
+    entry.servers.put(server.id(), server);
+    entry.nextResumeNanos = nowNanos;
+    entries.put(group, entry);
+  }
+
   /** Adds replicas that an earlier leader may have paused. */
   void addUnknown(GroupId group, List<ServerState> replicas, long nowNanos) {
     Entry entry = entries.computeIfAbsent(group, id -> new Entry());
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/PromotionService.java
@@ -71,6 +71,8 @@
   private final Function<GroupId, Optional<ServerId>> pendingPromotions;
   private final ReplicaStarts starts;
   private final ReplicationClient replication;
+  private final ReplicaCalls replicaCalls;
+  private final NewcomerPause newcomers;
   private final PromotionIntents intents;
   private final PrimaryPromoter promoter;
   private final PromotionCalls calls;
@@ -111,6 +113,8 @@
     this.pendingPromotions = pendingPromotions;
     this.starts = starts;
     this.replication = replication;
+    replicaCalls = new ReplicaCalls(replication, workers);
+    newcomers = new NewcomerPause(replicaCalls);
     catchUps = new CatchUpMonitor(controlLog, replication, starts);
     intents = new PromotionIntents(controlLog, self);
     this.promoter = promoter;
@@ -154,6 +158,47 @@
     return CompletableFuture.completedFuture(reply.build());
   }
 
+  /**
+   * Decides whether the announcement of a server may be confirmed. While a promotion of its group
+   * is in progress, a replica that has just started is paused first.
+   *
+   * @param server the server as registered
+   * @param started whether this is the first announcement of its incarnation
+   * @return false if the replica could not be paused; never fails
+   */
+  public CompletableFuture<Boolean> admit(ServerState server, boolean started) {
+    View view = views.get();
+    Optional<GroupState> group = view.group(server.group()).filter(g -> isReplicaOf(g, server));
+    if (group.isEmpty() || !isPromoting(view, server.group())) {
+      newcomers.remove(server);
+      return CompletableFuture.completedFuture(true);
+    }
+    if (started) {
+      newcomers.add(server);
+    }
+    if (!newcomers.contains(server)) {
+      return CompletableFuture.completedFuture(true);
+    }
+    // Recorded before the call, which may be executed without a response.
+    synchronized (lock) {
+      paused.add(server.group(), server, clock.nowNanos());
+    }
+    return newcomers.pause(server, ReplicaMembership.replicasOf(view, group.get()));
+  }
+
+  private static boolean isReplicaOf(GroupState group, ServerState server) {
+    return !group.primary().equals(Optional.of(server.id()));
+  }
+
+  private boolean isPromoting(View view, GroupId group) {
+    if (ReplicaMembership.syncReplicas(view, group) == 0) {
+      return false;
+    }
+    synchronized (lock) {
+      return paused.isSearching(group) || pendingPromotions.apply(group).isPresent();
+    }
+  }
+
   private void checkGroups() {
     if (!controlLog.isLeader()) {
       return;
@@ -180,20 +225,15 @@
         }
         nextAttemptNanos.put(group.id(), nowNanos + APPOINTMENT_TIMEOUT_NANOS);
         paused.searchStarted(group.id());
-        ReplicaSearch search = createSearch(view, group, nowNanos);
-        failoversToStart.add(() -> startFailover(group, reason.get(), search));
+        AcknowledgingReplicas replicas = AcknowledgingReplicas.of(view, group);
+        ReplicaSearch search = createSearch(view, group, replicas, nowNanos);
+        failoversToStart.add(() -> startFailover(group, reason.get(), search, replicas));
       }
     }
     resumptions.forEach(this::resume);
     failoversToStart.forEach(Runnable::run);
   }
 
-  private static int syncReplicas(View view, GroupState group) {
-    return view.configuration()
-        .map(configuration -> configuration.syncReplicasOf(group.id()))
-        .orElse(0);
-  }
-
   /** Resumes all replicas once in each term, as an earlier leader may have paused them. */
   private void updateSynchronousGroups(View view, long nowNanos) {
     if (controlLog.term() != leaderTerm) {
@@ -225,7 +265,7 @@
     ServerState server = resumption.server();
     controlLog
         .readBarrier()
-        .thenCompose(confirmed -> replication.resume(server, SynchronousReplicaSearch.CALL_TIMEOUT))
+        .thenCompose(confirmed -> replication.resume(server, ReplicaCalls.CALL_TIMEOUT))
         .whenComplete(
             (status, failure) -> {
               log.info(
@@ -256,15 +296,16 @@
       return Optional.of("lost");
     }
     boolean callPending =
-        syncReplicas(view, group) > 0 && pendingPromotions.apply(group.id()).isPresent();
+        ReplicaMembership.syncReplicas(view, group.id()) > 0
+            && pendingPromotions.apply(group.id()).isPresent();
     return callPending ? Optional.of("call-pending") : Optional.empty();
   }
 
   /** Returns the search for a group; called with the lock held. */
-  private ReplicaSearch createSearch(View view, GroupState group, long nowNanos) {
+  private ReplicaSearch createSearch(
+      View view, GroupState group, AcknowledgingReplicas acknowledging, long nowNanos) {
     List<ServerState> replicas = ReplicaMembership.replicasOf(view, group);
-    int syncReplicas = syncReplicas(view, group);
-    if (syncReplicas == 0) {
+    if (acknowledging.syncReplicas() == 0) {
       return new NewestReplicaSearch(replicas, replication);
     }
     ServerId primary = group.primary().orElseThrow();
@@ -276,16 +317,17 @@
     return new SynchronousReplicaSearch(
         replicas,
         starts,
-        syncReplicas,
+        acknowledging.syncReplicas(),
         primaryRuns,
         calledServer,
+        () -> acknowledging.areComplete(views.get()),
         controlLog::readBarrier,
-        replication,
-        workers,
+        replicaCalls,
         clock);
   }
 
-  private void startFailover(GroupState group, String reason, ReplicaSearch search) {
+  private void startFailover(
+      GroupState group, String reason, ReplicaSearch search, AcknowledgingReplicas replicas) {
     HostTime startTime = hostTime.get();
     log.info(
         "event=failover-begin group={} primary={} reason={} term={}",
@@ -304,7 +346,7 @@
               if (failure.isPresent()) {
                 handleUnavailablePromoter(group.id(), choice, failure.get());
               } else {
-                handleChoice(group.id(), choice, startTime);
+                handleChoice(replicas, choice, startTime);
               }
             });
   }
@@ -317,7 +359,9 @@
     controlLog.transferLeadership();
   }
 
-  private void handleChoice(GroupId group, ReplicaChoice choice, HostTime startTime) {
+  private void handleChoice(
+      AcknowledgingReplicas replicas, ReplicaChoice choice, HostTime startTime) {
+    GroupId group = replicas.group();
     if (choice.server().isEmpty()) {
       endSearch(group, choice);
       recordFailedAttempt(group, choice.failure(), null);
@@ -330,12 +374,19 @@
         .propose(group, chosen)
         .whenComplete((token, failure) -> endSearch(group, choice))
         .thenAccept(
-            token ->
-                callPromoter(
-                    new PromotionCalls.Promotion(
-                        group, chosen, token.value(), token.term(), askedTime, startTime),
-                    token,
-                    earlierCallPending))
+            token -> {
+              // A replica that registers after the intent is paused before it is admitted.
+              if (!replicas.areComplete(views.get())) {
+                withdraw(group, token, earlierCallPending);
+                recordFailedAttempt(group, "replicas-changed", null);
+                return;
+              }
+              callPromoter(
+                  new PromotionCalls.Promotion(
+                      group, chosen, token.value(), token.term(), askedTime, startTime),
+                  token,
+                  earlierCallPending);
+            })
         .exceptionally(failure -> handleMissingToken(group, failure));
   }
 
@@ -364,8 +415,8 @@
         .run(promotion)
         .thenAccept(
             outcome -> {
-              if (!outcome.executable() && !earlierCallPending) {
-                intents.withdraw(group, token);
+              if (!outcome.executable()) {
+                withdraw(group, token, earlierCallPending);
               }
               switch (outcome.response()) {
                 case ACCEPTED -> awaitAppointment(group);
@@ -376,6 +427,12 @@
             });
   }
 
+  private void withdraw(GroupId group, PromotionIntents.Token token, boolean earlierCallPending) {
+    if (!earlierCallPending) {
+      intents.withdraw(group, token);
+    }
+  }
+
   private void awaitAppointment(GroupId group) {
     synchronized (lock) {
       nextAttemptNanos.put(group, clock.nowNanos() + APPOINTMENT_TIMEOUT_NANOS);
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/ReplicaMembership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/ReplicaMembership.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.alderyard.common.id.GroupId;
 import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
@@ -27,6 +28,11 @@
         .toList();
   }
 
+  /** Returns how many replicas have received a commit of the group before it is acknowledged. */
+  static int syncReplicas(View view, GroupId group) {
+    return view.configuration().map(configuration -> configuration.syncReplicasOf(group)).orElse(0);
+  }
+
   private static boolean hasSuccessor(ServerState gone, List<ServerState> servers) {
     return servers.stream()
         .anyMatch(server -> !isGone(server) && server.address().equals(gone.address()));
--- a/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/promotion/SynchronousReplicaSearch.java
@@ -8,13 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
-import org.alderyard.backend.session.ReplicationClient;
-import org.alderyard.backend.session.ReplicationStatus;
 import org.alderyard.common.concurrent.Futures;
-import org.alderyard.common.concurrent.WorkerPool;
-import org.alderyard.common.error.ErrorCode;
 import org.alderyard.common.id.Position;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.time.MonotonicClock;
@@ -37,6 +34,9 @@
  * once each counted replica has announced its known incarnation after its last report, as a restart
  * in between would be unknown.
  *
+ * <p>A replica that registers while the search runs may acknowledge too, so that the search fails
+ * and is repeated with it.
+ *
  * <p>Replicas that leave receive and acknowledge until they end, so they are asked too. One of them
  * is promoted if no other replica reaches its position.
  *
@@ -46,13 +46,6 @@
 final class SynchronousReplicaSearch implements ReplicaSearch {
   private static final Logger log = LoggerFactory.getLogger(SynchronousReplicaSearch.class);
 
-  static final Duration CALL_TIMEOUT = Duration.ofMillis(350);
-
-  /** Statements of callers may occupy all slots of a replica for a moment. */
-  private static final int MAX_BUSY_RETRIES = 12;
-
-  private static final Duration BUSY_RETRY_DELAY = Duration.ofMillis(15);
-
   /** The number of times that a candidate behind a paused replica is asked again. */
   private static final int MAX_CATCH_UP_CHECKS = 5;
 
@@ -69,8 +62,8 @@
   private final boolean primaryRuns;
   private final Optional<ServerId> calledServer;
   private final Supplier<CompletableFuture<Void>> confirmLeadership;
-  private final ReplicationClient client;
-  private final WorkerPool workers;
+  private final BooleanSupplier replicasComplete;
+  private final ReplicaCalls calls;
   private final MonotonicClock clock;
   // Written by one step of the search at a time.
   private final List<ServerState> paused = Collections.synchronizedList(new ArrayList<>());
@@ -85,6 +78,7 @@
    * @param primaryRuns whether the primary still sends commits, so that a replica that stays can
    *     catch up with one that leaves
    * @param calledServer the server that a pending call promotes, if there is one
+   * @param replicasComplete whether the replicas are still all that may acknowledge a commit
    * @param confirmLeadership fails if this host no longer leads; a replica that a former leader
    *     pauses would stay paused
    */
@@ -94,24 +88,25 @@
       int syncReplicas,
       boolean primaryRuns,
       Optional<ServerId> calledServer,
+      BooleanSupplier replicasComplete,
       Supplier<CompletableFuture<Void>> confirmLeadership,
-      ReplicationClient client,
-      WorkerPool workers,
+      ReplicaCalls calls,
       MonotonicClock clock) {
     this.replicas = replicas;
     this.starts = starts;
     this.syncReplicas = syncReplicas;
     this.primaryRuns = primaryRuns;
     this.calledServer = calledServer;
+    this.replicasComplete = replicasComplete;
     this.confirmLeadership = confirmLeadership;
-    this.client = client;
-    this.workers = workers;
+    this.calls = calls;
     this.clock = clock;
   }
 
   @Override
   public CompletableFuture<ReplicaChoice> run() {
-    return callAll(replicas, server -> client.probe(server, CALL_TIMEOUT))
+    return calls
+        .probe(replicas)
         .thenCompose(this::pauseOthers)
         .exceptionally(
             failure -> {
@@ -157,7 +152,7 @@
                 : CompletableFuture.completedFuture(fail("replica-not-paused")));
   }
 
-  private static long newestTerm(List<Candidate> candidates) {
+  static long newestTerm(List<Candidate> candidates) {
     return candidates.stream()
         .map(Candidate::status)
         .mapToLong(status -> Math.max(status.term(), status.received().term()))
@@ -230,8 +225,7 @@
                 return CompletableFuture.completedFuture(fail("leadership-not-confirmed"));
               }
               paused.addAll(servers);
-              return callAll(servers, server -> client.pause(server, term, CALL_TIMEOUT))
-                  .thenCompose(next);
+              return calls.pause(servers, term).thenCompose(next);
             });
   }
 
@@ -240,7 +234,8 @@
       ServerState candidate, List<Candidate> stopped, long pauseTerm, int checks) {
     Position highest =
         stopped.stream().map(Candidate::received).max(Position::compareTo).orElse(Position.NONE);
-    return callAll(List.of(candidate), server -> client.probe(server, CALL_TIMEOUT))
+    return calls
+        .probe(List.of(candidate))
         .thenCompose(
             reported -> {
               if (reported.isEmpty()) {
@@ -254,7 +249,8 @@
                 return choosePaused(candidate, stopped, pauseTerm);
               }
               return checks < MAX_CATCH_UP_CHECKS
-                  ? delay(CATCH_UP_CHECK_DELAY)
+                  ? calls
+                      .delay(CATCH_UP_CHECK_DELAY)
                       .thenCompose(ignored -> check(candidate, stopped, pauseTerm, checks + 1))
                   : CompletableFuture.completedFuture(fail("candidate-behind"));
             });
@@ -292,6 +288,9 @@
    */
   private CompletableFuture<ReplicaChoice> confirmIncarnations(
       ServerState chosen, Set<ServerState> counted, long reportedMillis) {
+    if (!replicasComplete.getAsBoolean()) {
+      return CompletableFuture.completedFuture(fail("replicas-changed"));
+    }
     Optional<ServerState> unconfirmed =
         counted.stream()
             .filter(server -> server.status() != ServerStatus.GONE)
@@ -306,51 +305,12 @@
     if (clock.nowMillis() - reportedMillis > ANNOUNCEMENT_TIMEOUT_MILLIS) {
       return CompletableFuture.completedFuture(fail("replica-not-announced"));
     }
-    return delay(ANNOUNCEMENT_CHECK_DELAY)
+    return calls
+        .delay(ANNOUNCEMENT_CHECK_DELAY)
         .thenCompose(ignored -> confirmIncarnations(chosen, counted, reportedMillis));
   }
 
   private ReplicaChoice fail(String reason) {
     return ReplicaChoice.failed(reason, List.copyOf(paused));
   }
-
-  /** Calls all servers and returns the reports of those that respond. */
-  private CompletableFuture<List<Candidate>> callAll(
-      List<ServerState> servers,
-      Function<ServerState, CompletableFuture<ReplicationStatus>> request) {
-    List<CompletableFuture<Optional<Candidate>>> calls =
-        servers.stream().map(server -> call(server, () -> request.apply(server), 0)).toList();
-    return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
-        .thenApply(
-            ignored ->
-                calls.stream().map(CompletableFuture::join).flatMap(Optional::stream).toList());
-  }
-
-  private CompletableFuture<Optional<Candidate>> call(
-      ServerState server, Supplier<CompletableFuture<ReplicationStatus>> request, int retries) {
-    return request
-        .get()
-        .handle(
-            (status, failure) -> {
-              if (failure == null) {
-                Candidate candidate = new Candidate(server, status);
-                candidate.logReport();
-                return CompletableFuture.completedFuture(Optional.of(candidate));
-              }
-              ErrorCode code = Futures.toAlderyardException(failure).code();
-              if (code == ErrorCode.OVERLOADED && retries < MAX_BUSY_RETRIES) {
-                return delay(BUSY_RETRY_DELAY)
-                    .thenCompose(ignored -> call(server, request, retries + 1));
-              }
-              Candidate.logMissing(server, code);
-              return CompletableFuture.completedFuture(Optional.<Candidate>empty());
-            })
-        .thenCompose(result -> result);
-  }
-
-  private CompletableFuture<Void> delay(Duration duration) {
-    CompletableFuture<Void> elapsed = new CompletableFuture<>();
-    workers.schedule(duration, () -> elapsed.complete(null));
-    return elapsed;
-  }
 }
--- a/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/ControlService.java
@@ -61,6 +61,11 @@
             ControlMethods.FETCH_CONFIGURATION, (peer, request) -> configurations.fetch(request));
   }
 
+  /** Sets what decides whether an announcement of a server may be confirmed. */
+  public void admitReplicasBy(ReplicaAdmission admission) {
+    registry.admitBy(admission);
+  }
+
   /** Starts the periodic check for expired leases. */
   public void start(WorkerPool workers) {
     workers.scheduleRepeatedly(LEASE_CHECK_INTERVAL, registry::expireLeases);
--- a/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/service/RegistryService.java
@@ -1,7 +1,9 @@
 package org.alderyard.control.service;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.alderyard.common.error.AlderyardException;
@@ -50,6 +52,7 @@
   private final Proposer proposer;
   private final MonotonicClock clock;
   private final LeaderLeases leases;
+  private volatile ReplicaAdmission admission = ReplicaAdmission.ALL;
   private final ReadReportTable readReports = new ReadReportTable();
 
   RegistryService(
@@ -61,6 +64,11 @@
     leases = new LeaderLeases(controlLog, state, clock);
   }
 
+  /** Sets what decides whether an announcement may be confirmed; without it, all are. */
+  void admitBy(ReplicaAdmission newAdmission) {
+    admission = newAdmission;
+  }
+
   LeaderLeases leases() {
     return leases;
   }
@@ -82,6 +90,7 @@
   private CompletableFuture<AnnounceReply> announce(AnnounceRequest request, long receivedMillis) {
     AnnounceReply.Builder reply = AnnounceReply.newBuilder();
     List<CompletableFuture<?>> proposals = new ArrayList<>();
+    Map<ServerState, Boolean> announced = new LinkedHashMap<>();
     for (Announcement received : request.getAnnouncementsList()) {
       Announcement announcement = withBoundedLease(received);
       ServerState server = StateCodec.server(announcement.getServer());
@@ -109,6 +118,8 @@
           announcement.getColdRemainingMillis(),
           clock.nowNanos());
       leases.renewServer(server, receivedMillis, announcement.getLeaseMillis());
+      announced.put(
+          server, known.filter(state -> state.incarnation() == server.incarnation()).isEmpty());
       if (changesState(announcement, server, known)) {
         log.info(
             "event=announcement server={} incarnation={} leaving={}",
@@ -125,9 +136,33 @@
               Command.newBuilder().setServerExpiry(ended.toBuilder().setSaidGoodbye(true))));
     }
     return CompletableFuture.allOf(proposals.toArray(CompletableFuture[]::new))
+        .thenCompose(done -> admit(announced))
         .thenApply(done -> reply.build());
   }
 
+  /** Fails if one of the servers may not be confirmed; it announces itself again. */
+  private CompletableFuture<Void> admit(Map<ServerState, Boolean> announced) {
+    CompletableFuture<Void> result = CompletableFuture.completedFuture(null);
+    for (Map.Entry<ServerState, Boolean> entry : announced.entrySet()) {
+      CompletableFuture<Boolean> admitted = admission.admit(entry.getKey(), entry.getValue());
+      result = result.thenCombine(admitted, (done, isAdmitted) -> confirm(entry, isAdmitted));
+    }
+    return result;
+  }
+
+  private static Void confirm(Map.Entry<ServerState, Boolean> entry, boolean admitted) {
+    if (!admitted) {
+      throw AlderyardException.notRun(
+          ErrorCode.NO_PRIMARY,
+          "a promotion of group "
+              + entry.getKey().group()
+              + " is in progress, and replica "
+              + entry.getKey().id()
+              + " could not be paused; announce it again");
+    }
+    return null;
+  }
+
   private static Announcement withBoundedLease(Announcement announcement) {
     int leaseMillis =
         Math.max(
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/PromotionServiceTest.java
@@ -64,6 +64,9 @@
   private volatile ServerStatus primaryStatus = ServerStatus.ACTIVE;
   private volatile String primary = "s1";
   private volatile int syncReplicas;
+  private volatile List<String> servers = List.of("s1", "s2", "s3");
+  private volatile boolean announced = true;
+  private volatile Runnable beforeIntent = () -> {};
   private final Set<String> restartedServers = ConcurrentHashMap.newKeySet();
   private volatile boolean leadershipConfirmed = true;
   private volatile Duration responseDelay = Duration.ZERO;
@@ -99,7 +102,7 @@
     editor
         .groups()
         .put(GROUP, new GroupState(GROUP, 1, Optional.of(new ServerId(primary)), List.of(), 2, 40));
-    for (String id : List.of("s1", "s2", "s3")) {
+    for (String id : servers) {
       ServerStatus status =
           id.equals("s1") ? primaryStatus : replicaStatuses.getOrDefault(id, ServerStatus.ACTIVE);
       editor.put(
@@ -477,6 +480,89 @@
     awaitTrue(() -> pausedServers.isEmpty());
   }
 
+  /**
+   * Guards against the loss of commits that a replica acknowledged which registered while a server
+   * was searched for.
+   */
+  @Test
+  void replicaThatRegistersDuringSearchIsCounted() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(10, 0));
+    statuses.put("s4", status(15, 0));
+    announced = false;
+    primaryStatus = ServerStatus.LEAVING;
+    startService();
+
+    awaitTrue(() -> pausedServers.contains("s3"));
+    servers = List.of("s1", "s2", "s3", "s4");
+    announced = true;
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s4");
+  }
+
+  /** Guards against the same loss where the replica registers just before the call. */
+  @Test
+  void replicaThatRegistersBeforeCallIsCounted() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(10, 0));
+    statuses.put("s4", status(15, 0));
+    beforeIntent = () -> servers = List.of("s1", "s2", "s3", "s4");
+    primaryStatus = ServerStatus.LEAVING;
+    startService();
+
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s4");
+  }
+
+  /** Guards against a choice that rests on fewer acknowledging replicas than are in force. */
+  @Test
+  void choiceIsRepeatedIfSyncReplicasAreSwitchedOn() throws Exception {
+    statuses.put("s3", status(10, 0));
+    beforeIntent = () -> syncReplicas = 1;
+    primaryStatus = ServerStatus.GONE;
+    startService();
+
+    TimeUnit.MILLISECONDS.sleep(700);
+    assertThat(calls).isEmpty();
+    statuses.put("s2", status(12, 0));
+    awaitTrue(() -> !calls.isEmpty());
+    assertThat(calls.get(0).server()).isEqualTo("s2");
+  }
+
+  /** Guards against the same loss where the replica registers while a call may be executed. */
+  @Test
+  void replicaThatStartsWhileCallIsPendingIsPausedBeforeItIsAdmitted() throws Exception {
+    syncReplicas = 1;
+    statuses.put("s2", status(12, 0));
+    statuses.put("s3", status(10, 0));
+    primaryStatus = ServerStatus.LEAVING;
+    scriptedResponses.addAll(Collections.nCopies(1_000, PromotionResponse.UNKNOWN));
+    PromotionService service = startService();
+    awaitTrue(() -> !calls.isEmpty());
+    servers = List.of("s1", "s2", "s3", "s4");
+    ServerState started = view().server(new ServerId("s4")).orElseThrow();
+
+    assertThat(service.admit(started, true).get(5, TimeUnit.SECONDS)).isFalse();
+    assertThat(service.admit(started, false).get(5, TimeUnit.SECONDS)).isFalse();
+    statuses.put("s4", status(0, 0));
+    assertThat(service.admit(started, false).get(5, TimeUnit.SECONDS)).isTrue();
+    assertThat(pausedServers).contains("s4");
+    primary = "s2";
+    awaitTrue(() -> !pausedServers.contains("s4"));
+  }
+
+  @Test
+  void replicaThatStartsWithoutPromotionIsAdmittedAtOnce() throws Exception {
+    syncReplicas = 1;
+    PromotionService service = startService();
+    ServerState started = view().server(new ServerId("s3")).orElseThrow();
+
+    assertThat(service.admit(started, true).get(5, TimeUnit.SECONDS)).isTrue();
+    assertThat(pausedServers).isEmpty();
+  }
+
   private final class ScriptedPromoter implements PrimaryPromoter {
     @Override
     public void prepare() {
@@ -510,7 +596,7 @@
 
     @Override
     public boolean isAnnouncedSince(ServerState server, long millis) {
-      return true;
+      return announced;
     }
   }
 
@@ -555,6 +641,7 @@
         restartedServers.remove(command.getReplicaCaughtUp().getServer());
         return CompletableFuture.completedFuture(ByteString.EMPTY);
       }
+      beforeIntent.run();
       intent = Optional.of(new Intent(command.getPromotionIntent().getServer(), primary));
       return CompletableFuture.completedFuture(
           PromotionIntentReply.newBuilder()
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
@@ -40,6 +40,7 @@
   private Runnable beforeCall = () -> {};
   private Optional<ServerId> calledServer = Optional.empty();
   private boolean leadershipConfirmed = true;
+  private boolean replicaRegistered;
   // Restarts that the control state learns of only with the replica's next announcement.
   private final Set<ServerId> unknownRestarts = ConcurrentHashMap.newKeySet();
   private final Set<ServerId> knownRestarts = ConcurrentHashMap.newKeySet();
@@ -84,13 +85,13 @@
             syncReplicas,
             primaryRuns,
             calledServer,
+            () -> !replicaRegistered,
             () ->
                 leadershipConfirmed
                     ? CompletableFuture.completedFuture(null)
                     : CompletableFuture.failedFuture(
                         AlderyardException.notRun(ErrorCode.NOT_LEADER, "model")),
-            new ModelReplication(),
-            workers,
+            new ReplicaCalls(new ModelReplication(), workers),
             MonotonicClock.system())
         .run()
         .get(10, TimeUnit.SECONDS);
@@ -100,6 +101,19 @@
     return replica.server.id();
   }
 
+  /** Guards against a choice among replicas that are not all any more. */
+  @Test
+  void searchFailsOnceAnotherReplicaRegisters() throws Exception {
+    add("s2", ServerStatus.ACTIVE, 12);
+    add("s3", ServerStatus.ACTIVE, 10);
+    assertThat(search(1, false).server()).isPresent();
+
+    replicaRegistered = true;
+    ReplicaChoice choice = search(1, false);
+    assertThat(choice.server()).isEmpty();
+    assertThat(choice.failure()).isEqualTo("replicas-changed");
+  }
+
   // Guards against the promotion of a replica that has received nothing for a while, when one that
   // leaves has acknowledged all commits.
   @Test
--- a/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
+++ b/alderyard-daemon/src/main/java/org/alderyard/daemon/ControlStack.java
@@ -159,6 +159,7 @@
                       host.clock,
                       host.wallClock);
               service.serve(host.dispatcher);
+              control.admitReplicasBy(service::admit);
               service.start();
             });
   }
