Do not trust an empty server at the address of a crashed replica

Cause: a server that registers at the address of another one takes its place, and counted as complete unless its predecessor was known to lack commits. Only one that drains hands its log over (PROTOCOL.md); here the predecessor had crashed.

Change: the newcomer may lack commits if its predecessor was a replica of the same group with synchronous replicas that has not announced its end. It counts once it has reached a position of its primary. The place of a crashed primary is no replica's; marking a server there would keep the group without a primary.

--- a/alderyard-control/src/main/java/org/alderyard/control/state/RestartTable.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/RestartTable.java
@@ -2,12 +2,15 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
+import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.ServerState;
+import org.alderyard.common.view.ServerStatus;
 import org.alderyard.common.view.View;
 import org.alderyard.protocol.generated.control.ControlSnapshot;
 import org.alderyard.protocol.generated.control.ReplicaCaughtUp;
@@ -43,15 +46,33 @@
   }
 
   /**
-   * Records the first announcement of a server. It receives the log of the server that was at its
-   * address before, so that it lacks what that one lacks.
+   * Records the first announcement of a server at the address of another one, which it replaces.
+   *
+   * <p>It receives the log of a server that has drained, so that it lacks what that one lacks. A
+   * replica that crashed hands nothing over, whatever it has acknowledged.
+   *
+   * @param group the group of the server
+   * @param view the view before the announcement
    */
-  void recordFirstAnnouncement(ServerId server, long incarnation, ServerState predecessor) {
-    if (mayLackCommits(predecessor.id())) {
+  void recordFirstAnnouncement(
+      ServerId server, long incarnation, GroupId group, ServerState predecessor, View view) {
+    if (mayLackCommits(predecessor.id()) || hasCrashed(predecessor, group, view)) {
       update(next -> next.put(server.value(), incarnation));
     }
   }
 
+  /** Returns whether a replica that may have acknowledged commits has not announced its end. */
+  private static boolean hasCrashed(ServerState replica, GroupId group, View view) {
+    boolean announcedEnd =
+        replica.status() == ServerStatus.LEAVING || replica.status() == ServerStatus.GONE;
+    boolean isPrimary =
+        view.group(group).flatMap(GroupState::primary).equals(Optional.of(replica.id()));
+    return !announcedEnd
+        && !isPrimary
+        && replica.group().equals(group)
+        && isSynchronous(group, view);
+  }
+
   /** Removes a server that holds the log of its primary, unless it has started again since. */
   void recordCaughtUp(ReplicaCaughtUp caughtUp) {
     update(next -> next.remove(caughtUp.getServer(), caughtUp.getIncarnation()));
--- a/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/state/ServerRegistry.java
@@ -62,7 +62,11 @@
             plan.effect(
                 () ->
                     restarts.recordFirstAnnouncement(
-                        new ServerId(announced.getId()), announced.getIncarnation(), predecessor)));
+                        new ServerId(announced.getId()),
+                        announced.getIncarnation(),
+                        new GroupId(announced.getGroup()),
+                        predecessor,
+                        view)));
     if (announcement.getReportsRole()) {
       removeOthersAtAddress(announced, view, plan);
     }
--- a/alderyard-control/src/test/java/org/alderyard/control/state/RestartTableTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/state/RestartTableTest.java
@@ -5,12 +5,14 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.alderyard.common.id.GroupId;
 import org.alderyard.common.id.ServerId;
 import org.alderyard.common.id.ZoneName;
 import org.alderyard.common.view.Bytes;
 import org.alderyard.common.view.ConfigurationState;
+import org.alderyard.common.view.GroupState;
 import org.alderyard.common.view.Organisations;
 import org.alderyard.common.view.ServerState;
 import org.alderyard.common.view.ServerStatus;
@@ -24,6 +26,7 @@
 class RestartTableTest {
   private static final GroupId GROUP = new GroupId("g1");
   private static final ServerId ID = new ServerId("s2");
+  private static final ServerId SUCCESSOR = new ServerId("s9");
   private static final ServerState KNOWN =
       new ServerState(
           ID,
@@ -81,13 +84,39 @@
   // Guards against a successor that counts as complete though it received an incomplete log.
   @Test
   void successorAtTheAddressLacksWhatItsPredecessorLacks() {
-    ServerId successor = new ServerId("s9");
-    table.recordFirstAnnouncement(successor, 500, KNOWN);
-    assertThat(table.mayLackCommits(successor)).isFalse();
+    ServerState leaving = known(ServerStatus.LEAVING);
+    table.recordFirstAnnouncement(SUCCESSOR, 500, GROUP, leaving, view(1));
+    assertThat(table.mayLackCommits(SUCCESSOR)).isFalse();
 
     table.recordAnnouncement(KNOWN, 200, view(1));
-    table.recordFirstAnnouncement(successor, 500, KNOWN);
-    assertThat(table.mayLackCommits(successor)).isTrue();
+    table.recordFirstAnnouncement(SUCCESSOR, 500, GROUP, leaving, view(1));
+    assertThat(table.mayLackCommits(SUCCESSOR)).isTrue();
+  }
+
+  /** Guards against an empty server that counts in the place of a crashed one that acknowledged. */
+  @Test
+  void successorOfCrashedReplicaMayLackCommits() {
+    for (ServerStatus crashed : List.of(ServerStatus.ACTIVE, ServerStatus.EXPIRED)) {
+      RestartTable fresh = new RestartTable();
+      fresh.recordFirstAnnouncement(SUCCESSOR, 500, GROUP, known(crashed), view(1));
+      assertThat(fresh.mayLackCommits(SUCCESSOR)).isTrue();
+    }
+    table.recordFirstAnnouncement(SUCCESSOR, 500, GROUP, KNOWN, view(0));
+    table.recordFirstAnnouncement(SUCCESSOR, 500, new GroupId("g2"), KNOWN, view(1));
+    assertThat(table.mayLackCommits(SUCCESSOR)).isFalse();
+  }
+
+  /** Guards against a group that waits for good: its crashed primary acknowledged for no other. */
+  @Test
+  void successorAtAddressOfCrashedPrimaryCounts() {
+    View.Editor editor = view(1).edit();
+    editor.groups().put(GROUP, new GroupState(GROUP, 1, Optional.of(ID), List.of(), 2, 40));
+    table.recordFirstAnnouncement(SUCCESSOR, 500, GROUP, KNOWN, editor.at(new ViewVersion(1, 2)));
+    assertThat(table.mayLackCommits(SUCCESSOR)).isFalse();
+  }
+
+  private static ServerState known(ServerStatus status) {
+    return new ServerState(ID, KNOWN.incarnation(), GROUP, KNOWN.zone(), KNOWN.address(), status);
   }
 
   // Guards against a next leader that takes a restarted replica for complete.
