--- a/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/local/LocalHosts.java
@@ -30,7 +30,6 @@
   // Hosts that are found through seeds have the same inner port at addresses of their own.
   private final int innerPort = FreePorts.next();
   private final List<Instance> instances = new ArrayList<>();
-  private final List<InetSocketAddress> seeds;
   private int instanceCount;
 
   LocalHosts(SystemPlan plan, Path folder, ProcessSet processes) {
@@ -40,11 +39,11 @@
     for (int host = 0; host < plan.hosts(); host++) {
       instances.add(newInstance("host-" + (host + 1)));
     }
-    seeds =
-        instances.stream()
-            .limit(plan.controlHosts())
-            .map(Instance::advertisedInnerAddress)
-            .toList();
+  }
+
+  /** Returns where the control hosts of now are found. */
+  private Stream<InetSocketAddress> seeds() {
+    return instances.stream().limit(plan.controlHosts()).map(Instance::advertisedInnerAddress);
   }
 
   /**
@@ -132,7 +131,7 @@
 
   private String settings(int host, Instance instance, boolean firstStart) {
     boolean control = host < plan.controlHosts();
-    String controlHosts = seeds.stream().map(Addresses::text).collect(Collectors.joining(","));
+    String controlHosts = seeds().map(Addresses::text).collect(Collectors.joining(","));
     String template =
         """
         [host]
@@ -179,15 +178,16 @@
 
   /**
    * Starts a process with an empty disk at addresses of its own, which takes the place of a host.
+   * The settings of all hosts name it as a seed when they start again.
    *
    * @return the name of the process that had the place, which still runs
    */
   String startSuccessor(int host) {
     final Instance former = instances.get(host);
     Instance successor = newInstance("host-" + (instanceCount + 1));
-    writeSettings(host, successor, false);
-    start(successor);
     instances.set(host, successor);
+    writeSettings(false);
+    start(successor);
     return former.name();
   }
 
--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/HostFaults.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/HostFaults.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
 import org.alderyard.cli.local.LocalHttp;
 import org.alderyard.cli.local.LocalSystem;
 import org.alderyard.common.http.Json;
@@ -43,7 +44,13 @@
             (system, context) -> replaceControl(system, context, true)),
         Fault.alone(
             "replace a control host by SIGKILL, lose a disk",
-            (system, context) -> replaceControl(system, context, false)));
+            (system, context) -> replaceControl(system, context, false)),
+        Fault.alone(
+            "replace a control host by SIGKILL, lose another one for good",
+            HostFaults::loseHostAfterReplacement),
+        Fault.alone(
+            "replace a control host by SIGKILL after another one froze, lose a disk",
+            HostFaults::loseDiskAfterFreezeAndReplacement));
   }
 
   private static int randomProxy(LocalSystem system, FaultContext context) {
@@ -85,8 +92,7 @@
    */
   private static void replaceControl(LocalSystem system, FaultContext context, boolean graceful) {
     int replaced = randomControlHost(system, context);
-    int hosts = system.plan().controlHosts();
-    final int wiped = (replaced + 1 + context.nextInt(hosts - 1)) % hosts;
+    final int wiped = anotherControlHost(system, context, replaced);
     final Duration untilLoss = Duration.ofMillis(context.nextInt(MAX_MILLIS_BEFORE_LOSS));
     String former = system.startSuccessor(replaced);
     context.sleep(CATCH_UP);
@@ -97,6 +103,57 @@
     context.sleep(CATCH_UP);
   }
 
+  /**
+   * Kills a control host whose successor counts, and another one up to 4 s later, for good. An
+   * empty host takes its place. The tickets must still be returned after that.
+   */
+  private static void loseHostAfterReplacement(LocalSystem system, FaultContext context) {
+    int replaced = randomControlHost(system, context);
+    final int lost = anotherControlHost(system, context, replaced);
+    final Duration untilLoss = Duration.ofMillis(context.nextInt(MAX_MILLIS_BEFORE_LOSS));
+    String former = system.startSuccessor(replaced);
+    context.sleep(CATCH_UP);
+    system.removeProcess(former, false);
+    context.sleep(untilLoss);
+    system.removeProcess(system.hostName(lost), false);
+    context.sleep(DOWNTIME);
+    system.startSuccessor(lost);
+    context.tickets.record(returnsTickets(system, context));
+    context.sleep(CATCH_UP);
+  }
+
+  /**
+   * Freezes a control host while the successor of another one counts. Once the frozen one counts
+   * again, kills the replaced host and takes the disk of a third one up to 4 s later.
+   */
+  private static void loseDiskAfterFreezeAndReplacement(LocalSystem system, FaultContext context) {
+    int replaced = randomControlHost(system, context);
+    final int frozen = anotherControlHost(system, context, replaced);
+    final int wiped = anotherControlHost(system, context, replaced, frozen);
+    final Duration untilLoss = Duration.ofMillis(context.nextInt(MAX_MILLIS_BEFORE_LOSS));
+    String former = system.startSuccessor(replaced);
+    context.sleep(CATCH_UP);
+    system.pause(system.hostName(frozen));
+    context.sleep(DOWNTIME);
+    system.resume(system.hostName(frozen));
+    context.sleep(CATCH_UP);
+    system.removeProcess(former, false);
+    context.sleep(untilLoss);
+    wipe(system, wiped);
+    context.tickets.record(returnsTickets(system, context));
+    context.sleep(CATCH_UP);
+  }
+
+  private static int anotherControlHost(
+      LocalSystem system, FaultContext context, Integer... excluded) {
+    List<Integer> others =
+        IntStream.range(0, system.plan().controlHosts())
+            .filter(host -> !List.of(excluded).contains(host))
+            .boxed()
+            .toList();
+    return context.choose(others);
+  }
+
   private static boolean returnsTickets(LocalSystem system, FaultContext context) {
     long endMillis = context.nowMillis() + RECOVERY.toMillis();
     while (context.nowMillis() < endMillis) {
--- a/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/promotion/SynchronousReplicaSearchTest.java
@@ -34,13 +34,13 @@
   private static final long TERM = 3;
   private static final int SEEDS = 2_000;
   private static final int MAX_REPLICAS = 4;
+  private static final int NEWCOMER_ONE_IN = 6;
 
   private final WorkerPool workers = new WorkerPool("test", 1);
   private final List<Replica> replicas = new ArrayList<>();
   private Runnable beforeCall = () -> {};
   private Optional<ServerId> calledServer = Optional.empty();
   private boolean leadershipConfirmed = true;
-  private boolean replicaRegistered;
   // Restarts that the control state learns of only with the replica's next announcement.
   private final Set<ServerId> unknownRestarts = ConcurrentHashMap.newKeySet();
   private final Set<ServerId> knownRestarts = ConcurrentHashMap.newKeySet();
@@ -79,13 +79,14 @@
   }
 
   private ReplicaChoice search(int syncReplicas, boolean primaryRuns) throws Exception {
+    final int known = replicas.size();
     return new SynchronousReplicaSearch(
             replicas.stream().map(replica -> replica.server).toList(),
             new ModelStarts(),
             syncReplicas,
             primaryRuns,
             calledServer,
-            () -> !replicaRegistered,
+            () -> replicas.size() == known,
             () ->
                 leadershipConfirmed
                     ? CompletableFuture.completedFuture(null)
@@ -108,7 +109,11 @@
     add("s3", ServerStatus.ACTIVE, 10);
     assertThat(search(1, false).server()).isPresent();
 
-    replicaRegistered = true;
+    beforeCall =
+        () -> {
+          beforeCall = () -> {};
+          add("s4", ServerStatus.ACTIVE, 14);
+        };
     ReplicaChoice choice = search(1, false);
     assertThat(choice.server()).isEmpty();
     assertThat(choice.failure()).isEqualTo("replicas-changed");
@@ -335,6 +340,35 @@
     assertThat(chosen).isAtLeast(SEEDS / 4);
   }
 
+  /** Guards against the loss of commits that replicas acknowledge which register meanwhile. */
+  @Test
+  void chosenReplicaHoldsEachCommitAcknowledgedByReplicasThatRegister() throws Exception {
+    int chosen = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Random random = new Random(seed);
+      replicas.clear();
+      for (int i = 0; i < 2; i++) {
+        add("s" + i, ServerStatus.ACTIVE, random.nextInt(3));
+      }
+      beforeCall =
+          () -> {
+            if (replicas.size() < MAX_REPLICAS && random.nextInt(NEWCOMER_ONE_IN) == 0) {
+              add("s" + replicas.size(), ServerStatus.ACTIVE, random.nextInt(3));
+            }
+            receiveAtRandom(random);
+          };
+      Optional<ServerId> server = search(1, false).server();
+      if (server.isEmpty()) {
+        continue;
+      }
+      chosen++;
+      long promoted =
+          replicas.stream().filter(r -> server.get().equals(id(r))).findFirst().get().received;
+      assertWithMessage("seed %s", seed).that(promoted).isAtLeast(acknowledgedIndex(1));
+    }
+    assertThat(chosen).isAtLeast(SEEDS / 10);
+  }
+
   private void receiveAtRandom(Random random) {
     for (Replica replica : replicas) {
       if (!replica.paused && random.nextBoolean()) {
