Remove the vote of an ended host without waiting for a heartbeat

Cause: voters drew a time of up to one heartbeat before they campaigned, and the new leader, which had the sign of the ended voter, made the membership change with its next heartbeat.

Change: half a heartbeat at most before an election, and a leader with an ended voter beside a successor looks for a change at each tick (10 ms) until it is made.

The model tells the hosts that a killed process has ended, and in two of its schedules some hosts lose power instead.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -58,9 +58,19 @@
     joinRequests.put(member.getAddress(), new PendingJoin(member, nowMillis));
   }
 
-  /** Returns whether replicas ask this leader to join, or voters stop, so that a change is due. */
+  /**
+   * Returns whether replicas ask this leader to join, voters stop, or a voter that a successor
+   * replaces has ended, so that a change is due.
+   */
   boolean isPending(RaftCore core) {
-    return core.role() == Role.LEADER && (!joinRequests.isEmpty() || !leavingVoters.isEmpty());
+    return core.role() == Role.LEADER
+        && (!joinRequests.isEmpty() || !leavingVoters.isEmpty() || hasEndedSurplusVoter(core));
+  }
+
+  private boolean hasEndedSurplusVoter(RaftCore core) {
+    return openMembership.isPresent()
+        && hasFurtherVoter(core)
+        && core.membership().voters().stream().anyMatch(core::hasEnded);
   }
 
   /** Makes the next membership change if this host is the leader and one is due. */
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/ReplicaState.java
@@ -131,7 +131,7 @@
 
   /**
    * Records that the process of a replica has ended. If it led, an election is due after less than
-   * a heartbeat, at a random time, so that the voters do not all campaign at once.
+   * half a heartbeat, at a random time, so that the voters do not all campaign at once.
    */
   void recordEndedProcess(long replicaId) {
     if (replicaId != lastLeaderId) {
@@ -143,7 +143,9 @@
     }
     if (leaderId == replicaId) {
       electionDeadlineMillis =
-          Math.min(electionDeadlineMillis, nowMillis + random.nextLong(options.heartbeatMillis()));
+          Math.min(
+              electionDeadlineMillis,
+              nowMillis + random.nextLong(1 + options.heartbeatMillis() / 2));
     }
   }
 
--- a/alderyard-control/src/test/java/org/alderyard/control/log/DisksLostAtEndTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/DisksLostAtEndTest.java
@@ -14,20 +14,21 @@
   private static final int SEEDS = Integer.getInteger("disks-lost.seeds", 10);
   private static final long FIRST_SEED = Long.getLong("disks-lost.first-seed", 1);
   private static final long REMOVAL_MILLIS = 2_000;
-  private static final int KNOWN_SEEDS = 22;
+  private static final int REPLACEMENT_SEEDS = 22;
 
   /** Guards against confirmed entries that are on too few disks, and a log that ends for good. */
   @ParameterizedTest
   @CsvSource({"6, 2", "5, 2", "4, 1", "3, 1"})
   void confirmedEntriesOutliveDisksLostAsOthersLosePower(int hosts, int tolerated) {
-    runSchedules(SEEDS, hosts, tolerated, new LossSchedule.Limits(REMOVAL_MILLIS, false));
+    runSchedules(SEEDS, hosts, tolerated, new LossSchedule.Limits(REMOVAL_MILLIS, false, true));
   }
 
   /** Guards against successors that take the votes of hosts which are only cut off for a while. */
   @ParameterizedTest
   @CsvSource({"6, 2", "5, 2"})
   void confirmedEntriesOutliveDisksLostAfterSplits(int hosts, int tolerated) {
-    runSchedules(KNOWN_SEEDS, hosts, tolerated, new LossSchedule.Limits(REMOVAL_MILLIS, true));
+    runSchedules(
+        REPLACEMENT_SEEDS, hosts, tolerated, new LossSchedule.Limits(REMOVAL_MILLIS, true, true));
   }
 
   /**
@@ -36,7 +37,7 @@
   @ParameterizedTest
   @CsvSource("3, 1")
   void logOutlivesHostThatIsGoneRightAfterReplacedOne(int hosts, int tolerated) {
-    runSchedules(KNOWN_SEEDS, hosts, tolerated, new LossSchedule.Limits(0, false));
+    runSchedules(REPLACEMENT_SEEDS, hosts, tolerated, new LossSchedule.Limits(0, false, false));
   }
 
   private static void runSchedules(
--- a/alderyard-control/src/test/java/org/alderyard/control/log/LossSchedule.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/LossSchedule.java
@@ -22,13 +22,19 @@
   private static final long RECOVERY_MILLIS = 15_000;
   private static final long STEP_MILLIS = 10;
 
+  /** The time of a connection attempt, to which the machine of an ended process replies. */
+  private static final long END_DETECTION_MILLIS = 20;
+
   /**
    * What a schedule may contain.
    *
    * @param calmMillis the time after the end of a replaced host without another loss
    * @param splits whether the hosts may be split into halves
+   * @param poweredOff whether some replaced hosts lose power, so that their end is not seen
    */
-  record Limits(long calmMillis, boolean splits) {}
+  record Limits(long calmMillis, boolean splits, boolean poweredOff) {}
+
+  private record End(long dueMillis, ModelHost host) {}
 
   private record Transit(long dueMillis, RaftMessage message) {}
 
@@ -44,6 +50,7 @@
   private final Limits limits;
   private final List<ModelHost> hosts = new ArrayList<>();
   private final List<Transit> transits = new ArrayList<>();
+  private final List<End> ends = new ArrayList<>();
   private final List<Replacement> replacements = new ArrayList<>();
   // Hosts that count together with the one that they replace, which is gone already.
   private final List<ModelHost> successorsOfGone = new ArrayList<>();
@@ -164,6 +171,7 @@
   private void step() {
     nowMillis += STEP_MILLIS;
     endReplacedHosts();
+    deliverEnds();
     for (ModelHost host : active().toList()) {
       host.tick(nowMillis).ifPresent(this::join);
     }
@@ -307,6 +315,7 @@
         calmUntilMillis = nowMillis + limits.calmMillis();
         pair.old().crash();
         pair.old().gone = true;
+        reportEnd(pair.old());
         replacements.remove(pair);
         history.add(nowMillis + " " + pair.old().id + " gone");
       } else if (pair.endMillis() < 0 && nowMillis >= -pair.endMillis()) {
@@ -316,6 +325,25 @@
     }
   }
 
+  /** Tells the hosts that reach the machine of an ended process so, unless it has no power. */
+  private void reportEnd(ModelHost ended) {
+    if (limits.poweredOff() && random.nextBoolean()) {
+      return;
+    }
+    long dueMillis = nowMillis + END_DETECTION_MILLIS;
+    ends.add(new End(dueMillis, ended));
+  }
+
+  private void deliverEnds() {
+    List<End> due = ends.stream().filter(end -> end.dueMillis() <= nowMillis).toList();
+    ends.removeAll(due);
+    for (End end : due) {
+      active()
+          .filter(host -> isConnected(host, end.host()))
+          .forEach(host -> host.onEndedProcess(end.host().replicaId, nowMillis));
+    }
+  }
+
   /** A host that is replaced as planned stays while its successor counts as lost. */
   private boolean mayEnd(Replacement pair) {
     return nowMillis >= calmUntilMillis
--- a/alderyard-control/src/test/java/org/alderyard/control/log/ModelHost.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/ModelHost.java
@@ -126,6 +126,13 @@
     }
   }
 
+  /** Handles the refusal of a connection by the machine of another replica. */
+  void onEndedProcess(long endedReplicaId, long nowMillis) {
+    core.recordEndedProcess(endedReplicaId, nowMillis);
+    repair.repair(core, nowMillis);
+    performEffects(false);
+  }
+
   void receive(RaftMessage message, long nowMillis, boolean crashBeforeSync) {
     core.receive(message, nowMillis);
     performEffects(crashBeforeSync);
