Let a new leader hear its learners before a hand-over of a vote is impossible

Cause: a learner counts as caught up with its first reply, which a new leader has not got yet. 'Not heard yet' was taken for 'behind'.

Change: in the first 200 ms of a leader the answer is that the replacement is in progress, if there are learners.

Evidence: MembershipRepairTest.newLeaderWaitsForFirstRepliesOfLearners; the answer was REPLACEMENT_IMPOSSIBLE without the change, by reading, not run.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -35,6 +35,8 @@
   private static final long READMISSION_DELAY_MILLIS = 2_000;
   // A learner that returns later asks to join again.
   private static final long LEARNER_LOST_AFTER_MILLIS = 30_000;
+  // Several heartbeats, after which a new leader knows which learners have caught up.
+  private static final long FIRST_REPLIES_MILLIS = 200;
   // Several intervals of the requests of a voter that stops.
   private static final long LEAVING_RETENTION_MILLIS = 1_000;
 
@@ -159,8 +161,11 @@
           ? Replacement.REPLACEMENT_DONE
           : Replacement.REPLACEMENT_IN_PROGRESS;
     }
-    if (!hasFurtherVoter(core) && !plan(core).hasSuccessor(candidates(core))) {
-      return Replacement.REPLACEMENT_IMPOSSIBLE;
+    Collection<Member> candidates = candidates(core);
+    if (!hasFurtherVoter(core) && !plan(core).hasSuccessor(candidates)) {
+      return candidates.isEmpty() || core.leadingMillis() > FIRST_REPLIES_MILLIS
+          ? Replacement.REPLACEMENT_IMPOSSIBLE
+          : Replacement.REPLACEMENT_IN_PROGRESS;
     }
     leavingVoters.put(replicaId, nowMillis);
     repair(core, nowMillis);
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/Leadership.java
@@ -32,6 +32,7 @@
   private final Map<Long, Progress> peers = new HashMap<>();
   private final ReadQueue reads = new ReadQueue();
   private final long firstIndexOfTerm;
+  private final long sinceMillis;
   // The voter without a disk whose vote was missing in the election.
   private final OptionalLong voterWithoutDisk;
   private long round;
@@ -52,6 +53,7 @@
     this.state = state;
     this.voterWithoutDisk = voterWithoutDisk;
     replication = new Replication(state);
+    sinceMillis = state.nowMillis();
     updatePeers();
     continueSilenceOfLastLeader();
     firstIndexOfTerm = append(EntryKind.NO_OP, ByteString.EMPTY);
@@ -79,6 +81,11 @@
     }
   }
 
+  /** Returns the time since the election of this leader, in milliseconds. */
+  long leadingMillis() {
+    return state.nowMillis() - sinceMillis;
+  }
+
   /** Returns whether the process of a replica has ended and has not replied since. */
   boolean hasEnded(long replicaId) {
     Progress progress = peers.get(replicaId);
--- a/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/raft/RaftCore.java
@@ -451,6 +451,14 @@
     return leadership == null ? 0 : leadership.unresponsiveMillis(replicaId);
   }
 
+  /**
+   * Returns the time in milliseconds since this replica became the leader; 0 if it is not the
+   * leader.
+   */
+  public long leadingMillis() {
+    return leadership == null ? 0 : leadership.leadingMillis();
+  }
+
   /** Returns the role of this replica in its current term. */
   public Role role() {
     return role;
--- a/alderyard-control/src/test/java/org/alderyard/control/log/MembershipRepairTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/MembershipRepairTest.java
@@ -15,6 +15,7 @@
 import org.alderyard.control.raft.Snapshot;
 import org.alderyard.protocol.generated.raft.HardState;
 import org.alderyard.protocol.generated.raft.Member;
+import org.alderyard.protocol.generated.raft.Replacement;
 import org.junit.jupiter.api.Test;
 
 /** Tests the membership changes of a leader that is the only voter. */
@@ -44,6 +45,24 @@
     core.markSynced();
   }
 
+  /**
+   * Guards against a voter that stops without handing over its vote, since a leader that was just
+   * elected has not heard the learner yet.
+   */
+  @Test
+  void newLeaderWaitsForFirstRepliesOfLearners() {
+    core.tick(1_000);
+    sync(); // Its vote for itself.
+    sync(); // The first entry of its term.
+    assertThat(repair.replace(core, 1, 1_010)).isEqualTo(Replacement.REPLACEMENT_IMPOSSIBLE);
+    assertThat(core.changeMembership(new AddLearner(member(LEARNER)))).isEqualTo(Verdict.ACCEPTED);
+    sync();
+
+    assertThat(repair.replace(core, 1, 1_020)).isEqualTo(Replacement.REPLACEMENT_IN_PROGRESS);
+    core.tick(2_000);
+    assertThat(repair.replace(core, 1, 2_000)).isEqualTo(Replacement.REPLACEMENT_IMPOSSIBLE);
+  }
+
   /** Guards against a leader that connects for good to a learner whose host is gone. */
   @Test
   void learnerThatIsGoneIsRemoved() {
