Give a control host that is stopped and started again its vote back

A host is stopped by SIGTERM and started again while the successor of another one votes. It came back as a learner for good, so that the log would have ended with the next host that is gone and one lost disk (LOST, CONFIG).

Cause: a voter that stops beside a successor is removed, as if it were the host that the successor replaces, and who has voted gets no further vote.

Evidence: hostThatIsStartedAgainVotesBesideSuccessor failed before, 1 of 1 (no vote after 4 s), and passes. VoteHandOverTest, FormationTest, MembershipRepairTest and DisksLostAtEndTest pass.

--- a/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
+++ b/alderyard-control/src/main/java/org/alderyard/control/log/MembershipRepair.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.alderyard.control.raft.MembershipChange;
+import org.alderyard.control.raft.MembershipChange.AddLearner;
 import org.alderyard.control.raft.MembershipChange.Demote;
 import org.alderyard.control.raft.MembershipChange.Remove;
 import org.alderyard.control.raft.MembershipChange.Verdict;
@@ -47,6 +48,8 @@
   private final Map<Long, Long> leavingVoters = new HashMap<>();
   // The time at which each lost voter lost its vote.
   private final Map<Long, Long> demotedVoters = new HashMap<>();
+  // The time at which each voter was removed that stopped while a successor voted.
+  private final Map<Long, Long> stoppedVoters = new HashMap<>();
 
   MembershipRepair(Optional<OpenMembership> openMembership, Duration joinInterval) {
     this.openMembership = openMembership;
@@ -85,19 +88,37 @@
                     || core.membership().isVoter(join.member().getReplicaId()));
     leavingVoters.values().removeIf(since -> nowMillis - since > LEAVING_RETENTION_MILLIS);
     demotedVoters.values().removeIf(since -> nowMillis - since > READMISSION_DELAY_MILLIS);
+    stoppedVoters.values().removeIf(since -> nowMillis - since > LEARNER_LOST_AFTER_MILLIS);
     if (core.role() != Role.LEADER) {
       return;
     }
+    final boolean successorVotes = openMembership.isPresent() && hasFurtherVoter(core);
     Optional<MembershipChange> change =
-        plan(core).nextChange(candidates(core)).or(() -> removalOfLostLearner(core));
+        plan(core)
+            .nextChange(candidates(core))
+            .map(this::withPlaceOfStoppedVoter)
+            .or(() -> removalOfLostLearner(core));
     if (change.isPresent() && core.changeMembership(change.get()) == Verdict.ACCEPTED) {
       log.info("event=membership-repair change=\"{}\" term={}", change.get(), core.term());
       if (change.get() instanceof Demote demote) {
         demotedVoters.put(demote.replicaId(), nowMillis);
       }
+      if (change.get() instanceof Remove remove
+          && successorVotes
+          && leavingVoters.containsKey(remove.replicaId())) {
+        stoppedVoters.put(remove.replicaId(), nowMillis);
+      }
     }
   }
 
+  /** Adds a voter that stopped and is back as a successor: the host to replace is another one. */
+  private MembershipChange withPlaceOfStoppedVoter(MembershipChange change) {
+    return change instanceof AddLearner add
+            && stoppedVoters.containsKey(add.member().getReplicaId())
+        ? new AddLearner(add.member().toBuilder().setSuccessor(true).build())
+        : change;
+  }
+
   /** Removes a learner that is gone, as the leader would otherwise connect to it for good. */
   private Optional<MembershipChange> removalOfLostLearner(RaftCore core) {
     if (openMembership.isEmpty()) {
--- a/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
+++ b/alderyard-control/src/test/java/org/alderyard/control/log/VoteHandOverTest.java
@@ -159,6 +159,24 @@
     assertThat(membership().membersOnHost("control-" + stopped)).isEmpty();
   }
 
+  /**
+   * Guards against a host that is stopped and started again, and comes back without the vote that
+   * is needed when the host to replace is gone.
+   */
+  @Test
+  void hostThatIsStartedAgainVotesBesideSuccessor() {
+    startWithSuccessor();
+    giveTimeToCatchUp(SUCCESSOR);
+    int restarted = (leaderNumber() + 1) % VOTERS;
+    hosts.remove(restarted).close();
+    LogHost.await("the vote is removed", () -> !votes(restarted));
+    start(restarted);
+
+    awaitCatchUpTime(() -> votes(restarted));
+    assertThat(votes(restarted)).isTrue();
+    assertThat(membership().voters()).hasSize(VOTERS + 1);
+  }
+
   /** Guards against the same loss where the host that stops is the leader. */
   @Test
   void leaderThatStopsHandsOverItsVote() {
