--- a/alderyard-cli/src/main/java/org/alderyard/cli/prove/HostFaults.java
+++ b/alderyard-cli/src/main/java/org/alderyard/cli/prove/HostFaults.java
@@ -131,7 +131,7 @@
     final int frozen = anotherControlHost(system, context, replaced);
     final int wiped = anotherControlHost(system, context, replaced, frozen);
     final Duration untilLoss = Duration.ofMillis(context.nextInt(MAX_MILLIS_BEFORE_LOSS));
-    String former = system.startSuccessor(replaced);
+    final String former = system.startSuccessor(replaced);
     context.sleep(CATCH_UP);
     system.pause(system.hostName(frozen));
     context.sleep(DOWNTIME);
